--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of wasabistream."""
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,62 @@
+"""Builders of test data."""
+
+import itertools
+import socket
+from typing import Any
+
+from wasabistream.buffers import StreamBuffer
+from wasabistream.jobs import GenerationJob
+from wasabistream.requests import Generate
+
+BUFFER_BYTES = 1024 * 1024
+FAR_DEADLINE_SECONDS = 1e9
+
+_numbers = itertools.count(1)
+
+
+def build_generate(**changes: Any) -> Generate:
+    """Return a generation request."""
+    fields: dict[str, Any] = {
+        'request_id': f'entry.{next(_numbers)}',
+        'organisation': 'desk',
+        'model': 'assistant',
+        'work_class': 'normal',
+        'prompt': 'hello',
+        'prompt_tokens': 10,
+        'max_tokens': 100,
+        'deadline_seconds': 60.0,
+        'fingerprint': 1,
+        'document_revision': 1,
+    }
+    return Generate(**{**fields, **changes})
+
+
+def build_job(**changes: Any) -> GenerationJob:
+    """Return a generation job that nobody follows."""
+    return GenerationJob(
+        request=build_generate(**changes),
+        stream_id=f'agent.{next(_numbers)}',
+        deadline_monotonic_seconds=FAR_DEADLINE_SECONDS,
+        buffer=StreamBuffer(BUFFER_BYTES),
+        subscriber=None,
+    )
+
+
+def build_document(**changes: Any) -> dict[str, Any]:
+    """Return the JSON value of a configuration document."""
+    fields: dict[str, Any] = {
+        'format': 1,
+        'revision': 1,
+        'models': [],
+        'data_centres': [{'name': 'dc-a'}],
+        'organisations': [],
+    }
+    return {**fields, **changes}
+
+
+def build_socket_pair() -> tuple[socket.socket, socket.socket]:
+    """Return two connected TCP sockets."""
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        near = socket.create_connection(server.getsockname())
+        far, _ = server.accept()
+    return near, far
--- /dev/null
+++ b/tests/test_followers.py
@@ -0,0 +1,78 @@
+"""Tests of the follower of a generation."""
+
+import unittest
+
+from wasabistream.exceptions import RefusedError
+from wasabistream.followers import GenerationFollower
+from wasabistream.outcomes import Outcome
+from wasabistream.requests import Failed, Finished, Token
+
+
+class RecordingWriter:
+    """Record what an answer writer is told."""
+
+    def __init__(self) -> None:
+        self.stream_id = ''
+        self.texts: list[str] = []
+        self.finish_reason = ''
+
+    @property
+    def started(self) -> bool:
+        """Tell whether a token was written."""
+        return bool(self.texts)
+
+    def token(self, index: int, text: str) -> None:
+        """Record a token."""
+        self.texts.append(text)
+
+    def finish(self, finish_reason: str) -> None:
+        """Record the end."""
+        self.finish_reason = finish_reason
+
+    def fail(
+        self, status: int, body: bytes, retry_after_seconds: float
+    ) -> None:
+        """Do nothing: the dispatcher reports failures."""
+
+
+class GenerationFollowerTest(unittest.TestCase):
+    """Guard the promise that each token is delivered once and in order."""
+
+    def setUp(self) -> None:
+        """Follow one generation."""
+        self.writer = RecordingWriter()
+        self.ends: list[RefusedError | None] = []
+        self.follower = GenerationFollower(
+            self.writer, lambda _, failure: self.ends.append(failure)
+        )
+
+    def test_repeated_token_is_dropped(self) -> None:
+        """Guard against a token delivered twice after a resume."""
+        for index, text in ((0, 'a'), (1, 'b'), (1, 'b'), (0, 'a'), (2, 'c')):
+            self.follower.on_message(Token('r', index, text))
+        self.assertEqual(self.writer.texts, ['a', 'b', 'c'])
+
+    def test_gap_ends_stream(self) -> None:
+        """Guard against an answer with a token missing in the middle."""
+        self.follower.on_message(Token('r', 0, 'a'))
+        self.follower.on_message(Token('r', 2, 'c'))
+        self.follower.on_message(Finished('r', 3, 'stop'))
+        self.assertEqual(self.writer.texts, ['a'])
+        self.assertEqual(self.writer.finish_reason, '')
+        self.assertEqual(
+            [end.reason for end in self.ends if end], ['token_gap']
+        )
+
+    def test_short_count_is_not_complete(self) -> None:
+        """Guard against a truncated answer that looks complete."""
+        self.follower.on_message(Token('r', 0, 'a'))
+        self.follower.on_message(Finished('r', 2, 'stop'))
+        self.assertEqual(self.writer.finish_reason, '')
+
+    def test_lost_link_is_unknown(self) -> None:
+        """Guard against calling a lost attempt not run."""
+        self.follower.on_lost('closed')
+        self.follower.on_message(Failed('r', Outcome.run, 'late'))
+        self.assertEqual(
+            [end.outcome for end in self.ends if end], [Outcome.unknown]
+        )
--- /dev/null
+++ b/wasabistream/__main__.py
@@ -0,0 +1,14 @@
+"""Entry point of the command line."""
+
+import fire
+
+from wasabistream.commands import Commands
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(Commands, name='wasabistream')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/wasabistream/agents.py
@@ -0,0 +1,240 @@
+"""Agent: the one gate in front of one backend server."""
+
+import logging
+import secrets
+import threading
+from collections.abc import Sequence
+
+from wasabistream.applications import Application
+from wasabistream.calls import CallRunner
+from wasabistream.configurations import ConfigurationStore
+from wasabistream.engines import EngineState, make_engine_client
+from wasabistream.exceptions import BackendError, LinkError, RefusedError
+from wasabistream.gates import Gate, GrowthPolicy, OpenPolicy
+from wasabistream.generations import GenerationRunner
+from wasabistream.links import Link
+from wasabistream.listeners import LinkListener
+from wasabistream.messages import (
+    PROTOCOL_VERSION_MAX,
+    PROTOCOL_VERSION_MIN,
+    Message,
+)
+from wasabistream.notices import (
+    DocumentBody,
+    DocumentDigest,
+    DocumentFetch,
+    Hello,
+    LoadReport,
+    Serving,
+)
+from wasabistream.outcomes import Outcome
+from wasabistream.requests import (
+    Call,
+    Cancel,
+    Generate,
+    Refused,
+    Resume,
+    Withdraw,
+)
+from wasabistream.settings import AgentSettings
+
+logger = logging.getLogger(__name__)
+
+STATE_RETRY_SECONDS = 0.2
+
+
+class AgentApplication(Application):
+    """Wire links, gate and backend server."""
+
+    part = 'agent'
+
+    def __init__(self, settings: AgentSettings) -> None:
+        super().__init__(settings)
+        self.agent_settings = settings
+        self.incarnation = secrets.token_hex(4)
+        self.configuration = ConfigurationStore()
+        self._links: set[Link] = set()
+        self._stopped = threading.Event()
+        self._engine = make_engine_client(
+            settings.engine_kind, settings.backend_url
+        )
+        self.generations = GenerationRunner(
+            settings.process_id,
+            self.incarnation,
+            self._engine,
+            settings.stream_buffer_bytes,
+            settings.orphan_limit_seconds,
+        )
+        self.calls = CallRunner(
+            settings.backend_url, settings.service_concurrency_count
+        )
+        self._state: EngineState | None = None
+        self.listener = LinkListener(
+            settings.address, settings.link_port, self._hello(), self
+        )
+
+    def on_start(self) -> None:
+        """Wait for the engine, then accept links."""
+        if self.agent_settings.backend_kind == 'engine':
+            self.generations.start(self._make_gate(self._wait_engine()))
+        self.listener.start()
+        threading.Thread(
+            target=self._report, name='report', daemon=True
+        ).start()
+
+    def on_drain(self) -> None:
+        """Refuse new work and tell all entries."""
+        self._send_reports()
+
+    def on_stop(self) -> None:
+        """Close the links."""
+        self._stopped.set()
+        self.listener.stop()
+        self.calls.stop()
+        for link in list(self._links):
+            link.close()
+
+    def work_in_progress(self) -> list[str]:
+        """Return the ids of requests in progress."""
+        return [
+            *self.generations.jobs_in_progress(),
+            *self.calls.calls_in_progress(),
+        ]
+
+    def on_opened(self, link: Link) -> None:
+        """Tell a new peer what is served and how loaded it is."""
+        self._links.add(link)
+        link.send(self._serving())
+        link.send(self._load_report())
+
+    def on_closed(self, link: Link, reason: str) -> None:
+        """Detach the streams of a link that ended."""
+        self._links.discard(link)
+        self.generations.link_closed(link)
+        logger.info('agent: link to %s ended: %s', link.peer.peer_id, reason)
+
+    def on_messages(self, link: Link, received: Sequence[Message]) -> None:
+        """Handle the messages of an entry."""
+        for message in received:
+            try:
+                self._handle(link, message)
+            except LinkError as error:
+                logger.info('agent: reply lost: %s', error)
+
+    def _handle(self, link: Link, message: Message) -> None:
+        match message:
+            case Generate():
+                if self._admits(link, message.request_id):
+                    self.generations.generate(link, message)
+            case Call():
+                if self._admits(link, message.request_id):
+                    self.calls.call(link, message)
+            case Cancel():
+                self.generations.cancel(link, message)
+            case Withdraw():
+                self.generations.withdraw(link, message)
+            case Resume():
+                self.generations.resume(link, message)
+            case DocumentDigest():
+                version = self.configuration.version
+                offered = (message.revision, message.digest)
+                if version is None or offered > version.order:
+                    link.send(DocumentFetch(message.revision, message.digest))
+            case DocumentBody():
+                self.configuration.offer(message.body, link.peer.peer_id)
+
+    def _admits(self, link: Link, request_id: str) -> bool:
+        try:
+            self._check_in_service()
+        except RefusedError as refusal:
+            link.send(Refused(request_id, Outcome.not_run, refusal.reason))
+            return False
+        return True
+
+    def _check_in_service(self) -> None:
+        if self.draining:
+            raise RefusedError('draining', Outcome.not_run)
+        version = self.configuration.version
+        if version is None:
+            raise RefusedError('no_document', Outcome.not_run)
+        document = version.document
+        if not document.data_centre_in_service(self.settings.data_centre):
+            raise RefusedError('data_centre_out', Outcome.not_run)
+        if self.settings.process_id in document.backend_servers_out:
+            raise RefusedError('backend_out', Outcome.not_run)
+
+    def _leaving(self) -> bool:
+        try:
+            self._check_in_service()
+        except RefusedError as refusal:
+            return refusal.reason != 'no_document'
+        return False
+
+    def _hello(self) -> Hello:
+        return Hello(
+            PROTOCOL_VERSION_MIN,
+            PROTOCOL_VERSION_MAX,
+            'agent',
+            self.settings.process_id,
+            self.incarnation,
+            self.settings.data_centre,
+        )
+
+    def _wait_engine(self) -> EngineState:
+        while not self._stopped.is_set():
+            try:
+                return self._engine.state()
+            except BackendError as error:
+                logger.info('agent: engine is not there yet: %s', error)
+                self._stopped.wait(STATE_RETRY_SECONDS)
+        raise BackendError('stopped before the engine came', 'start')
+
+    def _make_gate(self, state: EngineState) -> Gate:
+        self._state = state
+        if self.agent_settings.admission_policy == 'open':
+            return Gate(OpenPolicy(), self.generations.run)
+        policy = GrowthPolicy(
+            state.memory_capacity_tokens,
+            self.agent_settings.memory_headroom_ratio,
+        )
+        return Gate(policy, self.generations.run)
+
+    def _serving(self) -> Serving:
+        state = self._state
+        if state is None:
+            return Serving(
+                self.agent_settings.service, [], [], 'service', ready=True
+            )
+        return Serving(
+            '', list(state.models), list(state.adapters), state.role, ready=True
+        )
+
+    def _load_report(self) -> LoadReport:
+        state = self._state
+        if state is None:
+            running = len(self.calls.calls_in_progress())
+            limit = self.agent_settings.service_concurrency_count
+            return LoadReport(
+                running, limit, running, 0, limit, self._leaving()
+            )
+        gate = self.generations.gate
+        return LoadReport(
+            memory_used_tokens=gate.memory_used_tokens(),
+            memory_capacity_tokens=state.memory_capacity_tokens,
+            running_count=gate.running_count,
+            queued_count=gate.queued_count,
+            ramp_limit_count=64,
+            leaving=self._leaving(),
+        )
+
+    def _report(self) -> None:
+        while not self._stopped.wait(self.settings.report_interval_seconds):
+            self._send_reports()
+
+    def _send_reports(self) -> None:
+        report = self._load_report()
+        for link in list(self._links):
+            try:
+                link.send(report)
+            except LinkError as error:
+                logger.debug('agent: report lost: %s', error)
--- /dev/null
+++ b/wasabistream/calls.py
@@ -0,0 +1,110 @@
+"""Runner of plain service calls at an agent."""
+
+import logging
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+import urllib3
+
+from wasabistream.exceptions import LinkError
+from wasabistream.ledgers import CallLedger
+from wasabistream.links import Link
+from wasabistream.messages import Message
+from wasabistream.outcomes import Outcome
+from wasabistream.requests import Answer, Call, Failed, Refused
+
+logger = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+
+
+class CallRunner:
+    """Run the calls of all links against one plain service."""
+
+    def __init__(self, url: str, concurrency_count: int) -> None:
+        self._url = url
+        self._limit_count = concurrency_count
+        self._pool = ThreadPoolExecutor(concurrency_count, 'call')
+        self._http = urllib3.PoolManager(
+            maxsize=concurrency_count, retries=False
+        )
+        self._ledger = CallLedger()
+        self._in_progress: dict[str, Call] = {}
+
+    def calls_in_progress(self) -> list[str]:
+        """Return the request ids of calls that have not ended."""
+        return list(self._in_progress)
+
+    def call(self, link: Link, call: Call) -> None:
+        """Run a call in a worker thread, or refuse it."""
+        if len(self._in_progress) >= self._limit_count:
+            link.send(Refused(call.request_id, Outcome.not_run, 'busy', 0.5))
+            return
+        deadline = time.monotonic() + call.deadline_seconds
+        self._in_progress[call.request_id] = call
+        self._pool.submit(self._run, link, call, deadline)
+
+    def stop(self) -> None:
+        """Stop the worker threads."""
+        self._pool.shutdown(wait=False)
+
+    def _run(self, link: Link, call: Call, deadline: float) -> None:
+        try:
+            reply = self._reply(call, deadline)
+        finally:
+            self._in_progress.pop(call.request_id, None)
+        _send(link, reply)
+
+    def _reply(self, call: Call, deadline: float) -> Message:
+        if time.monotonic() >= deadline:
+            return Refused(call.request_id, Outcome.not_run, 'deadline')
+        if call.repeatable:
+            return self._send_to_service(call, deadline)
+        known = self._ledger.claim(call.key)
+        if known is None:
+            reply = self._send_to_service(call, deadline)
+            if isinstance(reply, Answer):
+                self._ledger.complete(call.key, reply)
+            return reply
+        if known.answer is None:
+            return Failed(call.request_id, Outcome.unknown, 'in_progress')
+        answer = known.answer
+        return Answer(
+            call.request_id, answer.status, answer.headers, answer.body, True
+        )
+
+    def _send_to_service(self, call: Call, deadline: float) -> Message:
+        remaining_seconds = max(deadline - time.monotonic(), 0.001)
+        try:
+            response = self._http.request(
+                call.method,
+                self._url + call.path,
+                headers=call.headers,
+                body=call.body,
+                timeout=urllib3.Timeout(
+                    connect=CONNECT_TIMEOUT_SECONDS, read=remaining_seconds
+                ),
+                redirect=False,
+            )
+        except urllib3.exceptions.NewConnectionError:
+            return Refused(call.request_id, Outcome.not_run, 'service_down')
+        except urllib3.exceptions.HTTPError as error:
+            logger.warning('agent: call failed: %s', error)
+            return Failed(call.request_id, Outcome.unknown, 'service_failed')
+        headers = {
+            name: response.headers[name]
+            for name in ('Content-Type',)
+            if name in response.headers
+        }
+        return Answer(call.request_id, response.status, headers, response.data)
+
+
+def _send(link: Link, reply: Message) -> None:
+    try:
+        link.send(reply)
+    except LinkError as error:
+        logger.info('agent: answer lost: %s', error)
+
+
+CallHandler = Callable[[Link, Call], None]
--- /dev/null
+++ b/wasabistream/dialers.py
@@ -0,0 +1,58 @@
+"""Dialer that keeps a link to one peer open."""
+
+import logging
+import random
+import threading
+
+from wasabistream.exceptions import LinkError
+from wasabistream.links import Link, LinkHandler, connect
+from wasabistream.notices import Hello
+
+logger = logging.getLogger(__name__)
+
+RETRY_MIN_SECONDS = 0.1
+RETRY_MAX_SECONDS = 2.0
+
+
+class PeerDialer:
+    """Connect to one peer, read its link and connect again when it ends."""
+
+    def __init__(
+        self, address: str, port: int, hello: Hello, handler: LinkHandler
+    ) -> None:
+        self.address = address
+        self.port = port
+        self._hello = hello
+        self._handler = handler
+        self._stopped = threading.Event()
+        self._link: Link | None = None
+
+    def start(self) -> None:
+        """Start to connect."""
+        threading.Thread(
+            target=self._run,
+            name=f'dial-{self.address}:{self.port}',
+            daemon=True,
+        ).start()
+
+    def stop(self) -> None:
+        """Close the link and stop to connect."""
+        self._stopped.set()
+        if self._link is not None:
+            self._link.close()
+
+    def _run(self) -> None:
+        wait_seconds = RETRY_MIN_SECONDS
+        while not self._stopped.is_set():
+            try:
+                self._link = Link(
+                    connect(self.address, self.port), self._hello, self._handler
+                )
+            except (LinkError, OSError) as error:
+                logger.debug('dialer: %s', error)
+            else:
+                self._link.run()
+                wait_seconds = RETRY_MIN_SECONDS
+            # Jitter keeps the entries from reconnecting at the same moment.
+            self._stopped.wait(wait_seconds * random.uniform(0.5, 1.5))
+            wait_seconds = min(wait_seconds * 2, RETRY_MAX_SECONDS)
--- /dev/null
+++ b/wasabistream/engines.py
@@ -0,0 +1,210 @@
+"""Clients of model engines, by engine kind."""
+
+import json
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import urllib3
+
+from wasabistream.exceptions import BackendError
+from wasabistream.requests import Generate
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+CONTROL_TIMEOUT_SECONDS = 2.0
+# Longest silence of a stream before the engine is taken for dead.
+STREAM_SILENCE_SECONDS = 30.0
+EVENT_PREFIX = b'data: '
+DONE_EVENT = b'[DONE]'
+ENGINE_PRIORITIES = {'urgent': 0, 'normal': 1, 'patient': 2}
+
+
+@dataclass(frozen=True)
+class EngineToken:
+    """Hold one event of an engine stream."""
+
+    index: int
+    text: str
+    finish_reason: str = ''
+
+
+@dataclass(frozen=True)
+class EngineState:
+    """Hold what an engine reports of itself."""
+
+    memory_used_tokens: int
+    memory_capacity_tokens: int
+    running_count: int
+    models: tuple[str, ...]
+    adapters: tuple[str, ...]
+    role: str
+    boot_id: str
+
+
+class EngineClient(Protocol):
+    """Speak to one engine."""
+
+    def generate(
+        self, stream_id: str, request: Generate
+    ) -> Iterator[EngineToken]:
+        """Run a generation; raises BackendError."""
+
+    def resume(self, stream_id: str, index: int) -> Iterator[EngineToken]:
+        """Follow a running generation from an index; raises BackendError."""
+
+    def cancel(self, stream_id: str) -> None:
+        """Stop a generation; raises BackendError."""
+
+    def state(self) -> EngineState:
+        """Read load and contents; raises BackendError."""
+
+    def order(self, fencing: int, order: dict[str, Any]) -> None:
+        """Send a load or role order; raises BackendError."""
+
+
+_kinds: dict[str, Callable[[str], EngineClient]] = {}
+
+
+def engine_kind(name: str) -> Callable[[type], type]:
+    """Register an engine client under the name of its kind."""
+
+    def register(client_type: type) -> type:
+        _kinds[name] = client_type
+        return client_type
+
+    return register
+
+
+def make_engine_client(kind: str, url: str) -> EngineClient:
+    """Build the client of an engine kind; raises KeyError."""
+    return _kinds[kind](url)
+
+
+@engine_kind('standard')
+class StandardEngineClient:
+    """Speak completions over HTTP with server-sent events."""
+
+    def __init__(self, url: str) -> None:
+        self._url = url
+        self._http = urllib3.PoolManager(maxsize=64, retries=False)
+
+    def generate(
+        self, stream_id: str, request: Generate
+    ) -> Iterator[EngineToken]:
+        """Run a generation; raises BackendError."""
+        body = {
+            'request_id': stream_id,
+            'model': request.adapter or request.model,
+            'prompt': request.prompt,
+            'prompt_tokens': request.prompt_tokens,
+            'max_tokens': request.max_tokens,
+            'priority': ENGINE_PRIORITIES[request.work_class],
+            'stream': True,
+        }
+        return self._stream('POST', '/v1/completions', body)
+
+    def resume(self, stream_id: str, index: int) -> Iterator[EngineToken]:
+        """Follow a running generation from an index; raises BackendError."""
+        return self._stream('GET', f'/v1/streams/{stream_id}?from={index}')
+
+    def cancel(self, stream_id: str) -> None:
+        """Stop a generation; raises BackendError."""
+        self._control('DELETE', f'/v1/streams/{stream_id}')
+
+    def state(self) -> EngineState:
+        """Read load and contents; raises BackendError."""
+        report = self._control('GET', '/state')
+        try:
+            return EngineState(
+                memory_used_tokens=report['memory_used_tokens'],
+                memory_capacity_tokens=report['memory_capacity_tokens'],
+                running_count=report['running'],
+                models=tuple(report['models']),
+                adapters=tuple(report['adapters']),
+                role=report['role'],
+                boot_id=report['boot_id'],
+            )
+        except (KeyError, TypeError) as error:
+            raise BackendError(
+                f'malformed state: {error!r}', 'state', self._url
+            ) from error
+
+    def order(self, fencing: int, order: dict[str, Any]) -> None:
+        """Send a load or role order; raises BackendError."""
+        self._control('POST', '/orders', {'fencing': fencing, **order})
+
+    def _control(
+        self, method: str, path: str, body: dict[str, Any] | None = None
+    ) -> Any:
+        try:
+            response = self._http.request(
+                method,
+                self._url + path,
+                json=body,
+                timeout=CONTROL_TIMEOUT_SECONDS,
+            )
+            report = response.json()
+        except (urllib3.exceptions.HTTPError, ValueError) as error:
+            raise BackendError(str(error), path, self._url) from error
+        if response.status >= 400:
+            raise BackendError(f'status {response.status}', path, self._url)
+        return report
+
+    def _stream(
+        self, method: str, path: str, body: dict[str, Any] | None = None
+    ) -> Iterator[EngineToken]:
+        timeout = urllib3.Timeout(
+            connect=CONNECT_TIMEOUT_SECONDS, read=STREAM_SILENCE_SECONDS
+        )
+        try:
+            response = self._http.request(
+                method,
+                self._url + path,
+                json=body,
+                timeout=timeout,
+                preload_content=False,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise BackendError(str(error), 'open stream', self._url) from error
+        if response.status != 200:
+            response.drain_conn()
+            raise BackendError(
+                f'status {response.status}', 'open stream', self._url
+            )
+        return self._events(response)
+
+    def _events(
+        self, response: urllib3.BaseHTTPResponse
+    ) -> Iterator[EngineToken]:
+        try:
+            for line in _lines(response):
+                if not line.startswith(EVENT_PREFIX):
+                    continue
+                payload = line[len(EVENT_PREFIX) :]
+                if payload == DONE_EVENT:
+                    return
+                yield _parse_event(payload)
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            raise BackendError(str(error), 'read stream', self._url) from error
+        finally:
+            response.close()
+        raise BackendError('stream ended early', 'read stream', self._url)
+
+
+def _lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    pending = b''
+    for chunk in response.stream(amt=None):
+        pending += chunk
+        *complete, pending = pending.split(b'\n')
+        for line in complete:
+            yield line.rstrip(b'\r')
+
+
+def _parse_event(payload: bytes) -> EngineToken:
+    event = json.loads(payload)
+    choice = event['choices'][0]
+    return EngineToken(
+        index=event['sequence'],
+        text=choice['text'],
+        finish_reason=choice.get('finish_reason') or '',
+    )
--- /dev/null
+++ b/wasabistream/entries.py
@@ -0,0 +1,245 @@
+"""Entry: the daemon that callers speak to."""
+
+import itertools
+import logging
+import secrets
+from collections.abc import Sequence
+
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from wasabistream.applications import Application
+from wasabistream.attempts import AttemptTable
+from wasabistream.backends import BackendDirectory
+from wasabistream.callers import CallerHandler
+from wasabistream.configurations import ConfigurationStore
+from wasabistream.dialers import PeerDialer
+from wasabistream.dispatchers import Dispatcher
+from wasabistream.documents import DocumentVersion
+from wasabistream.exceptions import ConfigurationError, LinkError
+from wasabistream.hangups import HangupWatcher
+from wasabistream.links import Link
+from wasabistream.messages import (
+    PROTOCOL_VERSION_MAX,
+    PROTOCOL_VERSION_MIN,
+    Message,
+)
+from wasabistream.notices import (
+    CacheReport,
+    DocumentBody,
+    DocumentDigest,
+    DocumentFetch,
+    Hello,
+    LoadReport,
+    Serving,
+)
+from wasabistream.routers import Router
+from wasabistream.servers import (
+    CallerServer,
+    HttpAnswer,
+    HttpRequest,
+    TakeSocket,
+    json_answer,
+)
+from wasabistream.settings import EntrySettings
+from wasabistream.signals import document_changed
+from wasabistream.vms import Role, VmList, parse_vm_list
+from wasabistream.watchers import ValueWatcher
+
+logger = logging.getLogger(__name__)
+
+
+class EntryApplication(Application):
+    """Wire the HTTP server, the links to agents and the configuration."""
+
+    part = 'entry'
+
+    def __init__(self, settings: EntrySettings) -> None:
+        super().__init__(settings)
+        self.incarnation = secrets.token_hex(4)
+        self.configuration = ConfigurationStore()
+        self.directory = BackendDirectory()
+        self.attempts = AttemptTable()
+        self.vm_list: VmList | None = None
+        self._counter = itertools.count(1)
+        self._dialers: dict[str, PeerDialer] = {}
+        self._links: set[Link] = set()
+        self._hangups = HangupWatcher()
+        self._dispatcher = Dispatcher(
+            Router(settings.routing_policy),
+            self.directory,
+            self.attempts,
+            self._make_request_id,
+        )
+        self._callers = CallerHandler(
+            settings,
+            self.configuration,
+            self.directory,
+            self.attempts,
+            self._dispatcher,
+            lambda: self.vm_list,
+            self._hangups.watch,
+        )
+        self.server = CallerServer(
+            settings.address,
+            settings.http_port,
+            self._handle,
+            settings.worker_thread_count,
+        )
+        self.server.max_request_body_size = settings.max_body_bytes
+        self.server.max_request_header_size = settings.max_header_bytes
+        self._watchers = [
+            ValueWatcher(
+                settings.configuration_url,
+                settings.document_key,
+                self._receive_document,
+            ),
+            ValueWatcher(
+                settings.configuration_url,
+                settings.vm_list_key,
+                self._receive_vm_list,
+            ),
+        ]
+
+    def on_start(self) -> None:
+        """Watch the configuration and serve callers."""
+        document_changed.connect(self._announce, self.configuration)
+        self._hangups.start()
+        for watcher in self._watchers:
+            watcher.start()
+        self.server.run_in_thread()
+
+    def on_stop(self) -> None:
+        """Close the server and the links."""
+        for watcher in self._watchers:
+            watcher.stop()
+        self._hangups.stop()
+        for dialer in self._dialers.values():
+            dialer.stop()
+        self.server.stop()
+
+    def work_in_progress(self) -> list[str]:
+        """Return the ids of attempts in progress."""
+        return self.attempts.request_ids()
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether callers can be served."""
+        return not self.draining and self.configuration.version is not None
+
+    def on_opened(self, link: Link) -> None:
+        """Record a link to an agent and offer the document."""
+        self._links.add(link)
+        self.directory.opened(link)
+        version = self.configuration.version
+        if version is not None:
+            link.send(DocumentDigest(version.document.revision, version.digest))
+
+    def on_closed(self, link: Link, reason: str) -> None:
+        """Give up the attempts of a link that ended."""
+        self._links.discard(link)
+        self.directory.closed(link)
+        self.attempts.link_closed(link, reason)
+        logger.info('entry: link to %s ended: %s', link.peer.peer_id, reason)
+
+    def on_messages(self, link: Link, received: Sequence[Message]) -> None:
+        """Handle the messages of an agent."""
+        for message in received:
+            match message:
+                case LoadReport() | Serving() | CacheReport():
+                    self.directory.report(link, message)
+                case DocumentFetch():
+                    self._send_document(link)
+        self.attempts.deliver(link, received)
+
+    def _handle(
+        self, request: HttpRequest, take_socket: TakeSocket
+    ) -> HttpAnswer | None:
+        match request.path:
+            case '/healthz':
+                return json_answer(200, {'healthy': True})
+            case '/readyz':
+                return json_answer(
+                    200 if self.ready else 503, self._readiness()
+                )
+            case '/metrics':
+                return HttpAnswer(200, generate_latest(), CONTENT_TYPE_LATEST)
+        return self._callers.handle(request, take_socket)
+
+    def _readiness(self) -> dict[str, object]:
+        version = self.configuration.version
+        return {
+            'ready': self.ready,
+            'draining': self.draining,
+            'revision': version.document.revision if version else None,
+            'digest': version.digest if version else None,
+            'backend_count': sum(
+                view.usable for view in self.directory.views()
+            ),
+        }
+
+    def _receive_document(self, body: bytes, index: int) -> None:
+        self.configuration.offer(body, f'configuration service {index}')
+
+    def _receive_vm_list(self, body: bytes, index: int) -> None:
+        try:
+            vm_list = parse_vm_list(body, index)
+        except ConfigurationError as error:
+            logger.error('entry: VM list refused: %s', error)
+            return
+        self.vm_list = vm_list
+        self._follow_vm_list(vm_list)
+
+    def _follow_vm_list(self, vm_list: VmList) -> None:
+        agents = {vm.id: vm for vm in vm_list.vms if vm.role == Role.agent}
+        for vm in agents.values():
+            self.directory.put(vm)
+            dialer = self._dialers.get(vm.id)
+            target = (vm.address, vm.link_port)
+            if dialer is not None and (dialer.address, dialer.port) != target:
+                dialer.stop()
+                dialer = None
+            if dialer is None:
+                dialer = PeerDialer(*target, self._hello(), self)
+                self._dialers[vm.id] = dialer
+                dialer.start()
+        for backend_id in set(self._dialers) - set(agents):
+            self._dialers.pop(backend_id).stop()
+            self.directory.remove(backend_id)
+
+    def _announce(
+        self, sender: object, version: DocumentVersion, **_: object
+    ) -> None:
+        notice = DocumentDigest(version.document.revision, version.digest)
+        for link in list(self._links):
+            _send(link, notice)
+
+    def _send_document(self, link: Link) -> None:
+        version = self.configuration.version
+        if version is not None:
+            _send(
+                link,
+                DocumentBody(
+                    version.document.revision, version.digest, version.body
+                ),
+            )
+
+    def _hello(self) -> Hello:
+        return Hello(
+            PROTOCOL_VERSION_MIN,
+            PROTOCOL_VERSION_MAX,
+            'entry',
+            self.settings.process_id,
+            self.incarnation,
+            self.settings.data_centre,
+        )
+
+    def _make_request_id(self) -> str:
+        number = next(self._counter)
+        return f'{self.settings.process_id}.{self.incarnation}.{number}'
+
+
+def _send(link: Link, message: Message) -> None:
+    try:
+        link.send(message)
+    except LinkError as error:
+        logger.info('entry: notice lost: %s', error)
--- /dev/null
+++ b/wasabistream/exceptions.py
@@ -0,0 +1,66 @@
+"""Errors raised by wasabistream."""
+
+from wasabistream.outcomes import Outcome
+
+
+class WasabiError(Exception):
+    """Report an error with the step and the peer at which it arose."""
+
+    def __init__(self, reason: str, step: str, peer: str = '') -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.step = step
+        self.peer = peer
+
+    def __str__(self) -> str:
+        if self.peer:
+            return f'{self.step} with {self.peer}: {self.reason}'
+        return f'{self.step}: {self.reason}'
+
+
+class SettingsError(WasabiError):
+    """Report all invalid settings of a process."""
+
+    def __init__(self, problems: tuple[str, ...]) -> None:
+        super().__init__('; '.join(problems), step='settings')
+        self.problems = problems
+
+
+class FrameError(WasabiError):
+    """Report a malformed, oversized or unknown frame."""
+
+
+class LinkError(WasabiError):
+    """Report a link that cannot be opened, was closed or timed out."""
+
+
+class BackendError(WasabiError):
+    """Report a backend server that failed during a request."""
+
+
+class ConfigurationError(WasabiError):
+    """Report a configuration service that is unreachable or malformed."""
+
+
+class RequestError(WasabiError):
+    """Report a caller's request that is not valid."""
+
+    def __init__(self, reason: str, status: int, code: str) -> None:
+        super().__init__(reason, step='request')
+        self.status = status
+        self.code = code
+
+
+class RefusedError(WasabiError):
+    """Report an attempt that ended without an answer."""
+
+    def __init__(
+        self,
+        reason: str,
+        outcome: Outcome,
+        peer: str = '',
+        retry_after_seconds: float = 0,
+    ) -> None:
+        super().__init__(reason, step='attempt', peer=peer)
+        self.outcome = outcome
+        self.retry_after_seconds = retry_after_seconds
--- /dev/null
+++ b/wasabistream/frames.py
@@ -0,0 +1,76 @@
+"""Frames of a msgpack stream.
+
+A frame is one msgpack array: the type code of the message followed by its
+fields in declared order.
+"""
+
+import msgpack
+
+from wasabistream.exceptions import FrameError
+from wasabistream.messages import Message, decode_message, encode_message
+
+# A document has up to 1 MiB; the rest is room for the fields around it.
+MAX_FRAME_BYTES = 1024 * 1024 + 64 * 1024
+MAX_DEPTH = 8
+
+
+def encode_frame(message: Message) -> bytes:
+    """Encode a message as one frame."""
+    frame: bytes = msgpack.packb(encode_message(message))
+    if len(frame) > MAX_FRAME_BYTES:
+        raise FrameError(f'frame has {len(frame)} bytes', step='encode')
+    return frame
+
+
+class FrameReader:
+    """Decode frames from received bytes."""
+
+    def __init__(self, peer: str) -> None:
+        self._peer = peer
+        self._unpacker = msgpack.Unpacker(
+            max_buffer_size=2 * MAX_FRAME_BYTES,
+            max_array_len=MAX_FRAME_BYTES,
+            max_map_len=1024,
+            max_bin_len=MAX_FRAME_BYTES,
+            max_str_len=MAX_FRAME_BYTES,
+        )
+
+    def feed(self, received: bytes) -> list[Message]:
+        """Return the messages that `received` completes.
+
+        Raises FrameError when the stream is malformed.
+        """
+        try:
+            self._unpacker.feed(received)
+            frames = list(self._unpacker)
+        except (ValueError, msgpack.exceptions.UnpackException) as error:
+            raise FrameError(
+                f'malformed frame: {error!r}', step='decode', peer=self._peer
+            ) from error
+        return [self._decode(frame) for frame in frames]
+
+    def _decode(self, frame: object) -> Message:
+        if not isinstance(frame, list) or not frame:
+            raise FrameError(
+                'frame is not an array', step='decode', peer=self._peer
+            )
+        for field_value in frame:
+            self._check_depth(field_value, 1)
+        return decode_message(frame, self._peer)
+
+    def _check_depth(self, field_value: object, depth: int) -> None:
+        if not isinstance(field_value, (list, dict)):
+            return
+        if depth >= MAX_DEPTH:
+            raise FrameError(
+                f'frame nests more than {MAX_DEPTH} levels',
+                step='decode',
+                peer=self._peer,
+            )
+        children = (
+            field_value.values()
+            if isinstance(field_value, dict)
+            else field_value
+        )
+        for child in children:
+            self._check_depth(child, depth + 1)
--- /dev/null
+++ b/wasabistream/jobs.py
@@ -0,0 +1,104 @@
+"""Generations held by an agent."""
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from wasabistream.buffers import StreamBuffer
+from wasabistream.exceptions import LinkError
+from wasabistream.links import Link
+from wasabistream.messages import Message
+from wasabistream.requests import Failed, Finished, Generate, Refused, Token
+
+
+@dataclass(frozen=True)
+class Subscriber:
+    """Name the link and the request id that follow a stream."""
+
+    link: Link
+    request_id: str
+
+
+@dataclass(eq=False)
+class GenerationJob:
+    """Hold one generation from the gate to its end."""
+
+    request: Generate
+    stream_id: str
+    deadline_monotonic_seconds: float
+    buffer: StreamBuffer
+    subscriber: Subscriber | None
+    admitted: bool = False
+    ended: bool = False
+    cancelled: threading.Event = field(default_factory=threading.Event)
+    orphaned_monotonic_seconds: float = 0
+    generated_count: int = 0
+    reserved_tokens: int = 0
+    queued_monotonic_seconds: float = 0
+    _lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def publish(self, text: str) -> None:
+        """Append one token and send it to the subscriber."""
+        with self._lock:
+            index = self.buffer.append(text)
+            self.generated_count = index + 1
+            self._send(lambda request_id: Token(request_id, index, text))
+
+    def finish(self, finish_reason: str) -> None:
+        """End a complete stream."""
+        with self._lock:
+            self.ended = True
+            self.buffer.finish(finish_reason)
+            self._send(
+                lambda request_id: Finished(
+                    request_id, self.generated_count, finish_reason
+                )
+            )
+
+    def fail(self, outcome: str, reason: str) -> None:
+        """End a broken stream."""
+        with self._lock:
+            self.ended = True
+            self.buffer.fail(outcome, reason)
+            self._send(
+                lambda request_id: Failed(
+                    request_id, outcome, reason, self.generated_count
+                )
+            )
+
+    def refuse(self, reason: str, retry_after_seconds: float = 0) -> None:
+        """End a job that never left the gate."""
+        with self._lock:
+            self.ended = True
+            self._send(
+                lambda request_id: Refused(
+                    request_id, 'not_run', reason, retry_after_seconds
+                )
+            )
+
+    def attach(self, subscriber: Subscriber, next_index: int) -> bool:
+        """Send the buffered events from an index on, then follow."""
+        with self._lock:
+            events = self.buffer.read(subscriber.request_id, next_index)
+            if events is None:
+                return False
+            self.subscriber = subscriber
+            self.orphaned_monotonic_seconds = 0
+            for event in events:
+                subscriber.link.send(event)
+            return True
+
+    def detach(self, link: Link, now: float) -> None:
+        """Forget a subscriber whose link ended."""
+        with self._lock:
+            if self.subscriber is not None and self.subscriber.link is link:
+                self.subscriber = None
+                self.orphaned_monotonic_seconds = now
+
+    def _send(self, build: Callable[[str], Message]) -> None:
+        if self.subscriber is None:
+            return
+        try:
+            self.subscriber.link.send(build(self.subscriber.request_id))
+        except LinkError:
+            self.subscriber = None
--- /dev/null
+++ b/wasabistream/links.py
@@ -0,0 +1,201 @@
+"""Links: streams of messages between two processes."""
+
+import logging
+import queue
+import socket
+import threading
+from collections.abc import Sequence
+from typing import Protocol
+
+from wasabistream.exceptions import FrameError, LinkError
+from wasabistream.frames import FrameReader, encode_frame
+from wasabistream.messages import (
+    PROTOCOL_VERSION_MAX,
+    PROTOCOL_VERSION_MIN,
+    Message,
+)
+from wasabistream.metrics import FRAME_ERRORS, LINK_BYTES
+from wasabistream.notices import Heartbeat, Hello
+
+logger = logging.getLogger(__name__)
+
+HEARTBEAT_INTERVAL_SECONDS = 2.0
+# Three missed heartbeats.
+SILENCE_LIMIT_SECONDS = 6.0
+CONNECT_TIMEOUT_SECONDS = 2.0
+RECEIVE_BYTES = 256 * 1024
+# Frames that may wait for a stalled peer before the link is given up.
+MAX_QUEUED_FRAME_COUNT = 20000
+# Largest number of frames joined into one send.
+MAX_JOINED_FRAME_COUNT = 512
+
+
+class LinkHandler(Protocol):
+    """Receive what happens on a link, on its reader thread."""
+
+    def on_opened(self, link: 'Link') -> None:
+        """Handle a link whose handshake is complete."""
+
+    def on_messages(self, link: 'Link', received: Sequence[Message]) -> None:
+        """Handle all messages of one read."""
+
+    def on_closed(self, link: 'Link', reason: str) -> None:
+        """Handle the end of the link."""
+
+
+class Link:
+    """Exchange messages with one peer; the caller of `run` reads."""
+
+    def __init__(
+        self, sock: socket.socket, hello: Hello, handler: LinkHandler
+    ) -> None:
+        self._socket = sock
+        self._hello = hello
+        self._handler = handler
+        self._outbox: queue.Queue[bytes | None] = queue.Queue(
+            MAX_QUEUED_FRAME_COUNT
+        )
+        self._closed = threading.Event()
+        self.peer = Hello(1, 1, '', str(sock.getpeername()), '', '')
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        sock.settimeout(SILENCE_LIMIT_SECONDS)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    @property
+    def closed(self) -> bool:
+        """Tell whether the link has ended."""
+        return self._closed.is_set()
+
+    def send(self, message: Message) -> None:
+        """Queue a message.
+
+        Raises LinkError when the link is closed or its queue is full.
+        """
+        if self.closed:
+            raise LinkError('link is closed', 'send', self.peer.peer_id)
+        try:
+            self._outbox.put_nowait(encode_frame(message))
+        except queue.Full:
+            self.close()
+            raise LinkError(
+                'send queue is full', 'send', self.peer.peer_id
+            ) from None
+
+    def run(self) -> None:
+        """Read until the link ends."""
+        reason = 'closed by peer'
+        opened = False
+        try:
+            reader = FrameReader(self.peer.peer_id)
+            received = self._shake_hands(reader)
+            writer = threading.Thread(
+                target=self._write, name=f'write-{self.peer.peer_id}'
+            )
+            writer.daemon = True
+            writer.start()
+            opened = True
+            self._handler.on_opened(self)
+            self._read(reader, received)
+        except FrameError as error:
+            FRAME_ERRORS.inc()
+            reason = str(error)
+        except (OSError, LinkError) as error:
+            reason = str(error)
+        finally:
+            self.close()
+            if opened:
+                self._handler.on_closed(self, reason)
+
+    def close(self) -> None:
+        """Close the socket and let both threads end."""
+        if self.closed:
+            return
+        self._closed.set()
+        try:
+            self._outbox.put_nowait(None)
+        except queue.Full:
+            logger.debug(
+                'link: queue to %s is full at close', self.peer.peer_id
+            )
+        try:
+            self._socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            logger.debug('link: %s was closed already', self.peer.peer_id)
+        self._socket.close()
+
+    def _shake_hands(self, reader: FrameReader) -> list[Message]:
+        self._socket.sendall(encode_frame(self._hello))
+        received: list[Message] = []
+        while not received:
+            received = reader.feed(self._receive())
+        peer = received[0]
+        if not isinstance(peer, Hello):
+            raise LinkError('first message is not hello', 'handshake')
+        if (
+            peer.version_min > PROTOCOL_VERSION_MAX
+            or peer.version_max < PROTOCOL_VERSION_MIN
+        ):
+            raise LinkError('no common version', 'handshake', peer.peer_id)
+        self.peer = peer
+        return received[1:]
+
+    def _receive(self) -> bytes:
+        try:
+            received = self._socket.recv(RECEIVE_BYTES)
+        except TimeoutError:
+            raise LinkError(
+                'peer is silent', 'receive', self.peer.peer_id
+            ) from None
+        if not received:
+            raise LinkError('closed by peer', 'receive', self.peer.peer_id)
+        self.received_bytes += len(received)
+        LINK_BYTES.labels('received').inc(len(received))
+        return received
+
+    def _read(self, reader: FrameReader, received: list[Message]) -> None:
+        while True:
+            if received:
+                self._handler.on_messages(self, received)
+            received = reader.feed(self._receive())
+
+    def _write(self) -> None:
+        heartbeat = encode_frame(Heartbeat())
+        while True:
+            try:
+                frame = self._outbox.get(timeout=HEARTBEAT_INTERVAL_SECONDS)
+            except queue.Empty:
+                frame = heartbeat
+            if frame is None or not self._send_frames(frame):
+                return
+
+    def _send_frames(self, first: bytes) -> bool:
+        frames = [first]
+        while len(frames) < MAX_JOINED_FRAME_COUNT:
+            try:
+                frame = self._outbox.get_nowait()
+            except queue.Empty:
+                break
+            if frame is None:
+                return False
+            frames.append(frame)
+        joined = b''.join(frames)
+        try:
+            self._socket.sendall(joined)
+        except OSError as error:
+            logger.info('link: send to %s failed: %s', self.peer.peer_id, error)
+            self.close()
+            return False
+        self.sent_bytes += len(joined)
+        LINK_BYTES.labels('sent').inc(len(joined))
+        return True
+
+
+def connect(address: str, port: int) -> socket.socket:
+    """Open a socket to a peer; raises LinkError."""
+    try:
+        return socket.create_connection(
+            (address, port), timeout=CONNECT_TIMEOUT_SECONDS
+        )
+    except OSError as error:
+        raise LinkError(str(error), 'connect', f'{address}:{port}') from error
--- /dev/null
+++ b/wasabistream/listeners.py
@@ -0,0 +1,54 @@
+"""Listener for links that peers open."""
+
+import logging
+import socket
+import threading
+
+from wasabistream.links import Link, LinkHandler
+from wasabistream.notices import Hello
+
+logger = logging.getLogger(__name__)
+
+BACKLOG_COUNT = 512
+
+
+class LinkListener:
+    """Accept links and run each in its own thread."""
+
+    def __init__(
+        self, address: str, port: int, hello: Hello, handler: LinkHandler
+    ) -> None:
+        self._hello = hello
+        self._handler = handler
+        self._socket = socket.create_server(
+            (address, port), backlog=BACKLOG_COUNT
+        )
+        self.port: int = self._socket.getsockname()[1]
+
+    def start(self) -> None:
+        """Start to accept links."""
+        threading.Thread(
+            target=self._accept, name='accept', daemon=True
+        ).start()
+
+    def stop(self) -> None:
+        """Stop to accept links; open links go on."""
+        self._socket.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._socket.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._run_link, args=(sock,), daemon=True
+            ).start()
+
+    def _run_link(self, sock: socket.socket) -> None:
+        try:
+            link = Link(sock, self._hello, self._handler)
+        except OSError as error:
+            logger.info('link: peer went away: %s', error)
+            return
+        link.run()
--- /dev/null
+++ b/wasabistream/messages.py
@@ -0,0 +1,109 @@
+"""Registry and codec of the messages between processes.
+
+Messages travel as arrays: the type code, then the fields in declared order.
+A field is only ever appended, with a default: an older reader ignores
+trailing fields that it does not know, and a newer reader uses the default
+of a field that an older sender leaves out.
+"""
+
+from collections.abc import Callable
+from dataclasses import MISSING, dataclass, fields
+from typing import ClassVar, TypeVar, get_type_hints
+
+from wasabistream.exceptions import FrameError
+
+PROTOCOL_VERSION_MIN = 1
+PROTOCOL_VERSION_MAX = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """Carry one typed message between two processes."""
+
+    type_code: ClassVar[int] = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Codec:
+    """Describe how one message type is decoded."""
+
+    message_type: type[Message]
+    names: tuple[str, ...]
+    types: tuple[tuple[type, ...], ...]
+    required_count: int
+
+
+MessageType = TypeVar('MessageType', bound=type[Message])
+
+_codecs: dict[int, _Codec] = {}
+
+# Field annotations of messages and the decoded types they accept.
+_ACCEPTED_TYPES: dict[object, tuple[type, ...]] = {
+    int: (int,),
+    float: (float, int),
+    str: (str,),
+    bool: (bool,),
+    bytes: (bytes,),
+    list: (list,),
+    dict: (dict,),
+}
+
+
+def message(type_code: int) -> Callable[[MessageType], MessageType]:
+    """Register a message class under its type code on the wire."""
+
+    def register(message_type: MessageType) -> MessageType:
+        if type_code in _codecs:
+            raise ValueError(f'type code {type_code} is taken')
+        hints = get_type_hints(message_type)
+        declared = fields(message_type)
+        _codecs[type_code] = _Codec(
+            message_type=message_type,
+            names=tuple(field.name for field in declared),
+            types=tuple(
+                _ACCEPTED_TYPES[hints[field.name]] for field in declared
+            ),
+            required_count=sum(field.default is MISSING for field in declared),
+        )
+        message_type.type_code = type_code
+        return message_type
+
+    return register
+
+
+def encode_message(message_object: Message) -> tuple[object, ...]:
+    """Return the type code and the fields of a message."""
+    codec = _codecs[message_object.type_code]
+    return (
+        message_object.type_code,
+        *[getattr(message_object, name) for name in codec.names],
+    )
+
+
+def decode_message(frame: list[object], peer: str) -> Message:
+    """Build a message from a decoded array.
+
+    Raises FrameError for an unknown type code or a field of another type.
+    """
+    type_code = frame[0]
+    codec = _codecs.get(type_code) if isinstance(type_code, int) else None
+    if codec is None:
+        return UnknownMessage()
+    arguments = frame[1 : len(codec.names) + 1]
+    if len(arguments) < codec.required_count:
+        raise FrameError(
+            f'message {type_code} lacks fields', step='decode', peer=peer
+        )
+    for name, accepted, argument in zip(codec.names, codec.types, arguments):
+        if type(argument) not in accepted:
+            raise FrameError(
+                f'field {name} of message {type_code} is {type(argument).__name__}',
+                step='decode',
+                peer=peer,
+            )
+    return codec.message_type(*arguments)
+
+
+@dataclass(frozen=True, slots=True)
+class UnknownMessage(Message):
+    """Stand for a message of a newer version, which is ignored."""
--- /dev/null
+++ b/wasabistream/metrics.py
@@ -0,0 +1,31 @@
+"""Metrics of a process; label values come from small fixed sets."""
+
+from prometheus_client import Counter, Gauge, Histogram
+
+FRAME_ERRORS = Counter(
+    'wasabi_frame_errors', 'Malformed frames that closed a link'
+)
+LINK_BYTES = Counter(
+    'wasabi_link_bytes', 'Bytes on links between processes', ['direction']
+)
+REQUESTS = Counter(
+    'wasabi_requests', 'Requests by path kind and result', ['kind', 'result']
+)
+REFUSALS = Counter('wasabi_refusals', 'Refusals by reason', ['reason'])
+ATTEMPTS = Counter('wasabi_attempts', 'Attempts by outcome', ['outcome'])
+OPEN_STREAMS = Gauge('wasabi_open_streams', 'Streams to callers now open')
+CUT_STREAMS = Counter(
+    'wasabi_cut_streams', 'Streams ended before their answer', ['reason']
+)
+FIRST_TOKEN_SECONDS = Histogram(
+    'wasabi_first_token_seconds',
+    'Time from admission to the first token of the engine',
+)
+GATE_QUEUED = Gauge('wasabi_gate_queued', 'Jobs that wait at the gate')
+GATE_RUNNING = Gauge('wasabi_gate_running', 'Jobs that run behind the gate')
+DOCUMENT_REVISION = Gauge(
+    'wasabi_document_revision', 'Revision of the document in force'
+)
+DOCUMENT_ERRORS = Counter(
+    'wasabi_document_errors', 'Documents that were refused'
+)
--- /dev/null
+++ b/wasabistream/notices.py
@@ -0,0 +1,113 @@
+"""Messages that keep links, load views and documents up to date."""
+
+from dataclasses import dataclass
+
+from wasabistream.messages import Message, message
+
+
+@message(1)
+@dataclass(frozen=True, slots=True)
+class Hello(Message):
+    """Introduce a process when a link opens."""
+
+    version_min: int
+    version_max: int
+    role: str
+    peer_id: str
+    incarnation: str
+    data_centre: str
+
+
+@message(2)
+@dataclass(frozen=True, slots=True)
+class Heartbeat(Message):
+    """Show that the sender still runs."""
+
+
+@message(3)
+@dataclass(frozen=True, slots=True)
+class LoadReport(Message):
+    """Report the load of a backend server."""
+
+    memory_used_tokens: int
+    memory_capacity_tokens: int
+    running_count: int
+    queued_count: int
+    ramp_limit_count: int
+    leaving: bool
+
+
+@message(4)
+@dataclass(frozen=True, slots=True)
+class Serving(Message):
+    """Tell what a backend server serves."""
+
+    service: str
+    models: list
+    adapters: list
+    role: str
+    ready: bool
+
+
+@message(5)
+@dataclass(frozen=True, slots=True)
+class CacheReport(Message):
+    """Tell which prompt prefixes an engine holds."""
+
+    prefixes: list
+
+
+@message(6)
+@dataclass(frozen=True, slots=True)
+class DocumentDigest(Message):
+    """Tell which document is in force at the sender."""
+
+    revision: int
+    digest: str
+
+
+@message(7)
+@dataclass(frozen=True, slots=True)
+class DocumentFetch(Message):
+    """Ask for the body of a document."""
+
+    revision: int
+    digest: str
+
+
+@message(8)
+@dataclass(frozen=True, slots=True)
+class DocumentBody(Message):
+    """Carry the body of a document."""
+
+    revision: int
+    digest: str
+    body: bytes
+
+
+@message(9)
+@dataclass(frozen=True, slots=True)
+class VmListBody(Message):
+    """Relay the VM list with the index the platform gave it."""
+
+    list_index: int
+    read_age_seconds: float
+    body: bytes
+
+
+@message(30)
+@dataclass(frozen=True, slots=True)
+class LeaseRequest(Message):
+    """Ask a peer of the same service to confirm the VM list of the sender."""
+
+    view_digest: str
+    sequence: int
+
+
+@message(31)
+@dataclass(frozen=True, slots=True)
+class LeaseGrant(Message):
+    """Answer a lease request."""
+
+    sequence: int
+    granted: bool
--- /dev/null
+++ b/wasabistream/owners.py
@@ -0,0 +1,15 @@
+"""Owner of a key among the agents of a service."""
+
+from collections.abc import Sequence
+
+from wasabistream.digests import hash64
+
+
+def rank(key: str, member: str) -> int:
+    """Return the rendezvous hash of a key and a member."""
+    return hash64(key, member)
+
+
+def owner_of(key: str, members: Sequence[str]) -> str:
+    """Return the member that owns a key; raises ValueError when none."""
+    return max(members, key=lambda member: rank(key, member))
--- /dev/null
+++ b/wasabistream/requests.py
@@ -0,0 +1,133 @@
+"""Messages that start, follow and end requests."""
+
+from dataclasses import dataclass
+
+from wasabistream.messages import Message, message
+
+
+@message(10)
+@dataclass(frozen=True, slots=True)
+class Generate(Message):
+    """Ask an agent to run a generation."""
+
+    request_id: str
+    organisation: str
+    model: str
+    work_class: str
+    prompt: str
+    prompt_tokens: int
+    max_tokens: int
+    deadline_seconds: float
+    fingerprint: int
+    document_revision: int
+    crash_count: int = 0
+    adapter: str = ''
+    priority_weight: float = 1
+
+
+@message(11)
+@dataclass(frozen=True, slots=True)
+class Accepted(Message):
+    """Tell that the gate took a generation into its queue."""
+
+    request_id: str
+    stream_id: str
+
+
+@message(12)
+@dataclass(frozen=True, slots=True)
+class Refused(Message):
+    """Tell that an attempt ended without running, or may have run."""
+
+    request_id: str
+    outcome: str
+    reason: str
+    retry_after_seconds: float = 0
+
+
+@message(13)
+@dataclass(frozen=True, slots=True)
+class Token(Message):
+    """Carry one token of a stream."""
+
+    request_id: str
+    index: int
+    text: str
+
+
+@message(14)
+@dataclass(frozen=True, slots=True)
+class Finished(Message):
+    """End a stream that is complete."""
+
+    request_id: str
+    token_count: int
+    finish_reason: str
+
+
+@message(15)
+@dataclass(frozen=True, slots=True)
+class Failed(Message):
+    """End a stream or a call that broke after it may have started."""
+
+    request_id: str
+    outcome: str
+    reason: str
+    token_count: int = 0
+
+
+@message(16)
+@dataclass(frozen=True, slots=True)
+class Cancel(Message):
+    """Stop a generation whose caller has gone."""
+
+    request_id: str
+
+
+@message(17)
+@dataclass(frozen=True, slots=True)
+class Withdraw(Message):
+    """Ask the gate to prove that a request did not and will not run."""
+
+    request_id: str
+
+
+@message(18)
+@dataclass(frozen=True, slots=True)
+class Resume(Message):
+    """Ask for the events of a stream from an index on."""
+
+    request_id: str
+    stream_id: str
+    organisation: str
+    next_index: int
+
+
+@message(20)
+@dataclass(frozen=True, slots=True)
+class Call(Message):
+    """Ask an agent to call its plain service."""
+
+    request_id: str
+    organisation: str
+    service: str
+    method: str
+    path: str
+    headers: dict
+    body: bytes
+    deadline_seconds: float
+    document_revision: int
+    repeatable: bool
+    key: str = ''
+
+
+@message(21)
+@dataclass(frozen=True, slots=True)
+class Answer(Message):
+    """Carry the answer of a plain service."""
+
+    request_id: str
+    status: int
+    headers: dict
+    body: bytes
+    replayed: bool = False
--- /dev/null
+++ b/wasabistream/servers.py
@@ -0,0 +1,141 @@
+"""HTTP server towards callers, on cheroot."""
+
+import json
+import logging
+import socket
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cheroot.server import Gateway, HTTPServer
+
+from wasabistream.exceptions import RequestError
+
+logger = logging.getLogger(__name__)
+
+REQUEST_TIMEOUT_SECONDS = 10
+QUEUE_COUNT = 1000
+
+
+@dataclass(frozen=True)
+class HttpRequest:
+    """Hold one parsed request of a caller."""
+
+    method: str
+    path: str
+    query: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True)
+class HttpAnswer:
+    """Hold one whole answer to a caller."""
+
+    status: int
+    body: bytes = b''
+    content_type: str = 'application/json'
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+TakeSocket = Callable[[], socket.socket]
+# Returns an answer, or None after it has taken over the socket.
+RequestHandler = Callable[[HttpRequest, TakeSocket], HttpAnswer | None]
+
+
+class CallerGateway(Gateway):
+    """Hand each request to the handler of the server."""
+
+    def respond(self) -> None:
+        """Answer one request."""
+        try:
+            request = self._read()
+        except RequestError as error:
+            self._write(HttpAnswer(error.status, str(error).encode()))
+            return
+        answer = self.req.server.handler(request, self._take_socket)
+        if answer is not None:
+            self._write(answer)
+
+    def _read(self) -> HttpRequest:
+        try:
+            body = self.req.rfile.read()
+        except (OSError, ValueError) as error:
+            raise RequestError(str(error), 400, 'bad_body') from error
+        return HttpRequest(
+            method=self.req.method.decode('latin-1'),
+            path=self.req.path.decode('latin-1'),
+            query=(self.req.qs or b'').decode('latin-1'),
+            headers={
+                name.decode('latin-1').lower(): text.decode('latin-1')
+                for name, text in self.req.inheaders.items()
+            },
+            body=body,
+        )
+
+    def _write(self, answer: HttpAnswer) -> None:
+        self.req.status = str(answer.status).encode() + b' -'
+        self.req.outheaders = [
+            (b'Content-Type', answer.content_type.encode('latin-1')),
+            (b'Content-Length', str(len(answer.body)).encode()),
+            *[
+                (name.encode('latin-1'), text.encode('latin-1'))
+                for name, text in answer.headers.items()
+            ],
+        ]
+        self.req.ensure_headers_sent()
+        if self.req.method != b'HEAD':
+            self.req.write(answer.body)
+
+    def _take_socket(self) -> socket.socket:
+        connection = self.req.conn
+        taken: socket.socket = connection.socket.dup()
+        # The server must neither write to the connection nor shut it down.
+        connection.linger = True
+        self.req.close_connection = True
+        self.req.sent_headers = True
+        self.req.chunked_write = False
+        return taken
+
+
+class CallerServer(HTTPServer):
+    """Serve callers with a pool of worker threads."""
+
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        handler: RequestHandler,
+        thread_count: int,
+    ) -> None:
+        super().__init__(
+            (address, port),
+            CallerGateway,
+            minthreads=thread_count,
+            maxthreads=thread_count,
+        )
+        self.handler = handler
+        self.timeout = REQUEST_TIMEOUT_SECONDS
+        self.request_queue_size = QUEUE_COUNT
+        self.prepare()
+
+    @property
+    def port(self) -> int:
+        """Return the port in use."""
+        port: int = self.bind_addr[1]
+        return port
+
+    def run_in_thread(self) -> None:
+        """Serve from a thread of its own."""
+        threading.Thread(target=self.serve, name='http', daemon=True).start()
+
+    def error_log(
+        self, msg: str = '', level: int = logging.INFO, traceback: bool = False
+    ) -> None:
+        """Send the server's messages to the log."""
+        logger.log(level, 'http: %s', msg, exc_info=traceback)
+
+
+def json_answer(status: int, body: object) -> HttpAnswer:
+    """Return an answer with a JSON body."""
+    return HttpAnswer(status, json.dumps(body).encode())
--- /dev/null
+++ b/wasabistream/settings.py
@@ -0,0 +1,142 @@
+"""Settings of the daemons, read from flags and environment variables."""
+
+from collections.abc import Mapping
+from dataclasses import MISSING, dataclass, field, fields
+from typing import Any, TypeVar
+
+from wasabistream.exceptions import SettingsError
+
+ENVIRONMENT_PREFIX = 'WASABI_'
+
+# Defaults of every setting that has one; field names end in their unit.
+DEFAULT_CONFIG: Mapping[str, Any] = {
+    'address': '127.0.0.1',
+    'http_port': 0,
+    'link_port': 0,
+    'configuration_url': 'http://127.0.0.1:8500',
+    'document_key': 'wasabistream/document',
+    'vm_list_key': 'wasabistream/vms',
+    'drain_limit_seconds': 120.0,
+    'log_level': 'INFO',
+    'max_body_bytes': 1024 * 1024,
+    'max_header_bytes': 16 * 1024,
+    'worker_thread_count': 64,
+    'max_stream_count': 2000,
+    'slow_caller_limit_bytes': 256 * 1024,
+    'routing_policy': 'balanced',
+    'backend_url': 'http://127.0.0.1:8000',
+    'backend_kind': 'engine',
+    'engine_kind': 'standard',
+    'service': '',
+    'admission_policy': 'growth',
+    'memory_headroom_ratio': 0.95,
+    'stream_buffer_bytes': 8 * 1024 * 1024,
+    'orphan_limit_seconds': 10.0,
+    'service_concurrency_count': 32,
+    'report_interval_seconds': 1.0,
+    'tls_certificate_file': '',
+    'tls_key_file': '',
+    'tls_authority_file': '',
+}
+
+SettingsType = TypeVar('SettingsType')
+
+
+def _setting(name: str, *, minimum: float = 0) -> Any:
+    return field(default=DEFAULT_CONFIG[name], metadata={'minimum': minimum})
+
+
+@dataclass(frozen=True, kw_only=True)
+class ProcessSettings:
+    """Hold the settings that entry and agent share."""
+
+    process_id: str
+    data_centre: str
+    address: str = _setting('address')
+    http_port: int = _setting('http_port')
+    link_port: int = _setting('link_port')
+    drain_limit_seconds: float = _setting('drain_limit_seconds')
+    log_level: str = _setting('log_level')
+    report_interval_seconds: float = _setting(
+        'report_interval_seconds', minimum=0.05
+    )
+    tls_certificate_file: str = _setting('tls_certificate_file')
+    tls_key_file: str = _setting('tls_key_file')
+    tls_authority_file: str = _setting('tls_authority_file')
+
+
+@dataclass(frozen=True, kw_only=True)
+class EntrySettings(ProcessSettings):
+    """Hold the settings of an entry daemon."""
+
+    configuration_url: str = _setting('configuration_url')
+    document_key: str = _setting('document_key')
+    vm_list_key: str = _setting('vm_list_key')
+    max_body_bytes: int = _setting('max_body_bytes', minimum=1)
+    max_header_bytes: int = _setting('max_header_bytes', minimum=1)
+    worker_thread_count: int = _setting('worker_thread_count', minimum=1)
+    max_stream_count: int = _setting('max_stream_count', minimum=1)
+    slow_caller_limit_bytes: int = _setting(
+        'slow_caller_limit_bytes', minimum=1
+    )
+    routing_policy: str = _setting('routing_policy')
+
+
+@dataclass(frozen=True, kw_only=True)
+class AgentSettings(ProcessSettings):
+    """Hold the settings of an agent."""
+
+    backend_url: str = _setting('backend_url')
+    backend_kind: str = _setting('backend_kind')
+    engine_kind: str = _setting('engine_kind')
+    service: str = _setting('service')
+    admission_policy: str = _setting('admission_policy')
+    memory_headroom_ratio: float = _setting('memory_headroom_ratio')
+    stream_buffer_bytes: int = _setting('stream_buffer_bytes', minimum=1)
+    orphan_limit_seconds: float = _setting('orphan_limit_seconds')
+    service_concurrency_count: int = _setting(
+        'service_concurrency_count', minimum=1
+    )
+
+
+def load_settings(
+    settings_type: type[SettingsType],
+    flags: Mapping[str, Any],
+    environment: Mapping[str, str],
+) -> SettingsType:
+    """Build settings; a flag goes before its environment variable.
+
+    Raises SettingsError with all problems at once.
+    """
+    problems: list[str] = []
+    arguments: dict[str, Any] = {}
+    declared = {item.name: item for item in fields(settings_type)}  # type: ignore[arg-type]
+    for name in flags:
+        if name not in declared:
+            problems.append(f'--{name}: unknown setting')
+    for name, item in declared.items():
+        variable = ENVIRONMENT_PREFIX + name.upper()
+        raw = flags.get(name, environment.get(variable))
+        if raw is None:
+            if item.default is MISSING:
+                problems.append(f'--{name} or {variable} is required')
+            continue
+        try:
+            arguments[name] = _convert(raw, item.type, item.metadata)
+        except ValueError as error:
+            problems.append(f'--{name}: {error}')
+    if problems:
+        raise SettingsError(tuple(problems))
+    return settings_type(**arguments)
+
+
+def _convert(raw: Any, expected: Any, limits: Mapping[str, float]) -> Any:
+    if expected is str:
+        return str(raw)
+    try:
+        number = expected(raw)
+    except (TypeError, ValueError):
+        raise ValueError(f'{raw!r} is not {expected.__name__}') from None
+    if number < limits.get('minimum', 0):
+        raise ValueError(f'{raw!r} is below {limits["minimum"]}')
+    return number
--- /dev/null
+++ b/wasabistream/vms.py
@@ -0,0 +1,76 @@
+"""VM list of the platform."""
+
+import hashlib
+import json
+from dataclasses import dataclass
+from enum import StrEnum
+
+import cattrs
+
+from wasabistream.exceptions import ConfigurationError
+
+
+class VmState(StrEnum):
+    """State of a VM on the platform's list."""
+
+    live = 'live'
+    leaving = 'leaving'
+
+
+class Role(StrEnum):
+    """Role of a process."""
+
+    entry = 'entry'
+    agent = 'agent'
+
+
+@dataclass(frozen=True)
+class Vm:
+    """Describe one VM on the list."""
+
+    id: str
+    role: Role
+    address: str
+    link_port: int
+    data_centre: str
+    state: VmState = VmState.live
+    service: str = ''
+
+
+@dataclass(frozen=True)
+class VmList:
+    """Hold the VM list at one index."""
+
+    index: int
+    vms: tuple[Vm, ...]
+
+    def of_service(self, service: str) -> tuple[Vm, ...]:
+        """Return the agents of a plain service in a stable order."""
+        return tuple(
+            sorted(
+                (
+                    vm
+                    for vm in self.vms
+                    if vm.role == Role.agent and vm.service == service
+                ),
+                key=lambda vm: vm.id,
+            )
+        )
+
+    def digest(self) -> str:
+        """Return a digest of the ids and states on the list."""
+        parts = sorted(f'{vm.id}={vm.state}' for vm in self.vms)
+        return hashlib.sha256('\n'.join(parts).encode()).hexdigest()[:16]
+
+
+def parse_vm_list(body: bytes, index: int) -> VmList:
+    """Read the list; raises ConfigurationError."""
+    try:
+        listed = json.loads(body)['vms']
+    except (LookupError, TypeError, ValueError) as error:
+        raise ConfigurationError(repr(error), 'VM list') from error
+    try:
+        vms = cattrs.structure(listed, tuple[Vm, ...])
+    except cattrs.BaseValidationError as error:
+        raise ConfigurationError(repr(error), 'VM list') from error
+    return VmList(index, vms)
--- /dev/null
+++ b/wasabistream/watchers.py
@@ -0,0 +1,80 @@
+"""Watcher of one value of the configuration service.
+
+The service speaks the key-value protocol of Consul: a read with the index
+of the last answer waits until the value changes.
+"""
+
+import logging
+import random
+import threading
+from collections.abc import Callable
+
+import urllib3
+
+from wasabistream.exceptions import ConfigurationError
+
+logger = logging.getLogger(__name__)
+
+WATCH_WAIT_SECONDS = 30
+WATCH_MARGIN_SECONDS = 5
+RETRY_SECONDS = 1.0
+INDEX_HEADER = 'X-Consul-Index'
+
+
+class ValueWatcher:
+    """Watch a key and hand each value to a receiver."""
+
+    def __init__(
+        self, url: str, key: str, receive: Callable[[bytes, int], None]
+    ) -> None:
+        self._url = f'{url}/v1/kv/{key}'
+        self._receive = receive
+        self._http = urllib3.PoolManager(maxsize=2, retries=False)
+        self._stopped = threading.Event()
+        self._index = 0
+        self.read_count = 0
+
+    def start(self) -> None:
+        """Start to watch."""
+        threading.Thread(
+            target=self._run, name=f'watch-{self._url}', daemon=True
+        ).start()
+
+    def stop(self) -> None:
+        """Stop after the read in progress."""
+        self._stopped.set()
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            try:
+                self._read()
+            except ConfigurationError as error:
+                logger.warning('watcher: %s', error)
+                self._stopped.wait(RETRY_SECONDS * random.uniform(0.5, 1.5))
+
+    def _read(self) -> None:
+        self.read_count += 1
+        try:
+            response = self._http.request(
+                'GET',
+                self._url,
+                fields={
+                    'raw': 'true',
+                    'index': str(self._index),
+                    'wait': f'{WATCH_WAIT_SECONDS}s',
+                },
+                timeout=WATCH_WAIT_SECONDS + WATCH_MARGIN_SECONDS,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise ConfigurationError(str(error), 'watch', self._url) from error
+        if response.status != 200:
+            raise ConfigurationError(
+                f'status {response.status}', 'watch', self._url
+            )
+        try:
+            index = int(response.headers[INDEX_HEADER])
+        except (KeyError, ValueError):
+            raise ConfigurationError('no index', 'watch', self._url) from None
+        if index != self._index:
+            self._index = index
+            self._receive(response.data, index)
--- /dev/null
+++ b/wasabistream_tools/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, demonstration and measurements for wasabistream."""
--- /dev/null
+++ b/wasabistream_tools/demo.py
@@ -0,0 +1,146 @@
+"""Demonstration: a small fleet serves a few real requests and stops."""
+
+import json
+import sys
+import time
+from typing import Any
+
+from wasabistream_tools.fleet import Fleet, credential_digest
+
+DATA_CENTRES = ('dc-a', 'dc-b')
+CREDENTIAL = 'demo-credential'
+HEADERS = {'Authorization': f'Bearer {CREDENTIAL}'}
+
+
+def demo_document() -> dict[str, Any]:
+    """Return the document that the demonstration publishes."""
+    return {
+        'format': 1,
+        'revision': 1,
+        'models': [
+            {
+                'name': 'assistant',
+                'version': '1',
+                'data_centres': list(DATA_CENTRES),
+            }
+        ],
+        'data_centres': [{'name': name} for name in DATA_CENTRES],
+        'organisations': [
+            {
+                'name': 'desk',
+                'credential_sha256': credential_digest(CREDENTIAL),
+                'models': ['assistant'],
+                'services': ['booking'],
+            }
+        ],
+        'services': [
+            {
+                'name': 'booking',
+                'non_repeatable': [
+                    {'method': 'POST', 'path_prefix': '/bookings'}
+                ],
+            }
+        ],
+    }
+
+
+def start_fleet() -> Fleet:
+    """Start two data centres with three entries and their backend servers."""
+    fleet = Fleet()
+    for number, data_centre in enumerate(('dc-a', 'dc-a', 'dc-b', 'dc-b'), 1):
+        fleet.add_engine(f'engine-{number}', data_centre)
+    for number, data_centre in enumerate(DATA_CENTRES, 1):
+        fleet.add_service(f'booking-{number}', data_centre, 'booking')
+    for number, data_centre in enumerate(('dc-a', 'dc-a', 'dc-b'), 1):
+        fleet.add_entry(f'entry-{number}', data_centre)
+    fleet.publish_document(demo_document())
+    fleet.publish_vms()
+    fleet.wait_ready(backend_count=6)
+    return fleet
+
+
+def run() -> int:
+    """Run the demonstration and return an exit code."""
+    started = time.monotonic()
+    with start_fleet() as fleet:
+        _say(f'fleet of {len(fleet.processes)} processes is ready')
+        urls = [entry.url for entry in fleet.entries()]
+        complete = [
+            _stream_chat(fleet, urls[0]),
+            _write_draft(fleet, urls[1]),
+            _look_up(fleet, urls[2]),
+            _book_twice(fleet, urls),
+        ]
+    _say(f'stopped after {time.monotonic() - started:.1f} s')
+    return 0 if all(complete) else 1
+
+
+def _stream_chat(fleet: Fleet, url: str) -> bool:
+    body = {
+        'model': 'assistant',
+        'stream': True,
+        'messages': [{'role': 'user', 'content': 'hello [[length=12]]'}],
+    }
+    response = fleet.http.request(
+        'POST',
+        f'{url}/v1/chat/completions',
+        json=body,
+        headers={**HEADERS, 'Wasabi-Class': 'urgent'},
+        preload_content=False,
+    )
+    text = b''.join(response.stream()).decode()
+    events = [line for line in text.splitlines() if line.startswith('data: ')]
+    _say(
+        f'chat: status {response.status}, {len(events)} events, last {events[-1]}'
+    )
+    return events[-1] == 'data: [DONE]'
+
+
+def _write_draft(fleet: Fleet, url: str) -> bool:
+    response = fleet.http.request(
+        'POST',
+        f'{url}/v1/completions',
+        json={'model': 'assistant', 'prompt': 'draft [[length=200]]'},
+        headers={**HEADERS, 'Wasabi-Class': 'patient'},
+    )
+    answer = response.json()
+    word_count = len(answer['choices'][0]['text'].split())
+    _say(f'draft: status {response.status}, {word_count} tokens')
+    return word_count == 200
+
+
+def _look_up(fleet: Fleet, url: str) -> bool:
+    started = time.monotonic()
+    response = fleet.http.request(
+        'GET', f'{url}/services/booking/status/7', headers=HEADERS
+    )
+    elapsed_ms = 1000 * (time.monotonic() - started)
+    _say(f'lookup: status {response.status} in {elapsed_ms:.0f} ms')
+    return response.status == 200
+
+
+def _book_twice(fleet: Fleet, urls: list[str]) -> bool:
+    answers = []
+    for url in urls[:2]:
+        response = fleet.http.request(
+            'POST',
+            f'{url}/services/booking/bookings',
+            body=json.dumps({'household': 7}).encode(),
+            headers={**HEADERS, 'Idempotency-Key': 'demo-booking-7'},
+        )
+        replayed = response.headers.get('Idempotency-Replayed', 'false')
+        _say(
+            f'booking: status {response.status}, replayed {replayed}, '
+            + response.data.decode()
+        )
+        answers.append(response.data)
+    return answers[0] == answers[1]
+
+
+def _say(line: str) -> None:
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    sys.exit(run())
--- /dev/null
+++ b/wasabistream_tools/fleet.py
@@ -0,0 +1,265 @@
+"""Small fleet of separate processes on loopback for demos and tests.
+
+Only tools and tests start processes; the daemons never do.
+"""
+
+import hashlib
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass
+from typing import Any
+
+import urllib3
+
+ADDRESS = '127.0.0.1'
+START_LIMIT_SECONDS = 30.0
+STOP_LIMIT_SECONDS = 10.0
+POLL_SECONDS = 0.05
+DOCUMENT_KEY = 'wasabistream/document'
+VM_LIST_KEY = 'wasabistream/vms'
+
+
+def free_port() -> int:
+    """Return a port that is free now."""
+    with socket.socket() as sock:
+        sock.bind((ADDRESS, 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+@dataclass
+class FleetProcess:
+    """Hold one running process and its ports."""
+
+    name: str
+    process: subprocess.Popen[bytes]
+    http_port: int = 0
+    link_port: int = 0
+
+    @property
+    def url(self) -> str:
+        """Return the base URL of the process."""
+        return f'http://{ADDRESS}:{self.http_port}'
+
+
+class Fleet:
+    """Start, describe and stop the processes of a fleet."""
+
+    def __init__(self) -> None:
+        self.http = urllib3.PoolManager(maxsize=64, retries=False)
+        self.processes: dict[str, FleetProcess] = {}
+        self.vms: dict[str, dict[str, Any]] = {}
+        self.configuration = self._start_configuration()
+
+    def __enter__(self) -> 'Fleet':
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    def add_engine(
+        self,
+        name: str,
+        data_centre: str,
+        agent_flags: dict[str, Any] | None = None,
+        **options: Any,
+    ) -> None:
+        """Start an engine stand-in and its agent."""
+        backend = self._start_backend(
+            f'{name}-engine', 'wasabistream_tools.engine_server', options
+        )
+        flags = {'backend_url': backend.url, **(agent_flags or {})}
+        self.add_agent(name, data_centre, flags)
+
+    def add_service(
+        self,
+        name: str,
+        data_centre: str,
+        service: str,
+        agent_flags: dict[str, Any] | None = None,
+        **options: Any,
+    ) -> None:
+        """Start a service stand-in and its agent."""
+        backend = self._start_backend(
+            f'{name}-service',
+            'wasabistream_tools.service',
+            {'name': name, **options},
+        )
+        flags = {
+            'backend_url': backend.url,
+            'backend_kind': 'service',
+            'service': service,
+            **(agent_flags or {}),
+        }
+        self.add_agent(name, data_centre, flags)
+        self.vms[name]['service'] = service
+
+    def add_agent(
+        self, name: str, data_centre: str, flags: dict[str, Any]
+    ) -> None:
+        """Start an agent."""
+        link_port = free_port()
+        self._start_daemon(
+            'agent',
+            name,
+            {
+                'process_id': name,
+                'data_centre': data_centre,
+                'link_port': link_port,
+                **flags,
+            },
+        )
+        self.processes[name].link_port = link_port
+        self.vms[name] = _vm(name, 'agent', link_port, data_centre)
+
+    def add_entry(self, name: str, data_centre: str, **flags: Any) -> None:
+        """Start an entry daemon."""
+        http_port = free_port()
+        self._start_daemon(
+            'entry',
+            name,
+            {
+                'process_id': name,
+                'data_centre': data_centre,
+                'http_port': http_port,
+                'configuration_url': self.configuration.url,
+                **flags,
+            },
+        )
+        self.processes[name].http_port = http_port
+        self.vms[name] = _vm(name, 'entry', 0, data_centre)
+
+    def publish_document(self, document: dict[str, Any]) -> None:
+        """Publish a configuration document."""
+        self.publish(DOCUMENT_KEY, json.dumps(document).encode())
+
+    def publish_vms(self) -> None:
+        """Publish the VM list."""
+        body = {'vms': list(self.vms.values())}
+        self.publish(VM_LIST_KEY, json.dumps(body).encode())
+
+    def publish(self, key: str, body: bytes) -> None:
+        """Publish a value at the configuration stand-in."""
+        self.http.request(
+            'PUT', f'{self.configuration.url}/v1/kv/{key}', body=body
+        )
+
+    def wait_ready(self, backend_count: int) -> None:
+        """Wait until all entries can use that many backend servers."""
+        deadline = time.monotonic() + START_LIMIT_SECONDS
+        for fleet_process in self.entries():
+            while self._usable_count(fleet_process) < backend_count:
+                if time.monotonic() > deadline:
+                    raise TimeoutError(f'{fleet_process.name} is not ready')
+                time.sleep(POLL_SECONDS)
+
+    def entries(self) -> list[FleetProcess]:
+        """Return the entry processes."""
+        return [
+            self.processes[name]
+            for name, vm in self.vms.items()
+            if vm['role'] == 'entry' and name in self.processes
+        ]
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        self.processes[name].process.send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill one process and forget it."""
+        fleet_process = self.processes.pop(name)
+        fleet_process.process.kill()
+        fleet_process.process.wait()
+
+    def stop(self) -> None:
+        """Stop the daemons, last started first, then the stand-ins."""
+        daemons = [
+            self.processes[name] for name in self.vms if name in self.processes
+        ]
+        self._terminate(list(reversed(daemons)))
+        self._terminate(list(self.processes.values()))
+
+    def _terminate(self, targets: list[FleetProcess]) -> None:
+        for target in targets:
+            target.process.send_signal(signal.SIGCONT)
+            target.process.terminate()
+        deadline = time.monotonic() + STOP_LIMIT_SECONDS
+        for target in targets:
+            try:
+                target.process.wait(max(deadline - time.monotonic(), 0.1))
+            except subprocess.TimeoutExpired:
+                target.process.kill()
+                target.process.wait()
+
+    def _start_configuration(self) -> FleetProcess:
+        return self._start_backend(
+            'configuration', 'wasabistream_tools.configuration', {}
+        )
+
+    def _start_backend(
+        self, name: str, module: str, options: dict[str, Any]
+    ) -> FleetProcess:
+        port = free_port()
+        fleet_process = self._start(
+            name, module, {'address': ADDRESS, 'port': port, **options}
+        )
+        fleet_process.http_port = port
+        self._wait_port(port)
+        return fleet_process
+
+    def _start_daemon(
+        self, command: str, name: str, flags: dict[str, Any]
+    ) -> None:
+        flags = {'address': ADDRESS, 'log_level': 'WARNING', **flags}
+        self._start(name, 'wasabistream', flags, command)
+
+    def _start(
+        self, name: str, module: str, flags: dict[str, Any], *words: str
+    ) -> FleetProcess:
+        arguments = [f'--{flag}={text}' for flag, text in flags.items()]
+        process = subprocess.Popen(
+            [sys.executable, '-m', module, *words, *arguments]
+        )
+        self.processes[name] = FleetProcess(name, process)
+        return self.processes[name]
+
+    def _wait_port(self, port: int) -> None:
+        deadline = time.monotonic() + START_LIMIT_SECONDS
+        while time.monotonic() < deadline:
+            try:
+                socket.create_connection((ADDRESS, port), 1).close()
+            except OSError:
+                time.sleep(POLL_SECONDS)
+            else:
+                return
+        raise TimeoutError(f'port {port} is not open')
+
+    def _usable_count(self, entry: FleetProcess) -> int:
+        try:
+            response = self.http.request('GET', f'{entry.url}/readyz')
+        except urllib3.exceptions.HTTPError:
+            return -1
+        report = response.json()
+        return int(report['backend_count']) if report['ready'] else -1
+
+
+def credential_digest(credential: str) -> str:
+    """Return the digest of a credential as the document holds it."""
+    return hashlib.sha256(credential.encode()).hexdigest()
+
+
+def _vm(
+    name: str, role: str, link_port: int, data_centre: str
+) -> dict[str, Any]:
+    return {
+        'id': name,
+        'role': role,
+        'address': ADDRESS,
+        'link_port': link_port,
+        'data_centre': data_centre,
+        'state': 'live',
+    }
