--- a/wasabistream/commands.py
+++ b/wasabistream/commands.py
@@ -12,12 +12,15 @@
 from wasabistream.entries import EntryApplication
 from wasabistream.exceptions import SettingsError
 from wasabistream.logs import configure_logs
+from wasabistream.measures import Measures
 from wasabistream.settings import AgentSettings, EntrySettings, load_settings
 
 
 class Commands:
     """Run and inspect wasabistream."""
 
+    measure = Measures
+
     def entry(self, **flags: Any) -> None:
         """Run an entry daemon; settings are flags or WASABI_ variables."""
         settings = _load(EntrySettings, flags)
