Check documents strictly and add diff and plan

Cause: cattrs alone turned the text '3' into a number and a text into a list of letters, stopped at the types, and its messages named no found value; operators had no way to see what a change does. Change: fields carry rules as annotations, read by a strict converter and by the generated JSON Schema; cross checks read the raw value, so that all problems appear together; credential digests are never shown; digests are taken over the canonical JSON; commands diff and plan. Conclusion: any mutation of a valid document gives DocumentError or a valid document (300 examples per run), and the schema accepts what the checks accept.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -60,3 +60,59 @@
         near = socket.create_connection(server.getsockname())
         far, _ = server.accept()
     return near, far
+
+
+def build_full_document(**changes: Any) -> dict[str, Any]:
+    """Return the JSON value of a document that uses every field."""
+    fields: dict[str, Any] = {
+        'format': 1,
+        'revision': 1,
+        'models': [
+            {
+                'name': 'assistant',
+                'version': '1',
+                'data_centres': ['dc-a', 'dc-b'],
+                'adapters': ['assistant-legal'],
+                'min_replica_count': 1,
+                'weight': 2.5,
+                'version_by_data_centre': {'dc-b': '2'},
+                'roles': [
+                    {'role': 'prefill', 'weight': 0.25},
+                    {'role': 'decode', 'weight': 0.75},
+                ],
+            }
+        ],
+        'data_centres': [
+            {'name': 'dc-a', 'in_service': True, 'region': 'north'},
+            {'name': 'dc-b'},
+        ],
+        'organisations': [
+            {
+                'name': 'desk',
+                'credential_sha256': 'ab' * 32,
+                'priority_weight': 2,
+                'models': ['assistant'],
+                'services': ['booking'],
+                'default_class': 'urgent',
+                'classes': ['urgent', 'normal'],
+                'max_concurrent_count': 10,
+                'max_output_tokens': 1000,
+            }
+        ],
+        'services': [
+            {
+                'name': 'booking',
+                'non_repeatable': [
+                    {'method': 'POST', 'path_prefix': '/bookings'}
+                ],
+                'retry_horizon_seconds': 600,
+                'settling_seconds': 10,
+                'clock_offset_seconds': 1,
+                'timeout_seconds': 10,
+            }
+        ],
+        'engine_kinds': [{'name': 'standard', 'checks_fencing': False}],
+        'backend_servers_out': ['engine-9'],
+        'weight_loads_per_minute': 60,
+    }
+    return {**fields, **changes}
--- a/wasabistream/commands.py
+++ b/wasabistream/commands.py
@@ -1,14 +1,12 @@
 """Commands of the command line."""
 
-import json
 import os
-import pathlib
 import sys
 from typing import Any
 
+from wasabistream import inspections
 from wasabistream.agents import AgentApplication
 from wasabistream.applications import EXIT_BAD_SETTINGS, Application
-from wasabistream.documents import DocumentError, parse_document
 from wasabistream.entries import EntryApplication
 from wasabistream.exceptions import SettingsError
 from wasabistream.logs import configure_logs
@@ -33,24 +31,19 @@
         configure_logs(settings.log_level, settings.process_id)
         _run(AgentApplication(settings))
 
-    def check(self, document: str) -> None:
+    def check(self, document: str, json: bool = False) -> None:
         """Check a configuration document file and print its digest."""
-        body = pathlib.Path(document).read_bytes()
-        try:
-            version = parse_document(body)
-        except DocumentError as error:
-            for problem in error.problems:
-                sys.stderr.write(f'{problem}\n')
-            sys.exit(EXIT_BAD_SETTINGS)
-        sys.stdout.write(
-            json.dumps(
-                {
-                    'revision': version.document.revision,
-                    'digest': version.digest,
-                }
-            )
-            + '\n'
-        )
+        inspections.check(document, as_json=json)
+
+    def diff(self, before: str, after: str, json: bool = False) -> None:
+        """Print the differences between two document files."""
+        inspections.diff(before, after, as_json=json)
+
+    def plan(
+        self, before: str, after: str, vms: str, json: bool = False
+    ) -> None:
+        """Print what a change of document loads, moves and drains."""
+        inspections.plan(before, after, vms, as_json=json)
 
 
 def _load(settings_type: Any, flags: dict[str, Any]) -> Any:
--- a/wasabistream/documents.py
+++ b/wasabistream/documents.py
@@ -4,90 +4,44 @@
 import json
 from dataclasses import dataclass
 from functools import cached_property
+from typing import Any, NoReturn
 
 import cattrs
 
-from wasabistream.exceptions import WasabiError
+from wasabistream.crosschecks import cross_check
+from wasabistream.exceptions import DocumentError
+from wasabistream.models import Model
+from wasabistream.organisations import Organisation
+from wasabistream.rules import (
+    FormatNumber,
+    Name,
+    Rate,
+    Region,
+    Revision,
+)
+from wasabistream.services import CallRule, Service
+from wasabistream.structures import problems_of, structure
+
+__all__ = ('CallRule', 'Document', 'DocumentError', 'Model', 'Organisation')
 
 FORMAT = 1
 MAX_DOCUMENT_BYTES = 1024 * 1024
 
 
-class DocumentError(WasabiError):
-    """Report all problems of a document."""
-
-    def __init__(self, problems: tuple[str, ...]) -> None:
-        super().__init__('; '.join(problems), step='document')
-        self.problems = problems
-
-
-@dataclass(frozen=True)
-class Model:
-    """Describe one model and where it is served."""
-
-    name: str
-    version: str
-    data_centres: tuple[str, ...]
-    adapters: tuple[str, ...] = ()
-    min_replica_count: int = 1
-    # Part of the data centre's engines that serve the model.
-    weight: float = 1
-
-
 @dataclass(frozen=True)
 class DataCentre:
     """Describe one data centre."""
 
-    name: str
+    name: Name
     in_service: bool = True
-    region: str = ''
-
-
-@dataclass(frozen=True)
-class Organisation:
-    """Describe one organisation and its credential."""
-
-    name: str
-    credential_sha256: str
-    priority_weight: float = 1
-    models: tuple[str, ...] = ()
-    services: tuple[str, ...] = ()
-    default_class: str = 'normal'
-    max_concurrent_count: int = 10000
-
-
-@dataclass(frozen=True)
-class CallRule:
-    """Name calls of a service that may not be repeated."""
-
-    method: str
-    path_prefix: str
-
-
-@dataclass(frozen=True)
-class Service:
-    """Describe one plain service."""
-
-    name: str
-    non_repeatable: tuple[CallRule, ...] = ()
-    retry_horizon_seconds: float = 600
-    settling_seconds: float = 10
-    clock_offset_seconds: float = 1
-    timeout_seconds: float = 10
-
-    def is_repeatable(self, method: str, path: str) -> bool:
-        """Tell whether a call may run more than once."""
-        return not any(
-            rule.method == method and path.startswith(rule.path_prefix)
-            for rule in self.non_repeatable
-        )
+    region: Region = ''
 
 
 @dataclass(frozen=True)
 class EngineKind:
     """Describe what engines of one kind do."""
 
-    name: str
+    name: Name
     checks_fencing: bool = True
 
 
@@ -95,15 +49,16 @@
 class Document:
     """Hold one accepted configuration document."""
 
-    format: int
-    revision: int
+    format: FormatNumber
+    revision: Revision
     models: tuple[Model, ...]
     data_centres: tuple[DataCentre, ...]
     organisations: tuple[Organisation, ...]
     services: tuple[Service, ...] = ()
     engine_kinds: tuple[EngineKind, ...] = ()
-    backend_servers_out: tuple[str, ...] = ()
-    weight_loads_per_minute: float = 60
+    backend_servers_out: tuple[Name, ...] = ()
+    # Rate of the weight store, shared by all engines of the environment.
+    weight_loads_per_minute: Rate = 60
 
     @cached_property
     def organisations_by_digest(self) -> dict[str, Organisation]:
@@ -115,16 +70,29 @@
         """Map names to services."""
         return {item.name: item for item in self.services}
 
+    @cached_property
+    def models_by_name(self) -> dict[str, Model]:
+        """Map names to models."""
+        return {item.name: item for item in self.models}
+
     def data_centre_in_service(self, name: str) -> bool:
         """Tell whether a data centre may get new work."""
         return all(
             item.in_service for item in self.data_centres if item.name == name
         )
 
+    def checks_fencing(self, kind: str) -> bool:
+        """Tell whether engines of a kind refuse a stale fencing token."""
+        return all(
+            item.checks_fencing
+            for item in self.engine_kinds
+            if item.name == kind
+        )
+
 
 @dataclass(frozen=True)
 class DocumentVersion:
-    """Hold a document with its bytes and their digest."""
+    """Hold a document with its canonical bytes and their digest."""
 
     document: Document
     body: bytes
@@ -136,19 +104,66 @@
         return (self.document.revision, self.digest)
 
 
-_converter = cattrs.Converter(forbid_extra_keys=True)
-
-
 def parse_document(body: bytes) -> DocumentVersion:
     """Check the bytes of a document; raises DocumentError."""
-    if len(body) > MAX_DOCUMENT_BYTES:
-        raise DocumentError((f'$: {len(body)} bytes',))
+    raw = load_json(body)
+    problems: list[str] = []
     try:
-        document = _converter.structure(json.loads(body), Document)
-    except ValueError as error:
-        raise DocumentError((f'$: not JSON: {error}',)) from error
-    except cattrs.BaseValidationError as error:
+        document = structure(raw, Document)
+    except (cattrs.BaseValidationError, ValueError) as error:
+        problems.extend(problems_of(error, '$'))
+    problems.extend(cross_check(raw))
+    if problems:
+        raise DocumentError(tuple(problems))
+    canonical = canonical_json(raw)
+    return DocumentVersion(document, canonical, digest_of(canonical))
+
+
+def load_json(body: bytes) -> Any:
+    """Read JSON without repeated keys or NaN; raises DocumentError."""
+    if len(body) > MAX_DOCUMENT_BYTES:
         raise DocumentError(
-            tuple(cattrs.transform_error(error, path='$'))
-        ) from error
-    return DocumentVersion(document, body, hashlib.sha256(body).hexdigest())
+            (f'$: {len(body)} bytes, expected {MAX_DOCUMENT_BYTES} at most',)
+        )
+    try:
+        return json.loads(
+            body, object_pairs_hook=_unique, parse_constant=_refuse_constant
+        )
+    except (ValueError, RecursionError) as error:
+        # The text of a decoding error may quote the document.
+        reason = error.msg if isinstance(error, json.JSONDecodeError) else ''
+        line = getattr(error, 'lineno', 0)
+        cause = f'{reason or type(error).__name__} in line {line}'
+        if isinstance(error, RepeatedKeyError):
+            cause = str(error)
+        raise DocumentError((f'$: not JSON: {cause}',)) from None
+
+
+def canonical_json(raw: Any) -> bytes:
+    """Return the bytes over which digests are taken.
+
+    Formatting does not count, so that a relay can send differences.
+    """
+    return json.dumps(
+        raw, sort_keys=True, separators=(',', ':'), allow_nan=False
+    ).encode()
+
+
+def digest_of(body: bytes) -> str:
+    """Return the digest of bytes."""
+    return hashlib.sha256(body).hexdigest()
+
+
+class RepeatedKeyError(ValueError):
+    """Report an object with the same key twice."""
+
+
+def _unique(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    found = dict(pairs)
+    if len(found) < len(pairs):
+        raise RepeatedKeyError('an object has the same key twice')
+    return found
+
+
+def _refuse_constant(name: str) -> NoReturn:
+    raise ValueError(f'{name} is not a JSON number')
--- a/wasabistream/exceptions.py
+++ b/wasabistream/exceptions.py
@@ -26,6 +26,14 @@
         self.problems = problems
 
 
+class DocumentError(WasabiError):
+    """Report all problems of a document."""
+
+    def __init__(self, problems: tuple[str, ...]) -> None:
+        super().__init__('; '.join(problems), step='document')
+        self.problems = problems
+
+
 class FrameError(WasabiError):
     """Report a malformed, oversized or unknown frame."""
 
--- /dev/null
+++ b/wasabistream/inspections.py
@@ -0,0 +1,83 @@
+"""Commands that read documents from files: check, diff and plan."""
+
+import pathlib
+import sys
+from dataclasses import asdict
+
+from wasabistream.applications import EXIT_BAD_SETTINGS
+from wasabistream.comparisons import compare
+from wasabistream.documents import DocumentVersion, parse_document
+from wasabistream.exceptions import ConfigurationError, DocumentError
+from wasabistream.plans import make_plan
+from wasabistream.tables import write_rows
+from wasabistream.vms import VmList, parse_vm_list
+
+
+def check(path: str, as_json: bool) -> None:
+    """Check one document and print its digest."""
+    version = read_document(path)
+    document = version.document
+    row = {
+        'revision': document.revision,
+        'digest': version.digest,
+        'size_bytes': len(version.body),
+        'models': len(document.models),
+        'data_centres': len(document.data_centres),
+        'organisations': len(document.organisations),
+        'services': len(document.services),
+    }
+    write_rows([row], as_json)
+
+
+def diff(before: str, after: str, as_json: bool) -> None:
+    """Print the differences between two documents."""
+    found = compare(read_document(before), read_document(after))
+    write_rows([asdict(item) for item in found], as_json)
+
+
+def plan(before: str, after: str, vms: str, as_json: bool) -> None:
+    """Print what a change loads, moves and drains."""
+    old, new = read_document(before), read_document(after)
+    if new.order < old.order:
+        _fail([f'{after}: revision is below {old.document.revision}'])
+    result = make_plan(old.document, new.document, _read_vm_list(vms))
+    if as_json:
+        write_rows([asdict(result)], as_json)
+        return
+    write_rows([asdict(item) for item in result.data_centres], as_json)
+    sys.stdout.write('\n')
+    write_rows([asdict(item) for item in result.models], as_json)
+    sys.stdout.write(
+        f'\nloads take {result.load_seconds:.0f} s at the weight store rate\n'
+    )
+
+
+def read_document(path: str) -> DocumentVersion:
+    """Read a document or exit with its problems."""
+    try:
+        return parse_document(_read(path))
+    except DocumentError as error:
+        _fail([f'{path}: {problem}' for problem in error.problems])
+        raise
+
+
+def _read_vm_list(path: str) -> VmList:
+    try:
+        return parse_vm_list(_read(path), 0)
+    except ConfigurationError as error:
+        _fail([f'{path}: {error}'])
+        raise
+
+
+def _read(path: str) -> bytes:
+    try:
+        return pathlib.Path(path).read_bytes()
+    except OSError as error:
+        _fail([f'{path}: {error.strerror}'])
+        raise
+
+
+def _fail(problems: list[str]) -> None:
+    for problem in problems:
+        sys.stderr.write(f'{problem}\n')
+    sys.exit(EXIT_BAD_SETTINGS)
