--- a/wasabistream_tools/engine.py
+++ b/wasabistream_tools/engine.py
@@ -18,6 +18,7 @@
 
 CRASH_MARK = '[[crash]]'
 LENGTH_PATTERN = re.compile(r'\[\[length=(\d+)\]\]')
+TAG_PATTERN = re.compile(r'\[\[tag=([\w-]+)\]\]')
 DEFAULT_LENGTH_TOKENS = 20
 PREFIX_CHARACTERS = 256
 STREAM_LIMIT_BYTES = 4 * 1024 * 1024
@@ -56,6 +57,8 @@
     prefix: str
     poison: bool
     output: CallerStream | None
+    # Names the request in the text of each token, for history checks.
+    tag: str = ''
     generated_count: int = 0
     # Time at which prefill or recomputation ends.
     ready_at_seconds: float = 0
@@ -77,6 +80,9 @@
     crash_count: int = 0
     cancel_count: int = 0
     started: list[str] = field(default_factory=list)
+    # Monotonic time and tag of each start, and times of cold overload.
+    runs: list[tuple[float, str]] = field(default_factory=list)
+    overloads: list[float] = field(default_factory=list)
     orders: list[dict[str, object]] = field(default_factory=list)
 
 
@@ -118,6 +124,7 @@
         """Add a generation request."""
         prompt = body['prompt']
         length = LENGTH_PATTERN.search(prompt)
+        tag = TAG_PATTERN.search(prompt)
         sequence = EngineSequence(
             stream_id=body['request_id'],
             priority=body['priority'],
@@ -130,12 +137,14 @@
             prefix=prompt[:PREFIX_CHARACTERS],
             poison=CRASH_MARK in prompt,
             output=output,
+            tag=tag.group(1) if tag else '',
         )
         output.write(
             http_head(200, EVENT_STREAM_TYPE, {'Transfer-Encoding': 'chunked'})
         )
         with self._lock:
             self.counts.started.append(sequence.stream_id)
+            self.counts.runs.append((time.monotonic(), sequence.tag))
             self._waiting.append(sequence)
 
     def resume(self, stream_id: str, index: int, output: CallerStream) -> bool:
@@ -249,6 +258,7 @@
     def _step(self) -> None:
         self._admit()
         if not self.warm and len(self._running) > self.options.cold_limit_count:
+            self.counts.overloads.append(time.monotonic())
             self.crash()
             return
         now = time.monotonic()
@@ -307,6 +317,9 @@
         sequence.generated_count += 1
         self._warm_tokens += 1
         text = f'{index} '
+        if sequence.tag:
+            generation = f'{self.boot_id}.{sequence.arrival}'
+            text = f'{sequence.tag}/{generation}/{index} '
         sequence.texts.append(text)
         done = sequence.generated_count >= sequence.length_tokens
         output = sequence.output
--- a/wasabistream_tools/engine_server.py
+++ b/wasabistream_tools/engine_server.py
@@ -77,6 +77,14 @@
                 self.engine.stalled = False
             case 'started':
                 return json_answer(200, self.engine.counts.started)
+            case 'history':
+                return json_answer(
+                    200,
+                    {
+                        'runs': self.engine.counts.runs,
+                        'overloads': self.engine.counts.overloads,
+                    },
+                )
             case 'state':
                 return json_answer(200, self.engine.state())
         return json_answer(200, {})
--- a/wasabistream_tools/service.py
+++ b/wasabistream_tools/service.py
@@ -24,6 +24,7 @@
         self._delay_seconds = delay_seconds
         self._lock = threading.Lock()
         self._effects: list[str] = []
+        self._runs: list[tuple[float, str, str]] = []
         self.lose_answers = False
 
     def handle(
@@ -33,6 +34,8 @@
         match request.path:
             case '/stand-in/effects':
                 return json_answer(200, self._effects)
+            case '/stand-in/history':
+                return json_answer(200, {'runs': self._runs, 'overloads': []})
             case '/stand-in/lose_answers':
                 self.lose_answers = True
                 return json_answer(200, {})
@@ -43,7 +46,9 @@
         if request.method == 'GET':
             return json_answer(200, {'path': request.path, 'by': self._name})
         with self._lock:
-            self._effects.append(request.body.decode())
+            effect = request.body.decode()
+            self._effects.append(effect)
+            self._runs.append((time.monotonic(), effect, effect))
             number = len(self._effects)
         if self.lose_answers:
             take_socket().close()
