--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -5,6 +5,7 @@
 from wasabistream_tools.promises import check_history
 from wasabistream_tools.records import (
     BroughtBack,
+    Cut,
     End,
     Ended,
     Event,
@@ -90,6 +91,14 @@
             broken_promises(WHOLE[0], WHOLE[1], refusal), {'not_run_is_true'}
         )
 
+    def test_sent_again_after_not_run(self) -> None:
+        """Allow a request that runs because its caller sent it again."""
+        refusal = Ended(1, 'a', End.refused, 'not_run')
+        ran = Ran(3, 'a', 'engine-1', 'dc-a')
+        self.assertEqual(
+            broken_promises(WHOLE[0], refusal, Sent(2, 'a'), ran), set()
+        )
+
     def test_key_runs_twice(self) -> None:
         """Reject two effects of one key."""
         events = [Ran(at, 'a', f's-{at}', 'dc-a', 'key-1') for at in (1, 2)]
@@ -97,7 +106,7 @@
 
     def test_shutdown_cuts(self) -> None:
         """Reject a stream cut by a graceful shutdown."""
-        broken = Ended(2, 'a', End.broken, process='entry-1')
+        broken = Cut(2, 'a', 'entry-1')
         clean = Stopped(3, 'entry-1', 1, 0)
         self.assertEqual(broken_promises(broken, clean), {'graceful_shutdown'})
         cut = Stopped(3, 'entry-1', 1, 3)
--- a/wasabistream_tools/fleet.py
+++ b/wasabistream_tools/fleet.py
@@ -39,6 +39,7 @@
     process: subprocess.Popen[bytes]
     http_port: int = 0
     link_port: int = 0
+    arguments: tuple[str, ...] = ()
 
     @property
     def url(self) -> str:
@@ -169,6 +170,12 @@
         """Send a signal to one process."""
         self.processes[name].process.send_signal(number)
 
+    def restart(self, name: str) -> None:
+        """Start a process that has ended again, with empty memory."""
+        ended = self.processes[name]
+        ended.process.wait()
+        ended.process = subprocess.Popen(ended.arguments)
+
     def kill(self, name: str) -> None:
         """Kill one process and forget it."""
         fleet_process = self.processes.pop(name)
@@ -221,10 +228,9 @@
         self, name: str, module: str, flags: dict[str, Any], *words: str
     ) -> FleetProcess:
         arguments = [f'--{flag}={text}' for flag, text in flags.items()]
-        process = subprocess.Popen(
-            [sys.executable, '-m', module, *words, *arguments]
-        )
-        self.processes[name] = FleetProcess(name, process)
+        command = (sys.executable, '-m', module, *words, *arguments)
+        process = subprocess.Popen(command)
+        self.processes[name] = FleetProcess(name, process, arguments=command)
         return self.processes[name]
 
     def _wait_port(self, port: int) -> None:
--- /dev/null
+++ b/wasabistream_tools/history.py
@@ -0,0 +1,254 @@
+"""Histories of concurrent runs under faults, checked for the guarantees.
+
+Prints a line for each seed and ends with `N passed, N failed`.
+"""
+
+import dataclasses
+import json
+import random
+import sys
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import fire
+import urllib3
+
+from wasabistream_tools.faults import FAULTS, FaultContext
+from wasabistream_tools.fleet import Fleet, credential_digest
+from wasabistream_tools.forwarders import LinkForwarder
+from wasabistream_tools.history_callers import CREDENTIAL, HistoryCaller
+from wasabistream_tools.promises import Violation, check_history
+from wasabistream_tools.records import (
+    End,
+    Ended,
+    History,
+    InForce,
+    Overloaded,
+    Published,
+    Ran,
+    Recorder,
+    Sent,
+    now,
+)
+
+DATA_CENTRES = ('dc-a', 'dc-b')
+CALLER_COUNT = 12
+RUN_SECONDS = 12.0
+SETTLE_SECONDS = 2.0
+MAX_START_SECONDS = 2.0
+OBSERVE_SECONDS = 0.3
+CALLER_PAUSE_SECONDS = 0.1
+
+
+class HistoryRun:
+    """Run one fleet under the faults of one seed."""
+
+    def __init__(self, seed: int, fault_names: tuple[str, ...]) -> None:
+        self._seed = seed
+        self._fault_names = fault_names
+        self._recorder = Recorder()
+        self._stopped = threading.Event()
+
+    def run(self) -> History:
+        """Return the history of the run."""
+        with Fleet() as fleet:
+            forwarders = self._start(fleet)
+            context = FaultContext(
+                fleet,
+                self._recorder,
+                random.Random(self._seed),
+                forwarders,
+                history_document(),
+            )
+            fleet.wait_ready(backend_count=6)
+            self._recorder.add(Published(now(), 1))
+            self._act(context)
+            self._collect(fleet)
+            for forwarder in forwarders.values():
+                forwarder.close()
+        return self._recorder.history()
+
+    def _start(self, fleet: Fleet) -> dict[str, LinkForwarder]:
+        for number, data_centre in enumerate(DATA_CENTRES * 2, 1):
+            fleet.add_engine(
+                f'engine-{number}',
+                data_centre,
+                token_seconds=0.02,
+                memory_tokens=400,
+                cold_limit_count=2,
+                warm_up_tokens=40,
+            )
+        for number, data_centre in enumerate((*DATA_CENTRES, 'dc-a'), 1):
+            fleet.add_service(f'booking-{number}', data_centre, 'booking')
+        forwarders = {}
+        for name, vm in fleet.vms.items():
+            forwarders[name] = LinkForwarder(vm['link_port'])
+            vm['link_port'] = forwarders[name].port
+        for number, data_centre in enumerate((*DATA_CENTRES, 'dc-a'), 1):
+            fleet.add_entry(f'entry-{number}', data_centre)
+        fleet.publish_document(history_document())
+        fleet.publish_vms()
+        return forwarders
+
+    def _act(self, context: FaultContext) -> None:
+        deadline = time.monotonic() + RUN_SECONDS
+        threading.Thread(target=self._observe, args=(context.fleet,)).start()
+        with ThreadPoolExecutor(CALLER_COUNT + len(self._fault_names)) as pool:
+            callers = [
+                pool.submit(self._call, context.fleet, number, deadline)
+                for number in range(CALLER_COUNT)
+            ]
+            faults = [
+                pool.submit(self._inject, context, name)
+                for name in self._fault_names
+            ]
+        self._stopped.set()
+        for future in (*callers, *faults):
+            future.result()
+        time.sleep(SETTLE_SECONDS)
+
+    def _inject(self, context: FaultContext, name: str) -> None:
+        chooser = random.Random(f'{self._seed} {name}')
+        time.sleep(chooser.uniform(0, MAX_START_SECONDS))
+        FAULTS[name](context)
+
+    def _call(self, fleet: Fleet, number: int, deadline: float) -> None:
+        caller = HistoryCaller(fleet, self._recorder, f'{self._seed} {number}')
+        actions = (caller.stream, caller.draft, caller.book)
+        sequence = 0
+        while time.monotonic() < deadline:
+            sequence += 1
+            tag = f's{self._seed}-c{number}-{sequence}'
+            actions[(number + sequence) % len(actions)](tag)
+            time.sleep(CALLER_PAUSE_SECONDS)
+
+    def _observe(self, fleet: Fleet) -> None:
+        while not self._stopped.wait(OBSERVE_SECONDS):
+            for entry in fleet.entries():
+                self._observe_entry(fleet, entry.name, entry.url)
+
+    def _observe_entry(self, fleet: Fleet, name: str, url: str) -> None:
+        asked_at_seconds = now()
+        try:
+            report = fleet.http.request(
+                'GET', f'{url}/readyz', timeout=OBSERVE_SECONDS
+            ).json()
+        except (urllib3.exceptions.HTTPError, ValueError):
+            return
+        # A process that takes no requests yet has no document in force.
+        if report['ready']:
+            self._recorder.add(
+                InForce(
+                    asked_at_seconds, name, report['revision'], report['digest']
+                )
+            )
+
+    def _collect(self, fleet: Fleet) -> None:
+        for name, vm in fleet.vms.items():
+            if vm['role'] != 'agent':
+                continue
+            suffix = 'service' if vm.get('service') else 'engine'
+            url = fleet.processes[f'{name}-{suffix}'].url
+            kept = fleet.http.request('GET', f'{url}/stand-in/history').json()
+            for at_seconds, tag, *key in kept['runs']:
+                self._recorder.add(
+                    Ran(at_seconds, tag, name, vm['data_centre'], *key)
+                )
+            for at_seconds in kept['overloads']:
+                self._recorder.add(Overloaded(at_seconds, name))
+
+
+def history_document() -> dict[str, Any]:
+    """Return the first document of a history."""
+    return {
+        'format': 1,
+        'revision': 1,
+        'models': [
+            {
+                'name': 'assistant',
+                'version': '1',
+                'data_centres': list(DATA_CENTRES),
+            }
+        ],
+        'data_centres': [{'name': name} for name in DATA_CENTRES],
+        'organisations': [
+            {
+                'name': 'desk',
+                'credential_sha256': credential_digest(CREDENTIAL),
+                'models': ['assistant'],
+                'services': ['booking'],
+            }
+        ],
+        'services': [
+            {
+                'name': 'booking',
+                'non_repeatable': [
+                    {'method': 'POST', 'path_prefix': '/bookings'}
+                ],
+                'retry_horizon_seconds': 4,
+                'settling_seconds': 3,
+            }
+        ],
+    }
+
+
+def choose_faults(seed: int) -> tuple[str, ...]:
+    """Return one or two faults for a seed."""
+    chooser = random.Random(seed)
+    return tuple(chooser.sample(sorted(FAULTS), 1 + seed % 2))
+
+
+def run_seed(
+    seed: int, fault_names: tuple[str, ...]
+) -> tuple[History, list[Violation]]:
+    """Run one seed and return its history and violations."""
+    history = HistoryRun(seed, fault_names).run()
+    return history, check_history(history)
+
+
+def summarise(history: History) -> str:
+    """Return the counts of one history."""
+    sent = len(history.of(Sent))
+    ends = {
+        end: sum(item.end == end for item in history.of(Ended)) for end in End
+    }
+    counts = ', '.join(f'{count} {end}' for end, count in ends.items())
+    return f'{sent} sent, {counts}'
+
+
+def run(
+    seeds: int = 20, first: int = 1, faults: str = '', output: str = ''
+) -> None:
+    """Run seeds from `first` on; `faults` are names joined by `+`."""
+    failed_count = 0
+    for seed in range(first, first + seeds):
+        names = tuple(faults.split('+')) if faults else choose_faults(seed)
+        history, violations = run_seed(seed, names)
+        verdict = 'failed' if violations else 'ok'
+        _say(f'seed {seed}: {"+".join(names)}: {summarise(history)}: {verdict}')
+        for violation in violations[:5]:
+            _say(f'  {violation.promise}: {violation.detail}')
+        if output:
+            _save(history, f'{output}-{seed}.json')
+        failed_count += bool(violations)
+    _say(f'{seeds - failed_count} passed, {failed_count} failed')
+    sys.exit(1 if failed_count else 0)
+
+
+def _save(history: History, path: str) -> None:
+    rows = [
+        {'event': type(item).__name__, **dataclasses.asdict(item)} for item in history.events
+    ]
+    with open(path, 'w', encoding='utf-8') as target:
+        json.dump(rows, target, indent=1)
+
+
+def _say(line: str) -> None:
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    fire.Fire(run)
--- a/wasabistream_tools/promises.py
+++ b/wasabistream_tools/promises.py
@@ -10,6 +10,7 @@
 
 from wasabistream_tools.records import (
     BroughtBack,
+    Cut,
     End,
     Ended,
     History,
@@ -115,13 +116,30 @@
 
 @promise('not_run_is_true')
 def check_refusals(history: History) -> list[str]:
-    """Check that no request refused as not run has run."""
-    ran = {event.tag for event in history.of(Ran)}
-    return [
-        f'{ended.tag} was refused as not run and ran'
-        for ended in history.of(Ended)
-        if ended.outcome == 'not_run' and ended.tag in ran
-    ]
+    """Check that no request refused as not run has run or runs later.
+
+    A request sent again under its tag after the refusal may run.
+    """
+    details = []
+    sent = history.of(Sent)
+    for ended in history.of(Ended):
+        if ended.outcome != 'not_run':
+            continue
+        sent_again_seconds = min(
+            (
+                event.at_seconds
+                for event in sent
+                if event.tag == ended.tag
+                and event.at_seconds > ended.at_seconds
+            ),
+            default=float('inf'),
+        )
+        if any(
+            ran.tag == ended.tag and ran.at_seconds < sent_again_seconds
+            for ran in history.of(Ran)
+        ):
+            details.append(f'{ended.tag} was refused as not run and ran')
+    return details
 
 
 @promise('at_most_once')
@@ -155,13 +173,10 @@
     ]
     for stopped in history.of(Stopped):
         details.extend(
-            f'{ended.tag} broke while {stopped.process} shut down'
-            for ended in history.of(Ended)
-            if ended.end == End.broken
-            and ended.process == stopped.process
-            and stopped.told_at_seconds
-            <= ended.at_seconds
-            <= stopped.at_seconds
+            f'{cut.tag} broke while {stopped.process} shut down'
+            for cut in history.of(Cut)
+            if cut.process == stopped.process
+            and stopped.told_at_seconds <= cut.at_seconds <= stopped.at_seconds
         )
     return details
 
--- a/wasabistream_tools/records.py
+++ b/wasabistream_tools/records.py
@@ -50,7 +50,14 @@
     tag: str
     end: End
     outcome: str = ''
-    process: str = ''
+
+
+@dataclass(frozen=True)
+class Cut(Event):
+    """The connection of a request to a process broke before its end."""
+
+    tag: str
+    process: str
 
 
 @dataclass(frozen=True)
