--- a/wasabistream/hangups.py
+++ b/wasabistream/hangups.py
@@ -35,6 +35,8 @@
     def watch(self, stream: CallerStream, on_gone: Callable[[], None]) -> None:
         """Call `on_gone` once when the caller closes its connection."""
         with self._lock:
+            # A closed socket's descriptor may be in use again by this stream.
+            self._drop_closed()
             if not stream.closed:
                 stream.register(self._selector, on_gone)
 
--- /dev/null
+++ b/wasabistream_tools/workloads.py
@@ -0,0 +1,156 @@
+"""Named workloads of the load generator."""
+
+from dataclasses import dataclass, field
+from functools import cached_property
+from typing import Any
+
+from wasabistream_tools.lengths import LengthModel
+
+GENERATION = 'generation'
+LOOKUP = 'lookup'
+BOOKING = 'booking'
+
+
+@dataclass(frozen=True)
+class RequestKind:
+    """Describe one kind of request of a workload."""
+
+    name: str
+    share: float
+    action: str = GENERATION
+    work_class: str = 'normal'
+    lengths: LengthModel = LengthModel(30)
+    prompt_tokens: int = 20
+    deadline_seconds: float = 10
+
+
+@dataclass(frozen=True)
+class OrganisationShare:
+    """Describe one organisation and its part of the requests."""
+
+    name: str
+    share: float
+    priority_weight: float = 1
+
+    @property
+    def credential(self) -> str:
+        """Return the credential of the organisation."""
+        return f'credential-{self.name}'
+
+
+@dataclass(frozen=True)
+class Workload:
+    """Describe the requests and the fleet of one workload."""
+
+    name: str
+    kinds: tuple[RequestKind, ...]
+    organisations: tuple[OrganisationShare, ...]
+    data_centres: tuple[str, ...]
+    engine_count: int
+    model: str
+    service: str
+    # Measured by `measure_capacity`: tokens that the fleet sustains.
+    capacity_tokens_per_second: float
+    service_count: int = 3
+    engine_options: dict[str, Any] = field(default_factory=dict)
+
+    @cached_property
+    def mean_tokens(self) -> float:
+        """Return the mean output tokens of a request of any kind."""
+        total = sum(kind.share for kind in self.kinds)
+        return (
+            sum(
+                kind.share * kind.lengths.mean_tokens()
+                for kind in self.kinds
+                if kind.action == GENERATION
+            )
+            / total
+        )
+
+    def requests_per_second(self, load: float) -> float:
+        """Return the arrival rate at a multiple of the capacity."""
+        return load * self.capacity_tokens_per_second / self.mean_tokens
+
+
+def _organisations(prefix: str, large_count: int) -> tuple[Any, ...]:
+    # A few large organisations send most of the requests.
+    return tuple(
+        OrganisationShare(
+            f'{prefix}-{number}',
+            share=6.0 if number <= large_count else 1.0,
+            priority_weight=2.0 if number <= large_count else 1.0,
+        )
+        for number in range(1, 11)
+    )
+
+
+# Small and fast engines: memory fills up in mid-decode within seconds.
+ENGINE_OPTIONS: dict[str, Any] = {
+    'memory_tokens': 700,
+    'token_seconds': 0.02,
+    'prefill_tokens_per_second': 4000,
+    'full_batch_count': 12,
+}
+
+WORKLOADS = {
+    'saaf-dabba': Workload(
+        name='saaf-dabba',
+        kinds=(
+            RequestKind('lookup', 0.25, LOOKUP, 'urgent'),
+            RequestKind('booking', 0.1, BOOKING),
+            RequestKind(
+                'chat',
+                0.5,
+                work_class='urgent',
+                lengths=LengthModel(25, tail_share=0.06),
+                prompt_tokens=25,
+                deadline_seconds=5,
+            ),
+            RequestKind(
+                'draft',
+                0.15,
+                work_class='patient',
+                lengths=LengthModel(80, 0.8, 0.15, 150),
+                prompt_tokens=40,
+                deadline_seconds=60,
+            ),
+        ),
+        organisations=_organisations('kitchen', 3),
+        data_centres=('lhr-gulberg', 'lhr-johar', 'rwp-saddar'),
+        engine_count=6,
+        model='assistant',
+        service='booking',
+        capacity_tokens_per_second=2000,
+        engine_options=ENGINE_OPTIONS,
+    ),
+    'kutaisi': Workload(
+        name='kutaisi',
+        kinds=(
+            RequestKind('stock', 0.15, LOOKUP, 'urgent'),
+            RequestKind('reservation', 0.1, BOOKING),
+            RequestKind(
+                'catalogue',
+                0.45,
+                work_class='urgent',
+                lengths=LengthModel(15, 0.5, 0.03),
+                prompt_tokens=15,
+                deadline_seconds=5,
+            ),
+            RequestKind(
+                'guide',
+                0.3,
+                work_class='patient',
+                lengths=LengthModel(90, 0.7, 0.2, 150),
+                prompt_tokens=40,
+                deadline_seconds=60,
+            ),
+        ),
+        organisations=_organisations('workshop', 2),
+        data_centres=('imereti-a', 'imereti-b', 'imereti-c'),
+        engine_count=7,
+        model='drafter',
+        service='order-desk',
+        capacity_tokens_per_second=2300,
+        engine_options=ENGINE_OPTIONS,
+    ),
+}
