--- a/wasabistream/crosschecks.py
+++ b/wasabistream/crosschecks.py
@@ -92,10 +92,10 @@
         text = entry.get(field)
         if not isinstance(text, str):
             continue
-        if text in paths:
+        first = paths.setdefault(text, path)
+        if first != path:
             found = describe(text) if shown else 'the value'
-            yield f'{path}.{field}: {found} is also in {paths[text]}'
-        paths.setdefault(text, path)
+            yield f'{path}.{field}: {found} is also in {first}'
 
 
 def _repeated_texts(raw: dict[str, Any]) -> Iterator[str]:
