Start a whole answer anew when its generation is run again

Change: the token with index 0 drops what was collected before. Conclusion: the new test fails without the change.

--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,26 @@
+"""Tests of answers to callers."""
+
+import json
+import unittest
+
+from tests.builders import build_socket_pair
+from wasabistream.answers import WholeAnswerWriter, make_format
+from wasabistream.streams import CallerStream
+
+LIMIT_BYTES = 65536
+
+
+class WholeAnswerWriterTest(unittest.TestCase):
+    """Guard whole answers."""
+
+    def test_restarted_generation(self) -> None:
+        """Guard against joining the tokens of two generations."""
+        near, far = build_socket_pair()
+        self.addCleanup(far.close)
+        shape = make_format('completion', 'r', 'assistant')
+        writer = WholeAnswerWriter(CallerStream(near, LIMIT_BYTES), shape, {})
+        writer.token(0, 'first')
+        writer.token(0, 'second')
+        writer.finish('stop')
+        body = far.makefile('rb').read().partition(b'\r\n\r\n')[2]
+        self.assertEqual(json.loads(body)['choices'][0]['text'], 'second')
--- a/wasabistream/answers.py
+++ b/wasabistream/answers.py
@@ -267,7 +267,10 @@
         self.started = False
 
     def token(self, index: int, text: str) -> None:
-        """Add one token."""
+        """Add one token; index 0 starts the answer anew."""
+        if index == 0:
+            # A generation that failed before its end is run again.
+            self._texts = []
         self._texts.append(text)
 
     def finish(self, finish_reason: str) -> None:
--- a/wasabistream_tools/history.py
+++ b/wasabistream_tools/history.py
@@ -239,7 +239,8 @@
 
 def _save(history: History, path: str) -> None:
     rows = [
-        {'event': type(item).__name__, **dataclasses.asdict(item)} for item in history.events
+        {'event': type(item).__name__, **dataclasses.asdict(item)}
+        for item in history.events
     ]
     with open(path, 'w', encoding='utf-8') as target:
         json.dump(rows, target, indent=1)
