--- a/wasabistream/measures.py
+++ b/wasabistream/measures.py
@@ -27,6 +27,10 @@
         """Measure control cost by the number of backend servers."""
         _run('control', options)
 
+    def state(self, **options: Any) -> None:
+        """Measure memory and CPU time of state, per item."""
+        _run('state', options)
+
 
 def _run(name: str, options: dict[str, Any]) -> None:
     # The tools are imported only here, so that the daemons never load them.
