Run keyed calls only under a majority lease with a settling time

Cause: an owner that lost its memory, or an owner on an older VM list, could run a key a second time. Change: agents of a service confirm one view to each other; the owner of a key runs it only under that lease, and only when the key was issued after the owner had settled. The ledger is bounded by bytes and by the retry horizon. Entries send agents their part of the VM list and repeat a keyed call at its owner.

--- a/wasabistream/agents.py
+++ b/wasabistream/agents.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from wasabistream.applications import Application
+from wasabistream.call_owners import CallOwner
 from wasabistream.calls import CallRunner
 from wasabistream.configurations import ConfigurationStore
 from wasabistream.engines import EngineState, make_engine_client
@@ -65,8 +66,11 @@
             settings.stream_buffer_bytes,
             settings.orphan_limit_seconds,
         )
+        self.owner = CallOwner(settings, self._hello(), self.configuration)
         self.calls = CallRunner(
-            settings.backend_url, settings.service_concurrency_count
+            settings.backend_url,
+            settings.service_concurrency_count,
+            self.owner.runner,
         )
         self._state: EngineState | None = None
         self.listener = LinkListener(
@@ -78,6 +82,7 @@
         if self.agent_settings.backend_kind == 'engine':
             self.generations.start(self._make_gate(self._wait_engine()))
         self.listener.start()
+        self.owner.start()
         threading.Thread(
             target=self._report, name='report', daemon=True
         ).start()
@@ -91,6 +96,7 @@
         self._stopped.set()
         self.listener.stop()
         self.calls.stop()
+        self.owner.stop()
         for link in list(self._links):
             link.close()
 
@@ -127,21 +133,35 @@
                 if self._admits(link, message.request_id):
                     self.generations.generate(link, message)
             case Call():
-                if self._admits(link, message.request_id):
-                    self.calls.call(link, message)
+                self.calls.call(link, message, self._refusal())
             case Cancel():
                 self.generations.cancel(link, message)
             case Withdraw():
                 self.generations.withdraw(link, message)
             case Resume():
                 self.generations.resume(link, message)
-            case DocumentDigest():
-                version = self.configuration.version
-                offered = (message.revision, message.digest)
-                if version is None or offered > version.order:
-                    link.send(DocumentFetch(message.revision, message.digest))
-            case DocumentBody():
-                self.configuration.offer(message.body, link.peer.peer_id)
+            case DocumentDigest() | DocumentBody():
+                self._receive_document(link, message)
+            case _:
+                self.owner.handle(link, message)
+
+    def _receive_document(
+        self, link: Link, message: DocumentDigest | DocumentBody
+    ) -> None:
+        if isinstance(message, DocumentBody):
+            self.configuration.offer(message.body, link.peer.peer_id)
+            return
+        version = self.configuration.version
+        offered = (message.revision, message.digest)
+        if version is None or offered > version.order:
+            link.send(DocumentFetch(message.revision, message.digest))
+
+    def _refusal(self) -> str:
+        try:
+            self._check_in_service()
+        except RefusedError as refusal:
+            return refusal.reason
+        return ''
 
     def _admits(self, link: Link, request_id: str) -> bool:
         try:
--- /dev/null
+++ b/wasabistream/call_owners.py
@@ -0,0 +1,111 @@
+"""Ownership of keys at the agent of a plain service."""
+
+import logging
+import time
+
+from wasabistream.configurations import ConfigurationStore
+from wasabistream.deciders import CallDecider
+from wasabistream.documents import Service
+from wasabistream.exceptions import ConfigurationError
+from wasabistream.grants import GrantBook, LeaseTimes
+from wasabistream.keyed_calls import KeyedCallRunner
+from wasabistream.leases import OwnerLease
+from wasabistream.ledgers import CallLedger
+from wasabistream.links import Link
+from wasabistream.messages import Message
+from wasabistream.notices import Hello, VmListBody
+from wasabistream.peers import ServicePeers
+from wasabistream.service_clients import ServiceClient
+from wasabistream.settings import AgentSettings
+from wasabistream.signals import document_changed
+from wasabistream.views import service_view
+from wasabistream.vms import VmList, parse_vm_list
+
+logger = logging.getLogger(__name__)
+
+
+class CallOwner:
+    """Connect the VM list, the document, the peers and the ledger."""
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        hello: Hello,
+        configuration: ConfigurationStore,
+    ) -> None:
+        self._service_name = settings.service
+        self._configuration = configuration
+        self._vm_list: VmList | None = None
+        self.book = GrantBook(time.monotonic())
+        self.lease = OwnerLease(hello.peer_id, hello.incarnation, self.book)
+        self.peers = ServicePeers(self.lease, hello)
+        self.ledger = CallLedger(settings.ledger_bytes)
+        self.runner = KeyedCallRunner(
+            self.ledger,
+            CallDecider(self.lease, self.ledger, self._service),
+            ServiceClient(settings.backend_url),
+        )
+
+    def start(self) -> None:
+        """Start to ask the peers."""
+        if self._service_name:
+            document_changed.connect(
+                self._document_changed, self._configuration
+            )
+            self.peers.start()
+
+    def stop(self) -> None:
+        """Stop to ask the peers."""
+        self.peers.stop()
+
+    def handle(self, link: Link, message: Message) -> None:
+        """Handle a VM list or a message of a peer."""
+        if isinstance(message, VmListBody):
+            self._receive_list(link, message)
+        else:
+            self.peers.on_messages(link, (message,))
+
+    def _receive_list(self, link: Link, message: VmListBody) -> None:
+        known = self._vm_list
+        if known is None or message.list_index > known.index:
+            try:
+                self._vm_list = parse_vm_list(message.body, message.list_index)
+            except ConfigurationError as error:
+                logger.error(
+                    'agent: VM list of %s refused: %s', link.peer.peer_id, error
+                )
+                return
+            self._apply()
+        self.book.confirm_read(
+            message.list_index, time.monotonic(), message.read_age_seconds
+        )
+
+    def _document_changed(self, sender: object, **_: object) -> None:
+        self._apply()
+
+    def _apply(self) -> None:
+        version = self._configuration.version
+        service = self._service()
+        if version is None or service is None or self._vm_list is None:
+            return
+        self.book.times = lease_times(service)
+        self.peers.adopt(
+            service_view(self._vm_list, version.document, service.name)
+        )
+
+    def _service(self) -> Service | None:
+        version = self._configuration.version
+        if version is None:
+            return None
+        return version.document.services_by_name.get(self._service_name)
+
+
+def lease_times(service: Service) -> LeaseTimes:
+    """Return the times of a service within the bounds that safety needs."""
+    times = LeaseTimes()
+    # A grant given before a restart must have ended before the next one.
+    minimum = times.lease_seconds + 3 * times.margin_seconds
+    return LeaseTimes(
+        settling_seconds=max(service.settling_seconds, minimum),
+        hold_seconds=service.list_hold_seconds,
+    )
--- a/wasabistream/callers.py
+++ b/wasabistream/callers.py
@@ -25,7 +25,7 @@
 from wasabistream.documents import Document, Organisation, Service
 from wasabistream.exceptions import RefusedError, RequestError
 from wasabistream.outcomes import Outcome
-from wasabistream.owners import owner_of
+from wasabistream.owned_calls import OwnedCaller
 from wasabistream.requests import Call, Generate
 from wasabistream.routers import RouteQuery
 from wasabistream.servers import (
@@ -36,7 +36,6 @@
 )
 from wasabistream.settings import EntrySettings
 from wasabistream.streams import CallerStream
-from wasabistream.vms import VmList
 
 logger = logging.getLogger(__name__)
 
@@ -60,7 +59,7 @@
         directory: BackendDirectory,
         attempts: AttemptTable,
         dispatcher: Dispatcher,
-        get_vm_list: Callable[[], VmList | None],
+        owned: OwnedCaller,
         watch_caller: Callable[[CallerStream, Callable[[], None]], None],
     ) -> None:
         self._settings = settings
@@ -68,7 +67,7 @@
         self._directory = directory
         self._attempts = attempts
         self._dispatcher = dispatcher
-        self._get_vm_list = get_vm_list
+        self._owned = owned
         self._watch_caller = watch_caller
 
     def handle(
@@ -171,22 +170,17 @@
             repeatable=repeatable,
             key=scoped_key,
         )
-        query = RouteQuery(self._settings.data_centre, service=service.name)
-        owner = '' if repeatable else self._find_owner(service, scoped_key)
-        answer = self._dispatcher.call(call, query, owner)
+        if repeatable:
+            query = RouteQuery(self._settings.data_centre, service=service.name)
+            answer = self._dispatcher.call(call, query)
+        else:
+            answer = self._owned.call(call)
         headers = dict(answer.headers)
         content_type = headers.pop('Content-Type', 'application/octet-stream')
         if answer.replayed:
             headers['Idempotency-Replayed'] = 'true'
         return HttpAnswer(answer.status, answer.body, content_type, headers)
 
-    def _find_owner(self, service: Service, key: str) -> str:
-        vm_list = self._get_vm_list()
-        members = vm_list.of_service(service.name) if vm_list else ()
-        if not members:
-            raise RefusedError('no_backend', Outcome.not_run, '', 1)
-        return owner_of(key, [vm.id for vm in members])
-
 
 def authenticate(document: Document, request: HttpRequest) -> Organisation:
     """Return the organisation of a request; raises RequestError."""
--- a/wasabistream/calls.py
+++ b/wasabistream/calls.py
@@ -2,13 +2,12 @@
 
 import logging
 import time
-from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
 import urllib3
 
 from wasabistream.exceptions import LinkError
-from wasabistream.ledgers import CallLedger
+from wasabistream.keyed_calls import KeyedCallRunner
 from wasabistream.links import Link
 from wasabistream.messages import Message
 from wasabistream.outcomes import Outcome
@@ -17,38 +16,54 @@
 logger = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_SECONDS = 1.0
+BUSY_RETRY_SECONDS = 0.5
 
 
 class CallRunner:
     """Run the calls of all links against one plain service."""
 
-    def __init__(self, url: str, concurrency_count: int) -> None:
+    def __init__(
+        self, url: str, concurrency_count: int, keyed: KeyedCallRunner
+    ) -> None:
         self._url = url
         self._limit_count = concurrency_count
         self._pool = ThreadPoolExecutor(concurrency_count, 'call')
         self._http = urllib3.PoolManager(
             maxsize=concurrency_count, retries=False
         )
-        self._ledger = CallLedger()
+        self._keyed = keyed
         self._in_progress: dict[str, Call] = {}
 
     def calls_in_progress(self) -> list[str]:
         """Return the request ids of calls that have not ended."""
         return list(self._in_progress)
 
-    def call(self, link: Link, call: Call) -> None:
-        """Run a call in a worker thread, or refuse it."""
-        if len(self._in_progress) >= self._limit_count:
-            link.send(Refused(call.request_id, Outcome.not_run, 'busy', 0.5))
-            return
+    def call(self, link: Link, call: Call, refusal: str = '') -> None:
+        """Run a call in a worker thread, or refuse it.
+
+        A refusal names why the agent takes no new work; keys that are
+        recorded already are answered nevertheless.
+        """
+        if not refusal and len(self._in_progress) >= self._limit_count:
+            refusal = 'busy'
         deadline = time.monotonic() + call.deadline_seconds
-        self._in_progress[call.request_id] = call
-        self._pool.submit(self._run, link, call, deadline)
+        if call.repeatable:
+            if refusal:
+                _send(link, refuse(call, refusal))
+                return
+            self._start(link, call, deadline)
+            return
+        if self._keyed.admit(call, refusal, lambda reply: _send(link, reply)):
+            self._start(link, call, deadline)
 
     def stop(self) -> None:
         """Stop the worker threads."""
         self._pool.shutdown(wait=False)
 
+    def _start(self, link: Link, call: Call, deadline: float) -> None:
+        self._in_progress[call.request_id] = call
+        self._pool.submit(self._run, link, call, deadline)
+
     def _run(self, link: Link, call: Call, deadline: float) -> None:
         try:
             reply = self._reply(call, deadline)
@@ -57,22 +72,11 @@
         _send(link, reply)
 
     def _reply(self, call: Call, deadline: float) -> Message:
+        if not call.repeatable:
+            return self._keyed.run(call, deadline)
         if time.monotonic() >= deadline:
-            return Refused(call.request_id, Outcome.not_run, 'deadline')
-        if call.repeatable:
-            return self._send_to_service(call, deadline)
-        known = self._ledger.claim(call.key)
-        if known is None:
-            reply = self._send_to_service(call, deadline)
-            if isinstance(reply, Answer):
-                self._ledger.complete(call.key, reply)
-            return reply
-        if known.answer is None:
-            return Failed(call.request_id, Outcome.unknown, 'in_progress')
-        answer = known.answer
-        return Answer(
-            call.request_id, answer.status, answer.headers, answer.body, True
-        )
+            return refuse(call, 'deadline')
+        return self._send_to_service(call, deadline)
 
     def _send_to_service(self, call: Call, deadline: float) -> Message:
         remaining_seconds = max(deadline - time.monotonic(), 0.001)
@@ -88,7 +92,7 @@
                 redirect=False,
             )
         except urllib3.exceptions.NewConnectionError:
-            return Refused(call.request_id, Outcome.not_run, 'service_down')
+            return refuse(call, 'service_down')
         except urllib3.exceptions.HTTPError as error:
             logger.warning('agent: call failed: %s', error)
             return Failed(call.request_id, Outcome.unknown, 'service_failed')
@@ -100,11 +104,13 @@
         return Answer(call.request_id, response.status, headers, response.data)
 
 
+def refuse(call: Call, reason: str) -> Refused:
+    """Return a refusal of a call that did not run."""
+    return Refused(call.request_id, Outcome.not_run, reason, BUSY_RETRY_SECONDS)
+
+
 def _send(link: Link, reply: Message) -> None:
     try:
         link.send(reply)
     except LinkError as error:
         logger.info('agent: answer lost: %s', error)
-
-
-CallHandler = Callable[[Link, Call], None]
--- a/wasabistream/dispatchers.py
+++ b/wasabistream/dispatchers.py
@@ -36,6 +36,8 @@
     'no_stream': 404,
     'events_dropped': 410,
     'in_progress': 409,
+    'key_reused': 409,
+    'answer_not_kept': 410,
 }
 DEFAULT_STATUS = 503
 
@@ -62,13 +64,15 @@
         """Prepare a generation whose answer goes to the writer."""
         return GenerationRequest(self, request, query, writer)
 
-    def call(self, call: Call, query: RouteQuery, owner: str = '') -> Answer:
+    def call(self, call: Call, query: RouteQuery) -> Answer:
         """Run a call and wait for its answer; raises RefusedError."""
         deadline = time.monotonic() + call.deadline_seconds
         excluded: set[str] = set()
         refusal = RefusedError('no_backend', Outcome.not_run, '', 1)
         for _ in range(MAX_ATTEMPT_COUNT):
-            view = self._choose_for_call(query, excluded, owner)
+            view = self.choose(
+                dataclasses.replace(query, excluded=frozenset(excluded))
+            )
             if view is None:
                 break
             try:
@@ -77,7 +81,7 @@
                 refusal = error
             ATTEMPTS.labels(refusal.outcome).inc()
             repeatable = call.repeatable or refusal.outcome == Outcome.not_run
-            if owner or not repeatable:
+            if not repeatable:
                 break
             excluded.add(view.vm.id)
         REFUSALS.labels(refusal.reason).inc()
@@ -119,16 +123,6 @@
         """Send a generation again from a worker thread."""
         self._pool.submit(generation.send)
 
-    def _choose_for_call(
-        self, query: RouteQuery, excluded: set[str], owner: str
-    ) -> BackendView | None:
-        if owner:
-            view = self._directory.find(owner)
-            return view if view is not None and view.link else None
-        return self.choose(
-            dataclasses.replace(query, excluded=frozenset(excluded))
-        )
-
     def _call_once(
         self, call: Call, view: BackendView, deadline: float
     ) -> Answer:
--- a/wasabistream/documents.py
+++ b/wasabistream/documents.py
@@ -74,6 +74,9 @@
     settling_seconds: float = 10
     clock_offset_seconds: float = 1
     timeout_seconds: float = 10
+    # Time without a read of the VM list after which owners stop unless every
+    # agent on the list confirms it, and which a first list has to wait.
+    list_hold_seconds: float = 120
 
     def is_repeatable(self, method: str, path: str) -> bool:
         """Tell whether a call may run more than once."""
--- a/wasabistream/entries.py
+++ b/wasabistream/entries.py
@@ -32,6 +32,7 @@
     LoadReport,
     Serving,
 )
+from wasabistream.owned_calls import OwnedCaller
 from wasabistream.routers import Router
 from wasabistream.servers import (
     CallerServer,
@@ -42,6 +43,8 @@
 )
 from wasabistream.settings import EntrySettings
 from wasabistream.signals import document_changed
+from wasabistream.views import ServiceView, service_view
+from wasabistream.vm_list_relays import VmListRelay
 from wasabistream.vms import Role, VmList, parse_vm_list
 from wasabistream.watchers import ValueWatcher
 
@@ -64,6 +67,9 @@
         self._dialers: dict[str, PeerDialer] = {}
         self._links: set[Link] = set()
         self._hangups = HangupWatcher()
+        self._list_relay = VmListRelay(
+            self.directory, lambda: self._watchers[1].read_age_seconds
+        )
         self._dispatcher = Dispatcher(
             Router(settings.routing_policy),
             self.directory,
@@ -76,7 +82,12 @@
             self.directory,
             self.attempts,
             self._dispatcher,
-            lambda: self.vm_list,
+            OwnedCaller(
+                self.directory,
+                self.attempts,
+                self._make_request_id,
+                self.service_view,
+            ),
             self._hangups.watch,
         )
         self.server = CallerServer(
@@ -104,6 +115,7 @@
         """Watch the configuration and serve callers."""
         document_changed.connect(self._announce, self.configuration)
         self._hangups.start()
+        self._list_relay.start()
         for watcher in self._watchers:
             watcher.start()
         self.server.run_in_thread()
@@ -113,6 +125,7 @@
         for watcher in self._watchers:
             watcher.stop()
         self._hangups.stop()
+        self._list_relay.stop()
         for dialer in self._dialers.values():
             dialer.stop()
         self.server.stop()
@@ -121,6 +134,14 @@
         """Return the ids of attempts in progress."""
         return self.attempts.request_ids()
 
+    def service_view(self, service: str) -> ServiceView | None:
+        """Return the view of a plain service by list and document."""
+        version = self.configuration.version
+        vm_list = self.vm_list
+        if version is None or vm_list is None:
+            return None
+        return service_view(vm_list, version.document, service)
+
     @property
     def ready(self) -> bool:
         """Tell whether callers can be served."""
@@ -187,6 +208,7 @@
             logger.error('entry: VM list refused: %s', error)
             return
         self.vm_list = vm_list
+        self._list_relay.publish(vm_list)
         self._follow_vm_list(vm_list)
 
     def _follow_vm_list(self, vm_list: VmList) -> None:
--- /dev/null
+++ b/wasabistream/keys.py
@@ -0,0 +1,54 @@
+"""Idempotency keys and the time that they carry."""
+
+import secrets
+import uuid
+
+UUID_VERSION = 7
+TIMESTAMP_SHIFT = 80
+VERSION_SHIFT = 76
+VARIANT_SHIFT = 62
+MILLISECONDS = 1000
+# Half of the random bits stand on each side of the variant.
+HIGH_RANDOM_BITS = 12
+LOW_RANDOM_BITS = 62
+VARIANT = 2
+
+
+def make_key(now_unix_seconds: float) -> str:
+    """Return a UUIDv7 that carries a time."""
+    high = secrets.randbits(HIGH_RANDOM_BITS)
+    number = int(now_unix_seconds * MILLISECONDS) << TIMESTAMP_SHIFT
+    number |= UUID_VERSION << VERSION_SHIFT | high << (VARIANT_SHIFT + 2)
+    number |= VARIANT << VARIANT_SHIFT | secrets.randbits(LOW_RANDOM_BITS)
+    return str(uuid.UUID(int=number))
+
+
+def issued_unix_seconds(key: str) -> float | None:
+    """Return the time in a UUIDv7, or None for any other key."""
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    if parsed.version != UUID_VERSION:
+        return None
+    return (parsed.int >> TIMESTAMP_SHIFT) / MILLISECONDS
+
+
+def key_age_seconds(
+    key: str,
+    now_unix_seconds: float,
+    clock_offset_seconds: float,
+    retry_horizon_seconds: float,
+) -> float:
+    """Return an upper bound of the time since a key was first issued.
+
+    A key without a time, or with a time further in the future than clocks
+    may differ, is taken to be as old as the retry horizon.
+    """
+    issued = issued_unix_seconds(key)
+    if issued is None:
+        return retry_horizon_seconds
+    age_seconds = now_unix_seconds - issued + clock_offset_seconds
+    if age_seconds < 0:
+        return retry_horizon_seconds
+    return age_seconds
--- a/wasabistream/metrics.py
+++ b/wasabistream/metrics.py
@@ -29,3 +29,14 @@
 DOCUMENT_ERRORS = Counter(
     'wasabi_document_errors', 'Documents that were refused'
 )
+CALL_WINDOW_SECONDS = Histogram(
+    'wasabi_call_window_seconds',
+    'Time from the last lease check to the end of the send to the service',
+    buckets=(0.0001, 0.001, 0.01, 0.1, 1, 5, 10),
+)
+LEASE_HELD = Gauge(
+    'wasabi_lease_held', 'Whether this agent may run calls of its keys'
+)
+LEDGER_BYTES = Gauge(
+    'wasabi_ledger_bytes', 'Bytes reserved for recorded keys and answers'
+)
--- a/wasabistream/notices.py
+++ b/wasabistream/notices.py
@@ -98,16 +98,30 @@
 @message(30)
 @dataclass(frozen=True, slots=True)
 class LeaseRequest(Message):
-    """Ask a peer of the same service to confirm the VM list of the sender."""
+    """Ask a peer of the same service to confirm the view of the sender."""
 
-    view_digest: str
     sequence: int
+    view_digest: str
+    list_index: int
+    revision: int
+    established: bool
 
 
 @message(31)
 @dataclass(frozen=True, slots=True)
 class LeaseGrant(Message):
-    """Answer a lease request."""
+    """Answer a lease request; `bases` holds earlier views, packed."""
 
     sequence: int
     granted: bool
+    reason: str
+    founded: bool
+    bases: list
+
+
+@message(32)
+@dataclass(frozen=True, slots=True)
+class ServiceViewBody(Message):
+    """Carry the packed view of the sender to a peer that has another."""
+
+    view: list
--- /dev/null
+++ b/wasabistream/owned_calls.py
@@ -0,0 +1,94 @@
+"""Calls that an entry sends to the owner of their key."""
+
+import dataclasses
+import time
+from collections.abc import Callable
+
+from wasabistream.attempts import AttemptTable
+from wasabistream.backends import BackendDirectory
+from wasabistream.exceptions import LinkError, RefusedError
+from wasabistream.followers import CallFollower
+from wasabistream.metrics import ATTEMPTS, REFUSALS
+from wasabistream.outcomes import Outcome
+from wasabistream.owners import owner_of
+from wasabistream.requests import Answer, Call
+from wasabistream.views import ServiceView
+
+RETRY_SECONDS = 0.1
+# Time beyond the deadline in which the owner's own reply may arrive.
+REPLY_MARGIN_SECONDS = 0.5
+# Reasons that pass; the owner's record makes every repeat safe.
+PASSING_REASONS = frozenset(
+    (
+        'no_backend',
+        'no_link',
+        'link_lost',
+        'not_owner',
+        'no_lease',
+        'no_document',
+        'first_attempt_not_sent',
+    )
+)
+
+
+class OwnedCaller:
+    """Send a call to the owner of its key until it is decided."""
+
+    def __init__(
+        self,
+        directory: BackendDirectory,
+        attempts: AttemptTable,
+        make_request_id: Callable[[], str],
+        get_view: Callable[[str], ServiceView | None],
+    ) -> None:
+        self._directory = directory
+        self._attempts = attempts
+        self._make_request_id = make_request_id
+        self._get_view = get_view
+
+    def call(self, call: Call) -> Answer:
+        """Wait for the answer; raises RefusedError.
+
+        The refusal is `not_run` only when the owner of the key says so. The
+        entry itself does not know what became of earlier attempts.
+        """
+        deadline = time.monotonic() + call.deadline_seconds
+        while True:
+            try:
+                return self._attempt(call, deadline)
+            except RefusedError as error:
+                refusal = error
+            ATTEMPTS.labels(refusal.outcome).inc()
+            remaining_seconds = deadline - time.monotonic()
+            passing = refusal.reason in PASSING_REASONS
+            if not passing or remaining_seconds <= RETRY_SECONDS:
+                REFUSALS.labels(refusal.reason).inc()
+                raise refusal
+            time.sleep(RETRY_SECONDS)
+
+    def _attempt(self, call: Call, deadline: float) -> Answer:
+        remaining_seconds = deadline - time.monotonic()
+        view = self._get_view(call.service)
+        if view is None or not view.owners:
+            raise RefusedError('no_backend', Outcome.unknown, '', 1)
+        backend = self._directory.find(owner_of(call.key, view.owners))
+        link = backend.link if backend else None
+        if link is None:
+            raise RefusedError('no_link', Outcome.unknown, '', 1)
+        attempt = dataclasses.replace(
+            call,
+            request_id=self._make_request_id(),
+            deadline_seconds=remaining_seconds,
+        )
+        follower = CallFollower()
+        self._attempts.add(attempt.request_id, link, follower)
+        try:
+            link.send(attempt)
+        except LinkError as error:
+            raise RefusedError('no_link', Outcome.unknown, '', 1) from error
+        else:
+            return follower.wait_answer(
+                remaining_seconds + REPLY_MARGIN_SECONDS
+            )
+        finally:
+            self._attempts.remove(attempt.request_id)
--- a/wasabistream/settings.py
+++ b/wasabistream/settings.py
@@ -33,6 +33,7 @@
     'stream_buffer_bytes': 8 * 1024 * 1024,
     'orphan_limit_seconds': 10.0,
     'service_concurrency_count': 32,
+    'ledger_bytes': 32 * 1024 * 1024,
     'report_interval_seconds': 1.0,
     'tls_certificate_file': '',
     'tls_key_file': '',
@@ -97,6 +98,7 @@
     service_concurrency_count: int = _setting(
         'service_concurrency_count', minimum=1
     )
+    ledger_bytes: int = _setting('ledger_bytes', minimum=1)
 
 
 def load_settings(
--- a/wasabistream/watchers.py
+++ b/wasabistream/watchers.py
@@ -7,6 +7,7 @@
 import logging
 import random
 import threading
+import time
 from collections.abc import Callable
 
 import urllib3
@@ -33,6 +34,12 @@
         self._stopped = threading.Event()
         self._index = 0
         self.read_count = 0
+        self._read_monotonic_seconds = float('-inf')
+
+    @property
+    def read_age_seconds(self) -> float:
+        """Return the time since the service last answered a read."""
+        return time.monotonic() - self._read_monotonic_seconds
 
     def start(self) -> None:
         """Start to watch."""
@@ -54,6 +61,7 @@
 
     def _read(self) -> None:
         self.read_count += 1
+        started = time.monotonic()
         try:
             response = self._http.request(
                 'GET',
@@ -75,6 +83,7 @@
             index = int(response.headers[INDEX_HEADER])
         except (KeyError, ValueError):
             raise ConfigurationError('no index', 'watch', self._url) from None
+        self._read_monotonic_seconds = started
         if index != self._index:
             self._index = index
             self._receive(response.data, index)
--- a/wasabistream_tools/demo.py
+++ b/wasabistream_tools/demo.py
@@ -5,10 +5,15 @@
 import time
 from typing import Any
 
+import urllib3
+
+from wasabistream.keys import make_key
 from wasabistream_tools.fleet import Fleet, credential_digest
 
 DATA_CENTRES = ('dc-a', 'dc-b')
 CREDENTIAL = 'demo-credential'
+BOOKABLE_LIMIT_SECONDS = 40.0
+BOOKING_RETRY_SECONDS = 0.5
 HEADERS = {'Authorization': f'Bearer {CREDENTIAL}'}
 
 
@@ -39,6 +44,10 @@
                 'non_repeatable': [
                     {'method': 'POST', 'path_prefix': '/bookings'}
                 ],
+                # Short times, as the fleet of the demonstration is new.
+                'settling_seconds': 3,
+                'list_hold_seconds': 2,
+                'clock_offset_seconds': 0.1,
             }
         ],
     }
@@ -120,21 +129,36 @@
 
 
 def _book_twice(fleet: Fleet, urls: list[str]) -> bool:
-    answers = []
-    for url in urls[:2]:
-        response = fleet.http.request(
-            'POST',
-            f'{url}/services/booking/bookings',
-            body=json.dumps({'household': 7}).encode(),
-            headers={**HEADERS, 'Idempotency-Key': 'demo-booking-7'},
-        )
+    key, first = _book_first(fleet, urls[0])
+    answers = [first, _book(fleet, urls[1], key)]
+    for response in answers:
         replayed = response.headers.get('Idempotency-Replayed', 'false')
         _say(
             f'booking: status {response.status}, replayed {replayed}, '
             + response.data.decode()
         )
-        answers.append(response.data)
-    return answers[0] == answers[1]
+    return first.status == 201 and answers[0].data == answers[1].data
+
+
+def _book_first(fleet: Fleet, url: str) -> tuple[str, urllib3.BaseHTTPResponse]:
+    # Keys issued before the settling time of a new owner are never run, so
+    # each try needs a new key.
+    deadline = time.monotonic() + BOOKABLE_LIMIT_SECONDS
+    while True:
+        key = make_key(time.time())
+        response = _book(fleet, url, key)
+        if response.status == 201 or time.monotonic() > deadline:
+            return key, response
+        time.sleep(BOOKING_RETRY_SECONDS)
+
+
+def _book(fleet: Fleet, url: str, key: str) -> urllib3.BaseHTTPResponse:
+    return fleet.http.request(
+        'POST',
+        f'{url}/services/booking/bookings',
+        body=json.dumps({'household': 7}).encode(),
+        headers={**HEADERS, 'Idempotency-Key': key},
+    )
 
 
 def _say(line: str) -> None:
