--- a/wasabistream_tools/measure_state.py
+++ b/wasabistream_tools/measure_state.py
@@ -104,10 +104,10 @@
 @state('call ledger, per key')
 def build_ledger(count: int) -> object:
     """Fill the ledger of an owner with small answers."""
-    ledger = CallLedger()
+    ledger = CallLedger(BUFFER_LIMIT_BYTES)
     for number in range(count):
         key = f'organisation/{number}'
-        ledger.claim(key)
+        ledger.claim(key, 'digest', 0, 600)
         body = json.dumps({'number': number}).encode()
         ledger.complete(key, Answer(str(number), 201, {}, body))
     return ledger
