--- a/wasabistream/agents.py
+++ b/wasabistream/agents.py
@@ -6,7 +6,9 @@
 from collections.abc import Sequence
 
 from wasabistream.applications import Application
+from wasabistream.call_owners import CallOwner
 from wasabistream.calls import CallRunner
+from wasabistream.configuration_notices import VmListDigest
 from wasabistream.configurations import ConfigurationStore
 from wasabistream.document_relays import DocumentRelay, send_to
 from wasabistream.engines import EngineState, make_engine_client
@@ -24,6 +26,7 @@
     Hello,
     LoadReport,
     Serving,
+    VmListBody,
 )
 from wasabistream.outcomes import Outcome
 from wasabistream.part_clients import PartClient
@@ -70,8 +73,11 @@
             settings.stream_buffer_bytes,
             settings.orphan_limit_seconds,
         )
+        self.owner = CallOwner(settings, self._hello(), self.configuration)
         self.calls = CallRunner(
-            settings.backend_url, settings.service_concurrency_count
+            settings.backend_url,
+            settings.service_concurrency_count,
+            self.owner.runner,
         )
         self._state: EngineState | None = None
         self.listener = LinkListener(
@@ -83,6 +89,7 @@
         if self.agent_settings.backend_kind == 'engine':
             self.generations.start(self._make_gate(self._wait_engine()))
         self.listener.start()
+        self.owner.start()
         document_changed.connect(self._announce_serving, self.configuration)
         for step in (self._report, self._fetch):
             threading.Thread(
@@ -98,6 +105,7 @@
         self._stopped.set()
         self.listener.stop()
         self.calls.stop()
+        self.owner.stop()
         for link in list(self._links):
             link.close()
 
@@ -141,17 +149,27 @@
                 if self._admits(link, message.request_id):
                     self.generations.generate(link, message)
             case Call():
-                if self._admits(link, message.request_id):
-                    self.calls.call(link, message)
+                self.calls.call(link, message, self._refusal())
             case Cancel():
                 self.generations.cancel(link, message)
             case Withdraw():
                 self.generations.withdraw(link, message)
             case Resume():
                 self.generations.resume(link, message)
+            case VmListDigest() | VmListBody():
+                part = self.vm_part.handle(link, message)
+                if part is not None:
+                    self.owner.handle(link, part)
             case _:
                 self.relay.handle(link, message)
-                self.vm_part.handle(link, message)
+                self.owner.handle(link, message)
+
+    def _refusal(self) -> str:
+        try:
+            self._check_in_service()
+        except RefusedError as refusal:
+            return refusal.reason
+        return ''
 
     def _admits(self, link: Link, request_id: str) -> bool:
         try:
--- a/wasabistream/configuration_notices.py
+++ b/wasabistream/configuration_notices.py
@@ -54,6 +54,7 @@
 
     read_age_seconds: float
     list_index: int
+    list_read_age_seconds: float
 
 
 @message(45)
--- a/wasabistream/distributors.py
+++ b/wasabistream/distributors.py
@@ -136,7 +136,7 @@
             if isinstance(message, ReaderStatus):
                 self.peers.status(link, message.read_age_seconds)
                 self.lists.confirm_read(
-                    message.list_index, max(message.read_age_seconds, 0)
+                    message.list_index, message.list_read_age_seconds
                 )
 
     def _handle_document(self, link: Link, message: Message) -> None:
@@ -168,6 +168,7 @@
                 ReaderStatus(
                     self._reader.read_age_seconds(),
                     self.lists.held_order[0],
+                    self.lists.read_age_seconds,
                 ),
             )
 
--- a/wasabistream/entries.py
+++ b/wasabistream/entries.py
@@ -32,6 +32,7 @@
     LoadReport,
     Serving,
 )
+from wasabistream.owned_calls import OwnedCaller
 from wasabistream.routers import Router
 from wasabistream.servers import (
     CallerServer,
@@ -41,6 +42,7 @@
     json_answer,
 )
 from wasabistream.settings import EntrySettings
+from wasabistream.views import ServiceView, service_view
 from wasabistream.vms import Role, VmList
 
 logger = logging.getLogger(__name__)
@@ -77,7 +79,12 @@
             self.directory,
             self.attempts,
             self._dispatcher,
-            lambda: self.vm_list,
+            OwnedCaller(
+                self.directory,
+                self.attempts,
+                self._make_request_id,
+                self.service_view,
+            ),
             self._hangups.watch,
         )
         self.server = CallerServer(
@@ -107,6 +114,14 @@
         """Return the ids of attempts in progress."""
         return self.attempts.request_ids()
 
+    def service_view(self, service: str) -> ServiceView | None:
+        """Return the view of a plain service by list and document."""
+        version = self.configuration.version
+        vm_list = self.vm_list
+        if version is None or vm_list is None:
+            return None
+        return service_view(vm_list, version.document, service)
+
     @property
     def ready(self) -> bool:
         """Tell whether callers can be served."""
--- a/wasabistream/readers.py
+++ b/wasabistream/readers.py
@@ -1,7 +1,6 @@
 """Reads of the configuration service by the entries that are to read."""
 
 import time
-from collections.abc import Callable
 
 from wasabistream.configurations import ConfigurationStore
 from wasabistream.entry_peers import EntryPeers
@@ -24,14 +23,22 @@
         lists: VmListStore,
         peers: EntryPeers,
     ) -> None:
-        self._settings = settings
         self._documents = documents
         self._lists = lists
         self._peers = peers
         self._started_seconds = time.monotonic()
         self._reading_since_seconds = self._started_seconds
-        self._document_watcher: ValueWatcher | None = None
-        self._list_watcher: ValueWatcher | None = None
+        self._reads_both = False
+        self._document_watcher = ValueWatcher(
+            settings.configuration_url,
+            settings.document_key,
+            self._receive_document,
+        )
+        self._list_watcher = ValueWatcher(
+            settings.configuration_url,
+            settings.vm_list_key,
+            self._receive_list,
+        )
 
     def tick(self) -> None:
         """Start or stop to watch."""
@@ -40,65 +47,44 @@
         else:
             reads_list = self._peers.is_reader()
             reads_document = reads_list or self._alone()
-        self._list_watcher = self._switch(
-            self._list_watcher,
-            reads_list,
-            self._settings.vm_list_key,
-            self._receive_list,
-        )
-        self._document_watcher = self._switch(
-            self._document_watcher,
-            reads_document,
-            self._settings.document_key,
-            self._receive_document,
-        )
-        if self._list_watcher is not None:
+        self._switch(self._list_watcher, reads_list)
+        self._switch(self._document_watcher, reads_document)
+        self._reads_both = reads_list and reads_document
+        # A watcher with another index says nothing of the list held.
+        if reads_list and self._list_watcher.index == self._lists.held_order[0]:
             self._lists.confirm_read(
-                self._lists.held_order[0], self._list_watcher.read_age_seconds
+                self._list_watcher.index, self._list_watcher.read_age_seconds
             )
 
     def stop(self) -> None:
         """Stop to watch."""
-        for watcher in (self._list_watcher, self._document_watcher):
-            if watcher is not None:
-                watcher.stop()
+        self._list_watcher.stop()
+        self._document_watcher.stop()
 
     def read_age_seconds(self) -> float:
         """Return the age of the older read; below 0 when not reading."""
-        watchers = (self._list_watcher, self._document_watcher)
-        ages = [
-            watcher.read_age_seconds
-            for watcher in watchers
-            if watcher is not None
-        ]
-        if len(ages) < len(watchers):
+        if not self._reads_both:
             return NOT_READING_SECONDS
-        return min(max(ages), time.monotonic() - self._reading_since_seconds)
+        age_seconds = max(
+            self._list_watcher.read_age_seconds,
+            self._document_watcher.read_age_seconds,
+        )
+        # A reader that has just started is not yet silent.
+        return min(age_seconds, time.monotonic() - self._reading_since_seconds)
 
     def _alone(self) -> bool:
         waited = time.monotonic() - self._started_seconds
         return self._documents.held is None and waited > ALONE_SECONDS
 
-    def _switch(
-        self,
-        watcher: ValueWatcher | None,
-        reads: bool,
-        key: str,
-        receive: Callable[[bytes, int], None],
-    ) -> ValueWatcher | None:
-        if reads and watcher is None:
-            watcher = ValueWatcher(
-                self._settings.configuration_url, key, receive
-            )
+    def _switch(self, watcher: ValueWatcher, reads: bool) -> None:
+        if reads and not watcher.running:
             self._reading_since_seconds = time.monotonic()
             watcher.start()
-        elif watcher is not None and not reads:
+        elif watcher.running and not reads:
             watcher.stop()
-            return None
-        return watcher
 
     def _receive_document(self, body: bytes, index: int) -> None:
         self._documents.offer(body, f'configuration service {index}')
 
     def _receive_list(self, body: bytes, index: int) -> None:
-        self._lists.offer(body, index, 0)
+        self._lists.offer(body, index, self._list_watcher.read_age_seconds)
--- a/wasabistream/services.py
+++ b/wasabistream/services.py
@@ -29,6 +29,9 @@
     settling_seconds: PositiveSeconds = 10
     clock_offset_seconds: Seconds = 1
     timeout_seconds: PositiveSeconds = 10
+    # Time without a read of the VM list after which owners stop unless every
+    # agent on the list confirms it, and which a first list has to wait.
+    list_hold_seconds: PositiveSeconds = 120
 
     def is_repeatable(self, method: str, path: str) -> bool:
         """Tell whether a call may run more than once."""
--- a/wasabistream/watchers.py
+++ b/wasabistream/watchers.py
@@ -38,33 +38,49 @@
         self._receive = receive
         self._http = urllib3.PoolManager(maxsize=2, retries=False)
         self._stopped = threading.Event()
+        self._stopped.set()
         self._index = 0
         self.read_count = 0
         self._read_monotonic_seconds = float('-inf')
 
+    @property
+    def index(self) -> int:
+        """Return the index of the last value."""
+        return self._index
+
     @property
     def read_age_seconds(self) -> float:
         """Return the time since the service last answered a read."""
         return time.monotonic() - self._read_monotonic_seconds
 
+    @property
+    def running(self) -> bool:
+        """Tell whether the watcher is to read."""
+        return not self._stopped.is_set()
+
     def start(self) -> None:
-        """Start to watch."""
+        """Start to watch, from the first read on."""
+        self._index = 0
+        self._stopped = threading.Event()
         threading.Thread(
-            target=self._run, name=f'watch-{self._url}', daemon=True
+            target=self._run,
+            args=(self._stopped,),
+            name=f'watch-{self._url}',
+            daemon=True,
         ).start()
 
     def stop(self) -> None:
         """Stop after the read in progress."""
         self._stopped.set()
 
-    def _run(self) -> None:
+    def _run(self, stopped: threading.Event) -> None:
         retry_seconds = RETRY_MIN_SECONDS
-        while not self._stopped.is_set():
+        while not stopped.is_set():
             try:
                 self._read()
             except ConfigurationError as error:
                 logger.warning('watcher: %s', error)
-                self._stopped.wait(retry_seconds * random.uniform(0.5, 1.5))
+                stopped.wait(retry_seconds * random.uniform(0.5, 1.5))
                 retry_seconds = min(2 * retry_seconds, RETRY_MAX_SECONDS)
             else:
                 retry_seconds = RETRY_MIN_SECONDS
