--- a/wasabistream/deciders.py
+++ b/wasabistream/deciders.py
@@ -34,11 +34,9 @@
         if service is None:
             return 'no_document'
         now = self._clock()
-        if not self._lease.holds(now):
-            return 'no_lease'
         since = self._lease.owned_since(scoped_key, now)
         if since is None:
-            return 'not_owner'
+            return 'not_owner' if self._lease.holds(now) else 'no_lease'
         # Keys are scoped by organisation; the time is in the caller's part.
         key = scoped_key.rpartition(KEY_SEPARATOR)[2]
         age_seconds = key_age_seconds(
--- a/wasabistream/grants.py
+++ b/wasabistream/grants.py
@@ -130,8 +130,9 @@
         for known, grant in self._grants.items():
             if now >= grant.end_seconds:
                 continue
-            if grant.digest != digest:
+            if known != holder and grant.digest != digest:
                 return 'other_view'
+            # A holder gives up its own lease before it asks for another.
             if known == holder and grant.incarnation != incarnation:
                 return 'other_incarnation'
         return ''
--- a/wasabistream/leases.py
+++ b/wasabistream/leases.py
@@ -144,13 +144,16 @@
         if not all(base.has_majority(granters) for base in (view, *bases)):
             return float('-inf')
         complete = view.member_ids.issubset(granters)
-        fresh_until = self.book.fresh_seconds + self.times.hold_seconds
-        if not any(reply.founded for reply in granters.values()):
-            # No granter knows an earlier view, so its holders must have
-            # stopped by themselves.
-            founding = self.book.view_since_seconds + hold_limit_seconds(
-                self.times
-            )
-            if not complete or now < founding:
-                return float('-inf')
-        return float('inf') if complete else fresh_until
+        founded = any(reply.founded for reply in granters.values())
+        if not founded and not self._may_found(complete, now):
+            return float('-inf')
+        return float('inf') if complete else self._fresh_until()
+
+    def _may_found(self, complete: bool, now: float) -> bool:
+        # No granter knows an earlier view, so its holders must have stopped
+        # by themselves.
+        wait_seconds = hold_limit_seconds(self.times)
+        return complete and now >= self.book.view_since_seconds + wait_seconds
+
+    def _fresh_until(self) -> float:
+        return self.book.fresh_seconds + self.times.hold_seconds
