Use time-ordered keys in histories and wait for the owners

Cause: keys without a time are refused for the retry horizon, so nearly all bookings of a history were refused and proved little. Change: four of five callers send UUIDv7 keys; a history starts once a first booking has run.

--- a/wasabistream_tools/history.py
+++ b/wasabistream_tools/history.py
@@ -40,6 +40,8 @@
 MAX_START_SECONDS = 2.0
 OBSERVE_SECONDS = 0.3
 CALLER_PAUSE_SECONDS = 0.1
+# Owners of a new service run calls after the settling time.
+OWNER_ATTEMPT_COUNT = 20
 
 
 class HistoryRun:
@@ -62,8 +64,9 @@
                 forwarders,
                 history_document(),
             )
-            fleet.wait_ready(backend_count=6)
+            fleet.wait_ready(backend_count=7)
             self._recorder.add(Published(now(), 1))
+            self._wait_owners(fleet)
             self._act(context)
             self._collect(fleet)
             for forwarder in forwarders.values():
@@ -109,6 +112,12 @@
             future.result()
         time.sleep(SETTLE_SECONDS)
 
+    def _wait_owners(self, fleet: Fleet) -> None:
+        caller = HistoryCaller(fleet, self._recorder, str(self._seed))
+        for attempt in range(OWNER_ATTEMPT_COUNT):
+            if caller.book(f's{self._seed}-start-{attempt}'):
+                return
+
     def _inject(self, context: FaultContext, name: str) -> None:
         chooser = random.Random(f'{self._seed} {name}')
         time.sleep(chooser.uniform(0, MAX_START_SECONDS))
--- a/wasabistream_tools/history_callers.py
+++ b/wasabistream_tools/history_callers.py
@@ -8,6 +8,7 @@
 
 import urllib3
 
+from wasabistream.keys import make_key
 from wasabistream_tools.fleet import Fleet, FleetProcess
 from wasabistream_tools.records import (
     Cut,
@@ -24,6 +25,7 @@
 RESUME_LIMIT_COUNT = 5
 REPEAT_LIMIT_COUNT = 5
 RETRY_SECONDS = 0.4
+PLAIN_KEY_RATIO = 0.2
 DEADLINE_SECONDS = 20
 READ_TIMEOUT_SECONDS = 30.0
 LENGTHS_TOKENS = (3, 8, 20, 60)
@@ -108,8 +110,9 @@
             self._recorder.add(Received(now(), tag, text))
         self._end(tag, End.complete)
 
-    def book(self, tag: str) -> None:
+    def book(self, tag: str) -> bool:
         """Book once, and repeat with the same key until it is answered."""
+        key = self._make_key(tag)
         for _ in range(REPEAT_LIMIT_COUNT):
             self._recorder.add(Sent(now(), tag, key=tag))
             entry = self._choose_entry()
@@ -118,7 +121,7 @@
                     'POST',
                     f'{entry.url}/services/booking/bookings',
                     body=tag.encode(),
-                    headers={**_headers('urgent'), 'Idempotency-Key': tag},
+                    headers={**_headers('urgent'), 'Idempotency-Key': key},
                     timeout=READ_TIMEOUT_SECONDS,
                 )
             except urllib3.exceptions.HTTPError:
@@ -128,9 +131,16 @@
                 continue
             if response.status < 300:
                 self._end(tag, End.complete)
-                return
+                return True
             self._end(tag, End.refused, _outcome(response.data))
             time.sleep(RETRY_SECONDS)
+        return False
+
+    def _make_key(self, tag: str) -> str:
+        # Some callers use keys that carry no time.
+        if self._random.random() < PLAIN_KEY_RATIO:
+            return tag
+        return make_key(time.time())
 
     def _choose_entry(self) -> FleetProcess:
         return self._random.choice(self._fleet.entries())
