Admit by the expected peak of memory, with shares, ramp and quarantine

Cause: the gate estimated each job by a running mean, had no shares, no wait bound, no ramp, and several races: a job popped while it was cancelled could run, a second copy of a withdrawn id was accepted, and an ended request was reported as not run. Change: lengths are learned in logarithmic buckets by organisation, model and class; admission checks the expected sum of memory at several horizons; classes with ageing and guaranteed parts; start-time fair queueing between organisations; refusal when the expected wait exceeds the deadline; a ramp driven by observed speed; a quarantine of contents that were in crashes; one atomic claim before a job goes to the engine; worker threads are kept.

--- a/wasabistream/agents.py
+++ b/wasabistream/agents.py
@@ -8,9 +8,12 @@
 from wasabistream.applications import Application
 from wasabistream.calls import CallRunner
 from wasabistream.configurations import ConfigurationStore
+from wasabistream.crash_notices import ClearNotice, CrashNotice
+from wasabistream.crashes import CrashDetector
 from wasabistream.engines import EngineState, make_engine_client
 from wasabistream.exceptions import BackendError, LinkError, RefusedError
-from wasabistream.gates import Gate, GrowthPolicy, OpenPolicy
+from wasabistream.gate_builders import build_gate
+from wasabistream.gates import Gate
 from wasabistream.generations import GenerationRunner
 from wasabistream.links import Link
 from wasabistream.listeners import LinkListener
@@ -28,6 +31,7 @@
     Serving,
 )
 from wasabistream.outcomes import Outcome
+from wasabistream.quarantines import Quarantine
 from wasabistream.requests import (
     Call,
     Cancel,
@@ -58,12 +62,21 @@
         self._engine = make_engine_client(
             settings.engine_kind, settings.backend_url
         )
+        self._quarantine = Quarantine()
+        self._crashes = CrashDetector(
+            f'{settings.process_id}.{self.incarnation}',
+            self._engine,
+            self._quarantine,
+            self._broadcast,
+        )
         self.generations = GenerationRunner(
             settings.process_id,
             self.incarnation,
             self._engine,
             settings.stream_buffer_bytes,
             settings.orphan_limit_seconds,
+            self._quarantine,
+            self._crashes,
         )
         self.calls = CallRunner(
             settings.backend_url, settings.service_concurrency_count
@@ -122,6 +135,8 @@
                 logger.info('agent: reply lost: %s', error)
 
     def _handle(self, link: Link, message: Message) -> None:
+        if isinstance(message, (CrashNotice, ClearNotice)):
+            self._crashes.learn(message)
         match message:
             case Generate():
                 if self._admits(link, message.request_id):
@@ -191,13 +206,13 @@
 
     def _make_gate(self, state: EngineState) -> Gate:
         self._state = state
-        if self.agent_settings.admission_policy == 'open':
-            return Gate(OpenPolicy(), self.generations.run)
-        policy = GrowthPolicy(
+        gate = build_gate(
+            self.agent_settings,
             state.memory_capacity_tokens,
-            self.agent_settings.memory_headroom_ratio,
+            self.generations.run,
         )
-        return Gate(policy, self.generations.run)
+        self._crashes.start(gate, state.boot_id)
+        return gate
 
     def _serving(self) -> Serving:
         state = self._state
@@ -223,7 +238,7 @@
             memory_capacity_tokens=state.memory_capacity_tokens,
             running_count=gate.running_count,
             queued_count=gate.queued_count,
-            ramp_limit_count=64,
+            ramp_limit_count=gate.limit_count,
             leaving=self._leaving(),
         )
 
@@ -232,9 +247,11 @@
             self._send_reports()
 
     def _send_reports(self) -> None:
-        report = self._load_report()
+        self._broadcast(self._load_report())
+
+    def _broadcast(self, notice: Message) -> None:
         for link in list(self._links):
             try:
-                link.send(report)
+                link.send(notice)
             except LinkError as error:
-                logger.debug('agent: report lost: %s', error)
+                logger.debug('agent: notice lost: %s', error)
--- a/wasabistream/gates.py
+++ b/wasabistream/gates.py
@@ -3,81 +3,55 @@
 import logging
 import threading
 import time
-from collections import OrderedDict
 from collections.abc import Callable
-from typing import Protocol
 
-from wasabistream.estimators import LengthEstimator
+from wasabistream.admissions import AdmissionPolicy
+from wasabistream.batches import BatchLimit
+from wasabistream.class_queues import ClassQueues
 from wasabistream.exceptions import RefusedError
 from wasabistream.jobs import GenerationJob
 from wasabistream.metrics import GATE_QUEUED, GATE_RUNNING
 from wasabistream.outcomes import Outcome
+from wasabistream.ramps import Ramp
+from wasabistream.speeds import SpeedMeter
 
 logger = logging.getLogger(__name__)
 
-CLASS_ORDER = ('urgent', 'normal', 'patient')
 MAX_QUEUED_COUNT = 512
-POLL_SECONDS = 0.1
-# Ids that were withdrawn; a late copy of one of them is refused.
-MAX_WITHDRAWN_COUNT = 10000
-
-
-class AdmissionPolicy(Protocol):
-    """Decide whether a job may start now."""
-
-    def admits(self, job: GenerationJob, running: list[GenerationJob]) -> bool:
-        """Tell whether the engine has room for the job."""
-
-
-class GrowthPolicy:
-    """Admit by memory in use plus expected growth."""
-
-    def __init__(self, capacity_tokens: int, headroom_ratio: float) -> None:
-        self.limit_tokens = capacity_tokens * headroom_ratio
-        self.estimator = LengthEstimator()
-
-    def admits(self, job: GenerationJob, running: list[GenerationJob]) -> bool:
-        """Tell whether the engine has room for the job."""
-        if not running:
-            return True
-        needed_tokens = sum(self._needed_tokens(item) for item in running)
-        return needed_tokens + self._needed_tokens(job) <= self.limit_tokens
-
-    def _needed_tokens(self, job: GenerationJob) -> float:
-        request = job.request
-        key = (request.organisation, request.model, request.work_class)
-        growth_tokens = min(
-            self.estimator.expected_tokens(key, job.generated_count),
-            request.max_tokens - job.generated_count,
-        )
-        return request.prompt_tokens + job.generated_count + growth_tokens
-
-
-class OpenPolicy:
-    """Admit everything; the baseline without a gate."""
-
-    def admits(self, job: GenerationJob, running: list[GenerationJob]) -> bool:
-        """Admit the job."""
-        return True
+# Growth of running jobs is estimated again after this time.
+POLL_SECONDS = 0.05
+# Time for others between two jobs that must run alone.
+SUSPECT_PAUSE_SECONDS = 1.0
+MIN_RETRY_AFTER_SECONDS = 1.0
 
 
 class Gate:
-    """Queue jobs and start them when the policy admits them."""
+    """Queue jobs and start them when the engine has room.
+
+    Each change of a job's place (queued, running, gone) happens under one
+    lock, so that a job that was taken out can never start.
+    """
 
     def __init__(
         self,
         policy: AdmissionPolicy,
+        ramp: Ramp,
+        batch: BatchLimit,
+        speeds: SpeedMeter,
         start_job: Callable[[GenerationJob], None],
     ) -> None:
-        self._policy = policy
+        self.policy = policy
+        self.ramp = ramp
+        self.batch = batch
+        self.speeds = speeds
         self._start_job = start_job
         self._condition = threading.Condition()
-        self._queued: dict[str, OrderedDict[str, GenerationJob]] = {
-            name: OrderedDict() for name in CLASS_ORDER
-        }
+        self._queues = ClassQueues()
+        self._suspects: list[GenerationJob] = []
         self._running: dict[str, GenerationJob] = {}
-        self._withdrawn: OrderedDict[str, None] = OrderedDict()
+        self._suspect_after_seconds = 0.0
         self._stopped = False
+        # A reason for which nothing starts and new work is refused.
         self.closed_reason = ''
 
     @property
@@ -88,7 +62,12 @@
     @property
     def queued_count(self) -> int:
         """Return how many jobs wait."""
-        return sum(len(queue) for queue in self._queued.values())
+        return self._queues.count + len(self._suspects)
+
+    @property
+    def limit_count(self) -> int:
+        """Return how many jobs may run at once."""
+        return min(self.ramp.limit_count, self.batch.limit_count)
 
     def running_jobs(self) -> list[GenerationJob]:
         """Return the jobs that run."""
@@ -97,10 +76,7 @@
 
     def memory_used_tokens(self) -> int:
         """Return the tokens that running jobs hold."""
-        return sum(
-            job.request.prompt_tokens + job.generated_count
-            for job in self.running_jobs()
-        )
+        return sum(job.memory_tokens for job in self.running_jobs())
 
     def start(self) -> None:
         """Start the admission thread."""
@@ -114,86 +90,135 @@
 
     def submit(self, job: GenerationJob) -> None:
         """Queue a job; raises RefusedError, always with not_run."""
-        request_id = job.request.request_id
         with self._condition:
             if self.closed_reason:
-                raise RefusedError(self.closed_reason, Outcome.not_run)
-            if self._withdrawn.pop(request_id, self) is None:
-                raise RefusedError('withdrawn', Outcome.not_run)
+                raise _refusal(self.closed_reason, MIN_RETRY_AFTER_SECONDS)
+            if not self._queues.knows(job.request.work_class):
+                raise _refusal('unknown_class', 0)
             if self.queued_count >= MAX_QUEUED_COUNT:
-                raise RefusedError(
-                    'queue_full', Outcome.not_run, retry_after_seconds=1
-                )
-            work_class = job.request.work_class
-            if work_class not in self._queued:
-                raise RefusedError('unknown_class', Outcome.not_run)
-            self._queued[work_class][job.stream_id] = job
+                raise _refusal('queue_full', MIN_RETRY_AFTER_SECONDS)
+            job.expected_tokens = self.policy.estimator.expected_tokens(
+                job.length_key, 0
+            )
+            self._check_wait(job)
+            if job.suspect:
+                self._suspects.append(job)
+            else:
+                self._queues.add(job)
             self._condition.notify_all()
 
-    def withdraw(self, request_id: str) -> GenerationJob | None:
-        """Remove a queued job; refuse a copy that arrives later.
-
-        Returns the job when it runs already.
-        """
-        with self._condition:
-            for job in self._running.values():
-                if job.request.request_id == request_id:
-                    return job
-            self._withdrawn[request_id] = None
-            if len(self._withdrawn) > MAX_WITHDRAWN_COUNT:
-                self._withdrawn.popitem(last=False)
-            for queue in self._queued.values():
-                for stream_id, queued in list(queue.items()):
-                    if queued.request.request_id == request_id:
-                        queue.pop(stream_id)
-            return None
+    def expected_wait_seconds(self, job: GenerationJob) -> float:
+        """Return how long a new job would wait for its start."""
+        ahead_tokens = self._queues.tokens_ahead(job)
+        if not ahead_tokens:
+            return 0
+        # When jobs wait, what runs now is what the engine can hold.
+        tokens_per_second = (
+            max(self.running_count, 1) / self.speeds.current_gap_seconds
+        )
+        return ahead_tokens / tokens_per_second
 
     def drop(self, job: GenerationJob) -> bool:
         """Remove a job from the queue; tell whether it was there."""
         with self._condition:
-            queue = self._queued[job.request.work_class]
-            return queue.pop(job.stream_id, None) is not None
+            return self._drop(job)
 
     def release(self, job: GenerationJob) -> None:
         """Note that a job has left the engine."""
         with self._condition:
-            self._running.pop(job.stream_id, None)
+            if self._running.pop(job.stream_id, None) is None:
+                return
+            if job.suspect:
+                self._suspect_after_seconds = (
+                    time.monotonic() + SUSPECT_PAUSE_SECONDS
+                )
+            self._queues.ledger.correct(
+                job, job.generated_count - job.expected_tokens
+            )
             self._condition.notify_all()
 
+    def close(self, reason: str) -> list[GenerationJob]:
+        """Start nothing more; return the jobs that waited."""
+        with self._condition:
+            self.closed_reason = reason
+            waiting = [*self._queues, *self._suspects]
+            for job in waiting:
+                self._drop(job)
+            return waiting
+
+    def reopen(self) -> None:
+        """Start jobs again."""
+        with self._condition:
+            self.closed_reason = ''
+            self._condition.notify_all()
+
+    def _check_wait(self, job: GenerationJob) -> None:
+        left_seconds = job.deadline_monotonic_seconds - time.monotonic()
+        wait_seconds = self.expected_wait_seconds(job)
+        if wait_seconds > left_seconds:
+            raise _refusal(
+                'overloaded',
+                max(wait_seconds - left_seconds, MIN_RETRY_AFTER_SECONDS),
+            )
+
+    def _drop(self, job: GenerationJob) -> bool:
+        if job in self._suspects:
+            self._suspects.remove(job)
+            return True
+        return self._queues.remove(job)
+
     def _run(self) -> None:
         while True:
             with self._condition:
                 if self._stopped:
                     return
-                refused = self._pop_expired()
+                expired = self._pop_expired()
                 job = self._pop_admitted()
-                if job is None and not refused:
+                if job is None and not expired:
                     self._condition.wait(POLL_SECONDS)
                 GATE_QUEUED.set(self.queued_count)
                 GATE_RUNNING.set(self.running_count)
-            for expired in refused:
-                expired.refuse('deadline')
+            for late in expired:
+                late.refuse('deadline')
             if job is not None:
                 self._start_job(job)
 
     def _pop_expired(self) -> list[GenerationJob]:
         now = time.monotonic()
-        expired = []
-        for queue in self._queued.values():
-            for stream_id, job in list(queue.items()):
-                if job.deadline_monotonic_seconds <= now:
-                    expired.append(queue.pop(stream_id))
+        expired = [
+            job
+            for job in (*self._queues, *self._suspects)
+            if job.deadline_monotonic_seconds <= now
+        ]
+        for job in expired:
+            self._drop(job)
         return expired
 
     def _pop_admitted(self) -> GenerationJob | None:
+        if self.closed_reason or self.running_count >= self.limit_count:
+            return None
         running = list(self._running.values())
-        for queue in self._queued.values():
-            for stream_id, job in queue.items():
-                if self._policy.admits(job, running):
-                    queue.pop(stream_id)
-                    job.admitted = True
-                    self._running[stream_id] = job
-                    return job
-                # Jobs of one class start in order.
-                break
-        return None
+        if any(job.suspect for job in running):
+            return None
+        now = time.monotonic()
+        if self._suspects and now >= self._suspect_after_seconds:
+            # The engine empties first, so that nothing runs beside it.
+            return None if running else self._start_suspect()
+        job = self._queues.head(now)
+        if job is None or not self.policy.admits(job, running):
+            return None
+        self._queues.start(job)
+        self._running[job.stream_id] = job
+        return job
+
+    def _start_suspect(self) -> GenerationJob:
+        job = self._suspects.pop(0)
+        self._queues.ledger.charge(job, job.expected_tokens)
+        self._running[job.stream_id] = job
+        return job
+
+
+def _refusal(reason: str, retry_after_seconds: float) -> RefusedError:
+    return RefusedError(
+        reason, Outcome.not_run, retry_after_seconds=retry_after_seconds
+    )
--- a/wasabistream/generations.py
+++ b/wasabistream/generations.py
@@ -4,16 +4,20 @@
 import logging
 import threading
 import time
-from collections import OrderedDict
+
+from urllib3.exceptions import ConnectTimeoutError, NewConnectionError
 
 from wasabistream.buffers import StreamBuffer
-from wasabistream.engines import EngineClient
+from wasabistream.crashes import CrashDetector
+from wasabistream.engines import EngineClient, EngineToken
 from wasabistream.exceptions import BackendError, RefusedError
 from wasabistream.gates import Gate
+from wasabistream.job_tables import JobTable
 from wasabistream.jobs import GenerationJob, Subscriber
 from wasabistream.links import Link
 from wasabistream.metrics import FIRST_TOKEN_SECONDS
 from wasabistream.outcomes import Outcome
+from wasabistream.quarantines import Quarantine, Verdict
 from wasabistream.requests import (
     Accepted,
     Cancel,
@@ -23,13 +27,16 @@
     Resume,
     Withdraw,
 )
+from wasabistream.workers import WorkerPool
 
 logger = logging.getLogger(__name__)
 
-# Ended streams that stay resumable.
-MAX_ENDED_COUNT = 256
 ORPHAN_POLL_SECONDS = 0.5
-# A cancelled stream closes its response; the engine frees the slot.
+# Streams that one engine serves at most at once.
+MAX_STREAM_COUNT = 512
+CANCEL_THREAD_COUNT = 8
+# The request did not reach the engine, so it is not to blame for its state.
+NOT_REACHED_ERRORS = (NewConnectionError, ConnectTimeoutError)
 PATIENT_CLASS = 'patient'
 
 
@@ -43,15 +50,19 @@
         engine: EngineClient,
         buffer_bytes: int,
         orphan_limit_seconds: float,
+        quarantine: Quarantine,
+        crashes: CrashDetector,
     ) -> None:
         self._prefix = f'{agent_id}.{incarnation}'
         self._engine = engine
         self._buffer_bytes = buffer_bytes
         self._orphan_limit_seconds = orphan_limit_seconds
+        self._quarantine = quarantine
+        self._crashes = crashes
         self._counter = itertools.count(1)
-        self._lock = threading.Lock()
-        self._jobs: dict[str, GenerationJob] = {}
-        self._ended: OrderedDict[str, GenerationJob] = OrderedDict()
+        self._jobs = JobTable()
+        self._streams = WorkerPool(MAX_STREAM_COUNT, 'stream')
+        self._cancels = WorkerPool(CANCEL_THREAD_COUNT, 'cancel')
         self._stopped = threading.Event()
         self.gate: Gate
 
@@ -66,66 +77,78 @@
     def stop(self) -> None:
         """Stop the threads."""
         self._stopped.set()
+        self._crashes.stop()
         self.gate.stop()
 
     def jobs_in_progress(self) -> list[str]:
         """Return the request ids of jobs that have not ended."""
-        with self._lock:
-            return [job.request.request_id for job in self._jobs.values()]
+        return [job.request.request_id for job in self._jobs.open_jobs()]
 
     def generate(self, link: Link, request: Generate) -> None:
         """Queue a generation and answer accepted or refused."""
+        now = time.monotonic()
         job = GenerationJob(
             request=request,
             stream_id=f'{self._prefix}.{next(self._counter)}',
-            deadline_monotonic_seconds=time.monotonic()
-            + request.deadline_seconds,
+            deadline_monotonic_seconds=now + request.deadline_seconds,
             buffer=StreamBuffer(self._buffer_bytes),
             subscriber=Subscriber(link, request.request_id),
-            queued_monotonic_seconds=time.monotonic(),
+            queued_monotonic_seconds=now,
         )
+        try:
+            self._jobs.add(job)
+        except RefusedError as refusal:
+            link.send(
+                Refused(request.request_id, Outcome.not_run, refusal.reason)
+            )
+            return
+        except KeyError:
+            logger.info('agent: %s arrived twice', request.request_id)
+            return
         # Accepted goes first so that no token overtakes it.
         link.send(Accepted(request.request_id, job.stream_id))
-        with self._lock:
-            self._jobs[job.stream_id] = job
         try:
-            self.gate.submit(job)
+            self._submit(job)
         except RefusedError as refusal:
-            self._forget(job)
             job.refuse(refusal.reason, refusal.retry_after_seconds)
+            self._jobs.end(job)
 
     def run(self, job: GenerationJob) -> None:
-        """Run an admitted job in its own thread."""
-        threading.Thread(
-            target=self._run, args=(job,), name=job.stream_id, daemon=True
-        ).start()
+        """Run an admitted job in a worker thread."""
+        self._streams.submit(self._run, job)
 
     def cancel(self, link: Link, request: Cancel) -> None:
         """Stop a generation whose caller has gone."""
-        job = self._find_request(request.request_id)
+        job = self._jobs.by_request(request.request_id)
         if job is not None and job.request.work_class != PATIENT_CLASS:
-            self._cancel(job)
+            self._cancel(job, 'cancelled')
 
     def withdraw(self, link: Link, request: Withdraw) -> None:
         """Prove that a request did not run, or stop it and say so."""
-        running = self.gate.withdraw(request.request_id)
-        if running is None:
-            job = self._find_request(request.request_id)
-            if job is not None:
-                self._forget(job)
+        job = self._jobs.withdraw(request.request_id)
+        if job is None:
             link.send(Refused(request.request_id, Outcome.not_run, 'withdrawn'))
             return
-        self._cancel(running)
+        if job.ended:
+            # The end may have been lost with an earlier link.
+            outcome = Outcome.run if job.sent else Outcome.not_run
+            link.send(
+                Failed(
+                    request.request_id, outcome, 'ended', job.generated_count
+                )
+            )
+            return
+        job.subscriber = Subscriber(link, request.request_id)
+        self._cancel(job, 'withdrawn')
 
     def resume(self, link: Link, request: Resume) -> None:
         """Follow a stream from an index on."""
-        job = self._jobs.get(request.stream_id) or self._ended.get(
-            request.stream_id
-        )
+        job = self._jobs.by_stream(request.stream_id)
         if job is None or job.request.organisation != request.organisation:
             link.send(Failed(request.request_id, Outcome.unknown, 'no_stream'))
             return
         link.send(Accepted(request.request_id, job.stream_id))
+        self._jobs.add_request(request.request_id, job)
         subscriber = Subscriber(link, request.request_id)
         if not job.attach(subscriber, request.next_index):
             link.send(Failed(request.request_id, Outcome.run, 'events_dropped'))
@@ -133,51 +156,94 @@
     def link_closed(self, link: Link) -> None:
         """Detach the streams that a link followed."""
         now = time.monotonic()
-        for job in list(self._jobs.values()):
+        for job in self._jobs.open_jobs():
             job.detach(link, now)
 
+    def _submit(self, job: GenerationJob) -> None:
+        request = job.request
+        self._quarantine.learn(request.fingerprint, request.crash_count)
+        verdict = self._quarantine.check(request.fingerprint)
+        if verdict == Verdict.banned:
+            raise RefusedError('quarantined', Outcome.not_run)
+        job.suspect = verdict == Verdict.suspect
+        self.gate.submit(job)
+
     def _run(self, job: GenerationJob) -> None:
         try:
             self._follow(job)
         except BackendError as error:
-            logger.warning(
-                'agent: stream failed: %s',
-                error,
-                extra={'request_id': job.request.request_id},
-            )
-            job.fail(Outcome.run, 'engine_failed')
+            self._broke(job, error)
         finally:
             self.gate.release(job)
-            self._forget(job)
+            self._jobs.end(job)
+        if job.cancelled.is_set() and job.sent:
+            # The first order may have come before the engine had the stream.
+            self._cancel_in_engine(job)
+
+    def _broke(self, job: GenerationJob, error: BackendError) -> None:
+        if job.cancelled.is_set():
+            job.fail(Outcome.run, 'cancelled')
+            return
+        logger.warning(
+            'agent: stream failed: %s',
+            error,
+            extra={'request_id': job.request.request_id},
+        )
+        if isinstance(error.__cause__, NOT_REACHED_ERRORS):
+            job.fail(Outcome.not_run, 'engine_down')
+            return
+        crashed = self._crashes.stream_broke(job)
+        job.fail(Outcome.run, 'engine_crashed' if crashed else 'engine_failed')
 
     def _follow(self, job: GenerationJob) -> None:
         started = time.monotonic()
         if job.deadline_monotonic_seconds <= started:
             job.refuse('deadline')
             return
+        if not job.claim_send():
+            return
         for token in self._engine.generate(job.stream_id, job.request):
             if job.cancelled.is_set():
                 job.fail(Outcome.run, 'cancelled')
                 return
-            if token.index == 0:
-                FIRST_TOKEN_SECONDS.observe(time.monotonic() - started)
             if token.text:
-                job.publish(token.text)
+                self._token(job, token, started)
             if token.finish_reason:
-                job.finish(token.finish_reason)
+                self._finish(job, token.finish_reason)
         if not job.ended:
             job.fail(Outcome.run, 'no_finish_reason')
 
-    def _cancel(self, job: GenerationJob) -> None:
-        job.cancelled.set()
-        if self.gate.drop(job):
-            self._forget(job)
-            job.refuse('cancelled')
+    def _token(
+        self, job: GenerationJob, token: EngineToken, started: float
+    ) -> None:
+        now = time.monotonic()
+        gate = self.gate
+        if job.generated_count:
+            gate.speeds.observe(now - job.last_token_monotonic_seconds)
+            gate.ramp.token()
+            gate.batch.token(gate.running_count)
+        else:
+            job.first_token_monotonic_seconds = now
+            FIRST_TOKEN_SECONDS.observe(now - started)
+            gate.ramp.first_token(now - started, job.request.prompt_tokens)
+        job.last_token_monotonic_seconds = now
+        job.publish(token.text)
+
+    def _finish(self, job: GenerationJob, finish_reason: str) -> None:
+        job.finish(finish_reason)
+        self.gate.policy.estimator.observe(job.length_key, job.generated_count)
+        if job.mean_gap_seconds:
+            self.gate.ramp.finished(job.mean_gap_seconds)
+        self._crashes.job_finished(job)
+
+    def _cancel(self, job: GenerationJob, reason: str) -> None:
+        if job.stop(reason):
+            self.gate.drop(job)
+            self._jobs.end(job)
             return
-        # The engine call must not hold up the reader thread of the link.
-        threading.Thread(
-            target=self._cancel_in_engine, args=(job,), daemon=True
-        ).start()
+        if not job.ended:
+            # The engine call must not hold up the reader thread of the link.
+            self._cancels.submit(self._cancel_in_engine, job)
 
     def _cancel_in_engine(self, job: GenerationJob) -> None:
         try:
@@ -188,25 +254,11 @@
     def _cancel_orphans(self) -> None:
         while not self._stopped.wait(ORPHAN_POLL_SECONDS):
             limit = time.monotonic() - self._orphan_limit_seconds
-            for job in list(self._jobs.values()):
+            for job in self._jobs.open_jobs():
                 orphaned = job.orphaned_monotonic_seconds
                 if (
                     orphaned
                     and orphaned < limit
                     and job.request.work_class != PATIENT_CLASS
                 ):
-                    self._cancel(job)
-
-    def _find_request(self, request_id: str) -> GenerationJob | None:
-        for job in list(self._jobs.values()):
-            subscriber = job.subscriber
-            if subscriber is not None and subscriber.request_id == request_id:
-                return job
-        return None
-
-    def _forget(self, job: GenerationJob) -> None:
-        with self._lock:
-            self._jobs.pop(job.stream_id, None)
-            self._ended[job.stream_id] = job
-            if len(self._ended) > MAX_ENDED_COUNT:
-                self._ended.popitem(last=False)
+                    self._cancel(job, 'cancelled')
--- a/wasabistream/jobs.py
+++ b/wasabistream/jobs.py
@@ -2,7 +2,7 @@
 
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from wasabistream.buffers import StreamBuffer
 from wasabistream.exceptions import LinkError
@@ -28,15 +28,62 @@
     deadline_monotonic_seconds: float
     buffer: StreamBuffer
     subscriber: Subscriber | None
-    admitted: bool = False
     ended: bool = False
+    # True from just before the request is sent to the engine.
+    sent: bool = False
+    # Runs with no other job beside it, because it may crash the engine.
+    suspect: bool = False
     cancelled: threading.Event = field(default_factory=threading.Event)
     orphaned_monotonic_seconds: float = 0
     generated_count: int = 0
-    reserved_tokens: int = 0
+    expected_tokens: float = 0
     queued_monotonic_seconds: float = 0
+    last_token_monotonic_seconds: float = 0
+    first_token_monotonic_seconds: float = 0
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
+    @property
+    def memory_tokens(self) -> int:
+        """Return the tokens that the job holds in the engine."""
+        return self.request.prompt_tokens + self.generated_count
+
+    @property
+    def length_key(self) -> tuple[str, str, str]:
+        """Return the key under which the output length is learned."""
+        request = self.request
+        return (request.organisation, request.model, request.work_class)
+
+    @property
+    def mean_gap_seconds(self) -> float:
+        """Return the mean time between the tokens so far, or zero."""
+        gap_count = self.generated_count - 1
+        if gap_count < 1:
+            return 0
+        lasted = (
+            self.last_token_monotonic_seconds
+            - self.first_token_monotonic_seconds
+        )
+        return lasted / gap_count
+
+    def claim_send(self) -> bool:
+        """Tell whether the job may go to the engine, exactly once.
+
+        After a refusal or a cancellation it never may.
+        """
+        with self._lock:
+            if self.ended or self.sent or self.cancelled.is_set():
+                return False
+            self.sent = True
+            return True
+
+    def stop(self, reason: str) -> bool:
+        """Cancel the job; tell whether it is proven not to have run."""
+        with self._lock:
+            self.cancelled.set()
+            if self.sent or self.ended:
+                return False
+        return self.refuse(reason)
+
     def publish(self, text: str) -> None:
         """Append one token and send it to the subscriber."""
         with self._lock:
@@ -47,6 +94,8 @@
     def finish(self, finish_reason: str) -> None:
         """End a complete stream."""
         with self._lock:
+            if self.ended:
+                return
             self.ended = True
             self.buffer.finish(finish_reason)
             self._send(
@@ -58,6 +107,8 @@
     def fail(self, outcome: str, reason: str) -> None:
         """End a broken stream."""
         with self._lock:
+            if self.ended:
+                return
             self.ended = True
             self.buffer.fail(outcome, reason)
             self._send(
@@ -66,15 +117,18 @@
                 )
             )
 
-    def refuse(self, reason: str, retry_after_seconds: float = 0) -> None:
-        """End a job that never left the gate."""
+    def refuse(self, reason: str, retry_after_seconds: float = 0) -> bool:
+        """End a job that never left the gate; tell whether it did not."""
         with self._lock:
+            if self.ended or self.sent:
+                return False
             self.ended = True
             self._send(
                 lambda request_id: Refused(
                     request_id, 'not_run', reason, retry_after_seconds
                 )
             )
+            return True
 
     def attach(self, subscriber: Subscriber, next_index: int) -> bool:
         """Send the buffered events from an index on, then follow."""
@@ -95,6 +149,12 @@
                 self.subscriber = None
                 self.orphaned_monotonic_seconds = now
 
+    def forget_texts(self) -> None:
+        """Drop the events of a stream that is no longer resumable."""
+        with self._lock:
+            self.buffer = StreamBuffer(0)
+            self.request = replace(self.request, prompt='')
+
     def _send(self, build: Callable[[str], Message]) -> None:
         if self.subscriber is None:
             return
--- a/wasabistream/settings.py
+++ b/wasabistream/settings.py
@@ -30,6 +30,9 @@
     'service': '',
     'admission_policy': 'growth',
     'memory_headroom_ratio': 0.95,
+    'ramp_start_count': 2,
+    'max_batch_count': 256,
+    'normal_token_seconds': 0.0,
     'stream_buffer_bytes': 8 * 1024 * 1024,
     'orphan_limit_seconds': 10.0,
     'service_concurrency_count': 32,
@@ -92,6 +95,10 @@
     service: str = _setting('service')
     admission_policy: str = _setting('admission_policy')
     memory_headroom_ratio: float = _setting('memory_headroom_ratio')
+    ramp_start_count: int = _setting('ramp_start_count', minimum=1)
+    max_batch_count: int = _setting('max_batch_count', minimum=1)
+    # Time between tokens of a warm engine; 0 lets the agent learn it.
+    normal_token_seconds: float = _setting('normal_token_seconds')
     stream_buffer_bytes: int = _setting('stream_buffer_bytes', minimum=1)
     orphan_limit_seconds: float = _setting('orphan_limit_seconds')
     service_concurrency_count: int = _setting(
