--- a/wasabistream/agents.py
+++ b/wasabistream/agents.py
@@ -238,7 +238,7 @@
             memory_capacity_tokens=state.memory_capacity_tokens,
             running_count=gate.running_count,
             queued_count=gate.queued_count,
-            ramp_limit_count=gate.limit_count,
+            ramp_limit_count=gate.bearable_count,
             leaving=self._leaving(),
         )
 
--- a/wasabistream/class_queues.py
+++ b/wasabistream/class_queues.py
@@ -54,20 +54,20 @@
             for name in CLASS_ORDER:
                 self._recent[name] /= 2
 
-    def head(self, now: float) -> GenerationJob | None:
-        """Return the job that is to start next."""
+    def head(self, now: float) -> tuple[GenerationJob | None, bool]:
+        """Return the job that is to start next and if its class is owed."""
         for name in reversed(CLASS_ORDER):
             oldest = self._queues[name].oldest()
             if oldest is None:
                 continue
             waited_seconds = now - oldest.queued_monotonic_seconds
             if waited_seconds > AGED_SECONDS[name] and self._owed(name):
-                return oldest
+                return oldest, True
         for name in CLASS_ORDER:
             head = self._queues[name].head()
             if head is not None:
-                return head
-        return None
+                return head, False
+        return None, False
 
     def tokens_ahead(self, job: GenerationJob) -> float:
         """Return the expected work that a new job would wait for."""
--- /dev/null
+++ b/wasabistream/demands.py
@@ -0,0 +1,43 @@
+"""Memory that each work class needs, over the last seconds."""
+
+import time
+from collections.abc import Iterable
+
+from wasabistream.jobs import GenerationJob
+
+CLASS_RANKS = {'urgent': 0, 'normal': 1, 'patient': 2}
+AVERAGE_SECONDS = 2.0
+# Room for bursts above the average demand.
+BURST_RATIO = 1.2
+
+
+class DemandMeter:
+    """Average the memory that the jobs of each class hold.
+
+    Lower classes leave that much free: an urgent job that finds the memory
+    full of drafts would wait or preempt one of them.
+    """
+
+    def __init__(self) -> None:
+        self._tokens = dict.fromkeys(CLASS_RANKS, 0.0)
+        self._seen_seconds = time.monotonic()
+
+    def observe(self, running: Iterable[GenerationJob]) -> None:
+        """Take the jobs that are there now into the averages."""
+        now = time.monotonic()
+        part = min((now - self._seen_seconds) / AVERAGE_SECONDS, 1)
+        self._seen_seconds = now
+        current = dict.fromkeys(CLASS_RANKS, 0.0)
+        for job in running:
+            current[job.request.work_class] += job.memory_tokens
+        for name, tokens in current.items():
+            self._tokens[name] += part * (tokens - self._tokens[name])
+
+    def above(self, work_class: str) -> float:
+        """Return the memory to leave free for more urgent classes."""
+        rank = CLASS_RANKS[work_class]
+        return BURST_RATIO * sum(
+            tokens
+            for name, tokens in self._tokens.items()
+            if CLASS_RANKS[name] < rank
+        )
--- a/wasabistream/estimators.py
+++ b/wasabistream/estimators.py
@@ -9,7 +9,7 @@
 DEFAULT_OUTPUT_TOKENS = 128.0
 MAX_KEY_COUNT = 4096
 # Weight of the more general level in the estimate of a specific one.
-PRIOR_WEIGHT = 4.0
+PRIOR_WEIGHT = 2.0
 
 LengthKey = tuple[str, str, str]
 
@@ -55,7 +55,8 @@
         """Return the probability that an output goes on beyond horizons."""
         start = max(generated_tokens, 1)
         scale = DEFAULT_OUTPUT_TOKENS + start
-        chances = [scale / (scale + horizon) for horizon in horizons]
+        # Pareto tail of index 2, whose mean growth is the scale.
+        chances = [(scale / (scale + horizon)) ** 2 for horizon in horizons]
         with self._lock:
             for level in _general_first(key):
                 counts = self._counts.get(level)
--- a/wasabistream/gates.py
+++ b/wasabistream/gates.py
@@ -8,6 +8,7 @@
 from wasabistream.admissions import AdmissionPolicy
 from wasabistream.batches import BatchLimit
 from wasabistream.class_queues import ClassQueues
+from wasabistream.demands import DemandMeter
 from wasabistream.exceptions import RefusedError
 from wasabistream.jobs import GenerationJob
 from wasabistream.metrics import GATE_QUEUED, GATE_RUNNING
@@ -47,6 +48,7 @@
         self._start_job = start_job
         self._condition = threading.Condition()
         self._queues = ClassQueues()
+        self._demand = DemandMeter()
         self._suspects: list[GenerationJob] = []
         self._running: dict[str, GenerationJob] = {}
         self._suspect_after_seconds = 0.0
@@ -69,6 +71,16 @@
         """Return how many jobs may run at once."""
         return min(self.ramp.limit_count, self.batch.limit_count)
 
+    @property
+    def bearable_count(self) -> int:
+        """Return how many jobs the engine bears now, for reports.
+
+        While jobs wait, no more than those that run find room.
+        """
+        if self.queued_count:
+            return min(self.limit_count, max(self.running_count, 1))
+        return self.limit_count
+
     def running_jobs(self) -> list[GenerationJob]:
         """Return the jobs that run."""
         with self._condition:
@@ -204,8 +216,13 @@
         if self._suspects and now >= self._suspect_after_seconds:
             # The engine empties first, so that nothing runs beside it.
             return None if running else self._start_suspect()
-        job = self._queues.head(now)
-        if job is None or not self.policy.admits(job, running):
+        self._demand.observe(running)
+        job, owed = self._queues.head(now)
+        if job is None:
+            return None
+        # A class that is owed its part need not leave room for others.
+        reserved = 0 if owed else self._demand.above(job.request.work_class)
+        if not self.policy.admits(job, running, reserved):
             return None
         self._queues.start(job)
         self._running[job.stream_id] = job
--- a/wasabistream_tools/engine.py
+++ b/wasabistream_tools/engine.py
@@ -77,6 +77,7 @@
 
     preemption_count: int = 0
     stall_seconds: float = 0
+    generated_count: int = 0
     crash_count: int = 0
     cancel_count: int = 0
     started: list[str] = field(default_factory=list)
@@ -229,7 +230,8 @@
                 'boot_id': self.boot_id,
                 'prefixes': list(self._prefixes),
                 'preemption_count': self.counts.preemption_count,
-                'stall_seconds': self.counts.stall_seconds,
+                'stall_seconds': self._stall_seconds(),
+                'generated_count': self.counts.generated_count,
                 'crash_count': self.counts.crash_count,
                 'cancel_count': self.counts.cancel_count,
                 'started_count': len(self.counts.started),
@@ -281,14 +283,17 @@
                 return
             self._waiting.pop(0)
             now = time.monotonic()
-            if sequence.stalled_since_seconds:
-                self.counts.stall_seconds += (
-                    now - sequence.stalled_since_seconds
-                )
-                sequence.stalled_since_seconds = 0
+            self._end_stall(sequence)
             sequence.ready_at_seconds = now + self._prefill_seconds(sequence)
             self._running.append(sequence)
 
+    def _end_stall(self, sequence: EngineSequence) -> None:
+        if sequence.stalled_since_seconds:
+            self.counts.stall_seconds += (
+                time.monotonic() - sequence.stalled_since_seconds
+            )
+            sequence.stalled_since_seconds = 0
+
     def _prefill_seconds(self, sequence: EngineSequence) -> float:
         tokens = sequence.memory_tokens
         if sequence.prefix in self._prefixes:
@@ -316,6 +321,7 @@
         index = sequence.generated_count
         sequence.generated_count += 1
         self._warm_tokens += 1
+        self.counts.generated_count += 1
         text = f'{index} '
         if sequence.tag:
             generation = f'{self.boot_id}.{sequence.arrival}'
@@ -331,6 +337,15 @@
                 output.write(chunk(b'data: [DONE]\n\n') + LAST_CHUNK)
                 output.finish()
 
+    def _stall_seconds(self) -> float:
+        # Includes sequences that stand still now or were cancelled so.
+        now = time.monotonic()
+        return self.counts.stall_seconds + sum(
+            now - item.stalled_since_seconds
+            for item in self._waiting
+            if item.stalled_since_seconds
+        )
+
     def _used_tokens(self) -> int:
         return sum(item.memory_tokens for item in self._running)
 
@@ -345,6 +360,7 @@
             self._running.remove(sequence)
         if sequence in self._waiting:
             self._waiting.remove(sequence)
+            self._end_stall(sequence)
 
 
 def _rank(sequence: EngineSequence) -> tuple[int, int]:
--- a/wasabistream_tools/workload_fleets.py
+++ b/wasabistream_tools/workload_fleets.py
@@ -1,11 +1,21 @@
 """Fleets for the named workloads."""
 
+import time
 from collections.abc import Mapping
 from typing import Any
 
 from wasabistream_tools.fleet import Fleet, credential_digest
 from wasabistream_tools.workloads import Workload
 
+STATE_TIMEOUT = 5.0
+POLL_SECONDS = 0.1
+TOTAL_NAMES = (
+    'preemption_count',
+    'stall_seconds',
+    'crash_count',
+    'generated_count',
+)
+
 
 def start_workload_fleet(
     workload: Workload,
@@ -71,3 +81,35 @@
             }
         ],
     }
+
+
+def engine_states(fleet: Fleet) -> list[dict[str, Any]]:
+    """Return what the engine stand-ins of a fleet report."""
+    return [
+        fleet.http.request(
+            'GET', f'{process.url}/stand-in/state', timeout=STATE_TIMEOUT
+        ).json()
+        for name, process in fleet.processes.items()
+        if name.endswith('-engine')
+    ]
+
+
+def engine_totals(fleet: Fleet) -> dict[str, float]:
+    """Return the sums of the engines' counts."""
+    states = engine_states(fleet)
+    return {
+        name: sum(float(state[name]) for state in states)
+        for name in TOTAL_NAMES
+    }
+
+
+def wait_idle(fleet: Fleet, limit_seconds: float) -> None:
+    """Cancel what still runs once the limit is over, and wait for the end."""
+    deadline = time.monotonic() + limit_seconds
+    while time.monotonic() < deadline:
+        if not any(
+            state['running'] or state['waiting']
+            for state in engine_states(fleet)
+        ):
+            return
+        time.sleep(POLL_SECONDS)
--- a/wasabistream_tools/workloads.py
+++ b/wasabistream_tools/workloads.py
@@ -86,10 +86,10 @@
 
 # Small and fast engines: memory fills up in mid-decode within seconds.
 ENGINE_OPTIONS: dict[str, Any] = {
-    'memory_tokens': 700,
-    'token_seconds': 0.02,
+    'memory_tokens': 1000,
+    'token_seconds': 0.025,
     'prefill_tokens_per_second': 4000,
-    'full_batch_count': 12,
+    'full_batch_count': 16,
 }
 
 WORKLOADS = {
@@ -102,7 +102,7 @@
                 'chat',
                 0.5,
                 work_class='urgent',
-                lengths=LengthModel(25, tail_share=0.06),
+                lengths=LengthModel(25, tail_share=0.06, max_tokens=300),
                 prompt_tokens=25,
                 deadline_seconds=5,
             ),
@@ -110,7 +110,7 @@
                 'draft',
                 0.15,
                 work_class='patient',
-                lengths=LengthModel(80, 0.8, 0.15, 150),
+                lengths=LengthModel(80, 0.8, 0.15, 150, max_tokens=450),
                 prompt_tokens=40,
                 deadline_seconds=60,
             ),
@@ -120,7 +120,7 @@
         engine_count=6,
         model='assistant',
         service='booking',
-        capacity_tokens_per_second=2000,
+        capacity_tokens_per_second=2680,
         engine_options=ENGINE_OPTIONS,
     ),
     'kutaisi': Workload(
@@ -132,7 +132,7 @@
                 'catalogue',
                 0.45,
                 work_class='urgent',
-                lengths=LengthModel(15, 0.5, 0.03),
+                lengths=LengthModel(15, 0.5, 0.03, max_tokens=300),
                 prompt_tokens=15,
                 deadline_seconds=5,
             ),
@@ -140,7 +140,7 @@
                 'guide',
                 0.3,
                 work_class='patient',
-                lengths=LengthModel(90, 0.7, 0.2, 150),
+                lengths=LengthModel(90, 0.7, 0.2, 150, max_tokens=450),
                 prompt_tokens=40,
                 deadline_seconds=60,
             ),
