Resume dropped streams through any entry and close sockets safely

Cause: a dropped stream could not be resumed, a broken engine connection ended the answer, and two races touched callers' sockets: a socket was closed while its writer thread could be inside a send, so that a reused descriptor could receive the bytes of another caller, and the hangup watcher kept closed sockets in its selector until its next poll, so that a new stream with the same descriptor was refused with a KeyError.

Change: GET /v1/streams/{id} with Last-Event-ID through any entry; the agent returns the context of the first answer, so the format stays the same, and replays in messages of 256 tokens. A second reader ends the first. A descriptor is closed only by its writer thread and after the watcher has dropped it. answers.py and callers.py are split; the path of a plain call has one spelling; headers pass both ways except hop-by-hop ones; body fields are passed to the engine or refused; organisations have a concurrency limit.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,6 +2,8 @@
 
 import itertools
 import socket
+import time
+from collections.abc import Callable
 from typing import Any
 
 from wasabistream.buffers import StreamBuffer
@@ -10,6 +12,7 @@
 
 BUFFER_BYTES = 1024 * 1024
 FAR_DEADLINE_SECONDS = 1e9
+WAIT_LIMIT_SECONDS = 20.0
 
 _numbers = itertools.count(1)
 
@@ -60,3 +63,12 @@
         near = socket.create_connection(server.getsockname())
         far, _ = server.accept()
     return near, far
+
+
+def wait_until(condition: Callable[[], Any]) -> None:
+    """Wait for a condition; raises TimeoutError after a bounded time."""
+    deadline = time.monotonic() + WAIT_LIMIT_SECONDS
+    while not condition():
+        if time.monotonic() > deadline:
+            raise TimeoutError('condition did not become true')
+        time.sleep(0.01)
--- /dev/null
+++ b/wasabistream/bodies.py
@@ -0,0 +1,179 @@
+"""Bodies of generation requests."""
+
+import json
+from typing import Any
+
+from wasabistream.digests import hash64
+from wasabistream.documents import Document, Organisation
+from wasabistream.exceptions import RequestError
+from wasabistream.requests import Generate
+from wasabistream.servers import HttpRequest
+
+DEFAULT_MAX_TOKENS = 16384
+MAX_MAX_TOKENS = 1_000_000
+DEFAULT_DEADLINE_SECONDS = 600.0
+CHARACTERS_PER_TOKEN = 4
+CLASS_HEADER = 'wasabi-class'
+DEADLINE_HEADER = 'wasabi-deadline-seconds'
+WORK_CLASSES = frozenset(('urgent', 'normal', 'patient'))
+# Sampling fields that go to the engine, with their JSON types.
+PASSED_FIELDS: dict[str, tuple[type, ...]] = {
+    'temperature': (int, float),
+    'top_p': (int, float),
+    'top_k': (int,),
+    'min_p': (int, float),
+    'seed': (int,),
+    'frequency_penalty': (int, float),
+    'presence_penalty': (int, float),
+    'repetition_penalty': (int, float),
+    'stop': (str, list),
+    'logit_bias': (dict,),
+    'response_format': (dict,),
+}
+# Fields whose effect would be missing from the answer, with the values that
+# ask for nothing. Fields named nowhere here are ignored, as clients expect.
+REFUSED_FIELDS: dict[str, tuple[Any, ...]] = {
+    'n': (1,),
+    'best_of': (1,),
+    'logprobs': (False,),
+    'top_logprobs': (0,),
+    'echo': (False,),
+    'suffix': ('',),
+    'tools': ([],),
+    'tool_choice': ('none', 'auto'),
+    'functions': ([],),
+    'modalities': (['text'],),
+    'audio': (),
+}
+
+
+def parse_body(raw: bytes) -> dict[str, Any]:
+    """Return the JSON object of a body; raises RequestError."""
+    try:
+        body = json.loads(raw)
+    except (ValueError, RecursionError) as error:
+        raise RequestError(
+            f'body is not JSON: {error}', 400, 'bad_json'
+        ) from error
+    if not isinstance(body, dict):
+        raise RequestError('body is not an object', 400, 'bad_json')
+    return body
+
+
+def build_generation(
+    document: Document,
+    organisation: Organisation,
+    request: HttpRequest,
+    body: dict[str, Any],
+) -> Generate:
+    """Check a generation request and build its message."""
+    model, adapter = _find_model(document, organisation, body.get('model'))
+    prompt = _prompt_text(body)
+    work_class = request.headers.get(CLASS_HEADER, organisation.default_class)
+    if work_class not in WORK_CLASSES:
+        raise RequestError('unknown work class', 400, 'bad_class')
+    return Generate(
+        request_id='',
+        organisation=organisation.name,
+        model=model,
+        work_class=work_class,
+        prompt=prompt,
+        prompt_tokens=max(1, len(prompt) // CHARACTERS_PER_TOKEN),
+        max_tokens=_max_tokens(body),
+        deadline_seconds=_deadline_seconds(request),
+        fingerprint=hash64(organisation.name, model, prompt),
+        document_revision=document.revision,
+        adapter=adapter,
+        priority_weight=float(organisation.priority_weight),
+        options=json.dumps(_options(body)),
+    )
+
+
+def wants_usage(body: dict[str, Any]) -> bool:
+    """Tell whether a stream ends with usage numbers; raises RequestError."""
+    options = body.get('stream_options') or {}
+    if not isinstance(options, dict):
+        raise RequestError(
+            'stream_options is not an object', 400, 'bad_stream_options'
+        )
+    return bool(options.get('include_usage'))
+
+
+def _find_model(
+    document: Document, organisation: Organisation, name: object
+) -> tuple[str, str]:
+    for model in document.models:
+        if name == model.name and name in organisation.models:
+            return model.name, ''
+        if name in model.adapters and model.name in organisation.models:
+            return model.name, str(name)
+    raise RequestError(f'no model {name!r}', 404, 'model_not_found')
+
+
+def _max_tokens(body: dict[str, Any]) -> int:
+    for name in ('max_completion_tokens', 'max_tokens'):
+        max_tokens = body.get(name)
+        if max_tokens is None:
+            continue
+        if type(max_tokens) is int and 0 < max_tokens <= MAX_MAX_TOKENS:
+            return max_tokens
+        raise RequestError(
+            f'{name} is not from 1 to {MAX_MAX_TOKENS}', 400, f'bad_{name}'
+        )
+    return DEFAULT_MAX_TOKENS
+
+
+def _options(body: dict[str, Any]) -> dict[str, Any]:
+    for name, harmless in REFUSED_FIELDS.items():
+        if body.get(name) is not None and body[name] not in harmless:
+            raise RequestError(f'{name} is not supported', 400, 'unsupported')
+    options = {}
+    for name, accepted in PASSED_FIELDS.items():
+        option = body.get(name)
+        if option is None:
+            continue
+        if isinstance(option, bool) or not isinstance(option, accepted):
+            raise RequestError(f'{name} has a wrong type', 400, f'bad_{name}')
+        options[name] = option
+    return options
+
+
+def _prompt_text(body: dict[str, Any]) -> str:
+    if 'messages' not in body:
+        prompt = body.get('prompt')
+        if isinstance(prompt, str):
+            return prompt
+        raise RequestError('prompt is not a string', 400, 'bad_prompt')
+    messages = body['messages']
+    if not isinstance(messages, list) or not messages:
+        raise RequestError('messages is not a list', 400, 'bad_messages')
+    try:
+        return '\n'.join(
+            f'{item["role"]}: {_content_text(item["content"])}'
+            for item in messages
+        )
+    except (KeyError, TypeError) as error:
+        raise RequestError(
+            'a message lacks role or text content', 400, 'bad_messages'
+        ) from error
+
+
+def _content_text(content: Any) -> str:
+    if isinstance(content, str):
+        return content
+    return ''.join(part['text'] for part in content)
+
+
+def _deadline_seconds(request: HttpRequest) -> float:
+    raw = request.headers.get(DEADLINE_HEADER)
+    if raw is None:
+        return DEFAULT_DEADLINE_SECONDS
+    try:
+        deadline_seconds = float(raw)
+    except ValueError:
+        raise RequestError(
+            'deadline is not a number', 400, 'bad_deadline'
+        ) from None
+    if not 0 < deadline_seconds <= 24 * 3600:
+        raise RequestError('deadline is out of range', 400, 'bad_deadline')
+    return deadline_seconds
--- a/wasabistream/buffers.py
+++ b/wasabistream/buffers.py
@@ -1,9 +1,15 @@
 """Bounded buffer of the events of one stream."""
 
+import itertools
+import sys
 from collections import deque
 
 from wasabistream.messages import Message
-from wasabistream.requests import Failed, Finished, Token
+from wasabistream.requests import Failed, Finished, Tokens
+
+# Tokens that one message of a replay carries; one message for each token
+# could fill the send queue of the link.
+REPLAY_TOKEN_COUNT = 256
 
 
 class StreamBuffer:
@@ -26,9 +32,10 @@
         """Add a token and return its index."""
         index = self.next_index
         self._texts.append(text)
-        self._held_bytes += len(text)
+        # Short texts weigh mostly by their object, so the object counts.
+        self._held_bytes += sys.getsizeof(text)
         while self._held_bytes > self._limit_bytes:
-            self._held_bytes -= len(self._texts.popleft())
+            self._held_bytes -= sys.getsizeof(self._texts.popleft())
             self._first_index += 1
         return index
 
@@ -45,8 +52,8 @@
         if not self._first_index <= next_index <= self.next_index:
             return None
         events: list[Message] = [
-            Token(request_id, index, self._texts[index - self._first_index])
-            for index in range(next_index, self.next_index)
+            Tokens(request_id, index, self._slice(index))
+            for index in range(next_index, self.next_index, REPLAY_TOKEN_COUNT)
         ]
         if self._failure:
             outcome, reason = self._failure
@@ -56,3 +63,9 @@
                 Finished(request_id, self.next_index, self._finish_reason)
             )
         return events
+
+    def _slice(self, index: int) -> list[str]:
+        start = index - self._first_index
+        return list(
+            itertools.islice(self._texts, start, start + REPLAY_TOKEN_COUNT)
+        )
--- a/wasabistream/callers.py
+++ b/wasabistream/callers.py
@@ -1,32 +1,31 @@
 """Handlers of the callers' endpoints."""
 
-import hashlib
-import hmac
-import json
+import dataclasses
 import logging
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
-from wasabistream.answers import (
-    EventStreamWriter,
-    WholeAnswerWriter,
-    error_body,
-    make_format,
-)
+from wasabistream.answers import error_body, retry_after_field
 from wasabistream.attempts import AttemptTable
 from wasabistream.backends import BackendDirectory
+from wasabistream.bodies import build_generation, parse_body, wants_usage
 from wasabistream.configurations import ConfigurationStore
+from wasabistream.credentials import authenticate
 from wasabistream.digests import hash64
 from wasabistream.dispatchers import (
     DEFAULT_STATUS,
     STATUS_BY_REASON,
     Dispatcher,
 )
-from wasabistream.documents import Document, Organisation, Service
+from wasabistream.documents import Document, Organisation
 from wasabistream.exceptions import RefusedError, RequestError
+from wasabistream.formats import AnswerContext, make_format
+from wasabistream.hangups import HangupWatcher
+from wasabistream.limits import ConcurrencyLimiter
 from wasabistream.outcomes import Outcome
-from wasabistream.owners import owner_of
-from wasabistream.requests import Call, Generate
+from wasabistream.requests import Generate, Resume
+from wasabistream.resumes import StreamResumer, parse_event_id
 from wasabistream.routers import RouteQuery
 from wasabistream.servers import (
     HttpAnswer,
@@ -34,20 +33,21 @@
     TakeSocket,
     json_answer,
 )
+from wasabistream.service_calls import SERVICES_PREFIX, ServiceCaller
 from wasabistream.settings import EntrySettings
 from wasabistream.streams import CallerStream
 from wasabistream.vms import VmList
+from wasabistream.writers import EventStreamWriter, WholeAnswerWriter
 
 logger = logging.getLogger(__name__)
 
-DEFAULT_MAX_TOKENS = 16384
-DEFAULT_DEADLINE_SECONDS = 600.0
-CHARACTERS_PER_TOKEN = 4
 PREFIX_CHARACTERS = 256
-CLASS_HEADER = 'wasabi-class'
-DEADLINE_HEADER = 'wasabi-deadline-seconds'
-WORK_CLASSES = frozenset(('urgent', 'normal', 'patient'))
-FORWARDED_HEADERS = ('content-type', 'accept')
+STREAMS_PREFIX = '/v1/streams/'
+GENERATION_FORMATS = {
+    '/v1/chat/completions': 'chat',
+    '/v1/completions': 'completion',
+}
+MODELS_PATH = '/v1/models'
 
 
 class CallerHandler:
@@ -61,15 +61,18 @@
         attempts: AttemptTable,
         dispatcher: Dispatcher,
         get_vm_list: Callable[[], VmList | None],
-        watch_caller: Callable[[CallerStream, Callable[[], None]], None],
+        hangups: HangupWatcher,
     ) -> None:
         self._settings = settings
         self._configuration = configuration
-        self._directory = directory
         self._attempts = attempts
         self._dispatcher = dispatcher
-        self._get_vm_list = get_vm_list
-        self._watch_caller = watch_caller
+        self._hangups = hangups
+        self._limiter = ConcurrencyLimiter()
+        self._resumer = StreamResumer(directory, dispatcher)
+        self._services = ServiceCaller(
+            settings.data_centre, dispatcher, get_vm_list
+        )
 
     def handle(
         self, request: HttpRequest, take_socket: TakeSocket
@@ -78,13 +81,14 @@
         try:
             return self._route(request, take_socket)
         except RequestError as error:
-            return HttpAnswer(
-                error.status,
-                error_body(error.reason, error.code, Outcome.not_run),
-            )
+            return request_error_answer(error)
         except RefusedError as refusal:
             return refusal_answer(refusal)
 
+    def calls_in_progress(self) -> list[str]:
+        """Return the names of calls of plain services in progress."""
+        return self._services.calls_in_progress()
+
     def _route(
         self, request: HttpRequest, take_socket: TakeSocket
     ) -> HttpAnswer | None:
@@ -93,253 +97,162 @@
             raise RefusedError('no_document', Outcome.not_run, '', 1)
         document = version.document
         organisation = authenticate(document, request)
-        if request.path.startswith('/services/'):
+        path = request.path
+        if path.startswith(SERVICES_PREFIX):
             return self._call_service(document, organisation, request)
-        endpoint = (request.method, request.path)
-        if endpoint == ('GET', '/v1/models'):
-            return _list_models(document, organisation)
-        if endpoint == ('POST', '/v1/chat/completions'):
-            self._generate(document, organisation, request, 'chat', take_socket)
+        if path == MODELS_PATH or path.startswith(f'{MODELS_PATH}/'):
+            _require_method(request, 'GET')
+            return _show_models(document, organisation, path)
+        if path in GENERATION_FORMATS:
+            _require_method(request, 'POST')
+            self._generate(document, organisation, request, take_socket)
             return None
-        if endpoint == ('POST', '/v1/completions'):
-            self._generate(
-                document, organisation, request, 'completion', take_socket
-            )
+        if path.startswith(STREAMS_PREFIX):
+            _require_method(request, 'GET')
+            self._resume(organisation, request, take_socket)
             return None
         raise RequestError('no such endpoint', 404, 'not_found')
 
+    def _call_service(
+        self,
+        document: Document,
+        organisation: Organisation,
+        request: HttpRequest,
+    ) -> HttpAnswer:
+        self._limiter.enter(organisation)
+        try:
+            return self._services.call(document, organisation, request)
+        finally:
+            self._limiter.leave(organisation)
+
     def _generate(
         self,
         document: Document,
         organisation: Organisation,
         request: HttpRequest,
-        shape_name: str,
         take_socket: TakeSocket,
     ) -> None:
         body = parse_body(request.body)
-        generate = build_generation(document, organisation, request, body)
-        if self._attempts.count >= self._settings.max_stream_count:
-            raise RefusedError('too_many_streams', Outcome.not_run, '', 1)
-        query = RouteQuery(
-            data_centre=self._settings.data_centre,
-            model=generate.model,
-            adapter=generate.adapter,
-            prefix=_prefix_hash(generate),
-        )
         request_id = self._dispatcher.new_request_id()
-        shape = make_format(shape_name, request_id, generate.model)
-        stream = CallerStream(
-            take_socket(), self._settings.slow_caller_limit_bytes
+        generate = build_generation(document, organisation, request, body)
+        context = AnswerContext(
+            format_name=GENERATION_FORMATS[request.path],
+            answer_id=request_id,
+            model=generate.adapter or generate.model,
+            prompt_tokens=generate.prompt_tokens,
+            include_usage=wants_usage(body),
         )
+        stream = self._take(organisation, take_socket, request_id)
         writer_type = (
             EventStreamWriter if body.get('stream') else WholeAnswerWriter
         )
-        writer = writer_type(stream, shape, {'Wasabi-Request-Id': request_id})
-        generation = self._dispatcher.prepare(generate, query, writer)
+        writer = writer_type(
+            stream, make_format(context), {'Wasabi-Request-Id': request_id}
+        )
+        generation = self._dispatcher.prepare(
+            _with_context(generate, request_id, context),
+            self._query(generate),
+            writer,
+        )
         stream.on_gone = generation.caller_gone
-        self._watch_caller(stream, generation.caller_gone)
+        stream.watch(self._hangups)
         generation.send()
 
-    def _call_service(
+    def _resume(
         self,
-        document: Document,
         organisation: Organisation,
         request: HttpRequest,
-    ) -> HttpAnswer:
-        service, path = _find_service(document, organisation, request.path)
-        repeatable = service.is_repeatable(request.method, path)
-        key = request.headers.get('idempotency-key', '')
-        if not repeatable and not key:
-            raise RequestError(
-                'this call needs an Idempotency-Key', 400, 'key_required'
-            )
-        scoped_key = f'{organisation.name}/{key}' if key else ''
-        call = Call(
-            request_id='',
-            organisation=organisation.name,
-            service=service.name,
-            method=request.method,
-            path=f'{path}?{request.query}' if request.query else path,
-            headers={
-                name: request.headers[name]
-                for name in FORWARDED_HEADERS
-                if name in request.headers
-            },
-            body=request.body,
-            deadline_seconds=service.timeout_seconds,
-            document_revision=document.revision,
-            repeatable=repeatable,
-            key=scoped_key,
+        take_socket: TakeSocket,
+    ) -> None:
+        stream_id, next_index = parse_event_id(request)
+        view = self._resumer.find(stream_id)
+        request_id = self._dispatcher.new_request_id()
+        stream = self._take(organisation, take_socket, request_id)
+        writer = EventStreamWriter(
+            stream,
+            make_format(AnswerContext('chat', request_id, '')),
+            {'Wasabi-Request-Id': request_id},
         )
-        query = RouteQuery(self._settings.data_centre, service=service.name)
-        owner = '' if repeatable else self._find_owner(service, scoped_key)
-        answer = self._dispatcher.call(call, query, owner)
-        headers = dict(answer.headers)
-        content_type = headers.pop('Content-Type', 'application/octet-stream')
-        if answer.replayed:
-            headers['Idempotency-Replayed'] = 'true'
-        return HttpAnswer(answer.status, answer.body, content_type, headers)
-
-    def _find_owner(self, service: Service, key: str) -> str:
-        vm_list = self._get_vm_list()
-        members = vm_list.of_service(service.name) if vm_list else ()
-        if not members:
-            raise RefusedError('no_backend', Outcome.not_run, '', 1)
-        return owner_of(key, [vm.id for vm in members])
-
-
-def authenticate(document: Document, request: HttpRequest) -> Organisation:
-    """Return the organisation of a request; raises RequestError."""
-    scheme, _, credential = request.headers.get('authorization', '').partition(
-        ' '
-    )
-    digest = hashlib.sha256(credential.encode()).hexdigest()
-    found = document.organisations_by_digest.get(digest)
-    expected = found.credential_sha256 if found else '0' * len(digest)
-    if scheme.lower() != 'bearer' or not hmac.compare_digest(digest, expected):
-        raise RequestError('credential is not valid', 401, 'invalid_api_key')
-    if found is None:
-        raise RequestError('credential is not valid', 401, 'invalid_api_key')
-    return found
+        stream.watch(self._hangups)
+        resume = Resume(request_id, stream_id, organisation.name, next_index)
+        self._resumer.follow(view, resume, stream, writer)
 
+    def _take(
+        self,
+        organisation: Organisation,
+        take_socket: TakeSocket,
+        request_id: str,
+    ) -> CallerStream:
+        if self._attempts.count >= self._settings.max_stream_count:
+            raise RefusedError('too_many_streams', Outcome.not_run, '', 1)
+        self._limiter.enter(organisation)
+        return CallerStream(
+            take_socket(),
+            self._settings.slow_caller_limit_bytes,
+            request_id,
+            partial(self._limiter.leave, organisation),
+        )
 
-def parse_body(raw: bytes) -> dict[str, Any]:
-    """Return the JSON object of a body; raises RequestError."""
-    try:
-        body = json.loads(raw)
-    except ValueError as error:
-        raise RequestError(
-            f'body is not JSON: {error}', 400, 'bad_json'
-        ) from error
-    if not isinstance(body, dict):
-        raise RequestError('body is not an object', 400, 'bad_json')
-    return body
+    def _query(self, generate: Generate) -> RouteQuery:
+        return RouteQuery(
+            data_centre=self._settings.data_centre,
+            model=generate.model,
+            adapter=generate.adapter,
+            prefix=hash64(generate.model, generate.prompt[:PREFIX_CHARACTERS]),
+        )
 
 
-def build_generation(
-    document: Document,
-    organisation: Organisation,
-    request: HttpRequest,
-    body: dict[str, Any],
-) -> Generate:
-    """Check a generation request and build its message."""
-    model, adapter = _find_model(document, organisation, body.get('model'))
-    prompt = _prompt_text(body)
-    work_class = request.headers.get(CLASS_HEADER, organisation.default_class)
-    if work_class not in WORK_CLASSES:
-        raise RequestError('unknown work class', 400, 'bad_class')
-    max_tokens = body.get('max_tokens') or body.get('max_completion_tokens')
-    if max_tokens is None:
-        max_tokens = DEFAULT_MAX_TOKENS
-    if not isinstance(max_tokens, int) or max_tokens < 1:
-        raise RequestError('max_tokens is not positive', 400, 'bad_max_tokens')
-    return Generate(
-        request_id='',
-        organisation=organisation.name,
-        model=model,
-        work_class=work_class,
-        prompt=prompt,
-        prompt_tokens=max(1, len(prompt) // CHARACTERS_PER_TOKEN),
-        max_tokens=max_tokens,
-        deadline_seconds=_deadline_seconds(request),
-        fingerprint=hash64(organisation.name, model, prompt),
-        document_revision=document.revision,
-        adapter=adapter,
-        priority_weight=float(organisation.priority_weight),
+def request_error_answer(error: RequestError) -> HttpAnswer:
+    """Return the answer for a request that is not valid."""
+    return HttpAnswer(
+        error.status, error_body(error.reason, error.code, Outcome.not_run)
     )
 
 
 def refusal_answer(refusal: RefusedError) -> HttpAnswer:
     """Return the answer for a refused request."""
-    headers = {}
-    if refusal.retry_after_seconds:
-        headers['Retry-After'] = str(max(1, round(refusal.retry_after_seconds)))
     return HttpAnswer(
         STATUS_BY_REASON.get(refusal.reason, DEFAULT_STATUS),
         error_body(refusal.reason, refusal.reason, refusal.outcome),
-        headers=headers,
+        headers=retry_after_field(refusal.retry_after_seconds),
     )
 
 
-def _find_model(
-    document: Document, organisation: Organisation, name: object
-) -> tuple[str, str]:
-    for model in document.models:
-        if name == model.name and name in organisation.models:
-            return model.name, ''
-        if name in model.adapters and model.name in organisation.models:
-            return model.name, str(name)
-    raise RequestError(f'no model {name!r}', 404, 'model_not_found')
-
-
-def _prompt_text(body: dict[str, Any]) -> str:
-    if 'messages' not in body:
-        prompt = body.get('prompt')
-        if isinstance(prompt, str):
-            return prompt
-        raise RequestError('prompt is not a string', 400, 'bad_prompt')
-    messages = body['messages']
-    if not isinstance(messages, list):
-        raise RequestError('messages is not a list', 400, 'bad_messages')
-    try:
-        return '\n'.join(
-            f'{item["role"]}: {item["content"]}' for item in messages
-        )
-    except (KeyError, TypeError) as error:
-        raise RequestError(
-            'a message lacks role or content', 400, 'bad_messages'
-        ) from error
-
-
-def _deadline_seconds(request: HttpRequest) -> float:
-    raw = request.headers.get(DEADLINE_HEADER)
-    if raw is None:
-        return DEFAULT_DEADLINE_SECONDS
-    try:
-        deadline_seconds = float(raw)
-    except ValueError:
-        raise RequestError(
-            'deadline is not a number', 400, 'bad_deadline'
-        ) from None
-    if not 0 < deadline_seconds <= 24 * 3600:
-        raise RequestError('deadline is out of range', 400, 'bad_deadline')
-    return deadline_seconds
+def _with_context(
+    generate: Generate, request_id: str, context: AnswerContext
+) -> Generate:
+    return dataclasses.replace(
+        generate, request_id=request_id, answer_context=context.encode()
+    )
 
 
-def _prefix_hash(generate: Generate) -> int:
-    return hash64(generate.model, generate.prompt[:PREFIX_CHARACTERS])
+def _require_method(request: HttpRequest, method: str) -> None:
+    if request.method != method:
+        raise RequestError(f'use {method} here', 405, 'method_not_allowed')
 
 
-def _find_service(
+def _show_models(
     document: Document, organisation: Organisation, path: str
-) -> tuple[Service, str]:
-    _, _, rest = path.partition('/services/')
-    name, slash, tail = rest.partition('/')
-    service = document.services_by_name.get(name)
-    if service is None or name not in organisation.services:
-        raise RequestError(f'no service {name!r}', 404, 'service_not_found')
-    return service, slash + tail or '/'
-
-
-def _list_models(document: Document, organisation: Organisation) -> HttpAnswer:
+) -> HttpAnswer:
     names = [
         name
         for model in document.models
         if model.name in organisation.models
         for name in (model.name, *model.adapters)
     ]
-    return json_answer(
-        200,
-        {
-            'object': 'list',
-            'data': [
-                {
-                    'id': name,
-                    'object': 'model',
-                    'created': 0,
-                    'owned_by': 'wasabistream',
-                }
-                for name in names
-            ],
-        },
-    )
+    wanted = path.removeprefix(MODELS_PATH).strip('/')
+    if not wanted:
+        models = [_model_object(name) for name in names]
+        return json_answer(200, {'object': 'list', 'data': models})
+    if wanted not in names:
+        raise RequestError(f'no model {wanted!r}', 404, 'model_not_found')
+    return json_answer(200, _model_object(wanted))
+
+
+def _model_object(name: str) -> dict[str, Any]:
+    return {
+        'id': name,
+        'object': 'model',
+        'created': 0,
+        'owned_by': 'wasabistream',
+    }
--- a/wasabistream/calls.py
+++ b/wasabistream/calls.py
@@ -8,6 +8,7 @@
 import urllib3
 
 from wasabistream.exceptions import LinkError
+from wasabistream.headers import response_headers
 from wasabistream.ledgers import CallLedger
 from wasabistream.links import Link
 from wasabistream.messages import Message
@@ -92,11 +93,7 @@
         except urllib3.exceptions.HTTPError as error:
             logger.warning('agent: call failed: %s', error)
             return Failed(call.request_id, Outcome.unknown, 'service_failed')
-        headers = {
-            name: response.headers[name]
-            for name in ('Content-Type',)
-            if name in response.headers
-        }
+        headers = response_headers(response.headers)
         return Answer(call.request_id, response.status, headers, response.data)
 
 
--- a/wasabistream/dispatchers.py
+++ b/wasabistream/dispatchers.py
@@ -33,6 +33,7 @@
     'deadline': 504,
     'timeout': 504,
     'queue_full': 429,
+    'too_many_requests': 429,
     'no_stream': 404,
     'events_dropped': 410,
     'in_progress': 409,
--- a/wasabistream/documents.py
+++ b/wasabistream/documents.py
@@ -78,7 +78,7 @@
     def is_repeatable(self, method: str, path: str) -> bool:
         """Tell whether a call may run more than once."""
         return not any(
-            rule.method == method and path.startswith(rule.path_prefix)
+            rule.method.upper() == method and path.startswith(rule.path_prefix)
             for rule in self.non_repeatable
         )
 
--- a/wasabistream/engines.py
+++ b/wasabistream/engines.py
@@ -101,6 +101,8 @@
             'priority': ENGINE_PRIORITIES[request.work_class],
             'stream': True,
         }
+        if request.options:
+            body = {**json.loads(request.options), **body}
         return self._stream('POST', '/v1/completions', body)
 
     def resume(self, stream_id: str, index: int) -> Iterator[EngineToken]:
--- a/wasabistream/entries.py
+++ b/wasabistream/entries.py
@@ -77,7 +77,7 @@
             self.attempts,
             self._dispatcher,
             lambda: self.vm_list,
-            self._hangups.watch,
+            self._hangups,
         )
         self.server = CallerServer(
             settings.address,
@@ -118,8 +118,11 @@
         self.server.stop()
 
     def work_in_progress(self) -> list[str]:
-        """Return the ids of attempts in progress."""
-        return self.attempts.request_ids()
+        """Return the ids of requests whose callers still wait."""
+        return [
+            *self._hangups.open_names(),
+            *self._callers.calls_in_progress(),
+        ]
 
     @property
     def ready(self) -> bool:
--- a/wasabistream/generations.py
+++ b/wasabistream/generations.py
@@ -7,6 +7,7 @@
 from collections import OrderedDict
 
 from wasabistream.buffers import StreamBuffer
+from wasabistream.engine_streams import EngineStream
 from wasabistream.engines import EngineClient
 from wasabistream.exceptions import BackendError, RefusedError
 from wasabistream.gates import Gate
@@ -125,7 +126,13 @@
         if job is None or job.request.organisation != request.organisation:
             link.send(Failed(request.request_id, Outcome.unknown, 'no_stream'))
             return
-        link.send(Accepted(request.request_id, job.stream_id))
+        link.send(
+            Accepted(
+                request.request_id,
+                job.stream_id,
+                job.request.answer_context,
+            )
+        )
         subscriber = Subscriber(link, request.request_id)
         if not job.attach(subscriber, request.next_index):
             link.send(Failed(request.request_id, Outcome.run, 'events_dropped'))
@@ -155,7 +162,10 @@
         if job.deadline_monotonic_seconds <= started:
             job.refuse('deadline')
             return
-        for token in self._engine.generate(job.stream_id, job.request):
+        stream = EngineStream(
+            self._engine, job.stream_id, job.request, job.cancelled
+        )
+        for token in stream.tokens():
             if job.cancelled.is_set():
                 job.fail(Outcome.run, 'cancelled')
                 return
--- a/wasabistream/hangups.py
+++ b/wasabistream/hangups.py
@@ -1,14 +1,11 @@
 """Watch for callers that close their connection."""
 
-import logging
 import selectors
+import socket
 import threading
-from collections.abc import Callable
 
 from wasabistream.streams import CallerStream
 
-logger = logging.getLogger(__name__)
-
 POLL_SECONDS = 0.2
 
 
@@ -16,11 +13,14 @@
     """Notice callers that hang up while their answer is being made.
 
     A stream that waits in a queue writes nothing, so a failed write cannot
-    tell that its caller has gone.
+    tell that its caller has gone. A stream is removed here before its
+    descriptor is closed, so a reused descriptor never finds an old entry.
+    Lock order: the stream's lock, then the lock of this watcher.
     """
 
     def __init__(self) -> None:
         self._selector = selectors.DefaultSelector()
+        self._streams: set[CallerStream] = set()
         self._lock = threading.Lock()
         self._stopped = threading.Event()
 
@@ -32,25 +32,26 @@
         """Stop the watching thread."""
         self._stopped.set()
 
-    def watch(self, stream: CallerStream, on_gone: Callable[[], None]) -> None:
-        """Call `on_gone` once when the caller closes its connection."""
+    def open_names(self) -> list[str]:
+        """Return the names of streams whose sockets are still open."""
+        with self._lock:
+            return [stream.name for stream in self._streams]
+
+    def add(self, sock: socket.socket, stream: CallerStream) -> None:
+        """Start to watch a socket."""
+        with self._lock:
+            self._selector.register(sock, selectors.EVENT_READ, stream)
+            self._streams.add(stream)
+
+    def remove(self, sock: socket.socket, stream: CallerStream) -> None:
+        """Stop to watch a socket that is about to be closed."""
         with self._lock:
-            if not stream.closed:
-                stream.register(self._selector, on_gone)
+            self._selector.unregister(sock)
+            self._streams.discard(stream)
 
     def _run(self) -> None:
         while not self._stopped.wait(POLL_SECONDS):
             with self._lock:
-                self._drop_closed()
                 ready = self._selector.select(0)
             for key, _ in ready:
-                stream, on_gone = key.data
-                if stream.caller_left():
-                    stream.abort('caller_gone')
-                    on_gone()
-
-    def _drop_closed(self) -> None:
-        for key in list(self._selector.get_map().values()):
-            stream, _ = key.data
-            if stream.closed:
-                self._selector.unregister(key.fileobj)
+                key.data.check_hangup()
--- a/wasabistream/jobs.py
+++ b/wasabistream/jobs.py
@@ -82,6 +82,12 @@
             events = self.buffer.read(subscriber.request_id, next_index)
             if events is None:
                 return False
+            # The earlier reader ends here; its entry would follow forever.
+            self._send(
+                lambda request_id: Failed(
+                    request_id, 'run', 'resumed_elsewhere', next_index
+                )
+            )
             self.subscriber = subscriber
             self.orphaned_monotonic_seconds = 0
             for event in events:
--- a/wasabistream/requests.py
+++ b/wasabistream/requests.py
@@ -23,6 +23,10 @@
     crash_count: int = 0
     adapter: str = ''
     priority_weight: float = 1
+    # JSON object of sampling fields that go to the engine unchanged.
+    options: str = ''
+    # What every event of the answer repeats; see `formats`.
+    answer_context: str = ''
 
 
 @message(11)
@@ -32,6 +36,8 @@
 
     request_id: str
     stream_id: str
+    # Context of the first answer, for an entry that resumes the stream.
+    answer_context: str = ''
 
 
 @message(12)
@@ -103,6 +109,16 @@
     next_index: int
 
 
+@message(19)
+@dataclass(frozen=True, slots=True)
+class Tokens(Message):
+    """Carry consecutive tokens that a resumed stream has missed."""
+
+    request_id: str
+    first_index: int
+    texts: list
+
+
 @message(20)
 @dataclass(frozen=True, slots=True)
 class Call(Message):
--- /dev/null
+++ b/wasabistream/resumes.py
@@ -0,0 +1,144 @@
+"""Resume of dropped streams for callers."""
+
+import time
+import urllib.parse
+
+from wasabistream.answers import error_body
+from wasabistream.backends import BackendDirectory, BackendView
+from wasabistream.dispatchers import (
+    DEFAULT_STATUS,
+    GATE_REPLY_SECONDS,
+    STATUS_BY_REASON,
+    Dispatcher,
+)
+from wasabistream.exceptions import LinkError, RefusedError, RequestError
+from wasabistream.followers import EndHandler, GenerationFollower
+from wasabistream.formats import decode_context, make_format
+from wasabistream.messages import Message
+from wasabistream.outcomes import Outcome
+from wasabistream.requests import Accepted, Cancel, Resume, Token, Tokens
+from wasabistream.servers import HttpRequest
+from wasabistream.streams import CallerStream
+from wasabistream.writers import EventStreamWriter
+
+EVENT_ID_HEADER = 'last-event-id'
+LINK_WAIT_SECONDS = 2.0
+LINK_POLL_SECONDS = 0.05
+
+
+class ResumeFollower(GenerationFollower):
+    """Write the rest of a stream in the format of its first answer."""
+
+    def __init__(
+        self, writer: EventStreamWriter, on_end: EndHandler, next_index: int
+    ) -> None:
+        super().__init__(writer, on_end, next_index)
+        self._event_writer = writer
+
+    def on_message(self, message: Message) -> None:
+        """Handle one message of the stream."""
+        match message:
+            case Accepted():
+                self._event_writer.shape = make_format(
+                    decode_context(message.answer_context)
+                )
+                super().on_message(message)
+            case Tokens():
+                for index, text in enumerate(
+                    message.texts, message.first_index
+                ):
+                    super().on_message(Token(message.request_id, index, text))
+            case _:
+                super().on_message(message)
+
+
+class StreamResumer:
+    """Find the agent of a stream and follow the stream for a caller."""
+
+    def __init__(
+        self, directory: BackendDirectory, dispatcher: Dispatcher
+    ) -> None:
+        self._directory = directory
+        self._dispatcher = dispatcher
+
+    def find(self, stream_id: str) -> BackendView:
+        """Return the view of the agent that holds a stream.
+
+        Raises RefusedError when no agent of that id can be reached.
+        """
+        # The agent id may contain dots; incarnation and number do not.
+        agent_id, *rest = stream_id.rsplit('.', 2)
+        view = self._directory.find(agent_id)
+        if len(rest) != 2 or view is None:
+            raise RefusedError('no_stream', Outcome.unknown)
+        deadline = time.monotonic() + LINK_WAIT_SECONDS
+        while view.link is None and time.monotonic() < deadline:
+            time.sleep(LINK_POLL_SECONDS)
+        if view.link is None:
+            raise RefusedError('no_link', Outcome.unknown, agent_id, 1)
+        return view
+
+    def follow(
+        self,
+        view: BackendView,
+        resume: Resume,
+        stream: CallerStream,
+        writer: EventStreamWriter,
+    ) -> None:
+        """Write the rest of a stream to a caller."""
+
+        def end(
+            follower: GenerationFollower, failure: RefusedError | None
+        ) -> None:
+            self._dispatcher.forget(view, resume.request_id)
+            if failure is not None:
+                fail(writer, failure, resume.request_id)
+
+        stream.on_gone = lambda: _cancel(view, resume.request_id)
+        follower = ResumeFollower(writer, end, resume.next_index)
+        try:
+            self._dispatcher.follow(view, resume, follower)
+        except RefusedError:
+            fail(
+                writer,
+                RefusedError('no_link', Outcome.unknown, '', 1),
+                resume.request_id,
+            )
+            return
+        if not follower.wait_decided(GATE_REPLY_SECONDS):
+            follower.on_lost('timeout')
+
+
+def parse_event_id(request: HttpRequest) -> tuple[str, int]:
+    """Return stream id and next index of a request; raises RequestError."""
+    stream_id = urllib.parse.unquote(request.path.rpartition('/')[2])
+    event_id = request.headers.get(EVENT_ID_HEADER, '')
+    if not event_id:
+        return stream_id, 0
+    named, _, index = event_id.rpartition('/')
+    if named != stream_id or not (index.isascii() and index.isdigit()):
+        raise RequestError(
+            'Last-Event-ID is not an event of this stream', 400, 'bad_event_id'
+        )
+    return stream_id, int(index) + 1
+
+
+def fail(
+    writer: EventStreamWriter, failure: RefusedError, request_id: str
+) -> None:
+    """End an answer with the reason why it is not complete."""
+    writer.fail(
+        STATUS_BY_REASON.get(failure.reason, DEFAULT_STATUS),
+        error_body(failure.reason, failure.reason, failure.outcome, request_id),
+        failure.retry_after_seconds,
+    )
+
+
+def _cancel(view: BackendView, request_id: str) -> None:
+    if view.link is None:
+        return
+    try:
+        view.link.send(Cancel(request_id))
+    except LinkError:
+        # The agent notices the end of the link itself.
+        return
