--- a/wasabistream_tools/usage.py
+++ b/wasabistream_tools/usage.py
@@ -35,6 +35,6 @@
 
 def read_busy_seconds() -> float:
     """Return the processor time that the whole machine has spent busy."""
-    line = pathlib.Path('/proc/stat').read_text(encoding='utf-8')
-    ticks = [int(text) for text in line.split()[1:]]
+    report = pathlib.Path('/proc/stat').read_text(encoding='utf-8')
+    ticks = [int(text) for text in report.splitlines()[0].split()[1:]]
     return (sum(ticks) - sum(ticks[IDLE_FIELDS])) / TICKS_PER_SECOND
