--- a/wasabistream/entries.py
+++ b/wasabistream/entries.py
@@ -85,7 +85,7 @@
                 self._make_request_id,
                 self.service_view,
             ),
-            self._hangups.watch,
+            self._hangups,
         )
         self.server = CallerServer(
             settings.address,
@@ -111,8 +111,11 @@
         self.server.stop()
 
     def work_in_progress(self) -> list[str]:
-        """Return the ids of attempts in progress."""
-        return self.attempts.request_ids()
+        """Return the ids of requests whose callers still wait."""
+        return [
+            *self._hangups.open_names(),
+            *self._callers.calls_in_progress(),
+        ]
 
     def service_view(self, service: str) -> ServiceView | None:
         """Return the view of a plain service by list and document."""
--- a/wasabistream/generations.py
+++ b/wasabistream/generations.py
@@ -9,6 +9,7 @@
 
 from wasabistream.buffers import StreamBuffer
 from wasabistream.crashes import CrashDetector
+from wasabistream.engine_streams import EngineStream
 from wasabistream.engines import EngineClient, EngineToken
 from wasabistream.exceptions import BackendError, RefusedError
 from wasabistream.gates import Gate
@@ -147,7 +148,13 @@
         if job is None or job.request.organisation != request.organisation:
             link.send(Failed(request.request_id, Outcome.unknown, 'no_stream'))
             return
-        link.send(Accepted(request.request_id, job.stream_id))
+        link.send(
+            Accepted(
+                request.request_id,
+                job.stream_id,
+                job.request.answer_context,
+            )
+        )
         self._jobs.add_request(request.request_id, job)
         subscriber = Subscriber(link, request.request_id)
         if not job.attach(subscriber, request.next_index):
@@ -202,7 +209,10 @@
             return
         if not job.claim_send():
             return
-        for token in self._engine.generate(job.stream_id, job.request):
+        stream = EngineStream(
+            self._engine, job.stream_id, job.request, job.cancelled
+        )
+        for token in stream.tokens():
             if job.cancelled.is_set():
                 job.fail(Outcome.run, 'cancelled')
                 return
--- a/wasabistream/service_clients.py
+++ b/wasabistream/service_clients.py
@@ -6,6 +6,7 @@
 import urllib.parse
 from collections.abc import Callable
 
+from wasabistream.headers import response_headers
 from wasabistream.metrics import CALL_WINDOW_SECONDS
 from wasabistream.requests import Answer, Call
 
@@ -83,8 +84,5 @@
         except (OSError, http.client.HTTPException, ValueError) as error:
             logger.warning('agent: call has no answer: %s', error)
             raise NoAnswerError(str(error)) from error
-        headers = {}
-        content_type = response.getheader('Content-Type')
-        if content_type:
-            headers['Content-Type'] = content_type
+        headers = response_headers(dict(response.getheaders()))
         return Answer(call.request_id, response.status, headers, body)
