Add members, on-demand links, retry budget and single ends of requests

Cause: entries linked to every agent, sends were counted as reported when an older report arrived, and a lost link, a withdrawal or a caller that left could give an answer two ends or none. Change: an entry links to its data centre and on demand to a few agents elsewhere; load reports carry what the agent has taken from the link; each attempt leaves the table once and each request has one end; frames expire in the send queue; retries draw on one budget.

--- a/wasabistream/attempts.py
+++ b/wasabistream/attempts.py
@@ -1,7 +1,8 @@
 """Attempts that an entry has sent and not yet seen ended."""
 
 import threading
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from typing import Protocol
 
 from wasabistream.links import Link
@@ -18,52 +19,77 @@
         """Handle the end of the link before the end of the attempt."""
 
 
+@dataclass(frozen=True, slots=True)
+class _OpenAttempt:
+    """Hold the link and the follower of one attempt."""
+
+    link: Link
+    follower: AttemptFollower
+    on_removed: Callable[[], None] | None
+
+
 class AttemptTable:
-    """Find the follower of each message by request id."""
+    """Find the follower of each message by request id.
+
+    An attempt leaves the table exactly once, by `remove` or `link_closed`,
+    whichever comes first; `on_removed` runs then.
+    """
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._followers: dict[str, tuple[Link, AttemptFollower]] = {}
+        self._open: dict[str, _OpenAttempt] = {}
 
     @property
     def count(self) -> int:
         """Return how many attempts are open."""
-        return len(self._followers)
+        return len(self._open)
 
     def request_ids(self) -> list[str]:
         """Return the ids of open attempts."""
-        return list(self._followers)
+        with self._lock:
+            return list(self._open)
 
     def add(
-        self, request_id: str, link: Link, follower: AttemptFollower
+        self,
+        request_id: str,
+        link: Link,
+        follower: AttemptFollower,
+        on_removed: Callable[[], None] | None = None,
     ) -> None:
         """Follow an attempt before it is sent."""
         with self._lock:
-            self._followers[request_id] = (link, follower)
+            self._open[request_id] = _OpenAttempt(link, follower, on_removed)
+
+    def remove(self, request_id: str) -> bool:
+        """Forget an attempt; later messages are ignored.
 
-    def remove(self, request_id: str) -> None:
-        """Forget an attempt that ended; later messages are ignored."""
+        Returns False when it was not in the table any more.
+        """
         with self._lock:
-            self._followers.pop(request_id, None)
+            removed = self._open.pop(request_id, None)
+        if removed is not None and removed.on_removed is not None:
+            removed.on_removed()
+        return removed is not None
 
     def deliver(self, link: Link, received: Sequence[Message]) -> None:
         """Hand messages to their followers."""
         for message in received:
             request_id = getattr(message, 'request_id', '')
-            sender, follower = self._followers.get(request_id, (None, None))
+            attempt = self._open.get(request_id)
             # A message of another link is from an attempt given up earlier.
-            if follower is not None and sender is link:
-                follower.on_message(message)
+            if attempt is not None and attempt.link is link:
+                attempt.follower.on_message(message)
 
     def link_closed(self, link: Link, reason: str) -> None:
         """Tell all followers of a link that it ended."""
         with self._lock:
-            lost = [
-                (request_id, follower)
-                for request_id, (sender, follower) in self._followers.items()
-                if sender is link
+            lost_ids = [
+                request_id
+                for request_id, attempt in self._open.items()
+                if attempt.link is link
             ]
-            for request_id, _ in lost:
-                self._followers.pop(request_id, None)
-        for _, follower in lost:
-            follower.on_lost(reason)
+            lost = [self._open.pop(request_id) for request_id in lost_ids]
+        for attempt in lost:
+            if attempt.on_removed is not None:
+                attempt.on_removed()
+            attempt.follower.on_lost(reason)
--- a/wasabistream/backends.py
+++ b/wasabistream/backends.py
@@ -1,36 +1,13 @@
 """Backend servers as one entry sees them."""
 
 import threading
-from dataclasses import dataclass, field
+from collections.abc import Callable
 
+from wasabistream.backend_views import BackendView
+from wasabistream.documents import Document
 from wasabistream.links import Link
 from wasabistream.notices import CacheReport, LoadReport, Serving
-from wasabistream.vms import Vm, VmState
-
-NO_LOAD = LoadReport(0, 1, 0, 0, 1, leaving=False)
-
-
-@dataclass
-class BackendView:
-    """Hold what an entry knows of one agent and its backend server."""
-
-    vm: Vm
-    link: Link | None = None
-    load: LoadReport = NO_LOAD
-    serving: Serving | None = None
-    # Sends of this entry since the last load report.
-    unreported_count: int = 0
-    # Attempts of this entry that have not ended.
-    pending_count: int = 0
-    prefixes: frozenset[int] = field(default_factory=frozenset)
-
-    @property
-    def usable(self) -> bool:
-        """Tell whether new work may go to this backend server."""
-        if self.link is None or self.link.closed or self.serving is None:
-            return False
-        leaving = self.load.leaving or self.vm.state == VmState.leaving
-        return self.serving.ready and not leaving
+from wasabistream.vms import Vm
 
 
 class BackendDirectory:
@@ -39,6 +16,9 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._views: dict[str, BackendView] = {}
+        # Opens a link to a listed agent that has none.
+        self.dial: Callable[[str], BackendView | None] | None = None
+        self._document: Document | None = None
 
     def views(self) -> list[BackendView]:
         """Return all views."""
@@ -46,43 +26,63 @@
             return list(self._views.values())
 
     def find(self, backend_id: str) -> BackendView | None:
-        """Return the view of one agent."""
-        return self._views.get(backend_id)
+        """Return the view of one agent; link to it when it has no link."""
+        view = self._views.get(backend_id)
+        if view is None and self.dial is not None:
+            return self.dial(backend_id)
+        return view
 
     def put(self, vm: Vm) -> BackendView:
         """Add an agent or update its VM entry."""
         with self._lock:
             view = self._views.setdefault(vm.id, BackendView(vm))
-            view.vm = vm
+            view.place(vm, out=self._is_out(vm))
             return view
 
+    def unlist(self, backend_id: str) -> None:
+        """Give no new work to an agent that left the list."""
+        view = self._views.get(backend_id)
+        if view is not None:
+            view.place(view.vm, out=view.out, listed=False)
+
     def remove(self, backend_id: str) -> None:
-        """Drop an agent that left the list."""
+        """Drop an agent that is off the list and has no link."""
         with self._lock:
             self._views.pop(backend_id, None)
 
+    def apply_document(self, document: Document) -> None:
+        """Take backend servers out of service or bring them back."""
+        with self._lock:
+            self._document = document
+            for view in self._views.values():
+                view.place(
+                    view.vm, out=self._is_out(view.vm), listed=view.listed
+                )
+
     def opened(self, link: Link) -> None:
         """Record a link to an agent."""
-        view = self.find(link.peer.peer_id)
+        view = self._views.get(link.peer.peer_id)
         if view is not None:
-            view.link = link
+            view.opened(link)
 
     def closed(self, link: Link) -> None:
         """Forget a link that ended."""
-        view = self.find(link.peer.peer_id)
-        if view is not None and view.link is link:
-            view.link = None
-            view.serving = None
+        view = self._views.get(link.peer.peer_id)
+        if view is not None:
+            view.closed(link)
 
-    def report(self, link: Link, notice: object) -> None:
+    def report(
+        self, link: Link, notice: LoadReport | Serving | CacheReport
+    ) -> None:
         """Apply a report of an agent."""
-        view = self.find(link.peer.peer_id)
-        if view is None:
-            return
-        if isinstance(notice, LoadReport):
-            view.load = notice
-            view.unreported_count = 0
-        elif isinstance(notice, Serving):
-            view.serving = notice
-        elif isinstance(notice, CacheReport):
-            view.prefixes = frozenset(notice.prefixes)
+        view = self._views.get(link.peer.peer_id)
+        # A late report of an older link says nothing about this one.
+        if view is not None and view.link is link:
+            view.report(notice)
+
+    def _is_out(self, vm: Vm) -> bool:
+        document = self._document
+        if document is None:
+            return False
+        in_service = document.data_centre_in_service(vm.data_centre)
+        return not in_service or vm.id in document.backend_servers_out
--- /dev/null
+++ b/wasabistream/call_senders.py
@@ -0,0 +1,112 @@
+"""Sender of plain service calls."""
+
+import dataclasses
+from collections.abc import Callable
+
+from wasabistream.attempts import AttemptTable
+from wasabistream.backends import BackendView
+from wasabistream.choosers import BackendChooser
+from wasabistream.exceptions import LinkError, RefusedError
+from wasabistream.followers import CallFollower
+from wasabistream.metrics import ATTEMPTS
+from wasabistream.outboxes import Expiry
+from wasabistream.outcomes import Outcome
+from wasabistream.requests import Answer, Call
+from wasabistream.retries import (
+    LEAVING_REASONS,
+    MAX_ATTEMPT_COUNT,
+    Deadline,
+    RetryBudget,
+    worst_outcome,
+)
+from wasabistream.routers import RouteQuery
+
+# Time beyond the deadline in which a late answer is still awaited.
+ANSWER_MARGIN_SECONDS = 2.0
+
+
+class CallSender:
+    """Send a call to one agent after another while that is safe."""
+
+    def __init__(
+        self,
+        chooser: BackendChooser,
+        attempts: AttemptTable,
+        budget: RetryBudget,
+        make_request_id: Callable[[], str],
+    ) -> None:
+        self._chooser = chooser
+        self._attempts = attempts
+        self._budget = budget
+        self._make_request_id = make_request_id
+
+    def call(self, call: Call, query: RouteQuery, owner: str) -> Answer:
+        """Run a call and wait for its answer; raises RefusedError."""
+        deadline = Deadline(call.deadline_seconds)
+        outcome = Outcome.not_run
+        refusal = RefusedError('no_backend', Outcome.not_run, '', 1)
+        for attempt_number in range(MAX_ATTEMPT_COUNT):
+            view = self._choose(query, owner)
+            if view is None:
+                break
+            if attempt_number and not self._may_repeat(refusal):
+                break
+            try:
+                return self._call_once(call, view, deadline)
+            except RefusedError as error:
+                refusal = error
+            ATTEMPTS.labels(refusal.outcome).inc()
+            outcome = worst_outcome(outcome, refusal.outcome)
+            if owner or not _is_safe(call, refusal):
+                break
+            view.refuses |= refusal.reason in LEAVING_REASONS
+            query = dataclasses.replace(
+                query, excluded=query.excluded | {view.vm.id}
+            )
+        # An earlier attempt may have run, whatever the last one says.
+        refusal.outcome = outcome
+        raise refusal
+
+    def _may_repeat(self, refusal: RefusedError) -> bool:
+        return refusal.reason in LEAVING_REASONS or self._budget.take()
+
+    def _choose(self, query: RouteQuery, owner: str) -> BackendView | None:
+        if owner:
+            return self._chooser.find_owner(owner)
+        return self._chooser.choose(query)
+
+    def _call_once(
+        self, call: Call, view: BackendView, deadline: Deadline
+    ) -> Answer:
+        attempt = dataclasses.replace(
+            call,
+            request_id=self._make_request_id(),
+            deadline_seconds=deadline.remaining_seconds,
+        )
+        if attempt.deadline_seconds <= 0:
+            raise RefusedError('deadline', Outcome.not_run)
+        follower = CallFollower()
+        link = view.reserve()
+        if link is None:
+            raise RefusedError('no_link', Outcome.not_run, view.vm.id)
+        view.attempt_started()
+        self._attempts.add(
+            attempt.request_id, link, follower, view.attempt_ended
+        )
+        try:
+            link.send(attempt, Expiry(deadline.at_seconds, follower.on_expired))
+        except LinkError as error:
+            # The frame was not queued, so the agent cannot have it.
+            raise RefusedError(
+                'no_link', Outcome.not_run, view.vm.id
+            ) from error
+        else:
+            return follower.wait_answer(
+                attempt.deadline_seconds + ANSWER_MARGIN_SECONDS
+            )
+        finally:
+            self._attempts.remove(attempt.request_id)
+
+
+def _is_safe(call: Call, refusal: RefusedError) -> bool:
+    return call.repeatable or refusal.outcome == Outcome.not_run
--- a/wasabistream/dialers.py
+++ b/wasabistream/dialers.py
@@ -18,12 +18,19 @@
     """Connect to one peer, read its link and connect again when it ends."""
 
     def __init__(
-        self, address: str, port: int, hello: Hello, handler: LinkHandler
+        self,
+        address: str,
+        port: int,
+        hello: Hello,
+        handler: LinkHandler,
+        expected_peer_id: str = '',
     ) -> None:
         self.address = address
         self.port = port
         self._hello = hello
         self._handler = handler
+        # A new VM may have taken the address of the peer that is meant.
+        self._expected_peer_id = expected_peer_id
         self._stopped = threading.Event()
         self._link: Link | None = None
 
@@ -44,15 +51,26 @@
     def _run(self) -> None:
         wait_seconds = RETRY_MIN_SECONDS
         while not self._stopped.is_set():
-            try:
-                self._link = Link(
-                    connect(self.address, self.port), self._hello, self._handler
-                )
-            except (LinkError, OSError) as error:
-                logger.debug('dialer: %s', error)
-            else:
-                self._link.run()
+            if self._run_link():
                 wait_seconds = RETRY_MIN_SECONDS
             # Jitter keeps the entries from reconnecting at the same moment.
             self._stopped.wait(wait_seconds * random.uniform(0.5, 1.5))
             wait_seconds = min(wait_seconds * 2, RETRY_MAX_SECONDS)
+
+    def _run_link(self) -> bool:
+        try:
+            link = Link(
+                connect(self.address, self.port),
+                self._hello,
+                self._handler,
+                self._expected_peer_id,
+            )
+        except (LinkError, OSError) as error:
+            logger.debug('dialer: %s', error)
+            return False
+        self._link = link
+        if self._stopped.is_set():
+            # `stop` may have looked at the previous link.
+            link.close()
+            return False
+        return link.run()
--- a/wasabistream/entries.py
+++ b/wasabistream/entries.py
@@ -17,7 +17,9 @@
 from wasabistream.documents import DocumentVersion
 from wasabistream.exceptions import ConfigurationError, LinkError
 from wasabistream.hangups import HangupWatcher
+from wasabistream.linkers import AgentLinker
 from wasabistream.links import Link
+from wasabistream.members import MemberView
 from wasabistream.messages import (
     PROTOCOL_VERSION_MAX,
     PROTOCOL_VERSION_MIN,
@@ -42,7 +44,7 @@
 )
 from wasabistream.settings import EntrySettings
 from wasabistream.signals import document_changed
-from wasabistream.vms import Role, VmList, parse_vm_list
+from wasabistream.vms import Vm, VmList, parse_vm_list
 from wasabistream.watchers import ValueWatcher
 
 logger = logging.getLogger(__name__)
@@ -61,7 +63,14 @@
         self.attempts = AttemptTable()
         self.vm_list: VmList | None = None
         self._counter = itertools.count(1)
-        self._dialers: dict[str, PeerDialer] = {}
+        self.members = MemberView()
+        self.linker = AgentLinker(
+            settings.process_id,
+            settings.data_centre,
+            self.directory,
+            self.members,
+            self._make_dialer,
+        )
         self._links: set[Link] = set()
         self._hangups = HangupWatcher()
         self._dispatcher = Dispatcher(
@@ -69,6 +78,8 @@
             self.directory,
             self.attempts,
             self._make_request_id,
+            self._hello,
+            self.linker.demand,
         )
         self._callers = CallerHandler(
             settings,
@@ -104,6 +115,8 @@
         """Watch the configuration and serve callers."""
         document_changed.connect(self._announce, self.configuration)
         self._hangups.start()
+        self._dispatcher.start()
+        self.linker.start()
         for watcher in self._watchers:
             watcher.start()
         self.server.run_in_thread()
@@ -113,13 +126,13 @@
         for watcher in self._watchers:
             watcher.stop()
         self._hangups.stop()
-        for dialer in self._dialers.values():
-            dialer.stop()
         self.server.stop()
+        self._dispatcher.stop()
+        self.linker.stop()
 
     def work_in_progress(self) -> list[str]:
-        """Return the ids of attempts in progress."""
-        return self.attempts.request_ids()
+        """Return the ids of requests and attempts in progress."""
+        return self._dispatcher.requests_in_progress()
 
     @property
     def ready(self) -> bool:
@@ -130,6 +143,7 @@
         """Record a link to an agent and offer the document."""
         self._links.add(link)
         self.directory.opened(link)
+        self.members.opened(link.peer.peer_id, link.peer.incarnation)
         version = self.configuration.version
         if version is not None:
             link.send(DocumentDigest(version.document.revision, version.digest))
@@ -138,6 +152,7 @@
         """Give up the attempts of a link that ended."""
         self._links.discard(link)
         self.directory.closed(link)
+        self.members.closed(link.peer.peer_id, reason)
         self.attempts.link_closed(link, reason)
         logger.info('entry: link to %s ended: %s', link.peer.peer_id, reason)
 
@@ -149,6 +164,8 @@
                     self.directory.report(link, message)
                 case DocumentFetch():
                     self._send_document(link)
+            if isinstance(message, LoadReport):
+                self.members.report(link.peer.peer_id, message)
         self.attempts.deliver(link, received)
 
     def _handle(
@@ -187,28 +204,15 @@
             logger.error('entry: VM list refused: %s', error)
             return
         self.vm_list = vm_list
-        self._follow_vm_list(vm_list)
-
-    def _follow_vm_list(self, vm_list: VmList) -> None:
-        agents = {vm.id: vm for vm in vm_list.vms if vm.role == Role.agent}
-        for vm in agents.values():
-            self.directory.put(vm)
-            dialer = self._dialers.get(vm.id)
-            target = (vm.address, vm.link_port)
-            if dialer is not None and (dialer.address, dialer.port) != target:
-                dialer.stop()
-                dialer = None
-            if dialer is None:
-                dialer = PeerDialer(*target, self._hello(), self)
-                self._dialers[vm.id] = dialer
-                dialer.start()
-        for backend_id in set(self._dialers) - set(agents):
-            self._dialers.pop(backend_id).stop()
-            self.directory.remove(backend_id)
+        self.linker.apply_list(vm_list)
+
+    def _make_dialer(self, vm: Vm) -> PeerDialer:
+        return PeerDialer(vm.address, vm.link_port, self._hello(), self, vm.id)
 
     def _announce(
         self, sender: object, version: DocumentVersion, **_: object
     ) -> None:
+        self.linker.apply_document(version.document)
         notice = DocumentDigest(version.document.revision, version.digest)
         for link in list(self._links):
             _send(link, notice)
--- a/wasabistream/followers.py
+++ b/wasabistream/followers.py
@@ -28,7 +28,13 @@
 
 
 class GenerationFollower:
-    """Write the events of one generation to its caller, each once."""
+    """Write the events of one generation to its caller, each once.
+
+    Messages arrive on the reader thread of a link, while the sending thread
+    withdraws an attempt and a writer thread drops one whose deadline passed.
+    The lock makes the first end the only one, and no token is written after
+    it.
+    """
 
     def __init__(
         self,
@@ -39,26 +45,49 @@
         self.writer = writer
         self.next_index = next_index
         self._on_end = on_end
+        self._lock = threading.Lock()
         self._decided = threading.Event()
-        self._ended = False
+        self._ended = threading.Event()
+        self._accepted = False
+        self._withdrawn = False
         self.failure: RefusedError | None = None
 
+    @property
+    def ended(self) -> bool:
+        """Tell whether the attempt has ended."""
+        return self._ended.is_set()
+
     def wait_decided(self, timeout_seconds: float) -> bool:
         """Wait until the gate accepted or refused the attempt."""
         return self._decided.wait(timeout_seconds)
 
+    def wait_ended(self, timeout_seconds: float) -> bool:
+        """Wait until the attempt has ended."""
+        return self._ended.wait(timeout_seconds)
+
+    def withdraw(self) -> bool:
+        """Ignore the attempt from now on, except for how it ends.
+
+        Returns False when the gate has decided already. Tokens that still
+        arrive are dropped, as the agent will cancel the generation.
+        """
+        with self._lock:
+            if self._accepted or self.ended:
+                return False
+            self._withdrawn = True
+            return True
+
     def on_message(self, message: Message) -> None:
         """Handle one message of the attempt."""
         match message:
             case Token():
                 self._token(message)
             case Accepted():
-                self.writer.stream_id = message.stream_id
-                self._decided.set()
+                self._accept(message)
             case Finished():
                 self._finish(message)
             case Refused():
-                self._end(
+                self.end(
                     RefusedError(
                         message.reason,
                         Outcome(message.outcome),
@@ -66,57 +95,86 @@
                     )
                 )
             case Failed():
-                self._end(
-                    RefusedError(message.reason, Outcome(message.outcome))
-                )
+                self.end(RefusedError(message.reason, Outcome(message.outcome)))
 
     def on_lost(self, reason: str) -> None:
         """End an attempt whose link ended."""
-        self._end(RefusedError('link_lost', Outcome.unknown))
+        self.end(RefusedError('link_lost', Outcome.unknown))
+
+    def end(self, failure: RefusedError | None) -> bool:
+        """End the attempt unless it has ended."""
+        with self._lock:
+            if self.ended:
+                return False
+            self._set_ended(failure)
+        self._on_end(self, failure)
+        return True
+
+    def _accept(self, accepted: Accepted) -> None:
+        with self._lock:
+            if self._withdrawn or self.ended:
+                return
+            self._accepted = True
+            self.writer.stream_id = accepted.stream_id
+        self._decided.set()
 
     def _token(self, token: Token) -> None:
-        if self._ended or token.index < self.next_index:
-            return
-        if token.index > self.next_index:
-            self._end(RefusedError('token_gap', Outcome.run))
-            return
-        self.next_index += 1
-        self.writer.token(token.index, token.text)
+        with self._lock:
+            if self.ended or self._withdrawn or token.index < self.next_index:
+                return
+            complete = token.index == self.next_index
+            if complete:
+                self.next_index += 1
+                self.writer.token(token.index, token.text)
+        if not complete:
+            self.end(RefusedError('token_gap', Outcome.run))
 
     def _finish(self, finished: Finished) -> None:
-        if self._ended:
-            return
-        if finished.token_count != self.next_index:
-            self._end(RefusedError('token_gap', Outcome.run))
-            return
-        self.writer.finish(finished.finish_reason)
-        self._end(None)
-
-    def _end(self, failure: RefusedError | None) -> None:
-        if self._ended:
+        if self._withdrawn:
+            self.end(RefusedError('withdrawn', Outcome.run))
             return
-        self._ended = True
+        with self._lock:
+            if self.ended:
+                return
+            complete = finished.token_count == self.next_index
+            if complete:
+                self.writer.finish(finished.finish_reason)
+                self._set_ended(None)
+        if complete:
+            self._on_end(self, None)
+        else:
+            self.end(RefusedError('token_gap', Outcome.run))
+
+    def _set_ended(self, failure: RefusedError | None) -> None:
         self.failure = failure
+        self._ended.set()
         self._decided.set()
-        self._on_end(self, failure)
 
 
 class CallFollower:
     """Wait for the answer of one call."""
 
     def __init__(self) -> None:
+        self._lock = threading.Lock()
         self._replied = threading.Event()
         self._reply: Message | None = None
 
     def on_message(self, message: Message) -> None:
-        """Keep the reply."""
-        self._reply = message
-        self._replied.set()
+        """Keep the first reply."""
+        if not isinstance(message, (Answer, Refused, Failed)):
+            return
+        with self._lock:
+            if self._reply is None:
+                self._reply = message
+                self._replied.set()
 
     def on_lost(self, reason: str) -> None:
         """Treat the answer as lost."""
-        self._reply = Failed('', Outcome.unknown, 'link_lost')
-        self._replied.set()
+        self.on_message(Failed('', Outcome.unknown, 'link_lost'))
+
+    def on_expired(self) -> None:
+        """Note that the call was dropped before it was sent."""
+        self.on_message(Refused('', Outcome.not_run, 'deadline'))
 
     def wait_answer(self, timeout_seconds: float) -> Answer:
         """Return the answer; raises RefusedError."""
--- a/wasabistream/links.py
+++ b/wasabistream/links.py
@@ -16,6 +16,7 @@
 )
 from wasabistream.metrics import FRAME_ERRORS, LINK_BYTES
 from wasabistream.notices import Heartbeat, Hello
+from wasabistream.outboxes import Batch, Expiry, Outbox
 
 logger = logging.getLogger(__name__)
 
@@ -24,10 +25,8 @@
 SILENCE_LIMIT_SECONDS = 6.0
 CONNECT_TIMEOUT_SECONDS = 2.0
 RECEIVE_BYTES = 256 * 1024
-# Frames that may wait for a stalled peer before the link is given up.
-MAX_QUEUED_FRAME_COUNT = 20000
-# Largest number of frames joined into one send.
-MAX_JOINED_FRAME_COUNT = 512
+# Time for the peer to read the last frames of a link that ends in order.
+FINISH_LIMIT_SECONDS = 2.0
 
 
 class LinkHandler(Protocol):
@@ -47,15 +46,19 @@
     """Exchange messages with one peer; the caller of `run` reads."""
 
     def __init__(
-        self, sock: socket.socket, hello: Hello, handler: LinkHandler
+        self,
+        sock: socket.socket,
+        hello: Hello,
+        handler: LinkHandler,
+        expected_peer_id: str = '',
     ) -> None:
         self._socket = sock
         self._hello = hello
         self._handler = handler
-        self._outbox: queue.Queue[bytes | None] = queue.Queue(
-            MAX_QUEUED_FRAME_COUNT
-        )
+        self._expected_peer_id = expected_peer_id
+        self._outbox = Outbox()
         self._closed = threading.Event()
+        self._finished = threading.Event()
         self.peer = Hello(1, 1, '', str(sock.getpeername()), '', '')
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -67,23 +70,23 @@
         """Tell whether the link has ended."""
         return self._closed.is_set()
 
-    def send(self, message: Message) -> None:
+    def send(self, message: Message, expiry: Expiry | None = None) -> None:
         """Queue a message.
 
         Raises LinkError when the link is closed or its queue is full.
         """
-        if self.closed:
+        if self.closed or self._finished.is_set():
             raise LinkError('link is closed', 'send', self.peer.peer_id)
         try:
-            self._outbox.put_nowait(encode_frame(message))
+            self._outbox.put(encode_frame(message), expiry)
         except queue.Full:
             self.close()
             raise LinkError(
                 'send queue is full', 'send', self.peer.peer_id
             ) from None
 
-    def run(self) -> None:
-        """Read until the link ends."""
+    def run(self) -> bool:
+        """Read until the link ends; tell whether it had opened."""
         reason = 'closed by peer'
         opened = False
         try:
@@ -106,6 +109,24 @@
             self.close()
             if opened:
                 self._handler.on_closed(self, reason)
+        return opened
+
+    def finish(self) -> None:
+        """Send what is queued, then end the link; waits for a bounded time.
+
+        Closing a socket with unread input resets the connection, and the
+        peer would lose frames that it has not read yet. So only the sending
+        side is shut down, and the reader goes on until the peer closes.
+        """
+        if self.closed:
+            return
+        self._finished.set()
+        try:
+            self._outbox.end(FINISH_LIMIT_SECONDS)
+        except queue.Full:
+            logger.info('link: queue to %s is full', self.peer.peer_id)
+        self._closed.wait(FINISH_LIMIT_SECONDS)
+        self.close()
 
     def close(self) -> None:
         """Close the socket and let both threads end."""
@@ -113,7 +134,7 @@
             return
         self._closed.set()
         try:
-            self._outbox.put_nowait(None)
+            self._outbox.end()
         except queue.Full:
             logger.debug(
                 'link: queue to %s is full at close', self.peer.peer_id
@@ -137,6 +158,12 @@
             or peer.version_max < PROTOCOL_VERSION_MIN
         ):
             raise LinkError('no common version', 'handshake', peer.peer_id)
+        if self._expected_peer_id not in ('', peer.peer_id):
+            raise LinkError(
+                f'expected peer {self._expected_peer_id}',
+                'handshake',
+                peer.peer_id,
+            )
         self.peer = peer
         return received[1:]
 
@@ -160,35 +187,29 @@
             received = reader.feed(self._receive())
 
     def _write(self) -> None:
-        heartbeat = encode_frame(Heartbeat())
+        heartbeat = Batch(encode_frame(Heartbeat()), [], ended=False)
         while True:
             try:
-                frame = self._outbox.get(timeout=HEARTBEAT_INTERVAL_SECONDS)
+                batch = self._outbox.take(HEARTBEAT_INTERVAL_SECONDS)
             except queue.Empty:
-                frame = heartbeat
-            if frame is None or not self._send_frames(frame):
+                batch = heartbeat
+            if not self._send_batch(batch):
                 return
 
-    def _send_frames(self, first: bytes) -> bool:
-        frames = [first]
-        while len(frames) < MAX_JOINED_FRAME_COUNT:
-            try:
-                frame = self._outbox.get_nowait()
-            except queue.Empty:
-                break
-            if frame is None:
-                return False
-            frames.append(frame)
-        joined = b''.join(frames)
+    def _send_batch(self, batch: Batch) -> bool:
         try:
-            self._socket.sendall(joined)
+            self._socket.sendall(batch.joined)
+            if batch.ended and not self.closed:
+                self._socket.shutdown(socket.SHUT_WR)
         except OSError as error:
             logger.info('link: send to %s failed: %s', self.peer.peer_id, error)
             self.close()
             return False
-        self.sent_bytes += len(joined)
-        LINK_BYTES.labels('sent').inc(len(joined))
-        return True
+        self.sent_bytes += len(batch.joined)
+        LINK_BYTES.labels('sent').inc(len(batch.joined))
+        for expiry in batch.expired:
+            expiry.on_expired()
+        return not batch.ended
 
 
 def connect(address: str, port: int) -> socket.socket:
--- a/wasabistream/notices.py
+++ b/wasabistream/notices.py
@@ -4,6 +4,9 @@
 
 from wasabistream.messages import Message, message
 
+# An agent of an older version does not tell what it has taken.
+UNKNOWN_COUNT = -1
+
 
 @message(1)
 @dataclass(frozen=True, slots=True)
@@ -35,6 +38,8 @@
     queued_count: int
     ramp_limit_count: int
     leaving: bool
+    # Requests that the agent had taken from this link before the report.
+    taken_count: int = UNKNOWN_COUNT
 
 
 @message(4)
@@ -52,7 +57,7 @@
 @message(5)
 @dataclass(frozen=True, slots=True)
 class CacheReport(Message):
-    """Tell which prompt prefixes an engine holds."""
+    """Tell which prompt prefixes an engine holds, as 32 bit hashes."""
 
     prefixes: list
 
--- a/wasabistream/routers.py
+++ b/wasabistream/routers.py
@@ -2,12 +2,24 @@
 
 import itertools
 import random
+import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
 from wasabistream.backends import BackendView
 
+# Roles of engines that run whole generations; empty when not stated.
+GENERATION_ROLES = frozenset(('decode', 'mixed', ''))
+# A server that holds the prompt's prefix is preferred only while its load is
+# at most this far above the mean, so that one hot prefix spreads.
+AFFINITY_LOAD_MARGIN = 0.2
+# Sends in one report interval that affinity may give to one server. About 16
+# entries decide at the same time on the same lagged report.
+AFFINITY_UNREPORTED_COUNT = 4
+# Candidates whose mean load stands for that of all.
+MEAN_SAMPLE_COUNT = 16
+
 
 @dataclass(frozen=True)
 class RouteQuery:
@@ -19,6 +31,8 @@
     service: str = ''
     prefix: int = 0
     excluded: frozenset[str] = frozenset()
+    # True once backend servers of the own data centre have refused.
+    spill: bool = False
 
 
 class RoutingPolicy(Protocol):
@@ -53,22 +67,50 @@
 def estimated_load(view: BackendView) -> float:
     """Return reported load plus own sends that the report lacks."""
     load = view.load
+    limit_count = max(load.ramp_limit_count, 1)
     memory_ratio = load.memory_used_tokens / max(load.memory_capacity_tokens, 1)
+    # A cold server is full by its ramp long before its memory is.
+    used_ratio = max(memory_ratio, load.running_count / limit_count)
     waiting_count = load.queued_count + view.unreported_count
-    return memory_ratio + waiting_count / max(load.ramp_limit_count, 1)
+    return used_ratio + waiting_count / limit_count
 
 
 @routing_policy('balanced')
 class BalancedPolicy:
-    """Take the less loaded of two random candidates."""
+    """Take the less loaded of two random candidates.
+
+    Candidates that hold the prefix of the prompt go first while they are not
+    much more loaded than the others.
+    """
 
     def choose(
         self, candidates: Sequence[BackendView], query: RouteQuery
     ) -> BackendView:
         """Return one of the candidates."""
-        if len(candidates) == 1:
-            return candidates[0]
-        return min(random.sample(list(candidates), 2), key=estimated_load)
+        if query.prefix:
+            holders = [view for view in candidates if view.holds(query.prefix)]
+            if holders:
+                holder = _less_loaded(holders)
+                if _may_prefer(holder, candidates):
+                    return holder
+        return _less_loaded(candidates)
+
+
+def _less_loaded(candidates: Sequence[BackendView]) -> BackendView:
+    if len(candidates) == 1:
+        return candidates[0]
+    return min(random.sample(candidates, 2), key=estimated_load)
+
+
+def _may_prefer(holder: BackendView, candidates: Sequence[BackendView]) -> bool:
+    if holder.unreported_count >= AFFINITY_UNREPORTED_COUNT:
+        return False
+    sample_count = min(len(candidates), MEAN_SAMPLE_COUNT)
+    loads = [
+        estimated_load(view) for view in random.sample(candidates, sample_count)
+    ]
+    mean_load = sum(loads) / sample_count
+    return estimated_load(holder) <= mean_load + AFFINITY_LOAD_MARGIN
 
 
 @routing_policy('round_robin')
@@ -108,17 +150,28 @@
     ) -> BackendView | None:
         """Return a backend server, or None when there is none."""
         candidates = [view for view in views if _matches(view, query)]
+        if not candidates:
+            return None
         local = [
             view
             for view in candidates
             if view.vm.data_centre == query.data_centre
         ]
-        chosen_from = local or candidates
-        if not chosen_from:
-            return None
-        view = self._policy.choose(chosen_from, query)
-        view.unreported_count += 1
-        return view
+        remote = [
+            view
+            for view in candidates
+            if view.vm.data_centre != query.data_centre
+        ]
+        near, far = (remote, local) if query.spill else (local, remote)
+        chosen_from = _returned(near) or _returned(far) or near or far
+        return self._policy.choose(chosen_from, query)
+
+
+def _returned(views: Sequence[BackendView]) -> list[BackendView]:
+    # A server that has just returned to service takes part in a growing
+    # share of the choices, so that its work does not come all at once.
+    now = time.monotonic()
+    return [view for view in views if random.random() < view.share(now)]
 
 
 def _matches(view: BackendView, query: RouteQuery) -> bool:
@@ -129,4 +182,4 @@
         return serving.service == query.service
     if query.adapter and query.adapter not in serving.adapters:
         return False
-    return query.model in serving.models
+    return serving.role in GENERATION_ROLES and query.model in serving.models
--- a/wasabistream_tools/fleet.py
+++ b/wasabistream_tools/fleet.py
@@ -149,10 +149,16 @@
         )
 
     def wait_ready(self, backend_count: int) -> None:
-        """Wait until all entries can use that many backend servers."""
+        """Wait until all entries can use their backend servers.
+
+        An entry links to the agents of its own data centre and to others only
+        on demand, so it needs no more than its data centre has.
+        """
         deadline = time.monotonic() + START_LIMIT_SECONDS
         for fleet_process in self.entries():
-            while self._usable_count(fleet_process) < backend_count:
+            local_count = self._agent_count(fleet_process.name)
+            needed_count = min(backend_count, local_count)
+            while self._usable_count(fleet_process) < needed_count:
                 if time.monotonic() > deadline:
                     raise TimeoutError(f'{fleet_process.name} is not ready')
                 time.sleep(POLL_SECONDS)
@@ -238,6 +244,13 @@
                 return
         raise TimeoutError(f'port {port} is not open')
 
+    def _agent_count(self, entry_name: str) -> int:
+        data_centre = self.vms[entry_name]['data_centre']
+        return sum(
+            vm['role'] == 'agent' and vm['data_centre'] == data_centre
+            for vm in self.vms.values()
+        )
+
     def _usable_count(self, entry: FleetProcess) -> int:
         try:
             response = self.http.request('GET', f'{entry.url}/readyz')
