Measure how a change of document comes into force

Change: measure config with a baseline in which every entry reads; the age of a reader counts from the last answer.

--- a/tests/test_distributors.py
+++ b/tests/test_distributors.py
@@ -1,7 +1,6 @@
 """Tests of the way of a document through entries and agents."""
 
 import json
-import socket
 import time
 import unittest
 from collections.abc import Callable
@@ -12,13 +11,13 @@
 from tests.builders import build_full_document
 from wasabistream.configurations import ConfigurationStore
 from wasabistream.distributors import ConfigurationDistributor
-from wasabistream.frames import FrameReader, encode_frame
-from wasabistream.notices import DocumentDigest, Hello
+from wasabistream.notices import Hello
 from wasabistream.servers import CallerServer
 from wasabistream.settings import EntrySettings
 from wasabistream.signals import document_changed
 from wasabistream_tools.configuration import ConfigurationStandIn, Faults
 from wasabistream_tools.fleet import Fleet
+from wasabistream_tools.measure_config import held_revision
 
 WAIT_LIMIT_SECONDS = 30.0
 
@@ -37,17 +36,6 @@
     return json.dumps(raw).encode()
 
 
-def held_revision(port: int) -> int:
-    """Return the revision that an agent tells a new peer."""
-    reader = FrameReader('agent')
-    with socket.create_connection(('127.0.0.1', port), 5) as sock:
-        sock.sendall(encode_frame(Hello(1, 1, 'entry', 'probe', '1', 'dc-a')))
-        while True:
-            for message in reader.feed(sock.recv(65536)):
-                if isinstance(message, DocumentDigest):
-                    return message.revision
-
-
 class EntryNode:
     """Run the configuration part of one entry without its HTTP side."""
 
--- a/wasabistream/distributors.py
+++ b/wasabistream/distributors.py
@@ -44,7 +44,7 @@
         self._settings = settings
         self._documents = documents
         self.lists = VmListStore()
-        self.peers = EntryPeers(hello, self)
+        self.peers = EntryPeers(hello, self, settings.reader_count)
         self.listener = LinkListener(
             settings.address, settings.link_port, hello, self
         )
--- a/wasabistream/entry_peers.py
+++ b/wasabistream/entry_peers.py
@@ -14,7 +14,6 @@
 
 logger = logging.getLogger(__name__)
 
-READER_COUNT = 2
 # Entries to which each entry of a data centre keeps a link: the readers and
 # those that take over from them.
 DIALED_COUNT = 4
@@ -52,7 +51,10 @@
 class EntryPeers:
     """Dial the entries that matter and rank those that work."""
 
-    def __init__(self, hello: Hello, handler: LinkHandler) -> None:
+    def __init__(
+        self, hello: Hello, handler: LinkHandler, reader_count: int
+    ) -> None:
+        self._reader_count = reader_count
         self._hello = hello
         self._handler = handler
         self._own_id = hello.peer_id
@@ -123,7 +125,7 @@
 
     def is_reader(self) -> bool:
         """Tell whether this entry is to read the service."""
-        return self._own_id in self.ranked()[:READER_COUNT]
+        return self._own_id in self.ranked()[: self._reader_count]
 
     def ranked(self) -> list[str]:
         """Return the entries of the data centre that work, by rank."""
--- a/wasabistream/readers.py
+++ b/wasabistream/readers.py
@@ -62,12 +62,12 @@
         self._document_watcher.stop()
 
     def read_age_seconds(self) -> float:
-        """Return the age of the older read; below 0 when not reading."""
+        """Return the age of the older answer; below 0 when not reading."""
         if not self._reads_both:
             return NOT_READING_SECONDS
         age_seconds = max(
-            self._list_watcher.read_age_seconds,
-            self._document_watcher.read_age_seconds,
+            self._list_watcher.answer_age_seconds,
+            self._document_watcher.answer_age_seconds,
         )
         # A reader that has just started is not yet silent.
         return min(age_seconds, time.monotonic() - self._reading_since_seconds)
--- a/wasabistream/settings.py
+++ b/wasabistream/settings.py
@@ -13,6 +13,7 @@
     'address': '127.0.0.1',
     'http_port': 0,
     'link_port': 0,
+    'reader_count': 2,
     'configuration_url': 'http://127.0.0.1:8500',
     'document_key': 'wasabistream/document',
     'vm_list_key': 'wasabistream/vms',
@@ -73,6 +74,8 @@
     configuration_url: str = _setting('configuration_url')
     document_key: str = _setting('document_key')
     vm_list_key: str = _setting('vm_list_key')
+    # Entries of a data centre that read the configuration service.
+    reader_count: int = _setting('reader_count', minimum=1)
     max_body_bytes: int = _setting('max_body_bytes', minimum=1)
     max_header_bytes: int = _setting('max_header_bytes', minimum=1)
     worker_thread_count: int = _setting('worker_thread_count', minimum=1)
--- a/wasabistream/watchers.py
+++ b/wasabistream/watchers.py
@@ -42,6 +42,7 @@
         self._index = 0
         self.read_count = 0
         self._read_monotonic_seconds = float('-inf')
+        self._answer_monotonic_seconds = float('-inf')
 
     @property
     def index(self) -> int:
@@ -50,9 +51,17 @@
 
     @property
     def read_age_seconds(self) -> float:
-        """Return the time since the service last answered a read."""
+        """Return the time since the last answered read began.
+
+        Up to two waits pass between the begins of two answered reads.
+        """
         return time.monotonic() - self._read_monotonic_seconds
 
+    @property
+    def answer_age_seconds(self) -> float:
+        """Return the time since the service last answered."""
+        return time.monotonic() - self._answer_monotonic_seconds
+
     @property
     def running(self) -> bool:
         """Tell whether the watcher is to read."""
@@ -104,7 +113,7 @@
             raise ConfigurationError(str(error), 'watch', self._url) from error
         if response.status == 404:
             # The service is there and holds no value yet.
-            self._read_monotonic_seconds = started
+            self._answer_monotonic_seconds = time.monotonic()
         if response.status != 200:
             raise ConfigurationError(
                 f'status {response.status}', 'watch', self._url
@@ -113,6 +122,7 @@
             index = int(response.headers[INDEX_HEADER])
         except (KeyError, ValueError):
             raise ConfigurationError('no index', 'watch', self._url) from None
+        self._answer_monotonic_seconds = time.monotonic()
         self._read_monotonic_seconds = started
         if index != self._index:
             self._index = index
--- a/wasabistream_tools/configuration.py
+++ b/wasabistream_tools/configuration.py
@@ -20,7 +20,8 @@
 )
 
 KEY_PREFIX = '/v1/kv/'
-THREAD_COUNT = 64
+# Each pending watch holds a thread.
+THREAD_COUNT = 256
 MAX_WAIT_SECONDS = 60.0
 
 
@@ -50,6 +51,7 @@
         self._index = 0
         self.faults = Faults()
         self.read_count = 0
+        self.sent_bytes = 0
 
     def publish(self, key: str, body: bytes) -> int:
         """Publish a value and return its index."""
@@ -80,7 +82,10 @@
             )
             return json_answer(200, {})
         if request.path == '/stand-in/counts':
-            return json_answer(200, {'read_count': self.read_count})
+            return json_answer(
+                200,
+                {'read_count': self.read_count, 'sent_bytes': self.sent_bytes},
+            )
         if not request.path.startswith(KEY_PREFIX):
             return json_answer(404, {})
         key = request.path[len(KEY_PREFIX) :]
@@ -107,6 +112,8 @@
                 return json_answer(500, {'error': 'no leader'})
         if found is None:
             return json_answer(404, {})
+        with self._condition:
+            self.sent_bytes += len(found.body)
         return HttpAnswer(
             200,
             found.body,
