--- a/wasabistream/entry_peers.py
+++ b/wasabistream/entry_peers.py
@@ -42,9 +42,8 @@
         if not self.links:
             missing = self.missing_since_seconds
             return missing is None or now - missing < REOPEN_SECONDS
-        if self.read_age_seconds < 0:
-            return True
-        age = self.read_age_seconds + now - self.status_seconds
+        # A peer whose relay has stopped sends no status over its link.
+        age = max(self.read_age_seconds, 0) + now - self.status_seconds
         return age < SILENT_READER_SECONDS
 
 
@@ -103,6 +102,7 @@
             if peer is not None:
                 peer.links.add(link)
                 peer.missing_since_seconds = None
+                peer.status_seconds = time.monotonic()
 
     def closed(self, link: Link) -> None:
         """Record the end of a link to an entry."""
--- a/wasabistream/listeners.py
+++ b/wasabistream/listeners.py
@@ -33,6 +33,11 @@
 
     def stop(self) -> None:
         """Stop to accept links; open links go on."""
+        try:
+            # Closing alone leaves a pending accept to take one more link.
+            self._socket.shutdown(socket.SHUT_RDWR)
+        except OSError as error:
+            logger.debug('link: listener was closed already: %s', error)
         self._socket.close()
 
     def _accept(self) -> None:
