--- a/wasabistream_tools/workloads.py
+++ b/wasabistream_tools/workloads.py
@@ -86,10 +86,10 @@
 
 # Small and fast engines: memory fills up in mid-decode within seconds.
 ENGINE_OPTIONS: dict[str, Any] = {
-    'memory_tokens': 700,
-    'token_seconds': 0.02,
+    'memory_tokens': 500,
+    'token_seconds': 0.025,
     'prefill_tokens_per_second': 4000,
-    'full_batch_count': 12,
+    'full_batch_count': 16,
 }
 
 WORKLOADS = {
@@ -102,16 +102,16 @@
                 'chat',
                 0.5,
                 work_class='urgent',
-                lengths=LengthModel(25, tail_share=0.06),
-                prompt_tokens=25,
+                lengths=LengthModel(12, 0.6, 0.06, 50, max_tokens=150),
+                prompt_tokens=12,
                 deadline_seconds=5,
             ),
             RequestKind(
                 'draft',
                 0.15,
                 work_class='patient',
-                lengths=LengthModel(80, 0.8, 0.15, 150),
-                prompt_tokens=40,
+                lengths=LengthModel(40, 0.8, 0.15, 75, max_tokens=225),
+                prompt_tokens=20,
                 deadline_seconds=60,
             ),
         ),
@@ -120,7 +120,7 @@
         engine_count=6,
         model='assistant',
         service='booking',
-        capacity_tokens_per_second=2000,
+        capacity_tokens_per_second=2850,
         engine_options=ENGINE_OPTIONS,
     ),
     'kutaisi': Workload(
@@ -132,16 +132,16 @@
                 'catalogue',
                 0.45,
                 work_class='urgent',
-                lengths=LengthModel(15, 0.5, 0.03),
-                prompt_tokens=15,
+                lengths=LengthModel(8, 0.5, 0.03, 50, max_tokens=150),
+                prompt_tokens=10,
                 deadline_seconds=5,
             ),
             RequestKind(
                 'guide',
                 0.3,
                 work_class='patient',
-                lengths=LengthModel(90, 0.7, 0.2, 150),
-                prompt_tokens=40,
+                lengths=LengthModel(45, 0.7, 0.2, 75, max_tokens=225),
+                prompt_tokens=20,
                 deadline_seconds=60,
             ),
         ),
