--- a/wasabistream/dispatchers.py
+++ b/wasabistream/dispatchers.py
@@ -10,6 +10,7 @@
 from wasabistream.answers import error_body
 from wasabistream.attempts import AttemptTable
 from wasabistream.backends import BackendDirectory, BackendView
+from wasabistream.entry_quarantines import EntryQuarantine
 from wasabistream.exceptions import LinkError, RefusedError
 from wasabistream.followers import (
     CallFollower,
@@ -36,6 +37,8 @@
     'no_stream': 404,
     'events_dropped': 410,
     'in_progress': 409,
+    'key_reused': 409,
+    'answer_not_kept': 410,
 }
 DEFAULT_STATUS = 503
 
@@ -49,7 +52,9 @@
         directory: BackendDirectory,
         attempts: AttemptTable,
         make_request_id: Callable[[], str],
+        quarantine: EntryQuarantine,
     ) -> None:
+        self.quarantine = quarantine
         self._router = router
         self._directory = directory
         self._attempts = attempts
@@ -62,13 +67,15 @@
         """Prepare a generation whose answer goes to the writer."""
         return GenerationRequest(self, request, query, writer)
 
-    def call(self, call: Call, query: RouteQuery, owner: str = '') -> Answer:
+    def call(self, call: Call, query: RouteQuery) -> Answer:
         """Run a call and wait for its answer; raises RefusedError."""
         deadline = time.monotonic() + call.deadline_seconds
         excluded: set[str] = set()
         refusal = RefusedError('no_backend', Outcome.not_run, '', 1)
         for _ in range(MAX_ATTEMPT_COUNT):
-            view = self._choose_for_call(query, excluded, owner)
+            view = self.choose(
+                dataclasses.replace(query, excluded=frozenset(excluded))
+            )
             if view is None:
                 break
             try:
@@ -77,7 +84,7 @@
                 refusal = error
             ATTEMPTS.labels(refusal.outcome).inc()
             repeatable = call.repeatable or refusal.outcome == Outcome.not_run
-            if owner or not repeatable:
+            if not repeatable:
                 break
             excluded.add(view.vm.id)
         REFUSALS.labels(refusal.reason).inc()
@@ -119,16 +126,6 @@
         """Send a generation again from a worker thread."""
         self._pool.submit(generation.send)
 
-    def _choose_for_call(
-        self, query: RouteQuery, excluded: set[str], owner: str
-    ) -> BackendView | None:
-        if owner:
-            view = self._directory.find(owner)
-            return view if view is not None and view.link else None
-        return self.choose(
-            dataclasses.replace(query, excluded=frozenset(excluded))
-        )
-
     def _call_once(
         self, call: Call, view: BackendView, deadline: float
     ) -> Answer:
@@ -173,6 +170,7 @@
         self._writer = writer
         self._deadline = time.monotonic() + request.deadline_seconds
         self._attempt_count = 0
+        self._last_failure: RefusedError | None = None
         self._excluded: set[str] = set()
         self._lock = threading.Lock()
         self._current: tuple[BackendView, str] | None = None
@@ -205,11 +203,16 @@
         remaining_seconds = self._deadline - time.monotonic()
         if remaining_seconds <= 0:
             raise RefusedError('deadline', Outcome.not_run)
+        # A content that was in crashes is not tried on one engine after
+        # the other.
+        request = self._dispatcher.quarantine.admit(self._request)
         view = self._dispatcher.choose(
             dataclasses.replace(self._query, excluded=frozenset(self._excluded))
         )
         if view is None:
-            raise RefusedError('no_backend', Outcome.not_run, '', 1)
+            raise self._last_failure or RefusedError(
+                'no_backend', Outcome.not_run, '', 1
+            )
         self._attempt_count += 1
         self._excluded.add(view.vm.id)
         request_id = self._dispatcher.new_request_id()
@@ -219,7 +222,7 @@
         self._dispatcher.follow(
             view,
             dataclasses.replace(
-                self._request,
+                request,
                 request_id=request_id,
                 deadline_seconds=remaining_seconds,
             ),
@@ -249,6 +252,8 @@
             REQUESTS.labels('generation', 'answered').inc()
             return
         ATTEMPTS.labels(failure.outcome).inc()
+        # Tells more than that no further backend server is left.
+        self._last_failure = failure
         if self._may_retry(failure):
             self._dispatcher.resend(self)
             return
--- a/wasabistream/entry_quarantines.py
+++ b/wasabistream/entry_quarantines.py
@@ -1,5 +1,6 @@
 """Quarantine as an entry uses it."""
 
+import contextlib
 import dataclasses
 from collections.abc import Callable, Iterable
 
@@ -51,10 +52,7 @@
 
     def _pass_on(self, source: Link, notice: Message) -> None:
         for link in self._links():
-            if link is source:
-                continue
-            try:
-                link.send(notice)
-            except LinkError:
-                # The agent hears of it with the next attempt.
-                continue
+            if link is not source:
+                # An agent that misses it hears with the next attempt.
+                with contextlib.suppress(LinkError):
+                    link.send(notice)
--- a/wasabistream/gates.py
+++ b/wasabistream/gates.py
@@ -21,8 +21,9 @@
 MAX_QUEUED_COUNT = 512
 # Growth of running jobs is estimated again after this time.
 POLL_SECONDS = 0.05
-# Time for others between two jobs that must run alone.
-SUSPECT_PAUSE_SECONDS = 1.0
+# After a job that ran alone, others get the engine for at least as long; but
+# the innocent neighbours of a crash are many, so no longer than this.
+MAX_SUSPECT_PAUSE_SECONDS = 1.0
 MIN_RETRY_AFTER_SECONDS = 1.0
 
 
@@ -141,9 +142,7 @@
             if self._running.pop(job.stream_id, None) is None:
                 return
             if job.suspect:
-                self._suspect_after_seconds = (
-                    time.monotonic() + SUSPECT_PAUSE_SECONDS
-                )
+                self._pause_suspects(job)
             self._queues.ledger.correct(
                 job, job.generated_count - job.expected_tokens
             )
@@ -228,6 +227,15 @@
         self._running[job.stream_id] = job
         return job
 
+    def _pause_suspects(self, job: GenerationJob) -> None:
+        lasted_seconds = (
+            job.last_token_monotonic_seconds - job.first_token_monotonic_seconds
+        )
+        waiting = self._queues.count > 0
+        self._suspect_after_seconds = time.monotonic() + waiting * min(
+            max(lasted_seconds, 0), MAX_SUSPECT_PAUSE_SECONDS
+        )
+
     def _start_suspect(self) -> GenerationJob:
         job = self._suspects.pop(0)
         self._queues.ledger.charge(job, job.expected_tokens)
--- a/wasabistream_tools/history.py
+++ b/wasabistream_tools/history.py
@@ -189,6 +189,7 @@
                 ],
                 'retry_horizon_seconds': 4,
                 'settling_seconds': 3,
+                'list_hold_seconds': 5,
             }
         ],
     }
--- a/wasabistream_tools/workload_fleets.py
+++ b/wasabistream_tools/workload_fleets.py
@@ -87,7 +87,11 @@
     """Return what the engine stand-ins of a fleet report."""
     return [
         fleet.http.request(
-            'GET', f'{process.url}/stand-in/state', timeout=STATE_TIMEOUT
+            'GET',
+            f'{process.url}/stand-in/state',
+            timeout=STATE_TIMEOUT,
+            # A kept connection may have been closed since its last use.
+            retries=3,
         ).json()
         for name, process in fleet.processes.items()
         if name.endswith('-engine')
