--- a/wasabistream/entry_quarantines.py
+++ b/wasabistream/entry_quarantines.py
@@ -1,7 +1,7 @@
 """Quarantine as an entry uses it."""
 
-import contextlib
 import dataclasses
+import logging
 from collections.abc import Callable, Iterable
 
 from wasabistream.crash_notices import ClearNotice, CrashNotice
@@ -12,6 +12,8 @@
 from wasabistream.quarantines import Quarantine, Verdict
 from wasabistream.requests import Generate
 
+logger = logging.getLogger(__name__)
+
 
 class EntryQuarantine:
     """Keep contents that crashed engines away from other engines."""
@@ -52,7 +54,10 @@
 
     def _pass_on(self, source: Link, notice: Message) -> None:
         for link in self._links():
-            if link is not source:
-                # An agent that misses it hears with the next attempt.
-                with contextlib.suppress(LinkError):
-                    link.send(notice)
+            if link is source:
+                continue
+            try:
+                link.send(notice)
+            except LinkError as error:
+                # The agent hears of it with the next attempt.
+                logger.debug('entry: crash notice lost: %s', error)
--- a/wasabistream_tools/load_clients.py
+++ b/wasabistream_tools/load_clients.py
@@ -9,6 +9,7 @@
 import urllib.parse
 from dataclasses import dataclass, field
 
+from wasabistream.keys import make_key
 from wasabistream_tools.samples import BROKEN, COMPLETE, REFUSED, Sample
 from wasabistream_tools.schedules import PlannedRequest
 from wasabistream_tools.workloads import GENERATION, LOOKUP, Workload
@@ -98,7 +99,7 @@
         path = f'/services/{self._workload.service}'
         if kind.action == LOOKUP:
             return 'GET', f'{path}/status/{planned.number}', b'', headers
-        headers['Idempotency-Key'] = planned.key
+        headers['Idempotency-Key'] = make_key(time.time())
         return 'POST', f'{path}/bookings', planned.key.encode(), headers
 
 
--- a/wasabistream_tools/workload_fleets.py
+++ b/wasabistream_tools/workload_fleets.py
@@ -75,6 +75,10 @@
         'services': [
             {
                 'name': workload.service,
+                # A fleet that has just started books within seconds.
+                'retry_horizon_seconds': 10,
+                'settling_seconds': 2.5,
+                'list_hold_seconds': 2,
                 'non_repeatable': [
                     {'method': 'POST', 'path_prefix': '/bookings'}
                 ],
--- a/wasabistream_tools/workloads.py
+++ b/wasabistream_tools/workloads.py
@@ -87,7 +87,7 @@
 # Small and fast engines: memory fills up in mid-decode within seconds.
 ENGINE_OPTIONS: dict[str, Any] = {
     'memory_tokens': 500,
-    'token_seconds': 0.025,
+    'token_seconds': 0.035,
     'prefill_tokens_per_second': 4000,
     'full_batch_count': 16,
 }
@@ -120,7 +120,7 @@
         engine_count=6,
         model='assistant',
         service='booking',
-        capacity_tokens_per_second=2850,
+        capacity_tokens_per_second=2110,
         engine_options=ENGINE_OPTIONS,
     ),
     'kutaisi': Workload(
@@ -150,7 +150,7 @@
         engine_count=7,
         model='drafter',
         service='order-desk',
-        capacity_tokens_per_second=2300,
+        capacity_tokens_per_second=1770,
         engine_options=ENGINE_OPTIONS,
     ),
 }
