Merge the quarantine of entries and refuse a horizon below the timeout

Ruled out: a second owner and a repeat inside the horizon; both runs were at the same agent, the second after the record's end. Change: a document whose retry horizon does not exceed the timeout is refused; the history's callers keep to the horizon of its document. Conclusion: the horizon is a contract with callers, and a document can no longer make it impossible to keep.

--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -73,6 +73,18 @@
             ],
         )
 
+    def test_horizon_below_timeout(self) -> None:
+        """Guard against a key that is forgotten while its call may repeat."""
+        raw = build_full_document()
+        raw['services'][0]['retry_horizon_seconds'] = 4
+        self.assertEqual(
+            _problems(raw),
+            (
+                '$.services[0].retry_horizon_seconds: 4 is not above '
+                + 'timeout_seconds 10',
+            ),
+        )
+
     def test_credentials_are_not_shown(self) -> None:
         """Guard against credential digests in logs and error texts."""
         raw = build_full_document()
--- a/wasabistream/dispatchers.py
+++ b/wasabistream/dispatchers.py
@@ -9,6 +9,7 @@
 from wasabistream.backends import BackendDirectory, BackendView
 from wasabistream.call_senders import CallSender
 from wasabistream.choosers import BackendChooser
+from wasabistream.entry_quarantines import EntryQuarantine
 from wasabistream.exceptions import LinkError, RefusedError
 from wasabistream.followers import GenerationFollower, StreamAnswerWriter
 from wasabistream.links import Link
@@ -56,7 +57,9 @@
         make_request_id: Callable[[], str],
         make_hello: Callable[[], Hello],
         demand: Callable[[RouteQuery], bool],
+        quarantine: EntryQuarantine,
     ) -> None:
+        self.quarantine = quarantine
         self._attempts = attempts
         self._make_request_id = make_request_id
         self._make_hello = make_hello
--- a/wasabistream/entries.py
+++ b/wasabistream/entries.py
@@ -13,10 +13,12 @@
 from wasabistream.callers import CallerHandler
 from wasabistream.configuration_notices import DocumentPatch, VmListFetch
 from wasabistream.configurations import ConfigurationStore
+from wasabistream.crash_notices import ClearNotice, CrashNotice
 from wasabistream.dialers import PeerDialer
 from wasabistream.dispatchers import Dispatcher
 from wasabistream.distributors import ConfigurationDistributor
 from wasabistream.documents import DocumentVersion
+from wasabistream.entry_quarantines import EntryQuarantine
 from wasabistream.hangups import HangupWatcher
 from wasabistream.linkers import AgentLinker
 from wasabistream.links import Link
@@ -78,6 +80,9 @@
             self._make_dialer,
         )
         self._hangups = HangupWatcher()
+        self._quarantine = EntryQuarantine(
+            lambda: [view.link for view in self.directory.views() if view.link]
+        )
         self._dispatcher = Dispatcher(
             Router(settings.routing_policy),
             self.directory,
@@ -85,6 +90,7 @@
             self._make_request_id,
             self._hello,
             self.linker.demand,
+            self._quarantine,
         )
         self._callers = CallerHandler(
             settings,
@@ -167,6 +173,8 @@
             match message:
                 case LoadReport() | Serving() | CacheReport():
                     self.directory.report(link, message)
+                case CrashNotice() | ClearNotice():
+                    self._quarantine.learn(link, message)
                 case DocumentDigest() | DocumentFetch() | VmListFetch():
                     self.distributor.agent_message(link, message)
                 case DocumentBody() | DocumentPatch():
--- a/wasabistream_tools/workload_fleets.py
+++ b/wasabistream_tools/workload_fleets.py
@@ -75,6 +75,11 @@
         'services': [
             {
                 'name': workload.service,
+                # A fleet that has just started books within seconds.
+                'retry_horizon_seconds': 10,
+                'timeout_seconds': 5,
+                'settling_seconds': 2.5,
+                'list_hold_seconds': 2,
                 'non_repeatable': [
                     {'method': 'POST', 'path_prefix': '/bookings'}
                 ],
@@ -87,7 +92,11 @@
     """Return what the engine stand-ins of a fleet report."""
     return [
         fleet.http.request(
-            'GET', f'{process.url}/stand-in/state', timeout=STATE_TIMEOUT
+            'GET',
+            f'{process.url}/stand-in/state',
+            timeout=STATE_TIMEOUT,
+            # A kept connection may have been closed since its last use.
+            retries=3,
         ).json()
         for name, process in fleet.processes.items()
         if name.endswith('-engine')
