--- a/wasabistream/bodies.py
+++ b/wasabistream/bodies.py
@@ -10,7 +10,6 @@
 from wasabistream.servers import HttpRequest
 
 DEFAULT_MAX_TOKENS = 16384
-MAX_MAX_TOKENS = 1_000_000
 DEFAULT_DEADLINE_SECONDS = 600.0
 CHARACTERS_PER_TOKEN = 4
 CLASS_HEADER = 'wasabi-class'
@@ -72,6 +71,8 @@
     work_class = request.headers.get(CLASS_HEADER, organisation.default_class)
     if work_class not in WORK_CLASSES:
         raise RequestError('unknown work class', 400, 'bad_class')
+    if work_class not in organisation.classes:
+        raise RequestError('work class is not allowed', 403, 'bad_class')
     return Generate(
         request_id='',
         organisation=organisation.name,
@@ -79,7 +80,7 @@
         work_class=work_class,
         prompt=prompt,
         prompt_tokens=max(1, len(prompt) // CHARACTERS_PER_TOKEN),
-        max_tokens=_max_tokens(body),
+        max_tokens=_max_tokens(body, organisation.max_output_tokens),
         deadline_seconds=_deadline_seconds(request),
         fingerprint=hash64(organisation.name, model, prompt),
         document_revision=document.revision,
@@ -110,17 +111,17 @@
     raise RequestError(f'no model {name!r}', 404, 'model_not_found')
 
 
-def _max_tokens(body: dict[str, Any]) -> int:
+def _max_tokens(body: dict[str, Any], limit_tokens: int) -> int:
     for name in ('max_completion_tokens', 'max_tokens'):
         max_tokens = body.get(name)
         if max_tokens is None:
             continue
-        if type(max_tokens) is int and 0 < max_tokens <= MAX_MAX_TOKENS:
+        if type(max_tokens) is int and 0 < max_tokens <= limit_tokens:
             return max_tokens
         raise RequestError(
-            f'{name} is not from 1 to {MAX_MAX_TOKENS}', 400, f'bad_{name}'
+            f'{name} is not from 1 to {limit_tokens}', 400, f'bad_{name}'
         )
-    return DEFAULT_MAX_TOKENS
+    return min(DEFAULT_MAX_TOKENS, limit_tokens)
 
 
 def _options(body: dict[str, Any]) -> dict[str, Any]:
--- a/wasabistream/callers.py
+++ b/wasabistream/callers.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import logging
-from collections.abc import Callable
 from functools import partial
 from typing import Any
 
@@ -24,6 +23,7 @@
 from wasabistream.hangups import HangupWatcher
 from wasabistream.limits import ConcurrencyLimiter
 from wasabistream.outcomes import Outcome
+from wasabistream.owned_calls import OwnedCaller
 from wasabistream.requests import Generate, Resume
 from wasabistream.resumes import StreamResumer, parse_event_id
 from wasabistream.routers import RouteQuery
@@ -36,7 +36,6 @@
 from wasabistream.service_calls import SERVICES_PREFIX, ServiceCaller
 from wasabistream.settings import EntrySettings
 from wasabistream.streams import CallerStream
-from wasabistream.vms import VmList
 from wasabistream.writers import EventStreamWriter, WholeAnswerWriter
 
 logger = logging.getLogger(__name__)
@@ -60,7 +59,7 @@
         directory: BackendDirectory,
         attempts: AttemptTable,
         dispatcher: Dispatcher,
-        get_vm_list: Callable[[], VmList | None],
+        owned: OwnedCaller,
         hangups: HangupWatcher,
     ) -> None:
         self._settings = settings
@@ -70,9 +69,7 @@
         self._hangups = hangups
         self._limiter = ConcurrencyLimiter()
         self._resumer = StreamResumer(directory, dispatcher)
-        self._services = ServiceCaller(
-            settings.data_centre, dispatcher, get_vm_list
-        )
+        self._services = ServiceCaller(settings.data_centre, dispatcher, owned)
 
     def handle(
         self, request: HttpRequest, take_socket: TakeSocket
--- a/wasabistream/service_calls.py
+++ b/wasabistream/service_calls.py
@@ -1,18 +1,15 @@
 """Calls of plain services for callers."""
 
 import urllib.parse
-from collections.abc import Callable
 
 from wasabistream.dispatchers import Dispatcher
 from wasabistream.documents import Document, Organisation, Service
-from wasabistream.exceptions import RefusedError, RequestError
+from wasabistream.exceptions import RequestError
 from wasabistream.headers import request_headers, response_headers
-from wasabistream.outcomes import Outcome
-from wasabistream.owners import owner_of
+from wasabistream.owned_calls import OwnedCaller
 from wasabistream.requests import Answer, Call
 from wasabistream.routers import RouteQuery
 from wasabistream.servers import HttpAnswer, HttpRequest
-from wasabistream.vms import VmList
 
 SERVICES_PREFIX = '/services/'
 # Characters that stay as they are in a path.
@@ -27,11 +24,11 @@
         self,
         data_centre: str,
         dispatcher: Dispatcher,
-        get_vm_list: Callable[[], VmList | None],
+        owned: OwnedCaller,
     ) -> None:
         self._data_centre = data_centre
         self._dispatcher = dispatcher
-        self._get_vm_list = get_vm_list
+        self._owned = owned
         self._in_progress: dict[str, Call] = {}
 
     def calls_in_progress(self) -> list[str]:
@@ -69,20 +66,17 @@
             repeatable=repeatable,
             key=f'{organisation.name}/{key}' if key else '',
         )
-        query = RouteQuery(self._data_centre, service=service.name)
-        owner = '' if repeatable else self._find_owner(service, call.key)
         self._in_progress[call.request_id] = call
         try:
-            return _http_answer(self._dispatcher.call(call, query, owner))
+            return _http_answer(self._send(call))
         finally:
             self._in_progress.pop(call.request_id)
 
-    def _find_owner(self, service: Service, key: str) -> str:
-        vm_list = self._get_vm_list()
-        members = vm_list.of_service(service.name) if vm_list else ()
-        if not members:
-            raise RefusedError('no_backend', Outcome.not_run, '', 1)
-        return owner_of(key, [vm.id for vm in members])
+    def _send(self, call: Call) -> Answer:
+        if not call.repeatable:
+            return self._owned.call(call)
+        query = RouteQuery(self._data_centre, service=call.service)
+        return self._dispatcher.call(call, query)
 
 
 def normal_path(path: str) -> str:
