--- a/tests/builders.py
+++ b/tests/builders.py
@@ -65,15 +65,6 @@
     return near, far
 
 
-def wait_until(condition: Callable[[], Any]) -> None:
-    """Wait for a condition; raises TimeoutError after a bounded time."""
-    deadline = time.monotonic() + WAIT_LIMIT_SECONDS
-    while not condition():
-        if time.monotonic() > deadline:
-            raise TimeoutError('condition did not become true')
-        time.sleep(0.01)
-
-
 def build_full_document(**changes: Any) -> dict[str, Any]:
     """Return the JSON value of a document that uses every field."""
     fields: dict[str, Any] = {
@@ -128,3 +119,12 @@
         'weight_loads_per_minute': 60,
     }
     return {**fields, **changes}
+
+
+def wait_until(condition: Callable[[], Any]) -> None:
+    """Wait for a condition; raises TimeoutError after a bounded time."""
+    deadline = time.monotonic() + WAIT_LIMIT_SECONDS
+    while not condition():
+        if time.monotonic() > deadline:
+            raise TimeoutError('condition did not become true')
+        time.sleep(0.01)
--- a/wasabistream/servers.py
+++ b/wasabistream/servers.py
@@ -87,7 +87,8 @@
         )
 
     def _write(self, answer: HttpAnswer) -> None:
-        self.req.status = str(answer.status).encode() + b' -'
+        phrase = reason_phrase(answer.status)
+        self.req.status = f'{answer.status} {phrase}'.encode()
         self.req.outheaders = [
             (b'Content-Type', answer.content_type.encode('latin-1')),
             (b'Content-Length', str(len(answer.body)).encode()),
--- a/wasabistream/settings.py
+++ b/wasabistream/settings.py
@@ -5,6 +5,7 @@
 from typing import Any, TypeVar
 
 from wasabistream.exceptions import SettingsError
+from wasabistream.setting_rules import RULES, joint_problems, rule_problems
 
 ENVIRONMENT_PREFIX = 'WASABI_'
 
@@ -13,6 +14,7 @@
     'address': '127.0.0.1',
     'http_port': 0,
     'link_port': 0,
+    'reader_count': 2,
     'configuration_url': 'http://127.0.0.1:8500',
     'document_key': 'wasabistream/document',
     'vm_list_key': 'wasabistream/vms',
@@ -76,6 +78,8 @@
     configuration_url: str = _setting('configuration_url')
     document_key: str = _setting('document_key')
     vm_list_key: str = _setting('vm_list_key')
+    # Entries of a data centre that read the configuration service.
+    reader_count: int = _setting('reader_count', minimum=1)
     max_body_bytes: int = _setting('max_body_bytes', minimum=1)
     max_header_bytes: int = _setting('max_header_bytes', minimum=1)
     worker_thread_count: int = _setting('worker_thread_count', minimum=1)
@@ -134,6 +138,8 @@
             arguments[name] = _convert(raw, item.type, item.metadata)
         except ValueError as error:
             problems.append(f'--{name}: {error}')
+    problems.extend(rule_problems(arguments))
+    problems.extend(joint_problems(arguments))
     if problems:
         raise SettingsError(tuple(problems))
     return settings_type(**arguments)
@@ -146,6 +152,25 @@
         number = expected(raw)
     except (TypeError, ValueError):
         raise ValueError(f'{raw!r} is not {expected.__name__}') from None
-    if number < limits.get('minimum', 0):
+    # A number that is not comparable is below every minimum.
+    if not number >= limits.get('minimum', 0):
         raise ValueError(f'{raw!r} is below {limits["minimum"]}')
     return number
+
+
+def describe_settings(settings_type: type) -> list[dict[str, str]]:
+    """Return name, type, default, choices and meaning of each setting."""
+    rows = []
+    for item in fields(settings_type):
+        rule = RULES[item.name]
+        required = item.default is MISSING
+        rows.append(
+            {
+                'setting': item.name,
+                'type': getattr(item.type, '__name__', str(item.type)),
+                'default': 'required' if required else str(item.default),
+                'choices': ', '.join(rule.choices),
+                'meaning': rule.meaning,
+            }
+        )
+    return rows
