--- a/tests/caller_fleets.py
+++ b/tests/caller_fleets.py
@@ -1,6 +1,7 @@
 """Fleet of separate processes that tests of the caller API share."""
 
 import json
+from collections.abc import Iterable
 from typing import Any
 
 import urllib3
@@ -92,12 +93,12 @@
 
 
 def read_events(
-    response: urllib3.BaseHTTPResponse, count: int = 1_000_000
+    lines: Iterable[bytes], count: int = 1_000_000
 ) -> list[tuple[str, Any]]:
     """Return up to `count` pairs of event id and JSON body."""
     events: list[tuple[str, Any]] = []
     event_id = ''
-    for raw in response:
+    for raw in lines:
         for line in raw.decode().splitlines():
             if line.startswith('id: '):
                 event_id = line.removeprefix('id: ')
--- a/wasabistream/agents.py
+++ b/wasabistream/agents.py
@@ -32,6 +32,7 @@
     VmListBody,
 )
 from wasabistream.outcomes import Outcome
+from wasabistream.pages import OperatorPages
 from wasabistream.part_clients import PartClient
 from wasabistream.quarantines import Quarantine
 from wasabistream.requests import (
@@ -42,6 +43,7 @@
     Resume,
     Withdraw,
 )
+from wasabistream.servers import CallerServer
 from wasabistream.settings import AgentSettings
 from wasabistream.signals import document_changed
 
@@ -93,12 +95,17 @@
             self.owner.runner,
         )
         self._state: EngineState | None = None
+        self._pages = OperatorPages(self._status)
+        self.server: CallerServer | None = None
         self.listener = LinkListener(
             settings.address, settings.link_port, self._hello(), self
         )
 
     def on_start(self) -> None:
         """Wait for the engine, then accept links."""
+        self.server = self._pages.serve(
+            self.settings.address, self.settings.http_port
+        )
         if self.agent_settings.backend_kind == 'engine':
             self.generations.start(self._make_gate(self._wait_engine()))
         self.listener.start()
@@ -116,6 +123,8 @@
     def on_stop(self) -> None:
         """Close the links."""
         self._stopped.set()
+        if self.server is not None:
+            self.server.stop()
         self.listener.stop()
         self.calls.stop()
         self.owner.stop()
@@ -206,6 +215,18 @@
         if self.settings.process_id in document.backend_servers_out:
             raise RefusedError('backend_out', Outcome.not_run)
 
+    def _status(self) -> dict[str, object]:
+        version = self.configuration.version
+        return {
+            'process_id': self.settings.process_id,
+            'role': self.part,
+            'ready': version is not None and not self.draining,
+            'draining': self.draining,
+            'revision': version.document.revision if version else None,
+            'digest': version.digest if version else None,
+            'in_progress_count': len(self.work_in_progress()),
+        }
+
     def _leaving(self) -> bool:
         try:
             self._check_in_service()
--- a/wasabistream/commands.py
+++ b/wasabistream/commands.py
@@ -4,14 +4,22 @@
 import sys
 from typing import Any
 
-from wasabistream import inspections
+from wasabistream import inspections, surveys
 from wasabistream.agents import AgentApplication
-from wasabistream.applications import EXIT_BAD_SETTINGS, Application
+from wasabistream.applications import EXIT_BAD_SETTINGS, EXIT_DONE, Application
 from wasabistream.entries import EntryApplication
 from wasabistream.exceptions import SettingsError
 from wasabistream.logs import configure_logs
 from wasabistream.measures import Measures
-from wasabistream.settings import AgentSettings, EntrySettings, load_settings
+from wasabistream.settings import (
+    AgentSettings,
+    EntrySettings,
+    describe_settings,
+    load_settings,
+)
+
+# The command line hands these on, as any flag may be a setting.
+HELP_FLAGS = frozenset(('help', 'h'))
 
 
 class Commands:
@@ -31,6 +39,14 @@
         configure_logs(settings.log_level, settings.process_id)
         _run(AgentApplication(settings))
 
+    def status(self, urls: str, json: bool = False) -> None:
+        """Print readiness and document of the daemons at comma-separated URLs."""
+        sys.exit(surveys.status(urls, as_json=json))
+
+    def audit(self, urls: str, json: bool = False) -> None:
+        """Print the audit trails of the daemons at comma-separated URLs."""
+        sys.exit(surveys.audit(urls, as_json=json))
+
     def check(self, document: str, json: bool = False) -> None:
         """Check a configuration document file and print its digest."""
         inspections.check(document, as_json=json)
@@ -46,7 +62,20 @@
         inspections.plan(before, after, vms, as_json=json)
 
 
+def _settings_help(settings_type: type) -> str:
+    rows = describe_settings(settings_type)
+    lines = [
+        f'--{row["setting"]} ({row["type"]}, {row["default"]})\n'
+        + f'    {row["meaning"]} {row["choices"]}'.rstrip()
+        for row in rows
+    ]
+    return '\n'.join(lines)
+
+
 def _load(settings_type: Any, flags: dict[str, Any]) -> Any:
+    if flags.keys() & HELP_FLAGS:
+        sys.stdout.write(f'{_settings_help(settings_type)}\n')
+        sys.exit(EXIT_DONE)
     try:
         return load_settings(settings_type, flags, os.environ)
     except SettingsError as error:
--- a/wasabistream/entries.py
+++ b/wasabistream/entries.py
@@ -5,12 +5,10 @@
 import secrets
 from collections.abc import Sequence
 
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
-
 from wasabistream.applications import Application
 from wasabistream.attempts import AttemptTable
 from wasabistream.backends import BackendDirectory
-from wasabistream.callers import CallerHandler
+from wasabistream.callers import CallerHandler, refusal_answer
 from wasabistream.configuration_notices import DocumentPatch, VmListFetch
 from wasabistream.configurations import ConfigurationStore
 from wasabistream.crash_notices import ClearNotice, CrashNotice
@@ -19,6 +17,7 @@
 from wasabistream.distributors import ConfigurationDistributor
 from wasabistream.documents import DocumentVersion
 from wasabistream.entry_quarantines import EntryQuarantine
+from wasabistream.exceptions import RefusedError
 from wasabistream.hangups import HangupWatcher
 from wasabistream.linkers import AgentLinker
 from wasabistream.links import Link
@@ -37,14 +36,15 @@
     LoadReport,
     Serving,
 )
+from wasabistream.outcomes import Outcome
 from wasabistream.owned_calls import OwnedCaller
+from wasabistream.pages import OperatorPages
 from wasabistream.routers import Router
 from wasabistream.servers import (
     CallerServer,
     HttpAnswer,
     HttpRequest,
     TakeSocket,
-    json_answer,
 )
 from wasabistream.settings import EntrySettings
 from wasabistream.signals import document_changed
@@ -106,6 +106,7 @@
             ),
             self._hangups,
         )
+        self._pages = OperatorPages(self._readiness)
         self.server = CallerServer(
             settings.address,
             settings.http_port,
@@ -186,19 +187,19 @@
     def _handle(
         self, request: HttpRequest, take_socket: TakeSocket
     ) -> HttpAnswer | None:
-        match request.path:
-            case '/healthz':
-                return json_answer(200, {'healthy': True})
-            case '/readyz':
-                return json_answer(
-                    200 if self.ready else 503, self._readiness()
-                )
-            case '/metrics':
-                return HttpAnswer(200, generate_latest(), CONTENT_TYPE_LATEST)
+        page = self._pages.answer(request)
+        if page is not None:
+            return page
+        if self.draining:
+            return refusal_answer(
+                RefusedError('draining', Outcome.not_run, '', 1)
+            )
         return self._callers.handle(request, take_socket)
 
     def _readiness(self) -> dict[str, object]:
         return {
+            'process_id': self.settings.process_id,
+            'role': self.part,
             'ready': self.ready,
             'draining': self.draining,
             **self.distributor.readiness(),
--- a/wasabistream/servers.py
+++ b/wasabistream/servers.py
@@ -7,9 +7,17 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from cheroot.server import Gateway, HTTPServer
-
+from cheroot.errors import MaxSizeExceeded
+from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
+
+from wasabistream.answers import (
+    JSON_TYPE,
+    error_body,
+    http_head,
+    reason_phrase,
+)
 from wasabistream.exceptions import RequestError
+from wasabistream.outcomes import Outcome
 
 logger = logging.getLogger(__name__)
 
@@ -51,7 +59,8 @@
         try:
             request = self._read()
         except RequestError as error:
-            self._write(HttpAnswer(error.status, str(error).encode()))
+            body = error_body(error.reason, error.code, Outcome.not_run)
+            self._write(HttpAnswer(error.status, body))
             return
         answer = self.req.server.handler(request, self._take_socket)
         if answer is not None:
@@ -60,6 +69,10 @@
     def _read(self) -> HttpRequest:
         try:
             body = self.req.rfile.read()
+        except MaxSizeExceeded as error:
+            raise RequestError('body is too long', 413, 'too_long') from error
+        except TimeoutError as error:
+            raise RequestError('body came too slowly', 408, 'slow') from error
         except (OSError, ValueError) as error:
             raise RequestError(str(error), 400, 'bad_body') from error
         return HttpRequest(
@@ -74,7 +87,8 @@
         )
 
     def _write(self, answer: HttpAnswer) -> None:
-        self.req.status = str(answer.status).encode() + b' -'
+        phrase = reason_phrase(answer.status)
+        self.req.status = f'{answer.status} {phrase}'.encode()
         self.req.outheaders = [
             (b'Content-Type', answer.content_type.encode('latin-1')),
             (b'Content-Length', str(len(answer.body)).encode()),
@@ -98,9 +112,37 @@
         return taken
 
 
+class JsonErrorRequest(HTTPRequest):
+    """Answer requests that the server itself refuses with JSON bodies."""
+
+    def simple_response(self, status: str, msg: str = '') -> None:
+        """Write one whole answer and end the connection."""
+        code = int(str(status).split(' ', 1)[0])
+        if code == 413 and 'headers' in msg:
+            code = 431
+        phrase = reason_phrase(code)
+        # Only a handler that broke may have sent the request on.
+        outcome = Outcome.unknown if code == 500 else Outcome.not_run
+        name = phrase.lower().replace(' ', '_')
+        body = error_body(msg or phrase, name, outcome)
+        extra = {'Content-Length': str(len(body))}
+        self.close_connection = True
+        self.conn.wfile.write(http_head(code, JSON_TYPE, extra) + body)
+
+
+class JsonErrorConnection(HTTPConnection):
+    """Read requests whose errors are answered in JSON."""
+
+    # The name is given by cheroot.
+    RequestHandlerClass = JsonErrorRequest  # noqa: WPS115
+
+
 class CallerServer(HTTPServer):
     """Serve callers with a pool of worker threads."""
 
+    # The name is given by cheroot.
+    ConnectionClass = JsonErrorConnection  # noqa: WPS115
+
     def __init__(
         self,
         address: str,
--- a/wasabistream/service_calls.py
+++ b/wasabistream/service_calls.py
@@ -66,15 +66,18 @@
             repeatable=repeatable,
             key=f'{organisation.name}/{key}' if key else '',
         )
-        query = RouteQuery(self._data_centre, service=service.name)
         self._in_progress[call.request_id] = call
         try:
-            if repeatable:
-                return _http_answer(self._dispatcher.call(call, query))
-            return _http_answer(self._owned.call(call))
+            return _http_answer(self._send(call))
         finally:
             self._in_progress.pop(call.request_id)
 
+    def _send(self, call: Call) -> Answer:
+        if not call.repeatable:
+            return self._owned.call(call)
+        query = RouteQuery(self._data_centre, service=call.service)
+        return self._dispatcher.call(call, query)
+
 
 def normal_path(path: str) -> str:
     """Return the one spelling of a path; raises RequestError.
--- a/wasabistream/settings.py
+++ b/wasabistream/settings.py
@@ -5,6 +5,7 @@
 from typing import Any, TypeVar
 
 from wasabistream.exceptions import SettingsError
+from wasabistream.setting_rules import RULES, joint_problems, rule_problems
 
 ENVIRONMENT_PREFIX = 'WASABI_'
 
@@ -137,6 +138,8 @@
             arguments[name] = _convert(raw, item.type, item.metadata)
         except ValueError as error:
             problems.append(f'--{name}: {error}')
+    problems.extend(rule_problems(arguments))
+    problems.extend(joint_problems(arguments))
     if problems:
         raise SettingsError(tuple(problems))
     return settings_type(**arguments)
@@ -149,6 +152,25 @@
         number = expected(raw)
     except (TypeError, ValueError):
         raise ValueError(f'{raw!r} is not {expected.__name__}') from None
-    if number < limits.get('minimum', 0):
+    # A number that is not comparable is below every minimum.
+    if not number >= limits.get('minimum', 0):
         raise ValueError(f'{raw!r} is below {limits["minimum"]}')
     return number
+
+
+def describe_settings(settings_type: type) -> list[dict[str, str]]:
+    """Return name, type, default, choices and meaning of each setting."""
+    rows = []
+    for item in fields(settings_type):
+        rule = RULES[item.name]
+        required = item.default is MISSING
+        rows.append(
+            {
+                'setting': item.name,
+                'type': getattr(item.type, '__name__', str(item.type)),
+                'default': 'required' if required else str(item.default),
+                'choices': ', '.join(rule.choices),
+                'meaning': rule.meaning,
+            }
+        )
+    return rows
--- /dev/null
+++ b/wasabistream/surveys.py
@@ -0,0 +1,77 @@
+"""Surveys of running daemons for operators."""
+
+import json
+import sys
+from datetime import UTC, datetime
+from typing import Any
+
+import urllib3
+
+from wasabistream.applications import EXIT_DONE, EXIT_FAILED
+from wasabistream.tables import write_rows
+
+TIMEOUT_SECONDS = 3.0
+STATUS_FIELDS = (
+    'process_id',
+    'role',
+    'ready',
+    'draining',
+    'revision',
+    'digest',
+    'error',
+)
+
+
+def status(urls: str, as_json: bool) -> int:
+    """Print readiness and document of each daemon."""
+    rows = []
+    for url in _split(urls):
+        report, error = _read(url, '/readyz')
+        report = {**report, 'error': error} if error else report
+        known = {name: report.get(name, '') for name in STATUS_FIELDS}
+        rows.append({'url': url, **known})
+    write_rows(rows, as_json)
+    return EXIT_FAILED if any(row['error'] for row in rows) else EXIT_DONE
+
+
+def audit(urls: str, as_json: bool) -> int:
+    """Print the changes of all daemons in the order of their times."""
+    rows: list[dict[str, Any]] = []
+    failed = False
+    for url in _split(urls):
+        entries, error = _read(url, '/audit')
+        if error:
+            failed = True
+            sys.stderr.write(f'{url}: {error}\n')
+            continue
+        rows.extend({'url': url, **entry} for entry in entries)
+    rows.sort(key=lambda row: float(row['at_unix_seconds']))
+    if not as_json:
+        rows = [_readable(row) for row in rows]
+    write_rows(rows, as_json)
+    return EXIT_FAILED if failed else EXIT_DONE
+
+
+def _split(urls: str | tuple[str, ...]) -> list[str]:
+    # The command line turns a list with commas into a tuple.
+    parts = urls.split(',') if isinstance(urls, str) else urls
+    return [part.strip().rstrip('/') for part in parts]
+
+
+def _read(url: str, path: str) -> tuple[Any, str]:
+    try:
+        response = urllib3.request(
+            'GET', url + path, timeout=TIMEOUT_SECONDS, retries=False
+        )
+        return json.loads(response.data), ''
+    except (urllib3.exceptions.HTTPError, ValueError) as error:
+        return {}, str(error)
+
+
+def _readable(row: dict[str, Any]) -> dict[str, Any]:
+    at = datetime.fromtimestamp(row['at_unix_seconds'], UTC)
+    times = {'time': at.isoformat(timespec='milliseconds')}
+    others = {
+        name: text for name, text in row.items() if name != 'at_unix_seconds'
+    }
+    return {**times, **others, 'digest': row['digest'][:12]}
