--- a/tests/test_distributors.py
+++ b/tests/test_distributors.py
@@ -16,7 +16,7 @@
 from wasabistream.settings import EntrySettings
 from wasabistream.signals import document_changed
 from wasabistream_tools.configuration import ConfigurationStandIn, Faults
-from wasabistream_tools.fleet import Fleet
+from wasabistream_tools.fleet import Fleet, free_port
 from wasabistream_tools.measure_config import held_revision
 
 WAIT_LIMIT_SECONDS = 30.0
@@ -98,9 +98,11 @@
         wait_for(lambda: self.in_force(1), 'first document')
         wait_for(lambda: len(self.readers()) == 2, 'two readers')
 
-    def make_node(self, name: str) -> EntryNode:
+    def make_node(
+        self, name: str, url: str = '', data_centre: str = 'dc-a'
+    ) -> EntryNode:
         """Return an entry that stops with the test."""
-        node = EntryNode(name, self.url)
+        node = EntryNode(name, url or self.url, data_centre)
         self.addCleanup(node.distributor.stop)
         return node
 
@@ -131,6 +133,17 @@
         wait_for(lambda: self.in_force(2), 'document after take-over')
         wait_for(lambda: len(self.readers()) == 2, 'two new readers')
 
+    def test_data_centre_without_service(self) -> None:
+        """Guard a data centre that is cut off from the service."""
+        nowhere = f'http://127.0.0.1:{free_port()}'
+        node = self.make_node('entry-b', nowhere, 'dc-b')
+        self.nodes.append(node)
+        self.publish_vms()
+        node.distributor.start()
+        wait_for(lambda: self.in_force(1), 'document by another data centre')
+        self.publish(2)
+        wait_for(lambda: self.in_force(2), 'change by another data centre')
+
     def test_refused_document_is_known_everywhere(self) -> None:
         """Guard against a refusal that only the readers report."""
         self.publish('two')
--- a/wasabistream_tools/fleet.py
+++ b/wasabistream_tools/fleet.py
@@ -5,6 +5,7 @@
 
 import hashlib
 import json
+import random
 import signal
 import socket
 import subprocess
@@ -21,13 +22,26 @@
 POLL_SECONDS = 0.05
 DOCUMENT_KEY = 'wasabistream/document'
 VM_LIST_KEY = 'wasabistream/vms'
+# Below the range from which the system takes ports of outgoing connections;
+# such a connection could take a port before its daemon has bound it.
+PORT_RANGE = (15000, 32000)
+
+_used_ports: set[int] = set()
 
 
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((ADDRESS, 0))
-        port: int = sock.getsockname()[1]
+    """Return a port that is free now and was not returned before."""
+    while True:
+        port = random.randint(*PORT_RANGE)
+        if port in _used_ports:
+            continue
+        _used_ports.add(port)
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((ADDRESS, port))
+            except OSError:
+                continue
         return port
 
 
