--- a/tests/builders.py
+++ b/tests/builders.py
@@ -9,6 +9,7 @@
 from wasabistream.buffers import StreamBuffer
 from wasabistream.jobs import GenerationJob
 from wasabistream.requests import Generate
+from wasabistream.vms import Role, Vm
 
 BUFFER_BYTES = 1024 * 1024
 FAR_DEADLINE_SECONDS = 1e9
@@ -128,3 +129,15 @@
         if time.monotonic() > deadline:
             raise TimeoutError('condition did not become true')
         time.sleep(0.01)
+
+
+def build_vm(name: str, **changes: Any) -> Vm:
+    """Return the list entry of an agent."""
+    fields: dict[str, Any] = {
+        'id': name,
+        'role': Role.agent,
+        'address': '127.0.0.1',
+        'link_port': 1,
+        'data_centre': 'dc-a',
+    }
+    return Vm(**{**fields, **changes})
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -5,7 +5,7 @@
 from wasabistream.exceptions import RefusedError
 from wasabistream.followers import GenerationFollower
 from wasabistream.outcomes import Outcome
-from wasabistream.requests import Failed, Finished, Token
+from wasabistream.requests import Accepted, Failed, Finished, Refused, Token
 
 
 class RecordingWriter:
@@ -69,6 +69,23 @@
         self.follower.on_message(Finished('r', 2, 'stop'))
         self.assertEqual(self.writer.finish_reason, '')
 
+    def test_accepted_after_withdrawal(self) -> None:
+        """Guard against tokens of an attempt that was withdrawn."""
+        self.assertTrue(self.follower.withdraw())
+        self.follower.on_message(Accepted('r', 'stream'))
+        self.follower.on_message(Token('r', 0, 'a'))
+        self.follower.on_message(Refused('r', Outcome.not_run, 'withdrawn'))
+        self.assertEqual(self.writer.texts, [])
+        self.assertEqual(
+            [end.outcome for end in self.ends if end], [Outcome.not_run]
+        )
+
+    def test_second_end_is_ignored(self) -> None:
+        """Guard against an answer with two ends."""
+        self.assertTrue(self.follower.end(RefusedError('a', Outcome.unknown)))
+        self.assertFalse(self.follower.end(RefusedError('b', Outcome.not_run)))
+        self.assertEqual(len(self.ends), 1)
+
     def test_lost_link_is_unknown(self) -> None:
         """Guard against calling a lost attempt not run."""
         self.follower.on_lost('closed')
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,26 @@
+"""Tests of the retry budget and of joined outcomes."""
+
+import unittest
+from unittest.mock import Mock
+
+from wasabistream.outcomes import Outcome
+from wasabistream.retries import MAX_BUDGET_COUNT, RetryBudget, worst_outcome
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Guard an overloaded fleet against a storm of retries."""
+
+    def test_budget_is_a_tenth(self) -> None:
+        """Guard against more retries than a tenth of the requests."""
+        budget = RetryBudget(Mock(return_value=0))
+        start_count = sum(budget.take() for _ in range(100))
+        self.assertLess(start_count, MAX_BUDGET_COUNT)
+        for _ in range(105):
+            budget.deposit()
+        taken = sum(budget.take() for _ in range(100))
+        self.assertEqual(taken, 10)
+
+    def test_worst_outcome(self) -> None:
+        """Guard against not_run for a request whose first attempt ran."""
+        joined = worst_outcome(Outcome.unknown, Outcome.not_run)
+        self.assertEqual(joined, Outcome.unknown)
--- /dev/null
+++ b/tests/test_routers.py
@@ -0,0 +1,78 @@
+"""Tests of the choice of backend servers."""
+
+import unittest
+
+from tests.builders import build_vm
+from wasabistream.backend_views import BackendView
+from wasabistream.notices import LoadReport, Serving
+from wasabistream.routers import (
+    AFFINITY_UNREPORTED_COUNT,
+    RouteQuery,
+    Router,
+)
+
+IDLE_REPORT = LoadReport(0, 20000, 0, 0, 64, leaving=False)
+SERVING = Serving('', ['assistant'], [], 'decode', ready=True)
+
+
+class StubLink:
+    """Stand for an open link."""
+
+    closed = False
+
+
+def build_view(name: str, data_centre: str = 'dc-a') -> BackendView:
+    """Return the view of a linked agent."""
+    view = BackendView(build_vm(name, data_centre=data_centre))
+    view.link = StubLink()  # type: ignore[assignment]
+    view.serving = SERVING
+    view.load = IDLE_REPORT
+    return view
+
+
+class RouterTest(unittest.TestCase):
+    """Guard against herding, hot prefixes and work in the wrong place."""
+
+    def setUp(self) -> None:
+        """Route a request for one model."""
+        self.router = Router('balanced')
+        self.query = RouteQuery('dc-a', model='assistant', prefix=7)
+
+    def test_older_report_hides_no_send(self) -> None:
+        """Guard against herding on a report made before own sends."""
+        view = build_view('a')
+        for _ in range(3):
+            view.reserve()
+        view.report(LoadReport(0, 1, 0, 0, 1, False, taken_count=1))
+        self.assertEqual(view.unreported_count, 2)
+
+    def test_hot_prefix_spreads(self) -> None:
+        """Guard against one prefix that melts one replica."""
+        views = [build_view('a'), build_view('b')]
+        for _ in range(10 * AFFINITY_UNREPORTED_COUNT):
+            chosen = self.router.route(views, self.query)
+            assert chosen is not None
+            chosen.reserve(self.query.prefix)
+        counts = [view.unreported_count for view in views]
+        self.assertGreater(min(counts), AFFINITY_UNREPORTED_COUNT)
+
+    def test_prefix_is_preferred(self) -> None:
+        """Guard against losing the cache of an idle holder."""
+        views = [build_view(name) for name in 'abcd']
+        views[2].reserve(self.query.prefix)
+        self.assertIs(self.router.route(views, self.query), views[2])
+
+    def test_remote_only_without_local(self) -> None:
+        """Guard against spill-over while local servers take work."""
+        local, remote = build_view('a'), build_view('b', 'dc-b')
+        views = [local, remote]
+        self.assertIs(self.router.route(views, self.query), local)
+        local.load = LoadReport(0, 1, 0, 0, 1, leaving=True)
+        self.assertIs(self.router.route(views, self.query), remote)
+
+    def test_return_is_gradual(self) -> None:
+        """Guard against all work at once after a return to service."""
+        returned, other = build_view('a'), build_view('b')
+        returned.load = LoadReport(0, 1, 0, 0, 1, leaving=True)
+        returned.report(IDLE_REPORT)
+        self.assertIs(self.router.route([returned, other], self.query), other)
--- a/wasabistream/agents.py
+++ b/wasabistream/agents.py
@@ -14,12 +14,18 @@
 from wasabistream.crashes import CrashDetector
 from wasabistream.document_relays import DocumentRelay, send_to
 from wasabistream.engines import EngineState, make_engine_client
-from wasabistream.exceptions import BackendError, LinkError, RefusedError
+from wasabistream.exceptions import (
+    BackendError,
+    ConfigurationError,
+    LinkError,
+    RefusedError,
+)
 from wasabistream.gate_builders import build_gate
 from wasabistream.gates import Gate
 from wasabistream.generations import GenerationRunner
-from wasabistream.links import Link
+from wasabistream.links import Link, finish_links
 from wasabistream.listeners import LinkListener
+from wasabistream.load_reporters import LoadReporter
 from wasabistream.messages import (
     PROTOCOL_VERSION_MAX,
     PROTOCOL_VERSION_MIN,
@@ -44,6 +50,7 @@
 )
 from wasabistream.settings import AgentSettings
 from wasabistream.signals import document_changed
+from wasabistream.vms import parse_vm_list
 
 logger = logging.getLogger(__name__)
 
@@ -65,6 +72,8 @@
             settings.process_id, self.configuration, announces=False
         )
         self.vm_part = PartClient(settings.process_id)
+        # The VM list shows the VM of this agent as leaving.
+        self._listed_leaving = False
         self._links: set[Link] = set()
         self._stopped = threading.Event()
         self._engine = make_engine_client(
@@ -93,6 +102,7 @@
             self.owner.runner,
         )
         self._state: EngineState | None = None
+        self.reporter = LoadReporter(self._load_report)
         self.listener = LinkListener(
             settings.address, settings.link_port, self._hello(), self
         )
@@ -111,16 +121,15 @@
 
     def on_drain(self) -> None:
         """Refuse new work and tell all entries."""
-        self._send_reports()
+        self.reporter.send()
 
     def on_stop(self) -> None:
-        """Close the links."""
+        """Close the links once their last frames have been sent."""
         self._stopped.set()
         self.listener.stop()
         self.calls.stop()
         self.owner.stop()
-        for link in list(self._links):
-            link.close()
+        finish_links(list(self._links))
 
     def work_in_progress(self) -> list[str]:
         """Return the ids of requests in progress."""
@@ -137,12 +146,13 @@
         if self._serving() != serving:
             # The first document came into force meanwhile.
             link.send(self._serving())
-        link.send(self._load_report())
+        self.reporter.opened(link)
         self.relay.opened(link)
 
     def on_closed(self, link: Link, reason: str) -> None:
         """Detach the streams of a link that ended."""
         self._links.discard(link)
+        self.reporter.closed(link)
         self.relay.closed(link)
         self.vm_part.closed(link)
         self.generations.link_closed(link)
@@ -163,8 +173,10 @@
             case Generate():
                 if self._admits(link, message.request_id):
                     self.generations.generate(link, message)
+                self.reporter.took(link)
             case Call():
                 self.calls.call(link, message, self._refusal())
+                self.reporter.took(link)
             case Cancel():
                 self.generations.cancel(link, message)
             case Withdraw():
@@ -174,11 +186,23 @@
             case VmListDigest() | VmListBody():
                 part = self.vm_part.handle(link, message)
                 if part is not None:
+                    self._note_list_state(part)
                     self.owner.handle(link, part)
             case _:
                 self.relay.handle(link, message)
                 self.owner.handle(link, message)
 
+    def _note_list_state(self, part: VmListBody) -> None:
+        try:
+            vm_list = parse_vm_list(part.body, part.list_index)
+        except ConfigurationError as error:
+            logger.error('agent: VM list refused: %s', error)
+            return
+        leaving = vm_list.is_leaving(self.settings.process_id)
+        if leaving != self._listed_leaving:
+            self._listed_leaving = leaving
+            self.reporter.send()
+
     def _refusal(self) -> str:
         try:
             self._check_in_service()
@@ -197,6 +221,8 @@
     def _check_in_service(self) -> None:
         if self.draining:
             raise RefusedError('draining', Outcome.not_run)
+        if self._listed_leaving:
+            raise RefusedError('leaving', Outcome.not_run)
         version = self.configuration.version
         if version is None:
             raise RefusedError('no_document', Outcome.not_run)
@@ -245,6 +271,8 @@
     def _announce_serving(
         self, sender: object, previous: object, **_: object
     ) -> None:
+        # A data centre taken out must be known before the next report.
+        self.reporter.send()
         if previous is None:
             # Without a document the agent refuses all work.
             send_to(list(self._links), self._serving())
@@ -289,10 +317,7 @@
 
     def _report(self) -> None:
         while not self._stopped.wait(self.settings.report_interval_seconds):
-            self._send_reports()
-
-    def _send_reports(self) -> None:
-        self._broadcast(self._load_report())
+            self.reporter.send()
 
     def _broadcast(self, notice: Message) -> None:
         for link in list(self._links):
--- a/wasabistream/callers.py
+++ b/wasabistream/callers.py
@@ -206,6 +206,11 @@
     )
 
 
+def draining_answer() -> HttpAnswer:
+    """Return the answer of an entry that takes no new work."""
+    return refusal_answer(RefusedError('draining', Outcome.not_run, '', 1))
+
+
 def refusal_answer(refusal: RefusedError) -> HttpAnswer:
     """Return the answer for a refused request."""
     return HttpAnswer(
--- a/wasabistream/entries.py
+++ b/wasabistream/entries.py
@@ -3,6 +3,7 @@
 import itertools
 import logging
 import secrets
+import time
 from collections.abc import Sequence
 
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
@@ -10,7 +11,7 @@
 from wasabistream.applications import Application
 from wasabistream.attempts import AttemptTable
 from wasabistream.backends import BackendDirectory
-from wasabistream.callers import CallerHandler
+from wasabistream.callers import CallerHandler, draining_answer
 from wasabistream.configuration_notices import DocumentPatch, VmListFetch
 from wasabistream.configurations import ConfigurationStore
 from wasabistream.dialers import PeerDialer
@@ -51,6 +52,10 @@
 
 logger = logging.getLogger(__name__)
 
+# A load balancer sees the readiness only at its next probe. Until then the
+# draining entry serves new requests while others are in progress.
+DRAIN_NOTICE_SECONDS = 3.0
+
 
 class EntryApplication(Application):
     """Wire the HTTP server, the links to agents and the configuration."""
@@ -69,6 +74,7 @@
         self.attempts = AttemptTable()
         self.vm_list: VmList | None = None
         self._counter = itertools.count(1)
+        self._refuse_from_seconds = 0.0
         self.members = MemberView()
         self.linker = AgentLinker(
             settings.process_id,
@@ -118,6 +124,10 @@
         self.distributor.start()
         self.server.run_in_thread()
 
+    def on_drain(self) -> None:
+        """Show that no new work is wanted, and refuse it a little later."""
+        self._refuse_from_seconds = time.monotonic() + DRAIN_NOTICE_SECONDS
+
     def on_stop(self) -> None:
         """Close the server and the links."""
         self.distributor.stop()
@@ -187,6 +197,8 @@
                 )
             case '/metrics':
                 return HttpAnswer(200, generate_latest(), CONTENT_TYPE_LATEST)
+        if self.draining and time.monotonic() > self._refuse_from_seconds:
+            return draining_answer()
         return self._callers.handle(request, take_socket)
 
     def _readiness(self) -> dict[str, object]:
--- a/wasabistream/links.py
+++ b/wasabistream/links.py
@@ -220,3 +220,12 @@
         )
     except OSError as error:
         raise LinkError(str(error), 'connect', f'{address}:{port}') from error
+
+
+def finish_links(links: Sequence[Link]) -> None:
+    """End links in order, all at the same time."""
+    threads = [threading.Thread(target=link.finish) for link in links]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
--- /dev/null
+++ b/wasabistream/load_reporters.py
@@ -0,0 +1,117 @@
+"""Reporter of an agent's load to the entries that it has links to."""
+
+import logging
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from wasabistream.exceptions import LinkError
+from wasabistream.links import Link
+from wasabistream.notices import LoadReport
+
+logger = logging.getLogger(__name__)
+
+# Changes below these are not reported, to keep control traffic small.
+MEMORY_CHANGE_RATIO = 0.02
+COUNT_CHANGE_RATIO = 0.05
+# A report goes out after this time even when nothing changed.
+MAX_SILENCE_SECONDS = 5.0
+
+
+@dataclass
+class _LinkState:
+    """Hold what one entry has sent and been told."""
+
+    taken_count: int = 0
+    reported: LoadReport | None = None
+    reported_seconds: float = 0
+
+
+class LoadReporter:
+    """Send each entry the load when it has changed.
+
+    A report tells how many requests the agent had taken from that link, so
+    that the entry knows which of its own sends the report lacks.
+    """
+
+    def __init__(self, build: Callable[[], LoadReport]) -> None:
+        self._build = build
+        self._lock = threading.Lock()
+        self._states: dict[Link, _LinkState] = {}
+
+    def opened(self, link: Link) -> None:
+        """Send the first report over a link."""
+        with self._lock:
+            self._states[link] = _LinkState()
+        self.send()
+
+    def closed(self, link: Link) -> None:
+        """Forget a link."""
+        with self._lock:
+            self._states.pop(link, None)
+
+    def took(self, link: Link) -> None:
+        """Count a request once the load includes it."""
+        with self._lock:
+            state = self._states.get(link)
+            if state is not None:
+                state.taken_count += 1
+
+    def send(self) -> None:
+        """Report to each entry for which the load has changed."""
+        with self._lock:
+            # The counts are read before the load, so the load includes at
+            # least the requests that they count.
+            counts = {
+                link: state.taken_count for link, state in self._states.items()
+            }
+        load = self._build()
+        for link, taken_count in counts.items():
+            report = replace(load, taken_count=taken_count)
+            if self._is_due(link, report):
+                _send(link, report)
+
+    def _is_due(self, link: Link, report: LoadReport) -> bool:
+        now = time.monotonic()
+        with self._lock:
+            state = self._states.get(link)
+            if state is None:
+                return False
+            silent_seconds = now - state.reported_seconds
+            reported = state.reported
+            if (
+                reported is not None
+                and silent_seconds < MAX_SILENCE_SECONDS
+                and not is_changed(reported, report)
+            ):
+                return False
+            state.reported = report
+            state.reported_seconds = now
+            return True
+
+
+def is_changed(old: LoadReport, new: LoadReport) -> bool:
+    """Tell whether a report differs enough to be sent."""
+    if (old.leaving, old.taken_count) != (new.leaving, new.taken_count):
+        return True
+    if old.memory_capacity_tokens != new.memory_capacity_tokens:
+        return True
+    limits = (old.ramp_limit_count, new.ramp_limit_count)
+    smallest_change = max(COUNT_CHANGE_RATIO * limits[0], 1)
+    changes = (
+        abs(old.running_count - new.running_count),
+        abs(old.queued_count - new.queued_count),
+        abs(limits[0] - limits[1]),
+    )
+    if max(changes) >= smallest_change:
+        return True
+    memory_change = abs(old.memory_used_tokens - new.memory_used_tokens)
+    return memory_change > MEMORY_CHANGE_RATIO * new.memory_capacity_tokens
+
+
+def _send(link: Link, report: LoadReport) -> None:
+    try:
+        link.send(report)
+    except LinkError as error:
+        logger.debug('agent: report lost: %s', error)
--- a/wasabistream/vms.py
+++ b/wasabistream/vms.py
@@ -51,6 +51,12 @@
         """Map ids to VMs."""
         return {vm.id: vm for vm in self.vms}
 
+    def is_leaving(self, vm_id: str) -> bool:
+        """Tell whether the list shows a VM as leaving."""
+        return any(
+            vm.id == vm_id and vm.state == VmState.leaving for vm in self.vms
+        )
+
     def of_service(self, service: str) -> tuple[Vm, ...]:
         """Return the agents of a plain service in a stable order."""
         return tuple(
