Report cached prefixes and add measure control

Cause: prefix affinity had no data, as agents sent no cache reports. Change: agents read the engine's prefixes every 10 s and send up to 32 short hashes when they have changed; entries count own sends as cached for 20 s. Adds measure control with stand-in report sources.

--- a/tests/test_routers.py
+++ b/tests/test_routers.py
@@ -4,6 +4,9 @@
 
 from tests.builders import build_vm
 from wasabistream.backend_views import BackendView
+from wasabistream.cache_reporters import build_report
+from wasabistream.digests import hash64
+from wasabistream.engines import EngineState
 from wasabistream.notices import LoadReport, Serving
 from wasabistream.routers import (
     AFFINITY_UNREPORTED_COUNT,
@@ -62,6 +65,17 @@
         views[2].reserve(self.query.prefix)
         self.assertIs(self.router.route(views, self.query), views[2])
 
+    def test_cache_report_is_used(self) -> None:
+        """Guard against hashes that agent and entry make differently."""
+        prefix = hash64('assistant', 'hello')
+        state = EngineState(
+            0, 1, 0, ('assistant',), (), 'decode', 'boot', ('hello',)
+        )
+        views = [build_view(name) for name in 'abcd']
+        views[1].report(build_report(state))
+        query = RouteQuery('dc-a', model='assistant', prefix=prefix)
+        self.assertIs(self.router.route(views, query), views[1])
+
     def test_remote_only_without_local(self) -> None:
         """Guard against spill-over while local servers take work."""
         local, remote = build_view('a'), build_view('b', 'dc-b')
--- a/wasabistream/agents.py
+++ b/wasabistream/agents.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from wasabistream.applications import Application
+from wasabistream.cache_reporters import CacheReporter
 from wasabistream.call_owners import CallOwner
 from wasabistream.calls import CallRunner
 from wasabistream.configuration_notices import VmListDigest
@@ -103,6 +104,7 @@
         )
         self._state: EngineState | None = None
         self.reporter = LoadReporter(self._load_report)
+        self.caches = CacheReporter(self._engine, self._broadcast)
         self.listener = LinkListener(
             settings.address, settings.link_port, self._hello(), self
         )
@@ -111,6 +113,7 @@
         """Wait for the engine, then accept links."""
         if self.agent_settings.backend_kind == 'engine':
             self.generations.start(self._make_gate(self._wait_engine()))
+            self.caches.start()
         self.listener.start()
         self.owner.start()
         document_changed.connect(self._announce_serving, self.configuration)
@@ -126,6 +129,7 @@
     def on_stop(self) -> None:
         """Close the links once their last frames have been sent."""
         self._stopped.set()
+        self.caches.stop()
         self.listener.stop()
         self.calls.stop()
         self.owner.stop()
@@ -147,6 +151,8 @@
             # The first document came into force meanwhile.
             link.send(self._serving())
         self.reporter.opened(link)
+        if self.caches.current.prefixes:
+            link.send(self.caches.current)
         self.relay.opened(link)
 
     def on_closed(self, link: Link, reason: str) -> None:
--- a/wasabistream/backend_views.py
+++ b/wasabistream/backend_views.py
@@ -17,6 +17,8 @@
 NO_LOAD = LoadReport(0, 1, 0, 0, 1, leaving=False)
 # Prefixes of own sends that an engine is taken to hold until it reports.
 MAX_SENT_PREFIX_COUNT = 64
+# Cache reports come late, so an own send counts until two are due.
+SENT_PREFIX_SECONDS = 20.0
 # Time after a return to service in which an entry's share of work grows.
 RETURN_SECONDS = 10.0
 PREFIX_MASK = 0xFFFFFFFF
@@ -46,7 +48,7 @@
     used_monotonic_seconds: float = field(default_factory=time.monotonic)
     returned_monotonic_seconds: float = 0
     _sent_count: int = 0
-    _sent_prefixes: OrderedDict[int, None] = field(default_factory=OrderedDict)
+    _sent_prefixes: OrderedDict[int, float] = field(default_factory=OrderedDict)
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
     @property
@@ -89,7 +91,10 @@
     def holds(self, prefix: int) -> bool:
         """Tell whether the engine probably holds a prompt prefix."""
         short = prefix & PREFIX_MASK
-        return short in self.prefixes or short in self._sent_prefixes
+        if short in self.prefixes:
+            return True
+        sent_seconds = self._sent_prefixes.get(short, -SENT_PREFIX_SECONDS)
+        return time.monotonic() - sent_seconds < SENT_PREFIX_SECONDS
 
     def reserve(self, prefix: int = 0) -> Link | None:
         """Count a send in advance and return the link that it goes over."""
@@ -100,7 +105,8 @@
             self._sent_count += 1
             self.used_monotonic_seconds = time.monotonic()
             if prefix:
-                self._sent_prefixes[prefix & PREFIX_MASK] = None
+                short = prefix & PREFIX_MASK
+                self._sent_prefixes[short] = self.used_monotonic_seconds
                 if len(self._sent_prefixes) > MAX_SENT_PREFIX_COUNT:
                     self._sent_prefixes.popitem(last=False)
             return link
@@ -159,7 +165,6 @@
                     self.prefixes = frozenset(
                         prefix & PREFIX_MASK for prefix in notice.prefixes
                     )
-                    self._sent_prefixes.clear()
 
     def place(self, vm: Vm, *, out: bool, listed: bool = True) -> None:
         """Apply what the VM list and the document say."""
--- a/wasabistream/engines.py
+++ b/wasabistream/engines.py
@@ -39,6 +39,7 @@
     adapters: tuple[str, ...]
     role: str
     boot_id: str
+    prefixes: tuple[str, ...] = ()
 
 
 class EngineClient(Protocol):
@@ -125,6 +126,7 @@
                 adapters=tuple(report['adapters']),
                 role=report['role'],
                 boot_id=report['boot_id'],
+                prefixes=tuple(report.get('prefixes', ())),
             )
         except (KeyError, TypeError) as error:
             raise BackendError(
--- /dev/null
+++ b/wasabistream_tools/measure_control.py
@@ -0,0 +1,177 @@
+"""Measurement of the control cost of one entry and of one agent."""
+
+import re
+import time
+from collections.abc import Sequence
+from typing import Any
+
+from wasabistream.dialers import PeerDialer
+from wasabistream.links import Link
+from wasabistream.messages import (
+    PROTOCOL_VERSION_MAX,
+    PROTOCOL_VERSION_MIN,
+    Message,
+)
+from wasabistream.notices import Hello
+from wasabistream_tools.demo import demo_document
+from wasabistream_tools.fleet import ADDRESS, Fleet, FleetProcess
+from wasabistream_tools.report_sources import ReportSources
+from wasabistream_tools.reports import Report
+from wasabistream_tools.slopes import fit_slope
+from wasabistream_tools.usage import read_usage
+
+DATA_CENTRE = 'dc-a'
+SERVER_COUNTS = (10, 50, 100, 196)
+ENTRY_COUNTS = (4, 16)
+SETTLE_SECONDS = 4.0
+MEASURE_SECONDS = 10.0
+READY_LIMIT_SECONDS = 20.0
+BYTES_PATTERN = r'wasabi_link_bytes_total\{direction="%s"\} (\S+)'
+FIGURES = (
+    'cpu_ratio',
+    'received_bytes_per_second',
+    'sent_bytes_per_second',
+    'memory_bytes',
+)
+
+
+def run(
+    servers: int | Sequence[int] = SERVER_COUNTS,
+    seed: int = 1,
+    json: bool = False,
+) -> None:
+    """Measure processor time, bytes and memory by the number of links.
+
+    The load of the stand-ins is drawn at random; `seed` names the run.
+    """
+    counts = [servers] if isinstance(servers, int) else list(servers)
+    report = Report(json)
+    rows = []
+    for count in counts:
+        report.progress(f'entry with {count} agents')
+        rows.append(_measure_entry(count))
+        report.add(role='entry', links=count, seed=seed, **rows[-1])
+    if len(set(counts)) > 1:
+        slopes = {
+            name: fit_slope(counts, [row[name] for row in rows]).per_item
+            for name in FIGURES
+        }
+        report.add(role='entry slope per agent', links=1, seed=seed, **slopes)
+    for count in ENTRY_COUNTS:
+        report.progress(f'agent with {count} entries')
+        report.add(
+            role='agent', links=count, seed=seed, **_measure_agent(count)
+        )
+    report.close()
+
+
+def _measure_entry(count: int) -> dict[str, Any]:
+    sources = ReportSources(count, DATA_CENTRE)
+    sources.start()
+    try:
+        with Fleet() as fleet:
+            fleet.add_entry('entry', DATA_CENTRE)
+            for source in sources.sources:
+                vm = source.vm()
+                fleet.vms[vm['id']] = vm
+            fleet.publish_document(demo_document())
+            fleet.publish_vms()
+            fleet.wait_ready(count)
+            return _measure(
+                fleet.processes['entry'],
+                lambda: _link_bytes(fleet, fleet.processes['entry']),
+            )
+    finally:
+        sources.stop()
+
+
+def _measure_agent(count: int) -> dict[str, Any]:
+    with Fleet() as fleet:
+        fleet.add_engine('agent', DATA_CENTRE)
+        agent = fleet.processes['agent']
+        handler = _EntryHandler()
+        dialers = [
+            PeerDialer(ADDRESS, agent.link_port, _hello(number), handler)
+            for number in range(count)
+        ]
+        for dialer in dialers:
+            dialer.start()
+        _wait_links(handler, count)
+        figures = _measure(agent, handler.link_bytes)
+        for dialer in dialers:
+            dialer.stop()
+    return figures
+
+
+class _EntryHandler:
+    """Count the bytes of links to the agent."""
+
+    def __init__(self) -> None:
+        self.links: set[Link] = set()
+
+    def on_opened(self, link: Link) -> None:
+        """Keep the link."""
+        self.links.add(link)
+
+    def on_messages(self, link: Link, received: Sequence[Message]) -> None:
+        """Ignore the reports."""
+
+    def on_closed(self, link: Link, reason: str) -> None:
+        """Forget the link."""
+        self.links.discard(link)
+
+    def link_bytes(self) -> tuple[int, int]:
+        """Return the bytes that the agent has received and sent."""
+        links = list(self.links)
+        return (
+            sum(link.sent_bytes for link in links),
+            sum(link.received_bytes for link in links),
+        )
+
+
+def _hello(number: int) -> Hello:
+    return Hello(
+        PROTOCOL_VERSION_MIN,
+        PROTOCOL_VERSION_MAX,
+        'entry',
+        f'entry-{number}',
+        'stand-in',
+        DATA_CENTRE,
+    )
+
+
+def _wait_links(handler: _EntryHandler, count: int) -> None:
+    limit = time.monotonic() + READY_LIMIT_SECONDS
+    while len(handler.links) < count:
+        if time.monotonic() > limit:
+            raise TimeoutError('the agent has not accepted all links')
+        time.sleep(0.05)
+
+
+def _measure(target: FleetProcess, link_bytes: Any) -> dict[str, Any]:
+    time.sleep(SETTLE_SECONDS)
+    pid = target.process.pid
+    began = time.monotonic()
+    usage, counted = read_usage(pid), link_bytes()
+    time.sleep(MEASURE_SECONDS)
+    end_usage, end_counted = read_usage(pid), link_bytes()
+    seconds = time.monotonic() - began
+    figures = (
+        (end_usage.cpu_seconds - usage.cpu_seconds) / seconds,
+        (end_counted[0] - counted[0]) / seconds,
+        (end_counted[1] - counted[1]) / seconds,
+        end_usage.memory_bytes,
+    )
+    return dict(zip(FIGURES, figures))
+
+
+def _link_bytes(fleet: Fleet, entry: FleetProcess) -> tuple[float, float]:
+    text = fleet.http.request('GET', f'{entry.url}/metrics').data.decode()
+    received, sent = (
+        re.search(BYTES_PATTERN % direction, text)
+        for direction in ('received', 'sent')
+    )
+    return (
+        float(received.group(1)) if received else 0,
+        float(sent.group(1)) if sent else 0,
+    )
