--- a/wasabistream_tools/engine.py
+++ b/wasabistream_tools/engine.py
@@ -236,6 +236,7 @@
                 'cancel_count': self.counts.cancel_count,
                 'started_count': len(self.counts.started),
                 'warm': self.warm,
+                'down': self.down,
             }
 
     def _run(self) -> None:
--- a/wasabistream_tools/measure_capacity.py
+++ b/wasabistream_tools/measure_capacity.py
@@ -3,7 +3,7 @@
 import threading
 import time
 
-from wasabistream_tools.measure_policy import POLICIES, PolicyMeasure
+from wasabistream_tools.measure_policy import PolicyMeasure
 from wasabistream_tools.reports import Report
 from wasabistream_tools.workload_fleets import engine_totals
 from wasabistream_tools.workloads import WORKLOADS
@@ -17,22 +17,22 @@
 
 
 def run(
-    workload: str = 'saaf-dabba', seed: int = 11, json: bool = False
+    workload: str = 'saaf-dabba',
+    policy: str = 'least_requests',
+    seed: int = 11,
+    json: bool = False,
 ) -> None:
     """Count the tokens of saturated engines without admission control."""
     report = Report(json)
-    for policy in POLICIES:
-        seconds = FILL_SECONDS + COUNT_SECONDS + MARGIN_SECONDS
-        measure = PolicyMeasure(WORKLOADS[workload], seconds)
-        try:
-            rate = _saturated_rate(measure, policy, seed)
-        finally:
-            measure.stop()
-        report.add(
-            workload=workload,
-            policy=policy,
-            tokens_per_second=round(rate, 1),
-        )
+    seconds = FILL_SECONDS + COUNT_SECONDS + MARGIN_SECONDS
+    measure = PolicyMeasure(WORKLOADS[workload], seconds)
+    try:
+        rate = _saturated_rate(measure, policy, seed)
+    finally:
+        measure.stop()
+    report.add(
+        workload=workload, policy=policy, tokens_per_second=round(rate, 1)
+    )
     report.close()
 
 
