--- a/wasabistream/applications.py
+++ b/wasabistream/applications.py
@@ -42,6 +42,10 @@
     def on_stop(self) -> None:
         """Close sockets and stop threads."""
 
+    def notice_seconds(self) -> float:
+        """Return how long a drain lasts even without work in progress."""
+        return 0
+
     def work_in_progress(self) -> list[str]:
         """Return the ids of requests in progress."""
         return []
@@ -60,8 +64,12 @@
         self.draining = True
         logger.info('%s: draining', self.part)
         self.on_drain()
-        deadline = time.monotonic() + self.settings.drain_limit_seconds
-        while self.work_in_progress() and time.monotonic() < deadline:
+        started = time.monotonic()
+        notice_end = started + self.notice_seconds()
+        deadline = started + self.settings.drain_limit_seconds
+        while time.monotonic() < deadline:
+            if time.monotonic() >= notice_end and not self.work_in_progress():
+                break
             if self._signals_seen > 1:
                 break
             time.sleep(DRAIN_POLL_SECONDS)
--- a/wasabistream/setting_rules.py
+++ b/wasabistream/setting_rules.py
@@ -68,6 +68,9 @@
         'port for links of peers; 0 takes a free one', maximum=MAX_PORT
     ),
     'drain_limit_seconds': SettingRule('longest wait for work at shutdown'),
+    'drain_notice_seconds': SettingRule(
+        'time in which a draining entry still serves new requests'
+    ),
     'log_level': SettingRule('least severe log lines', LOG_LEVELS),
     'report_interval_seconds': SettingRule('time between load reports'),
     'tls_certificate_file': SettingRule(
--- a/wasabistream/settings.py
+++ b/wasabistream/settings.py
@@ -19,6 +19,8 @@
     'document_key': 'wasabistream/document',
     'vm_list_key': 'wasabistream/vms',
     'drain_limit_seconds': 120.0,
+    # A load balancer sees the readiness only at its next probes.
+    'drain_notice_seconds': 3.0,
     'log_level': 'INFO',
     'max_body_bytes': 1024 * 1024,
     'max_header_bytes': 16 * 1024,
@@ -87,6 +89,7 @@
     slow_caller_limit_bytes: int = _setting(
         'slow_caller_limit_bytes', minimum=1
     )
+    drain_notice_seconds: float = _setting('drain_notice_seconds')
     routing_policy: str = _setting('routing_policy')
 
 
--- a/wasabistream_tools/fleet.py
+++ b/wasabistream_tools/fleet.py
@@ -68,6 +68,8 @@
         self.http = urllib3.PoolManager(maxsize=64, retries=False)
         self.processes: dict[str, FleetProcess] = {}
         self.vms: dict[str, dict[str, Any]] = {}
+        # Entries to which a load balancer sends nothing new.
+        self.balancer_out: set[str] = set()
         self.configuration = self._start_configuration()
 
     def __enter__(self) -> 'Fleet':
@@ -143,6 +145,8 @@
                 'http_port': http_port,
                 'link_port': link_port,
                 'configuration_url': self.configuration.url,
+                # No load balancer stands in front of the fleet.
+                'drain_notice_seconds': 0,
                 **flags,
             },
         )
@@ -185,7 +189,9 @@
         return [
             self.processes[name]
             for name, vm in self.vms.items()
-            if vm['role'] == 'entry' and name in self.processes
+            if vm['role'] == 'entry'
+            and name in self.processes
+            and name not in self.balancer_out
         ]
 
     def signal(self, name: str, number: signal.Signals) -> None:
--- a/wasabistream_tools/history.py
+++ b/wasabistream_tools/history.py
@@ -94,7 +94,9 @@
             forwarders[name] = LinkForwarder(vm['link_port'])
             vm['link_port'] = forwarders[name].port
         for number, data_centre in enumerate((*DATA_CENTRES, 'dc-a'), 1):
-            fleet.add_entry(f'entry-{number}', data_centre)
+            fleet.add_entry(
+                f'entry-{number}', data_centre, drain_notice_seconds=1
+            )
         fleet.publish_document(history_document())
         fleet.publish_vms()
         return forwarders
