--- a/tests/call_scenarios.py
+++ b/tests/call_scenarios.py
@@ -114,6 +114,16 @@
     call_each(world, keys)
 
 
+def forget_fast_keys(world: CallWorld) -> None:
+    """Repeat keys of a fast clock that were recorded when issued."""
+    world.advance(2 * HORIZON_SECONDS)
+    keys = [world.new_key(OFFSET_SECONDS) for _ in range(KEY_COUNT)]
+    call_each(world, keys)
+    for _ in range(int(HORIZON_SECONDS + 4 * OFFSET_SECONDS)):
+        world.advance(2)
+        call_each(world, keys)
+
+
 def repeat_at_once(world: CallWorld) -> None:
     """Repeat keys at all agents."""
     for key in [world.new_key() for _ in range(KEY_COUNT)]:
@@ -168,6 +178,7 @@
     pause_owner,
     return_to_owner,
     forget_early,
+    forget_fast_keys,
     repeat_at_once,
     fast_clock,
     flip_list,
--- a/wasabistream/agents.py
+++ b/wasabistream/agents.py
@@ -15,6 +15,7 @@
 from wasabistream.exceptions import BackendError, LinkError, RefusedError
 from wasabistream.gates import Gate, GrowthPolicy, OpenPolicy
 from wasabistream.generations import GenerationRunner
+from wasabistream.hold_peers import HoldPeers
 from wasabistream.links import Link
 from wasabistream.listeners import LinkListener
 from wasabistream.messages import (
@@ -30,6 +31,7 @@
 )
 from wasabistream.outcomes import Outcome
 from wasabistream.part_clients import PartClient
+from wasabistream.placement_runners import PlacementRunner
 from wasabistream.requests import (
     Call,
     Cancel,
@@ -79,6 +81,10 @@
             settings.service_concurrency_count,
             self.owner.runner,
         )
+        self.holds = HoldPeers(self._hello())
+        self.placement = PlacementRunner(
+            settings.process_id, self._engine, self.configuration, self.holds
+        )
         self._state: EngineState | None = None
         self.listener = LinkListener(
             settings.address, settings.link_port, self._hello(), self
@@ -88,6 +94,8 @@
         """Wait for the engine, then accept links."""
         if self.agent_settings.backend_kind == 'engine':
             self.generations.start(self._make_gate(self._wait_engine()))
+            self.placement.on_state = self._renew_state
+            self.placement.start()
         self.listener.start()
         self.owner.start()
         document_changed.connect(self._announce_serving, self.configuration)
@@ -106,6 +114,8 @@
         self.listener.stop()
         self.calls.stop()
         self.owner.stop()
+        self.placement.stop()
+        self.holds.stop()
         for link in list(self._links):
             link.close()
 
@@ -160,9 +170,11 @@
                 part = self.vm_part.handle(link, message)
                 if part is not None:
                     self.owner.handle(link, part)
+                    self.placement.receive_part(part)
             case _:
                 self.relay.handle(link, message)
                 self.owner.handle(link, message)
+                self.holds.on_messages(link, (message,))
 
     def _refusal(self) -> str:
         try:
@@ -227,6 +239,12 @@
         )
         return Gate(policy, self.generations.run)
 
+    def _renew_state(self, state: EngineState) -> None:
+        known = self._serving()
+        self._state = state
+        if self._serving() != known:
+            send_to(list(self._links), self._serving())
+
     def _announce_serving(
         self, sender: object, previous: object, **_: object
     ) -> None:
--- a/wasabistream/deciders.py
+++ b/wasabistream/deciders.py
@@ -47,7 +47,8 @@
         )
         if age_seconds > now - since - self._lease.times.settling_seconds:
             return 'settling'
-        if age_seconds > self._ledger.complete_seconds(now):
+        # A key that was recorded when it was issued is as old as its record.
+        if age_seconds >= self._ledger.complete_seconds(now):
             return 'key_expired'
         return ''
 
--- a/wasabistream/engines.py
+++ b/wasabistream/engines.py
@@ -1,8 +1,8 @@
 """Clients of model engines, by engine kind."""
 
 import json
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 import urllib3
@@ -39,6 +39,10 @@
     adapters: tuple[str, ...]
     role: str
     boot_id: str
+    # Highest fencing number that the engine has seen, if it tells.
+    fencing: int = 0
+    # Version by model, where the engine tells.
+    versions: Mapping[str, str] = field(default_factory=dict)
 
 
 class EngineClient(Protocol):
@@ -123,6 +127,8 @@
                 adapters=tuple(report['adapters']),
                 role=report['role'],
                 boot_id=report['boot_id'],
+                fencing=int(report.get('fencing', 0)),
+                versions=dict(report.get('versions', {})),
             )
         except (KeyError, TypeError) as error:
             raise BackendError(
--- /dev/null
+++ b/wasabistream/fencing.py
@@ -0,0 +1,24 @@
+"""Fencing numbers of the orders to one engine."""
+
+import time
+from collections.abc import Callable
+
+MILLISECONDS = 1000
+
+
+class FencingCounter:
+    """Give numbers that grow across restarts of the agent."""
+
+    def __init__(self, wall_clock: Callable[[], float] = time.time) -> None:
+        self._wall_clock = wall_clock
+        self._last = 0
+
+    def next_number(self, reported: int = 0) -> int:
+        """Return a number above all given and above the engine's own.
+
+        The time alone can go back; the number that the engine reports keeps
+        the order of numbers then.
+        """
+        now = int(self._wall_clock() * MILLISECONDS)
+        self._last = max(now, self._last + 1, reported + 1)
+        return self._last
--- /dev/null
+++ b/wasabistream/hold_peers.py
@@ -0,0 +1,75 @@
+"""Links to the engines' agents that are asked to keep a model."""
+
+import logging
+from collections.abc import Iterable, Sequence
+
+from wasabistream.dialers import PeerDialer
+from wasabistream.document_relays import send_quietly
+from wasabistream.holds import HoldBook, HoldRequests
+from wasabistream.links import Link
+from wasabistream.messages import Message
+from wasabistream.notices import Hello, HoldGrant, HoldRequest
+from wasabistream.vms import Vm
+
+logger = logging.getLogger(__name__)
+
+
+class HoldPeers:
+    """Ask peers to keep a model, over links that last while it is needed."""
+
+    def __init__(self, hello: Hello) -> None:
+        self.book = HoldBook()
+        self.requests = HoldRequests()
+        self._hello = hello
+        self._dialers: dict[str, PeerDialer] = {}
+        self._links: dict[str, Link] = {}
+
+    def ask(self, model: str, vms: Iterable[Vm]) -> bool:
+        """Tell whether a peer keeps the model; if none does, ask them."""
+        if self.requests.holds(model):
+            return True
+        for vm in vms:
+            link = self._links.get(vm.id)
+            if link is not None:
+                self.requests.asked(vm.id, model)
+                send_quietly(link, HoldRequest(model))
+            elif vm.id not in self._dialers:
+                dialer = PeerDialer(vm.address, vm.link_port, self._hello, self)
+                self._dialers[vm.id] = dialer
+                dialer.start()
+        return False
+
+    def keep(self, models: frozenset[str]) -> None:
+        """Record which models stay here."""
+        self.book.keep(models)
+
+    def may_drop(self, model: str) -> bool:
+        """Tell whether no promise binds a model."""
+        return self.book.may_drop(model)
+
+    def stop(self) -> None:
+        """Close the links."""
+        for dialer in self._dialers.values():
+            dialer.stop()
+        self._dialers.clear()
+
+    def on_opened(self, link: Link) -> None:
+        """Record a link."""
+        self._links[link.peer.peer_id] = link
+
+    def on_closed(self, link: Link, reason: str) -> None:
+        """Forget a link that ended."""
+        self._links.pop(link.peer.peer_id, None)
+        self.requests.lost(link.peer.peer_id)
+
+    def on_messages(self, link: Link, received: Sequence[Message]) -> None:
+        """Handle questions and promises."""
+        for message in received:
+            match message:
+                case HoldRequest():
+                    granted = self.book.promise(message.model)
+                    send_quietly(link, HoldGrant(message.model, granted))
+                case HoldGrant():
+                    self.requests.answered(
+                        link.peer.peer_id, message.model, message.granted
+                    )
--- a/wasabistream/notices.py
+++ b/wasabistream/notices.py
@@ -126,3 +126,20 @@
     """Carry the packed view of the sender to a peer that has another."""
 
     view: list
+
+
+@message(33)
+@dataclass(frozen=True, slots=True)
+class HoldRequest(Message):
+    """Ask a peer to keep serving a model while the sender drops it."""
+
+    model: str
+
+
+@message(34)
+@dataclass(frozen=True, slots=True)
+class HoldGrant(Message):
+    """Promise to serve a model for the hold time, or refuse."""
+
+    model: str
+    granted: bool
--- a/wasabistream_tools/engine.py
+++ b/wasabistream_tools/engine.py
@@ -104,6 +104,7 @@
         self._warm_tokens = 0
         self._down_until_seconds = 0.0
         self._fencing = 0
+        self.versions: dict[str, str] = {}
         self.stalled = False
 
     @property
@@ -184,6 +185,7 @@
             match body['action']:
                 case 'load':
                     self.models = [*{*self.models, body['model']}]
+                    self.versions[body['model']] = body.get('version', '')
                 case 'unload':
                     self.models = [
                         name for name in self.models if name != body['model']
@@ -227,6 +229,8 @@
                 'adapters': self.adapters,
                 'role': self.role,
                 'boot_id': self.boot_id,
+                'fencing': self._fencing,
+                'versions': self.versions,
                 'prefixes': list(self._prefixes),
                 'preemption_count': self.counts.preemption_count,
                 'stall_seconds': self.counts.stall_seconds,
