Rule out late attempts of a key that was refused as not run

Cause: an attempt held up on its way could run after a repeat of its key had been answered with not_run. Change: calls carry the time of the caller's request; the owner refuses attempts that may have started before its refusal. An entry that cannot ask the owner says unknown for a key. Conclusion: the fault is found on the model without the protection, and not with it.

--- a/tests/call_scenarios.py
+++ b/tests/call_scenarios.py
@@ -124,6 +124,19 @@
         call_each(world, keys)
 
 
+def late_attempt(world: CallWorld) -> None:
+    """Hold up the first attempt of keys until a repeat was refused."""
+    call_each(world, owned_keys(world, 'a'))
+    started = world.clock.now
+    keys = owned_keys(world, 'a')
+    world.advance(1)
+    for key in keys:
+        world.call(key, 'a', 'busy')
+    world.advance(1)
+    for key in keys:
+        world.call(key, 'a', started=started)
+
+
 def repeat_at_once(world: CallWorld) -> None:
     """Repeat keys at all agents."""
     for key in [world.new_key() for _ in range(KEY_COUNT)]:
@@ -180,6 +193,7 @@
     forget_early,
     forget_fast_keys,
     repeat_at_once,
+    late_attempt,
     fast_clock,
     flip_list,
     untimed_keys,
--- a/tests/call_world.py
+++ b/tests/call_world.py
@@ -63,6 +63,7 @@
         if reason:
             raise NotSentError(reason)
         self.world.advance(self.pause_seconds)
+        self.world.check_late(call)
         self.world.effects[call.key] += 1
         return Answer(call.request_id, 201, {}, call.key.encode())
 
@@ -90,7 +91,11 @@
             lambda: DAY_SECONDS + world.clock.now + offset,
         )
         self.runner = KeyedCallRunner(
-            self.ledger, self.decider, self.sender, lambda: world.clock.now
+            self.ledger,
+            self.decider,
+            self.sender,
+            lambda: world.clock.now,
+            lambda: DAY_SECONDS + world.clock.now + offset,
         )
 
     def receive(self, action: Callable[[], None]) -> None:
@@ -167,6 +172,8 @@
     agents: dict[str, ModelAgent] = field(default_factory=dict)
     effects: Counter[str] = field(default_factory=Counter)
     false_refusals: list[str] = field(default_factory=list)
+    # Time of the last `not_run` of each key.
+    refused: dict[str, float] = field(default_factory=dict)
     # Times at which leases on two views held at once.
     overlaps: list[float] = field(default_factory=list)
     cut_off: frozenset[str] = frozenset()
@@ -221,13 +228,30 @@
         number = next(self.key_numbers)
         return f'desk/{key[:15]}000-8000-{number:012x}'
 
-    def call(self, key: str, name: str, body: bytes = b'') -> Message | None:
-        """Send one attempt to an agent; return the reply, if any."""
+    def call(
+        self,
+        key: str,
+        name: str,
+        refusal: str = '',
+        started: float | None = None,
+    ) -> Message | None:
+        """Send one attempt to an agent; return the reply, if any.
+
+        The agent refuses new work when a refusal is named. An attempt that
+        was held up on its way started earlier.
+        """
         agent = self.agents[name]
         replies: list[Message] = []
-        agent.receive(lambda: self._run(agent, build_call(key, body), replies))
+        call = build_call(key, self.clock.now if started is None else started)
+        agent.receive(lambda: self._run(agent, call, refusal, replies))
         return replies[0] if replies else None
 
+    def check_late(self, call: Call) -> None:
+        """Record an attempt that runs although `not_run` was told later."""
+        refused = self.refused.get(call.key, float('-inf'))
+        if call.started_unix_seconds - DAY_SECONDS < refused:
+            self.false_refusals.append(call.key)
+
     def call_all(self, key: str) -> list[Message | None]:
         """Send one attempt to each agent, as through entries of all views."""
         return [self.call(key, name) for name in list(self.agents)]
@@ -237,15 +261,19 @@
         return owner_of(key, self.view.owners) if self.view else ''
 
     def _run(
-        self, agent: ModelAgent, call: Call, replies: list[Message]
+        self,
+        agent: ModelAgent,
+        call: Call,
+        refusal: str,
+        replies: list[Message],
     ) -> None:
-        if agent.runner.admit(call, '', replies.append):
+        if agent.runner.admit(call, refusal, replies.append):
             replies.append(agent.runner.run(call, FAR_SECONDS))
         for reply in replies:
-            refused = (
-                isinstance(reply, Refused) and reply.reason != 'key_reused'
-            )
-            if refused and self.effects[call.key]:
+            if not isinstance(reply, Refused):
+                continue
+            self.refused[call.key] = self.clock.now
+            if self.effects[call.key]:
                 self.false_refusals.append(call.key)
 
     def _check_leases(self) -> None:
@@ -267,9 +295,9 @@
                 agent.book.confirm_read(self.view.list_index, now, 0)
 
 
-def build_call(key: str, body: bytes = b'') -> Call:
+def build_call(key: str, started: float) -> Call:
     """Return a call that may not be repeated."""
     return Call(
-        'entry.1', 'desk', 'booking', 'POST', '/bookings', {}, body, 10, 1,
-        repeatable=False, key=key,
+        'entry.1', 'desk', 'booking', 'POST', '/bookings', {}, b'', 10, 1,
+        repeatable=False, key=key, started_unix_seconds=DAY_SECONDS + started,
     )  # fmt: skip
--- a/tests/test_call_safety.py
+++ b/tests/test_call_safety.py
@@ -13,6 +13,7 @@
 from wasabistream.keys import issued_unix_seconds, key_age_seconds
 from wasabistream.leases import OwnerLease
 from wasabistream.ledgers import CallLedger
+from wasabistream.refusals import RefusalBook
 from wasabistream.tenures import TenureHistory
 
 _refusal = GrantBook._refusal
@@ -68,6 +69,7 @@
         'SERVICE',
         dataclasses.replace(call_world.SERVICE, clock_offset_seconds=0),
     ),
+    'late attempts': (RefusalBook, 'rules_out', lambda *_: False),
     'keys without time': (deciders, 'key_age_seconds', _age_of_any),
 }
 
@@ -102,6 +104,7 @@
     for scenario in SCENARIOS:
         world = settled_world()
         scenario(world)
-        if world.overlaps or max(world.effects.values(), default=0) > 1:
+        faults = world.overlaps or world.false_refusals
+        if faults or max(world.effects.values(), default=0) > 1:
             found.append(scenario.__name__)
     return found
--- a/tests/test_call_walks.py
+++ b/tests/test_call_walks.py
@@ -76,6 +76,17 @@
         for key in self.keys:
             self.world.call_all(key)
 
+    @rule(name=name_choices, seconds=st.sampled_from((0, 1, 30)))
+    def refuse(self, name: str, seconds: float) -> None:
+        """Refuse a key by an agent while an attempt is held up."""
+        started = self.world.clock.now
+        key = self.world.new_key()
+        self.world.advance(seconds)
+        if name in self.world.agents:
+            self.world.call(key, name, 'busy')
+        for other in list(self.world.agents):
+            self.world.call(key, other, started=started)
+
     @invariant()
     def each_key_ran_once(self) -> None:
         """Compare the effects with the promise."""
--- a/wasabistream/callers.py
+++ b/wasabistream/callers.py
@@ -43,6 +43,8 @@
 DEFAULT_DEADLINE_SECONDS = 600.0
 CHARACTERS_PER_TOKEN = 4
 PREFIX_CHARACTERS = 256
+SERVICES_PREFIX = '/services/'
+KEY_HEADER = 'idempotency-key'
 CLASS_HEADER = 'wasabi-class'
 DEADLINE_HEADER = 'wasabi-deadline-seconds'
 WORK_CLASSES = frozenset(('urgent', 'normal', 'patient'))
@@ -79,7 +81,7 @@
         except RequestError as error:
             return HttpAnswer(
                 error.status,
-                error_body(error.reason, error.code, Outcome.not_run),
+                error_body(error.reason, error.code, _entry_outcome(request)),
             )
         except RefusedError as refusal:
             return refusal_answer(refusal)
@@ -89,10 +91,10 @@
     ) -> HttpAnswer | None:
         version = self._configuration.version
         if version is None:
-            raise RefusedError('no_document', Outcome.not_run, '', 1)
+            raise RefusedError('no_document', _entry_outcome(request), '', 1)
         document = version.document
         organisation = authenticate(document, request)
-        if request.path.startswith('/services/'):
+        if request.path.startswith(SERVICES_PREFIX):
             return self._call_service(document, organisation, request)
         endpoint = (request.method, request.path)
         if endpoint == ('GET', '/v1/models'):
@@ -147,7 +149,7 @@
     ) -> HttpAnswer:
         service, path = _find_service(document, organisation, request.path)
         repeatable = service.is_repeatable(request.method, path)
-        key = request.headers.get('idempotency-key', '')
+        key = request.headers.get(KEY_HEADER, '')
         if not repeatable and not key:
             raise RequestError(
                 'this call needs an Idempotency-Key', 400, 'key_required'
@@ -304,6 +306,14 @@
     return hash64(generate.model, generate.prompt[:PREFIX_CHARACTERS])
 
 
+def _entry_outcome(request: HttpRequest) -> Outcome:
+    # Earlier attempts of a key may have run; only its owner knows.
+    keyed = KEY_HEADER in request.headers
+    if keyed and request.path.startswith(SERVICES_PREFIX):
+        return Outcome.unknown
+    return Outcome.not_run
+
+
 def _find_service(
     document: Document, organisation: Organisation, path: str
 ) -> tuple[Service, str]:
--- a/wasabistream/deciders.py
+++ b/wasabistream/deciders.py
@@ -52,6 +52,11 @@
             return 'key_expired'
         return ''
 
+    def clock_offset_seconds(self) -> float:
+        """Return by how much the clocks of two machines may differ."""
+        service = self._get_service()
+        return service.clock_offset_seconds if service else float('inf')
+
     def retention_seconds(self) -> float:
         """Return for how long a key must be remembered."""
         service = self._get_service()
--- a/wasabistream/keyed_calls.py
+++ b/wasabistream/keyed_calls.py
@@ -1,5 +1,6 @@
 """Runner of calls that may not be repeated."""
 
+import threading
 import time
 from collections.abc import Callable
 from typing import Protocol
@@ -13,6 +14,7 @@
 )
 from wasabistream.messages import Message
 from wasabistream.outcomes import Outcome
+from wasabistream.refusals import RefusalBook
 from wasabistream.requests import Answer, Call, Failed, Refused
 from wasabistream.service_clients import (
     MAX_ANSWER_BYTES,
@@ -30,6 +32,9 @@
     def refusal(self, scoped_key: str) -> str:
         """Return why a key is undecided, or nothing."""
 
+    def clock_offset_seconds(self) -> float:
+        """Return by how much the clocks of two machines may differ."""
+
     def retention_seconds(self) -> float:
         """Return for how long a key must be remembered."""
 
@@ -52,11 +57,17 @@
         decider: KeyDecider,
         sender: CallSender,
         clock: Callable[[], float] = time.monotonic,
+        wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self._ledger = ledger
         self._decider = decider
         self._sender = sender
         self._clock = clock
+        self._wall_clock = wall_clock
+        self._refusals = RefusalBook()
+        # An attempt must not be recorded while another one of its key is
+        # told that none has run.
+        self._lock = threading.Lock()
 
     def admit(self, call: Call, refusal: str, reply: Reply) -> bool:
         """Record a new key and return True; else reply and return False.
@@ -64,30 +75,8 @@
         The refusal names why the agent takes no new work. It is `not_run`
         only for keys of which the agent can prove that none has run.
         """
-        entry = self._ledger.find(call.key)
-        if entry is not None:
-            self._repeat(call, entry, reply)
-            return False
-        undecided = self._decider.refusal(call.key)
-        if undecided:
-            reply(Failed(call.request_id, Outcome.unknown, undecided))
-            return False
-        if refusal:
-            reply(_refused(call, refusal))
-            return False
-        try:
-            entry, is_new = self._ledger.claim(
-                call.key,
-                _digest(call),
-                self._clock(),
-                self._decider.retention_seconds(),
-            )
-        except LedgerFullError:
-            reply(_refused(call, 'ledger_full'))
-            return False
-        if not is_new:
-            self._repeat(call, entry, reply)
-        return is_new
+        with self._lock:
+            return self._admit(call, refusal, reply)
 
     def run(self, call: Call, deadline: float) -> Message:
         """Run a call whose key was recorded."""
@@ -109,19 +98,69 @@
             return Failed(call.request_id, Outcome.run, 'answer_not_kept')
         return answer
 
+    def _admit(self, call: Call, refusal: str, reply: Reply) -> bool:
+        entry = self._ledger.find(call.key)
+        if entry is not None:
+            self._repeat(call, entry, reply)
+            return False
+        undecided = self._decider.refusal(call.key)
+        if undecided:
+            reply(Failed(call.request_id, Outcome.unknown, undecided))
+            return False
+        if refusal or self._is_late(call):
+            reply(self._refuse(call, refusal or 'late_attempt'))
+            return False
+        try:
+            self._ledger.claim(
+                call.key,
+                _digest(call),
+                self._clock(),
+                self._decider.retention_seconds(),
+            )
+        except LedgerFullError:
+            reply(self._refuse(call, 'ledger_full'))
+            return False
+        return True
+
     def _release(self, call: Call, reason: str) -> Message:
-        for waiter in self._ledger.release(call.key):
-            waiter(LedgerEntry('', 0, 0, CallState.running))
-        return _refused(call, reason)
+        with self._lock:
+            reply = self._refuse(call, reason)
+            waiters = self._ledger.release(call.key)
+        for waiter in waiters:
+            waiter(LedgerEntry('', 0, 0, CallState.released))
+        return reply
+
+    def _is_late(self, call: Call) -> bool:
+        offset_seconds = self._decider.clock_offset_seconds()
+        earliest = call.started_unix_seconds - offset_seconds
+        return self._refusals.rules_out(call.key, earliest)
+
+    def _refuse(self, call: Call, reason: str) -> Message:
+        # Recorded before the caller can read it.
+        retention_seconds = self._decider.retention_seconds()
+        now = self._wall_clock()
+        if not self._refusals.record(call.key, now, retention_seconds):
+            return Failed(call.request_id, Outcome.unknown, reason)
+        # A repeat that starts sooner may be taken for a late attempt.
+        offset_seconds = self._decider.clock_offset_seconds()
+        return Refused(
+            call.request_id,
+            Outcome.not_run,
+            reason,
+            RETRY_SECONDS + 2 * offset_seconds,
+        )
 
     def _repeat(self, call: Call, entry: LedgerEntry, reply: Reply) -> None:
         if entry.digest != _digest(call):
             # This body never runs under the key, as another one holds it.
-            reply(_refused(call, 'key_reused'))
+            reply(Refused(call.request_id, Outcome.not_run, 'key_reused'))
             return
 
         def answer(ended: LedgerEntry) -> None:
-            reply(_repeated_reply(call, ended))
+            if ended.state == CallState.released:
+                reply(self._refuse(call, 'first_attempt_not_sent'))
+            else:
+                reply(_repeated_reply(call, ended))
 
         if self._ledger.wait(entry, answer):
             return
@@ -139,14 +178,7 @@
             return Failed(call.request_id, Outcome.run, 'answer_not_kept')
         case CallState.no_answer:
             return Failed(call.request_id, Outcome.unknown, 'no_answer')
-    if entry.digest:
-        return Failed(call.request_id, Outcome.unknown, 'in_progress')
-    # The first attempt was released: nothing was sent for the key.
-    return _refused(call, 'first_attempt_not_sent')
-
-
-def _refused(call: Call, reason: str) -> Refused:
-    return Refused(call.request_id, Outcome.not_run, reason, RETRY_SECONDS)
+    return Failed(call.request_id, Outcome.unknown, 'in_progress')
 
 
 def _digest(call: Call) -> str:
--- a/wasabistream/ledgers.py
+++ b/wasabistream/ledgers.py
@@ -23,6 +23,8 @@
     answered = 'answered'
     answer_not_kept = 'answer_not_kept'
     no_answer = 'no_answer'
+    # Told to those that wait; a released key has no entry.
+    released = 'released'
 
 
 class LedgerFullError(Exception):
@@ -70,27 +72,19 @@
 
     def claim(
         self, key: str, digest: str, now: float, retention_seconds: float
-    ) -> tuple[LedgerEntry, bool]:
-        """Return the entry of a key and whether it is new.
-
-        Raises LedgerFullError when a new key does not fit.
-        """
+    ) -> None:
+        """Record a new key; raises LedgerFullError when it does not fit."""
         with self._lock:
-            known = self._entries.get(key)
-            if known is not None:
-                return known, False
             self._forget(now)
             # The answer needs room too, so that a call that has run can
             # always be answered again.
             size_bytes = ENTRY_BYTES + len(key) + MAX_KEPT_ANSWER_BYTES
             if self.used_bytes + size_bytes > self._limit_bytes:
                 raise LedgerFullError(key)
-            entry = LedgerEntry(
+            self._entries[key] = LedgerEntry(
                 digest, now, retention_seconds, size_bytes=size_bytes
             )
-            self._entries[key] = entry
             self.used_bytes += size_bytes
-            return entry, True
 
     def wait(
         self, entry: LedgerEntry, waiter: Callable[[LedgerEntry], None]
--- a/wasabistream/owned_calls.py
+++ b/wasabistream/owned_calls.py
@@ -26,7 +26,6 @@
         'not_owner',
         'no_lease',
         'no_document',
-        'first_attempt_not_sent',
     )
 )
 
@@ -53,6 +52,7 @@
         entry itself does not know what became of earlier attempts.
         """
         deadline = time.monotonic() + call.deadline_seconds
+        call = dataclasses.replace(call, started_unix_seconds=time.time())
         while True:
             try:
                 return self._attempt(call, deadline)
--- a/wasabistream/requests.py
+++ b/wasabistream/requests.py
@@ -119,6 +119,8 @@
     document_revision: int
     repeatable: bool
     key: str = ''
+    # Time at the entry when the caller's request arrived.
+    started_unix_seconds: float = 0
 
 
 @message(21)
