--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,6 +2,8 @@
 
 import itertools
 import socket
+import time
+from collections.abc import Callable
 from typing import Any
 
 from wasabistream.buffers import StreamBuffer
@@ -10,6 +12,7 @@
 
 BUFFER_BYTES = 1024 * 1024
 FAR_DEADLINE_SECONDS = 1e9
+WAIT_LIMIT_SECONDS = 20.0
 
 _numbers = itertools.count(1)
 
@@ -116,3 +119,12 @@
         'weight_loads_per_minute': 60,
     }
     return {**fields, **changes}
+
+
+def wait_until(condition: Callable[[], Any]) -> None:
+    """Wait for a condition; raises TimeoutError after a bounded time."""
+    deadline = time.monotonic() + WAIT_LIMIT_SECONDS
+    while not condition():
+        if time.monotonic() > deadline:
+            raise TimeoutError('condition did not become true')
+        time.sleep(0.01)
--- a/wasabistream/settings.py
+++ b/wasabistream/settings.py
@@ -13,6 +13,7 @@
     'address': '127.0.0.1',
     'http_port': 0,
     'link_port': 0,
+    'reader_count': 2,
     'configuration_url': 'http://127.0.0.1:8500',
     'document_key': 'wasabistream/document',
     'vm_list_key': 'wasabistream/vms',
@@ -30,6 +31,9 @@
     'service': '',
     'admission_policy': 'growth',
     'memory_headroom_ratio': 0.95,
+    'ramp_start_count': 2,
+    'max_batch_count': 256,
+    'normal_token_seconds': 0.0,
     'stream_buffer_bytes': 8 * 1024 * 1024,
     'orphan_limit_seconds': 10.0,
     'service_concurrency_count': 32,
@@ -73,6 +77,8 @@
     configuration_url: str = _setting('configuration_url')
     document_key: str = _setting('document_key')
     vm_list_key: str = _setting('vm_list_key')
+    # Entries of a data centre that read the configuration service.
+    reader_count: int = _setting('reader_count', minimum=1)
     max_body_bytes: int = _setting('max_body_bytes', minimum=1)
     max_header_bytes: int = _setting('max_header_bytes', minimum=1)
     worker_thread_count: int = _setting('worker_thread_count', minimum=1)
@@ -93,6 +99,10 @@
     service: str = _setting('service')
     admission_policy: str = _setting('admission_policy')
     memory_headroom_ratio: float = _setting('memory_headroom_ratio')
+    ramp_start_count: int = _setting('ramp_start_count', minimum=1)
+    max_batch_count: int = _setting('max_batch_count', minimum=1)
+    # Time between tokens of a warm engine; 0 lets the agent learn it.
+    normal_token_seconds: float = _setting('normal_token_seconds')
     stream_buffer_bytes: int = _setting('stream_buffer_bytes', minimum=1)
     orphan_limit_seconds: float = _setting('orphan_limit_seconds')
     service_concurrency_count: int = _setting(
