--- a/wasabistream/agents.py
+++ b/wasabistream/agents.py
@@ -24,6 +24,7 @@
 from wasabistream.gate_builders import build_gate
 from wasabistream.gates import Gate
 from wasabistream.generations import GenerationRunner
+from wasabistream.hold_peers import HoldPeers
 from wasabistream.links import Link
 from wasabistream.listeners import LinkListener, finish_links
 from wasabistream.load_reporters import LoadReporter
@@ -41,6 +42,7 @@
 from wasabistream.outcomes import Outcome
 from wasabistream.pages import OperatorPages
 from wasabistream.part_clients import PartClient
+from wasabistream.placement_runners import PlacementRunner
 from wasabistream.quarantines import Quarantine
 from wasabistream.requests import (
     Call,
@@ -104,6 +106,10 @@
             settings.service_concurrency_count,
             self.owner.runner,
         )
+        self.holds = HoldPeers(self._hello())
+        self.placement = PlacementRunner(
+            settings.process_id, self._engine, self.configuration, self.holds
+        )
         self._state: EngineState | None = None
         self._pages = OperatorPages(self._status)
         self.server: CallerServer | None = None
@@ -121,6 +127,8 @@
         if self.agent_settings.backend_kind == 'engine':
             self.generations.start(self._make_gate(self._wait_engine()))
             self.caches.start()
+            self.placement.on_state = self._renew_state
+            self.placement.start()
         self.listener.start()
         self.owner.start()
         document_changed.connect(self._announce_serving, self.configuration)
@@ -142,6 +150,8 @@
         self.listener.stop()
         self.calls.stop()
         self.owner.stop()
+        self.placement.stop()
+        self.holds.stop()
         finish_links(list(self._links))
 
     def work_in_progress(self) -> list[str]:
@@ -203,9 +213,11 @@
                 if part is not None:
                     self._note_list_state(part)
                     self.owner.handle(link, part)
+                    self.placement.receive_part(part)
             case _:
                 self.relay.handle(link, message)
                 self.owner.handle(link, message)
+                self.holds.on_messages(link, (message,))
 
     def _note_list_state(self, part: VmListBody) -> None:
         try:
@@ -295,6 +307,12 @@
         self._crashes.start(gate, state.boot_id)
         return gate
 
+    def _renew_state(self, state: EngineState) -> None:
+        known = self._serving()
+        self._state = state
+        if self._serving() != known:
+            send_to(list(self._links), self._serving())
+
     def _announce_serving(
         self, sender: object, previous: object, **_: object
     ) -> None:
--- a/wasabistream/callers.py
+++ b/wasabistream/callers.py
@@ -33,7 +33,11 @@
     TakeSocket,
     json_answer,
 )
-from wasabistream.service_calls import SERVICES_PREFIX, ServiceCaller
+from wasabistream.service_calls import (
+    SERVICES_PREFIX,
+    ServiceCaller,
+    entry_outcome,
+)
 from wasabistream.settings import EntrySettings
 from wasabistream.streams import CallerStream
 from wasabistream.writers import EventStreamWriter, WholeAnswerWriter
@@ -78,7 +82,7 @@
         try:
             return self._route(request, take_socket)
         except RequestError as error:
-            return request_error_answer(error)
+            return request_error_answer(error, entry_outcome(request))
         except RefusedError as refusal:
             return refusal_answer(refusal)
 
@@ -91,7 +95,7 @@
     ) -> HttpAnswer | None:
         version = self._configuration.version
         if version is None:
-            raise RefusedError('no_document', Outcome.not_run, '', 1)
+            raise RefusedError('no_document', entry_outcome(request), '', 1)
         document = version.document
         organisation = authenticate(document, request)
         path = request.path
@@ -116,7 +120,11 @@
         organisation: Organisation,
         request: HttpRequest,
     ) -> HttpAnswer:
-        self._limiter.enter(organisation)
+        try:
+            self._limiter.enter(organisation)
+        except RefusedError as refusal:
+            refusal.outcome = entry_outcome(request)
+            raise
         try:
             return self._services.call(document, organisation, request)
         finally:
@@ -199,10 +207,10 @@
         )
 
 
-def request_error_answer(error: RequestError) -> HttpAnswer:
+def request_error_answer(error: RequestError, outcome: Outcome) -> HttpAnswer:
     """Return the answer for a request that is not valid."""
     return HttpAnswer(
-        error.status, error_body(error.reason, error.code, Outcome.not_run)
+        error.status, error_body(error.reason, error.code, outcome)
     )
 
 
--- a/wasabistream/deciders.py
+++ b/wasabistream/deciders.py
@@ -47,10 +47,16 @@
         )
         if age_seconds > now - since - self._lease.times.settling_seconds:
             return 'settling'
-        if age_seconds > self._ledger.complete_seconds(now):
+        # A key that was recorded when it was issued is as old as its record.
+        if age_seconds >= self._ledger.complete_seconds(now):
             return 'key_expired'
         return ''
 
+    def clock_offset_seconds(self) -> float:
+        """Return by how much the clocks of two machines may differ."""
+        service = self._get_service()
+        return service.clock_offset_seconds if service else float('inf')
+
     def retention_seconds(self) -> float:
         """Return for how long a key must be remembered."""
         service = self._get_service()
--- a/wasabistream/engines.py
+++ b/wasabistream/engines.py
@@ -1,8 +1,8 @@
 """Clients of model engines, by engine kind."""
 
 import json
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 import urllib3
@@ -40,6 +40,10 @@
     role: str
     boot_id: str
     prefixes: tuple[str, ...] = ()
+    # Highest fencing number that the engine has seen, if it tells.
+    fencing: int = 0
+    # Version by model, where the engine tells.
+    versions: Mapping[str, str] = field(default_factory=dict)
 
 
 class EngineClient(Protocol):
@@ -127,6 +131,8 @@
                 role=report['role'],
                 boot_id=report['boot_id'],
                 prefixes=tuple(report.get('prefixes', ())),
+                fencing=int(report.get('fencing', 0)),
+                versions=dict(report.get('versions', {})),
             )
         except (KeyError, TypeError) as error:
             raise BackendError(
--- a/wasabistream/service_calls.py
+++ b/wasabistream/service_calls.py
@@ -6,12 +6,14 @@
 from wasabistream.documents import Document, Organisation, Service
 from wasabistream.exceptions import RequestError
 from wasabistream.headers import request_headers, response_headers
+from wasabistream.outcomes import Outcome
 from wasabistream.owned_calls import OwnedCaller
 from wasabistream.requests import Answer, Call
 from wasabistream.routers import RouteQuery
 from wasabistream.servers import HttpAnswer, HttpRequest
 
 SERVICES_PREFIX = '/services/'
+KEY_HEADER = 'idempotency-key'
 # Characters that stay as they are in a path.
 PATH_CHARACTERS = "/!$&'()*+,;=:@-._~"
 MAX_KEY_CHARACTERS = 256
@@ -45,7 +47,7 @@
         service, path = _find_service(document, organisation, request.path)
         method = request.method.upper()
         repeatable = service.is_repeatable(method, path)
-        key = request.headers.get('idempotency-key', '')
+        key = request.headers.get(KEY_HEADER, '')
         if not repeatable and not key:
             raise RequestError(
                 'this call needs an Idempotency-Key', 400, 'key_required'
@@ -111,3 +113,14 @@
     if answer.replayed:
         headers['Idempotency-Replayed'] = 'true'
     return HttpAnswer(answer.status, answer.body, content_type, headers)
+
+
+def entry_outcome(request: HttpRequest) -> Outcome:
+    """Return what an entry may say of a request that it refuses itself.
+
+    Earlier attempts of a key may have run, which only its owner knows.
+    """
+    keyed = KEY_HEADER in request.headers
+    if keyed and request.path.startswith(SERVICES_PREFIX):
+        return Outcome.unknown
+    return Outcome.not_run
