--- a/wasabistream/admissions.py
+++ b/wasabistream/admissions.py
@@ -44,7 +44,7 @@
         self,
         capacity_tokens: int,
         headroom_ratio: float,
-        deviation_count: float = 0.2,
+        deviation_count: float = 0.5,
     ) -> None:
         self.limit_tokens = capacity_tokens * headroom_ratio
         # Standard deviations of the sum that are kept free.
--- a/wasabistream/demands.py
+++ b/wasabistream/demands.py
@@ -10,7 +10,7 @@
 # Demand is forgotten more slowly than it is learned.
 FALL_SECONDS = 6.0
 # Room for bursts above the average demand.
-BURST_RATIO = 1.2
+BURST_RATIO = 0.6
 
 
 class DemandMeter:
