--- a/wasabistream/entries.py
+++ b/wasabistream/entries.py
@@ -17,9 +17,12 @@
 from wasabistream.dialers import PeerDialer
 from wasabistream.dispatchers import Dispatcher
 from wasabistream.distributors import ConfigurationDistributor
+from wasabistream.documents import DocumentVersion
 from wasabistream.entry_quarantines import EntryQuarantine
 from wasabistream.hangups import HangupWatcher
+from wasabistream.linkers import AgentLinker
 from wasabistream.links import Link
+from wasabistream.members import MemberView
 from wasabistream.messages import (
     PROTOCOL_VERSION_MAX,
     PROTOCOL_VERSION_MIN,
@@ -44,8 +47,9 @@
     json_answer,
 )
 from wasabistream.settings import EntrySettings
+from wasabistream.signals import document_changed
 from wasabistream.views import ServiceView, service_view
-from wasabistream.vms import Role, VmList
+from wasabistream.vms import Vm, VmList
 
 logger = logging.getLogger(__name__)
 
@@ -67,7 +71,14 @@
         self.attempts = AttemptTable()
         self.vm_list: VmList | None = None
         self._counter = itertools.count(1)
-        self._dialers: dict[str, PeerDialer] = {}
+        self.members = MemberView()
+        self.linker = AgentLinker(
+            settings.process_id,
+            settings.data_centre,
+            self.directory,
+            self.members,
+            self._make_dialer,
+        )
         self._hangups = HangupWatcher()
         self._quarantine = EntryQuarantine(
             lambda: [view.link for view in self.directory.views() if view.link]
@@ -77,6 +88,8 @@
             self.directory,
             self.attempts,
             self._make_request_id,
+            self._hello,
+            self.linker.demand,
             self._quarantine,
         )
         self._callers = CallerHandler(
@@ -105,6 +118,9 @@
     def on_start(self) -> None:
         """Follow the configuration and serve callers."""
         self._hangups.start()
+        document_changed.connect(self._apply_document, self.configuration)
+        self._dispatcher.start()
+        self.linker.start()
         self.distributor.start()
         self.server.run_in_thread()
 
@@ -112,15 +128,16 @@
         """Close the server and the links."""
         self.distributor.stop()
         self._hangups.stop()
-        for dialer in self._dialers.values():
-            dialer.stop()
         self.server.stop()
+        self._dispatcher.stop()
+        self.linker.stop()
 
     def work_in_progress(self) -> list[str]:
         """Return the ids of requests whose callers still wait."""
         return [
             *self._hangups.open_names(),
             *self._callers.calls_in_progress(),
+            *self._dispatcher.requests_in_progress(),
         ]
 
     def service_view(self, service: str) -> ServiceView | None:
@@ -139,12 +156,14 @@
     def on_opened(self, link: Link) -> None:
         """Record a link to an agent and offer the document."""
         self.directory.opened(link)
+        self.members.opened(link.peer.peer_id, link.peer.incarnation)
         self.distributor.agent_opened(link)
 
     def on_closed(self, link: Link, reason: str) -> None:
         """Give up the attempts of a link that ended."""
         self.distributor.agent_closed(link)
         self.directory.closed(link)
+        self.members.closed(link.peer.peer_id, reason)
         self.attempts.link_closed(link, reason)
         logger.info('entry: link to %s ended: %s', link.peer.peer_id, reason)
 
@@ -160,6 +179,8 @@
                     self.distributor.agent_message(link, message)
                 case DocumentBody() | DocumentPatch():
                     self.distributor.agent_message(link, message)
+            if isinstance(message, LoadReport):
+                self.members.report(link.peer.peer_id, message)
         self.attempts.deliver(link, received)
 
     def _handle(
@@ -188,24 +209,15 @@
 
     def _receive_vm_list(self, vm_list: VmList) -> None:
         self.vm_list = vm_list
-        self._follow_vm_list(vm_list)
-
-    def _follow_vm_list(self, vm_list: VmList) -> None:
-        agents = {vm.id: vm for vm in vm_list.vms if vm.role == Role.agent}
-        for vm in agents.values():
-            self.directory.put(vm)
-            dialer = self._dialers.get(vm.id)
-            target = (vm.address, vm.link_port)
-            if dialer is not None and (dialer.address, dialer.port) != target:
-                dialer.stop()
-                dialer = None
-            if dialer is None:
-                dialer = PeerDialer(*target, self._hello(), self)
-                self._dialers[vm.id] = dialer
-                dialer.start()
-        for backend_id in set(self._dialers) - set(agents):
-            self._dialers.pop(backend_id).stop()
-            self.directory.remove(backend_id)
+        self.linker.apply_list(vm_list)
+
+    def _apply_document(
+        self, sender: object, version: DocumentVersion, **_: object
+    ) -> None:
+        self.linker.apply_document(version.document)
+
+    def _make_dialer(self, vm: Vm) -> PeerDialer:
+        return PeerDialer(vm.address, vm.link_port, self._hello(), self, vm.id)
 
     def _hello(self) -> Hello:
         return Hello(
--- a/wasabistream/entry_peers.py
+++ b/wasabistream/entry_peers.py
@@ -14,7 +14,6 @@
 
 logger = logging.getLogger(__name__)
 
-READER_COUNT = 2
 # Entries to which each entry of a data centre keeps a link: the readers and
 # those that take over from them.
 DIALED_COUNT = 4
@@ -43,16 +42,18 @@
         if not self.links:
             missing = self.missing_since_seconds
             return missing is None or now - missing < REOPEN_SECONDS
-        if self.read_age_seconds < 0:
-            return True
-        age = self.read_age_seconds + now - self.status_seconds
+        # A peer whose relay has stopped sends no status over its link.
+        age = max(self.read_age_seconds, 0) + now - self.status_seconds
         return age < SILENT_READER_SECONDS
 
 
 class EntryPeers:
     """Dial the entries that matter and rank those that work."""
 
-    def __init__(self, hello: Hello, handler: LinkHandler) -> None:
+    def __init__(
+        self, hello: Hello, handler: LinkHandler, reader_count: int
+    ) -> None:
+        self._reader_count = reader_count
         self._hello = hello
         self._handler = handler
         self._own_id = hello.peer_id
@@ -101,6 +102,7 @@
             if peer is not None:
                 peer.links.add(link)
                 peer.missing_since_seconds = None
+                peer.status_seconds = time.monotonic()
 
     def closed(self, link: Link) -> None:
         """Record the end of a link to an entry."""
@@ -123,7 +125,7 @@
 
     def is_reader(self) -> bool:
         """Tell whether this entry is to read the service."""
-        return self._own_id in self.ranked()[:READER_COUNT]
+        return self._own_id in self.ranked()[: self._reader_count]
 
     def ranked(self) -> list[str]:
         """Return the entries of the data centre that work, by rank."""
