--- a/wasabistream/callers.py
+++ b/wasabistream/callers.py
@@ -1,7 +1,6 @@
 """Handlers of the callers' endpoints."""
 
 import dataclasses
-import logging
 from functools import partial
 from typing import Any
 
@@ -38,8 +37,6 @@
 from wasabistream.streams import CallerStream
 from wasabistream.writers import EventStreamWriter, WholeAnswerWriter
 
-logger = logging.getLogger(__name__)
-
 PREFIX_CHARACTERS = 256
 STREAMS_PREFIX = '/v1/streams/'
 GENERATION_FORMATS = {
