--- /dev/null
+++ b/tests/test_cold_start.py
@@ -0,0 +1,60 @@
+"""Tests of cold engines in a small fleet."""
+
+import unittest
+from typing import Any
+
+from tests.fleets import complete_many, engine_state, inject, start_engines
+
+TOKEN_SECONDS = 0.005
+COLD_OPTIONS: dict[str, Any] = {
+    'token_seconds': TOKEN_SECONDS,
+    'cold_limit_count': 4,
+    'warm_up_tokens': 200,
+    'restart_seconds': 0.3,
+}
+PROMPTS = [f'{number} [[length=20]]' for number in range(30)]
+
+
+class ColdStartTest(unittest.TestCase):
+    """Guard cold engines in the whole path."""
+
+    def run_cold(self, admission_policy: str) -> tuple[int, int]:
+        """Put full load on a cold engine; return crashes and answers."""
+        flags = {
+            'admission_policy': admission_policy,
+            'normal_token_seconds': TOKEN_SECONDS,
+        }
+        with start_engines(
+            ('engine-1',), agent_flags=flags, **COLD_OPTIONS
+        ) as fleet:
+            url = fleet.entries()[0].url
+            answers = complete_many(fleet, url, PROMPTS)
+            state = engine_state(fleet, 'engine-1')
+        complete_count = sum(status == 200 for status, _ in answers)
+        return state['crash_count'], complete_count
+
+    def test_open_gate_crashes_cold_engine(self) -> None:
+        """Show that the load of this test does make a cold engine fail."""
+        crash_count, _ = self.run_cold('open')
+        self.assertGreater(crash_count, 0)
+
+    def test_ramp_protects_cold_engine(self) -> None:
+        """Guard a cold engine against more work than it bears."""
+        crash_count, complete_count = self.run_cold('growth')
+        self.assertEqual(crash_count, 0)
+        self.assertEqual(complete_count, len(PROMPTS))
+
+    def test_silent_cold_return(self) -> None:
+        """Guard against an engine that falls over again and again."""
+        flags = {'normal_token_seconds': TOKEN_SECONDS}
+        with start_engines(
+            ('engine-1',), agent_flags=flags, **COLD_OPTIONS
+        ) as fleet:
+            url = fleet.entries()[0].url
+            complete_many(fleet, url, PROMPTS)
+            inject(fleet, 'engine-1', 'cold')
+            for _ in range(3):
+                complete_many(fleet, url, PROMPTS)
+            state = engine_state(fleet, 'engine-1')
+        # The load that ran when it went cold may make it fail once.
+        self.assertLessEqual(state['crash_count'], 1)
--- /dev/null
+++ b/tests/test_poison_requests.py
@@ -0,0 +1,33 @@
+"""Tests of poison requests in a small fleet."""
+
+import unittest
+
+from tests.fleets import complete, engine_state, start_engines, wait_engines_up
+
+ENGINES = ('engine-1', 'engine-2', 'engine-3')
+POISON_PROMPT = 'poison [[crash]] [[length=20]]'
+
+
+class PoisonRequestTest(unittest.TestCase):
+    """Guard engines against one content that is sent again and again."""
+
+    def test_contained_through_any_entry(self) -> None:
+        """Guard against more than two crashes through two entries."""
+        with start_engines(
+            ENGINES,
+            ('entry-1', 'entry-2'),
+            token_seconds=0.005,
+            restart_seconds=0.2,
+        ) as fleet:
+            urls = [entry.url for entry in fleet.entries()]
+            answers = []
+            for number in range(6):
+                answers.append(complete(fleet, urls[number % 2], POISON_PROMPT))
+                wait_engines_up(fleet, ENGINES)
+            crash_count = sum(
+                engine_state(fleet, engine)['crash_count'] for engine in ENGINES
+            )
+            harmless = complete(fleet, urls[0], 'harmless [[length=5]]')
+        self.assertLessEqual(crash_count, 2)
+        self.assertEqual(answers[-1][1], 'quarantined')
+        self.assertEqual(harmless[0], 200)
--- a/wasabistream/admissions.py
+++ b/wasabistream/admissions.py
@@ -1,6 +1,7 @@
 """Admission policies of the gate."""
 
 import math
+import time
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -12,6 +13,10 @@
 HORIZONS_TOKENS = (4, 8, 16, 32, 64, 128, 256, 512, 1024, 2048, 4096, 8192)
 
 MIN_HORIZON_COUNT = 2
+URGENT_CLASS = 'urgent'
+PATIENT_CLASS = 'patient'
+# Wait of an urgent job after which a draft may be preempted for it.
+OVERTAKE_SECONDS = 0.3
 
 
 class AdmissionPolicy(Protocol):
@@ -39,7 +44,7 @@
         self,
         capacity_tokens: int,
         headroom_ratio: float,
-        deviation_count: float = 1.0,
+        deviation_count: float = 0.2,
     ) -> None:
         self.limit_tokens = capacity_tokens * headroom_ratio
         # Standard deviations of the sum that are kept free.
@@ -57,6 +62,8 @@
         """Tell whether the engine has room for the job."""
         if not running:
             return True
+        if self._overtakes(job, running):
+            return True
         held_tokens = sum(item.memory_tokens for item in running)
         if held_tokens + job.memory_tokens > self.limit_tokens:
             return False
@@ -89,6 +96,24 @@
             for mean, variance in zip(means, variances)
         ]
 
+    def _overtakes(
+        self, job: GenerationJob, running: Sequence[GenerationJob]
+    ) -> bool:
+        # A caller waits for each token of an urgent answer. After a short
+        # wait it may cost a draft its place in the engine.
+        waited_seconds = time.monotonic() - job.queued_monotonic_seconds
+        if job.request.work_class != URGENT_CLASS:
+            return False
+        if waited_seconds < OVERTAKE_SECONDS:
+            return False
+        kept = [
+            item for item in running if item.request.work_class != PATIENT_CLASS
+        ]
+        if len(kept) == len(running):
+            return False
+        peak = max(self.memory_ahead([*kept, job], self._horizons(job)))
+        return peak <= self.limit_tokens
+
     def _horizons(self, job: GenerationJob) -> Sequence[int]:
         # Only the time in which the new job is there counts: a running job
         # that may grow for long is not helped by keeping new ones out now.
--- a/wasabistream/crosschecks.py
+++ b/wasabistream/crosschecks.py
@@ -26,6 +26,13 @@
 # Role shares of a model are parts of one whole.
 ROLE_WEIGHT_SUM = 1.0
 ROLE_WEIGHT_TOLERANCE = 1e-6
+# A time of a service with its default, and the one that it must exceed. The
+# settling time bounds how old a clock reading in a key may be. A call that
+# runs into its timeout is repeated, and its key must still be remembered.
+TIME_ORDER = (
+    ('settling_seconds', 10, 'clock_offset_seconds', 1),
+    ('retry_horizon_seconds', 600, 'timeout_seconds', 10),
+)
 
 
 def cross_check(raw: Any) -> list[str]:
@@ -39,7 +46,7 @@
         *_unknown_references(raw),
         *_role_problems(raw),
         *_class_problems(raw),
-        *_settling_problems(raw),
+        *_time_problems(raw),
     ]
 
 
@@ -166,18 +173,19 @@
             yield f'{path}.default_class: not listed in {path}.classes'
 
 
-def _settling_problems(raw: dict[str, Any]) -> Iterator[str]:
+def _time_problems(raw: dict[str, Any]) -> Iterator[str]:
     for path, service in _entries(raw, 'services'):
-        settling = service.get('settling_seconds')
-        offset = service.get('clock_offset_seconds', 1)
-        if type(settling) not in {int, float} or type(offset) not in {
-            int,
-            float,
-        }:
-            continue
-        # The settling time bounds how old a key's clock reading may be.
-        if settling <= offset:
-            yield (
-                f'{path}.settling_seconds: {settling!r} is not above '
-                + f'clock_offset_seconds {offset!r}'
-            )
+        for field, default, limit_field, limit_default in TIME_ORDER:
+            seconds = service.get(field, default)
+            limit = service.get(limit_field, limit_default)
+            if not _is_number(seconds) or not _is_number(limit):
+                continue
+            if seconds <= limit:
+                yield (
+                    f'{path}.{field}: {seconds!r} is not above '
+                    + f'{limit_field} {limit!r}'
+                )
+
+
+def _is_number(found: Any) -> bool:
+    return type(found) in {int, float}
--- a/wasabistream/demands.py
+++ b/wasabistream/demands.py
@@ -6,7 +6,9 @@
 from wasabistream.jobs import GenerationJob
 
 CLASS_RANKS = {'urgent': 0, 'normal': 1, 'patient': 2}
-AVERAGE_SECONDS = 2.0
+RISE_SECONDS = 1.0
+# Demand is forgotten more slowly than it is learned.
+FALL_SECONDS = 6.0
 # Room for bursts above the average demand.
 BURST_RATIO = 1.2
 
@@ -25,13 +27,17 @@
     def observe(self, running: Iterable[GenerationJob]) -> None:
         """Take the jobs that are there now into the averages."""
         now = time.monotonic()
-        part = min((now - self._seen_seconds) / AVERAGE_SECONDS, 1)
+        elapsed_seconds = now - self._seen_seconds
         self._seen_seconds = now
         current = dict.fromkeys(CLASS_RANKS, 0.0)
         for job in running:
             current[job.request.work_class] += job.memory_tokens
         for name, tokens in current.items():
-            self._tokens[name] += part * (tokens - self._tokens[name])
+            change = tokens - self._tokens[name]
+            span_seconds = RISE_SECONDS if change > 0 else FALL_SECONDS
+            self._tokens[name] += change * min(
+                elapsed_seconds / span_seconds, 1
+            )
 
     def above(self, work_class: str) -> float:
         """Return the memory to leave free for more urgent classes."""
--- a/wasabistream/entries.py
+++ b/wasabistream/entries.py
@@ -3,19 +3,21 @@
 import itertools
 import logging
 import secrets
+import time
 from collections.abc import Sequence
 
 from wasabistream.applications import Application
 from wasabistream.attempts import AttemptTable
 from wasabistream.backends import BackendDirectory
-from wasabistream.callers import CallerHandler, refusal_answer
+from wasabistream.callers import CallerHandler, draining_answer
 from wasabistream.configuration_notices import DocumentPatch, VmListFetch
 from wasabistream.configurations import ConfigurationStore
+from wasabistream.crash_notices import ClearNotice, CrashNotice
 from wasabistream.dialers import PeerDialer
 from wasabistream.dispatchers import Dispatcher
 from wasabistream.distributors import ConfigurationDistributor
 from wasabistream.documents import DocumentVersion
-from wasabistream.exceptions import RefusedError
+from wasabistream.entry_quarantines import EntryQuarantine
 from wasabistream.hangups import HangupWatcher
 from wasabistream.linkers import AgentLinker
 from wasabistream.links import Link
@@ -34,7 +36,6 @@
     LoadReport,
     Serving,
 )
-from wasabistream.outcomes import Outcome
 from wasabistream.owned_calls import OwnedCaller
 from wasabistream.pages import OperatorPages
 from wasabistream.routers import Router
@@ -59,6 +60,7 @@
 
     def __init__(self, settings: EntrySettings) -> None:
         super().__init__(settings)
+        self._entry_settings = settings
         self.incarnation = secrets.token_hex(4)
         self.configuration = ConfigurationStore(confirmed=False)
         self.distributor = ConfigurationDistributor(
@@ -69,6 +71,7 @@
         self.attempts = AttemptTable()
         self.vm_list: VmList | None = None
         self._counter = itertools.count(1)
+        self._refuse_from_seconds = 0.0
         self.members = MemberView()
         self.linker = AgentLinker(
             settings.process_id,
@@ -78,6 +81,9 @@
             self._make_dialer,
         )
         self._hangups = HangupWatcher()
+        self._quarantine = EntryQuarantine(
+            lambda: [view.link for view in self.directory.views() if view.link]
+        )
         self._dispatcher = Dispatcher(
             Router(settings.routing_policy),
             self.directory,
@@ -85,6 +91,7 @@
             self._make_request_id,
             self._hello,
             self.linker.demand,
+            self._quarantine,
         )
         self._callers = CallerHandler(
             settings,
@@ -119,6 +126,14 @@
         self.distributor.start()
         self.server.run_in_thread()
 
+    def on_drain(self) -> None:
+        """Show that no new work is wanted, and refuse it a little later."""
+        self._refuse_from_seconds = time.monotonic() + self.notice_seconds()
+
+    def notice_seconds(self) -> float:
+        """Return how long a load balancer may still send requests."""
+        return self._entry_settings.drain_notice_seconds
+
     def on_stop(self) -> None:
         """Close the server and the links."""
         self.distributor.stop()
@@ -168,6 +183,8 @@
             match message:
                 case LoadReport() | Serving() | CacheReport():
                     self.directory.report(link, message)
+                case CrashNotice() | ClearNotice():
+                    self._quarantine.learn(link, message)
                 case DocumentDigest() | DocumentFetch() | VmListFetch():
                     self.distributor.agent_message(link, message)
                 case DocumentBody() | DocumentPatch():
@@ -182,10 +199,8 @@
         page = self._pages.answer(request)
         if page is not None:
             return page
-        if self.draining:
-            return refusal_answer(
-                RefusedError('draining', Outcome.not_run, '', 1)
-            )
+        if self.draining and time.monotonic() > self._refuse_from_seconds:
+            return draining_answer()
         return self._callers.handle(request, take_socket)
 
     def _readiness(self) -> dict[str, object]:
--- a/wasabistream/senders.py
+++ b/wasabistream/senders.py
@@ -75,6 +75,7 @@
         self._lock = threading.Lock()
         self._current: _Attempt | None = None
         self._outcome = Outcome.not_run
+        self._last_failure: RefusedError | None = None
         self._gone = False
         self._concluded = False
 
@@ -110,12 +111,15 @@
     def _send_once(self) -> None:
         if self._deadline.expired:
             raise RefusedError('deadline', Outcome.not_run)
+        # A content that was in crashes is not tried on one engine after
+        # the other.
+        request = self._dispatcher.quarantine.admit(self._request)
         query = dataclasses.replace(
             self._query,
             excluded=self._excluded,
             spill=self._refusal_count >= SPILL_REFUSAL_COUNT,
         )
-        view, link = self._dispatcher.chooser.choose_link(query)
+        view, link = self._choose(query)
         self._excluded |= {view.vm.id}
         follower = GenerationFollower(self._writer, self._attempt_ended)
         attempt = _Attempt(
@@ -125,11 +129,18 @@
             link.peer.incarnation,
             follower,
         )
-        self._start(attempt)
+        self._start(attempt, request)
         if not follower.wait_decided(self._dispatcher.gate_reply_seconds):
             self._withdraw(attempt)
 
-    def _start(self, attempt: _Attempt) -> None:
+    def _choose(self, query: RouteQuery) -> tuple[BackendView, Link]:
+        try:
+            return self._dispatcher.chooser.choose_link(query)
+        except RefusedError as refusal:
+            # The last failure tells more than that no server is left.
+            raise self._last_failure or refusal from refusal
+
+    def _start(self, attempt: _Attempt, request: Generate) -> None:
         with self._lock:
             gone = self._gone
             if not gone:
@@ -140,7 +151,7 @@
             reason = 'caller_gone' if gone else 'deadline'
             raise RefusedError(reason, Outcome.not_run)
         message = dataclasses.replace(
-            self._request,
+            request,
             request_id=attempt.request_id,
             deadline_seconds=remaining_seconds,
         )
@@ -186,6 +197,7 @@
             return
         ATTEMPTS.labels(failure.outcome).inc()
         self._outcome = worst_outcome(self._outcome, failure.outcome)
+        self._last_failure = failure
         if self._may_retry(current, failure) and self._dispatcher.resend(self):
             return
         self._conclude(failure)
--- a/wasabistream_tools/engine_server.py
+++ b/wasabistream_tools/engine_server.py
@@ -38,7 +38,7 @@
             return self._inject(request.path.removeprefix('/stand-in/'))
         if self.engine.down:
             # A restarting engine accepts no connection; closing is closest.
-            take_socket().close()
+            _stream(take_socket).abort('down')
             return None
         if request.path == '/state':
             return json_answer(200, self.engine.state())
--- a/wasabistream_tools/faults.py
+++ b/wasabistream_tools/faults.py
@@ -2,6 +2,7 @@
 
 import random
 import signal
+import threading
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -21,6 +22,8 @@
 PAUSE_SECONDS = 4.0
 RESTART_SECONDS = 0.5
 OUT_SECONDS = 7.0
+# Time in which a load balancer notices that an entry drains.
+PROBE_SECONDS = 0.5
 LINK_FAULT_SECONDS = 3.0
 PLATFORM_FAULT_SECONDS = 6.0
 
@@ -220,11 +223,15 @@
 
 def _stop(context: FaultContext, name: str) -> None:
     told_at_seconds = now()
+    threading.Timer(
+        PROBE_SECONDS, context.fleet.balancer_out.add, (name,)
+    ).start()
     process = context.fleet.processes[name].process
     process.terminate()
     exit_code = process.wait()
     context.recorder.add(Stopped(now(), name, told_at_seconds, exit_code))
     context.fleet.restart(name)
+    context.fleet.balancer_out.discard(name)
 
 
 def _tell(context: FaultContext, name: str, fault_name: str) -> None:
--- a/wasabistream_tools/fleet.py
+++ b/wasabistream_tools/fleet.py
@@ -5,6 +5,7 @@
 
 import hashlib
 import json
+import random
 import signal
 import socket
 import subprocess
@@ -21,13 +22,26 @@
 POLL_SECONDS = 0.05
 DOCUMENT_KEY = 'wasabistream/document'
 VM_LIST_KEY = 'wasabistream/vms'
+# Below the range from which the system takes ports of outgoing connections;
+# such a connection could take a port before its daemon has bound it.
+PORT_RANGE = (15000, 32000)
+
+_used_ports: set[int] = set()
 
 
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((ADDRESS, 0))
-        port: int = sock.getsockname()[1]
+    """Return a port that is free now and was not returned before."""
+    while True:
+        port = random.randint(*PORT_RANGE)
+        if port in _used_ports:
+            continue
+        _used_ports.add(port)
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((ADDRESS, port))
+            except OSError:
+                continue
         return port
 
 
@@ -54,6 +68,8 @@
         self.http = urllib3.PoolManager(maxsize=64, retries=False)
         self.processes: dict[str, FleetProcess] = {}
         self.vms: dict[str, dict[str, Any]] = {}
+        # Entries to which a load balancer sends nothing new.
+        self.balancer_out: set[str] = set()
         self.configuration = self._start_configuration()
 
     def __enter__(self) -> 'Fleet':
@@ -129,6 +145,8 @@
                 'http_port': http_port,
                 'link_port': link_port,
                 'configuration_url': self.configuration.url,
+                # No load balancer stands in front of the fleet.
+                'drain_notice_seconds': 0,
                 **flags,
             },
         )
@@ -171,7 +189,9 @@
         return [
             self.processes[name]
             for name, vm in self.vms.items()
-            if vm['role'] == 'entry' and name in self.processes
+            if vm['role'] == 'entry'
+            and name in self.processes
+            and name not in self.balancer_out
         ]
 
     def signal(self, name: str, number: signal.Signals) -> None:
--- a/wasabistream_tools/history_callers.py
+++ b/wasabistream_tools/history_callers.py
@@ -26,6 +26,8 @@
 REPEAT_LIMIT_COUNT = 5
 RETRY_SECONDS = 0.4
 PLAIN_KEY_RATIO = 0.2
+# Callers repeat a key without a time no longer than the document allows.
+RETRY_HORIZON_SECONDS = 8
 DEADLINE_SECONDS = 20
 READ_TIMEOUT_SECONDS = 30.0
 LENGTHS_TOKENS = (3, 8, 20, 60)
@@ -113,7 +115,10 @@
     def book(self, tag: str) -> bool:
         """Book once, and repeat with the same key until it is answered."""
         key = self._make_key(tag)
+        repeat_until_seconds = now() + RETRY_HORIZON_SECONDS
         for _ in range(REPEAT_LIMIT_COUNT):
+            if now() > repeat_until_seconds:
+                break
             self._recorder.add(Sent(now(), tag, key=tag))
             entry = self._choose_entry()
             try:
