Refuse work that waits when a backend server is taken out

Cause: the gate went on starting jobs that had been queued before a data centre or a backend server was taken out, which is new work to the engine; a long queue would have gone past the limit of 5 s. Change: the agent refuses its waiting jobs as not run with the reason, and the entries send them elsewhere without charge.

--- a/tests/test_generations.py
+++ b/tests/test_generations.py
@@ -118,6 +118,18 @@
         self.assertTrue(self.engine.reached.wait(WAIT_SECONDS))
         self.assertEqual(self.engine.prompts, ['first', 'last'])
 
+    def test_removed_while_queued(self) -> None:
+        """Guard against new work at a backend server that was taken out."""
+        self.runner.generate(
+            self.link, build_generate(prompt='first', fingerprint=1)
+        )
+        self.assertTrue(self.engine.reached.wait(WAIT_SECONDS))
+        queued = build_generate(request_id='q', prompt='q', fingerprint=2)
+        self.runner.generate(self.link, queued)
+        self.runner.refuse_waiting('backend_out')
+        self.assertEqual(self.refusals('q'), ['backend_out'])
+        self.assertEqual(len(self.runner.jobs_in_progress()), 1)
+
     def test_repeated_id_runs_once(self) -> None:
         """Guard against two generations for one request id."""
         request = build_generate(request_id='twice', prompt='twice')
--- /dev/null
+++ b/wasabistream/agent_reports.py
@@ -0,0 +1,44 @@
+"""Reports of an agent on its backend server."""
+
+from wasabistream.calls import CallRunner
+from wasabistream.engines import EngineState
+from wasabistream.gates import Gate
+from wasabistream.notices import LoadReport, Serving
+
+
+def service_serving(service: str, ready: bool) -> Serving:
+    """Return what the agent of a plain service serves."""
+    return Serving(service, [], [], 'service', ready=ready)
+
+
+def engine_serving(state: EngineState, ready: bool) -> Serving:
+    """Return what the agent of an engine serves."""
+    return Serving(
+        '',
+        list(state.models),
+        list(state.adapters),
+        state.role,
+        ready=ready,
+    )
+
+
+def service_load(
+    calls: CallRunner, limit_count: int, leaving: bool
+) -> LoadReport:
+    """Return the load of a plain service, in calls."""
+    running_count = len(calls.calls_in_progress())
+    return LoadReport(
+        running_count, limit_count, running_count, 0, limit_count, leaving
+    )
+
+
+def engine_load(gate: Gate, state: EngineState, leaving: bool) -> LoadReport:
+    """Return the load of an engine."""
+    return LoadReport(
+        memory_used_tokens=gate.memory_used_tokens(),
+        memory_capacity_tokens=state.memory_capacity_tokens,
+        running_count=gate.running_count,
+        queued_count=gate.queued_count,
+        ramp_limit_count=gate.bearable_count,
+        leaving=leaving,
+    )
--- a/wasabistream/agents.py
+++ b/wasabistream/agents.py
@@ -5,22 +5,23 @@
 import threading
 from collections.abc import Sequence
 
+from wasabistream.agent_messages import AgentMessageHandler
+from wasabistream.agent_reports import (
+    engine_load,
+    engine_serving,
+    service_load,
+    service_serving,
+)
 from wasabistream.applications import Application
+from wasabistream.availability import Availability
 from wasabistream.cache_reporters import CacheReporter
 from wasabistream.call_owners import CallOwner
 from wasabistream.calls import CallRunner
-from wasabistream.configuration_notices import VmListDigest
 from wasabistream.configurations import ConfigurationStore
-from wasabistream.crash_notices import ClearNotice, CrashNotice
 from wasabistream.crashes import CrashDetector
 from wasabistream.document_relays import DocumentRelay, send_to
 from wasabistream.engines import EngineState, make_engine_client
-from wasabistream.exceptions import (
-    BackendError,
-    ConfigurationError,
-    LinkError,
-    RefusedError,
-)
+from wasabistream.exceptions import BackendError, LinkError
 from wasabistream.gate_builders import build_gate
 from wasabistream.gates import Gate
 from wasabistream.generations import GenerationRunner
@@ -37,25 +38,14 @@
     Hello,
     LoadReport,
     Serving,
-    VmListBody,
 )
-from wasabistream.outcomes import Outcome
 from wasabistream.pages import OperatorPages
 from wasabistream.part_clients import PartClient
 from wasabistream.placement_runners import PlacementRunner
 from wasabistream.quarantines import Quarantine
-from wasabistream.requests import (
-    Call,
-    Cancel,
-    Generate,
-    Refused,
-    Resume,
-    Withdraw,
-)
 from wasabistream.servers import CallerServer
 from wasabistream.settings import AgentSettings
 from wasabistream.signals import document_changed
-from wasabistream.vms import parse_vm_list
 
 logger = logging.getLogger(__name__)
 
@@ -77,8 +67,7 @@
             settings.process_id, self.configuration, announces=False
         )
         self.vm_part = PartClient(settings.process_id)
-        # The VM list shows the VM of this agent as leaving.
-        self._listed_leaving = False
+        self.availability = Availability(settings, self.configuration)
         self._links: set[Link] = set()
         self._stopped = threading.Event()
         self._engine = make_engine_client(
@@ -115,6 +104,19 @@
         self.server: CallerServer | None = None
         self.reporter = LoadReporter(self._load_report)
         self.caches = CacheReporter(self._engine, self._broadcast)
+        self._messages = AgentMessageHandler(
+            availability=self.availability,
+            generations=self.generations,
+            calls=self.calls,
+            crashes=self._crashes,
+            reporter=self.reporter,
+            relay=self.relay,
+            vm_part=self.vm_part,
+            owner=self.owner,
+            placement=self.placement,
+            holds=self.holds,
+            on_availability_changed=self._availability_changed,
+        )
         self.listener = LinkListener(
             settings.address, settings.link_port, self._hello(), self
         )
@@ -139,6 +141,7 @@
 
     def on_drain(self) -> None:
         """Refuse new work and tell all entries."""
+        self.availability.draining = True
         self.reporter.send()
 
     def on_stop(self) -> None:
@@ -187,77 +190,19 @@
         """Handle the messages of an entry."""
         for message in received:
             try:
-                self._handle(link, message)
+                self._messages.handle(link, message)
             except LinkError as error:
                 logger.info('agent: reply lost: %s', error)
 
-    def _handle(self, link: Link, message: Message) -> None:
-        if isinstance(message, (CrashNotice, ClearNotice)):
-            self._crashes.learn(message)
-        match message:
-            case Generate():
-                if self._admits(link, message.request_id):
-                    self.generations.generate(link, message)
-                self.reporter.took(link)
-            case Call():
-                self.calls.call(link, message, self._refusal())
-                self.reporter.took(link)
-            case Cancel():
-                self.generations.cancel(link, message)
-            case Withdraw():
-                self.generations.withdraw(link, message)
-            case Resume():
-                self.generations.resume(link, message)
-            case VmListDigest() | VmListBody():
-                part = self.vm_part.handle(link, message)
-                if part is not None:
-                    self._note_list_state(part)
-                    self.owner.handle(link, part)
-                    self.placement.receive_part(part)
-            case _:
-                self.relay.handle(link, message)
-                self.owner.handle(link, message)
-                self.holds.on_messages(link, (message,))
-
-    def _note_list_state(self, part: VmListBody) -> None:
-        try:
-            vm_list = parse_vm_list(part.body, part.list_index)
-        except ConfigurationError as error:
-            logger.error('agent: VM list refused: %s', error)
-            return
-        leaving = vm_list.is_leaving(self.settings.process_id)
-        if leaving != self._listed_leaving:
-            self._listed_leaving = leaving
-            self.reporter.send()
-
-    def _refusal(self) -> str:
-        try:
-            self._check_in_service()
-        except RefusedError as refusal:
-            return refusal.reason
-        return ''
-
-    def _admits(self, link: Link, request_id: str) -> bool:
-        try:
-            self._check_in_service()
-        except RefusedError as refusal:
-            link.send(Refused(request_id, Outcome.not_run, refusal.reason))
-            return False
-        return True
+    def _availability_changed(self) -> None:
+        self.reporter.send()
+        self._refuse_waiting()
 
-    def _check_in_service(self) -> None:
-        if self.draining:
-            raise RefusedError('draining', Outcome.not_run)
-        if self._listed_leaving:
-            raise RefusedError('leaving', Outcome.not_run)
-        version = self.configuration.version
-        if version is None:
-            raise RefusedError('no_document', Outcome.not_run)
-        document = version.document
-        if not document.data_centre_in_service(self.settings.data_centre):
-            raise RefusedError('data_centre_out', Outcome.not_run)
-        if self.settings.process_id in document.backend_servers_out:
-            raise RefusedError('backend_out', Outcome.not_run)
+    def _refuse_waiting(self) -> None:
+        # Work that waits at the gate is new work to the engine.
+        reason = self.availability.removal()
+        if reason and self._state is not None:
+            self.generations.refuse_waiting(reason)
 
     def _status(self) -> dict[str, object]:
         version = self.configuration.version
@@ -271,13 +216,6 @@
             'in_progress_count': len(self.work_in_progress()),
         }
 
-    def _leaving(self) -> bool:
-        try:
-            self._check_in_service()
-        except RefusedError as refusal:
-            return refusal.reason != 'no_document'
-        return False
-
     def _hello(self) -> Hello:
         return Hello(
             PROTOCOL_VERSION_MIN,
@@ -317,43 +255,23 @@
         self, sender: object, previous: object, **_: object
     ) -> None:
         # A data centre taken out must be known before the next report.
-        self.reporter.send()
+        self._availability_changed()
         if previous is None:
             # Without a document the agent refuses all work.
             send_to(list(self._links), self._serving())
 
     def _serving(self) -> Serving:
-        state = self._state
         ready = self.configuration.version is not None
-        if state is None:
-            return Serving(
-                self.agent_settings.service, [], [], 'service', ready=ready
-            )
-        return Serving(
-            '',
-            list(state.models),
-            list(state.adapters),
-            state.role,
-            ready=ready,
-        )
+        if self._state is None:
+            return service_serving(self.agent_settings.service, ready)
+        return engine_serving(self._state, ready)
 
     def _load_report(self) -> LoadReport:
-        state = self._state
-        if state is None:
-            running = len(self.calls.calls_in_progress())
-            limit = self.agent_settings.service_concurrency_count
-            return LoadReport(
-                running, limit, running, 0, limit, self._leaving()
-            )
-        gate = self.generations.gate
-        return LoadReport(
-            memory_used_tokens=gate.memory_used_tokens(),
-            memory_capacity_tokens=state.memory_capacity_tokens,
-            running_count=gate.running_count,
-            queued_count=gate.queued_count,
-            ramp_limit_count=gate.bearable_count,
-            leaving=self._leaving(),
-        )
+        leaving = self.availability.leaving
+        if self._state is None:
+            limit_count = self.agent_settings.service_concurrency_count
+            return service_load(self.calls, limit_count, leaving)
+        return engine_load(self.generations.gate, self._state, leaving)
 
     def _fetch(self) -> None:
         while not self._stopped.wait(FETCH_TICK_SECONDS):
@@ -363,6 +281,8 @@
     def _report(self) -> None:
         while not self._stopped.wait(self.settings.report_interval_seconds):
             self.reporter.send()
+            # Catches a job that was queued while the removal came into force.
+            self._refuse_waiting()
 
     def _broadcast(self, notice: Message) -> None:
         for link in list(self._links):
--- a/wasabistream/gates.py
+++ b/wasabistream/gates.py
@@ -152,6 +152,11 @@
         """Start nothing more; return the jobs that waited."""
         with self._condition:
             self.closed_reason = reason
+            return self.empty()
+
+    def empty(self) -> list[GenerationJob]:
+        """Remove all jobs that wait and return them."""
+        with self._condition:
             waiting = [*self._queues, *self._suspects]
             for job in waiting:
                 self._drop(job)
--- a/wasabistream/generations.py
+++ b/wasabistream/generations.py
@@ -160,6 +160,12 @@
         if not job.attach(subscriber, request.next_index):
             link.send(Failed(request.request_id, Outcome.run, 'events_dropped'))
 
+    def refuse_waiting(self, reason: str) -> None:
+        """Refuse all jobs that wait, so that they run elsewhere."""
+        for job in self.gate.empty():
+            self._jobs.end(job)
+            job.refuse(reason)
+
     def link_closed(self, link: Link) -> None:
         """Detach the streams that a link followed."""
         now = time.monotonic()
