--- a/wasabistream_tools/demo.py
+++ b/wasabistream_tools/demo.py
@@ -8,7 +8,8 @@
 import urllib3
 
 from wasabistream.keys import make_key
-from wasabistream_tools.fleet import Fleet, credential_digest
+from wasabistream_tools.fleet import Fleet
+from wasabistream_tools.sample_documents import sample_document
 
 DATA_CENTRES = ('dc-a', 'dc-b')
 CREDENTIAL = 'demo-credential'
@@ -19,38 +20,13 @@
 
 def demo_document() -> dict[str, Any]:
     """Return the document that the demonstration publishes."""
-    return {
-        'format': 1,
-        'revision': 1,
-        'models': [
-            {
-                'name': 'assistant',
-                'version': '1',
-                'data_centres': list(DATA_CENTRES),
-            }
-        ],
-        'data_centres': [{'name': name} for name in DATA_CENTRES],
-        'organisations': [
-            {
-                'name': 'desk',
-                'credential_sha256': credential_digest(CREDENTIAL),
-                'models': ['assistant'],
-                'services': ['booking'],
-            }
-        ],
-        'services': [
-            {
-                'name': 'booking',
-                'non_repeatable': [
-                    {'method': 'POST', 'path_prefix': '/bookings'}
-                ],
-                # Short times, as the fleet of the demonstration is new.
-                'settling_seconds': 3,
-                'list_hold_seconds': 2,
-                'clock_offset_seconds': 0.1,
-            }
-        ],
+    # Short times, as the fleet of the demonstration is new.
+    times = {
+        'settling_seconds': 3,
+        'list_hold_seconds': 2,
+        'clock_offset_seconds': 0.1,
     }
+    return sample_document(CREDENTIAL, DATA_CENTRES, times)
 
 
 def start_fleet() -> Fleet:
--- a/wasabistream_tools/history.py
+++ b/wasabistream_tools/history.py
@@ -16,7 +16,7 @@
 import urllib3
 
 from wasabistream_tools.faults import FAULTS, FaultContext
-from wasabistream_tools.fleet import Fleet, credential_digest
+from wasabistream_tools.fleet import Fleet
 from wasabistream_tools.forwarders import LinkForwarder
 from wasabistream_tools.history_callers import (
     CREDENTIAL,
@@ -36,6 +36,7 @@
     Sent,
     now,
 )
+from wasabistream_tools.sample_documents import sample_document
 
 DATA_CENTRES = ('dc-a', 'dc-b')
 CALLER_COUNT = 12
@@ -177,38 +178,13 @@
 
 def history_document() -> dict[str, Any]:
     """Return the first document of a history."""
-    return {
-        'format': 1,
-        'revision': 1,
-        'models': [
-            {
-                'name': 'assistant',
-                'version': '1',
-                'data_centres': list(DATA_CENTRES),
-            }
-        ],
-        'data_centres': [{'name': name} for name in DATA_CENTRES],
-        'organisations': [
-            {
-                'name': 'desk',
-                'credential_sha256': credential_digest(CREDENTIAL),
-                'models': ['assistant'],
-                'services': ['booking'],
-            }
-        ],
-        'services': [
-            {
-                'name': 'booking',
-                'non_repeatable': [
-                    {'method': 'POST', 'path_prefix': '/bookings'}
-                ],
-                'retry_horizon_seconds': RETRY_HORIZON_SECONDS,
-                'timeout_seconds': 3,
-                'settling_seconds': 3,
-                'list_hold_seconds': 5,
-            }
-        ],
+    times = {
+        'retry_horizon_seconds': RETRY_HORIZON_SECONDS,
+        'timeout_seconds': 3,
+        'settling_seconds': 3,
+        'list_hold_seconds': 5,
     }
+    return sample_document(CREDENTIAL, DATA_CENTRES, times)
 
 
 def choose_faults(seed: int) -> tuple[str, ...]:
--- a/wasabistream_tools/measure_relay.py
+++ b/wasabistream_tools/measure_relay.py
@@ -11,13 +11,14 @@
 
 from hdrh.histogram import HdrHistogram
 
-from wasabistream_tools.fleet import Fleet, credential_digest
+from wasabistream_tools.fleet import Fleet
 from wasabistream_tools.relay_client import (
     ReadStream,
     StreamTarget,
     read_streams,
 )
 from wasabistream_tools.reports import Report
+from wasabistream_tools.sample_documents import sample_document
 from wasabistream_tools.usage import read_busy_seconds, read_usage
 
 CREDENTIAL = 'relay-credential'
@@ -219,29 +220,7 @@
             memory_tokens=options.streams * 2 * options.length_tokens,
         )
     fleet.add_entry('entry-1', DATA_CENTRE)
-    fleet.publish_document(_document())
+    fleet.publish_document(sample_document(CREDENTIAL, (DATA_CENTRE,), {}))
     fleet.publish_vms()
     fleet.wait_ready(backend_count=ENGINE_COUNT)
     return fleet
-
-
-def _document() -> dict[str, Any]:
-    return {
-        'format': 1,
-        'revision': 1,
-        'models': [
-            {
-                'name': 'assistant',
-                'version': '1',
-                'data_centres': [DATA_CENTRE],
-            }
-        ],
-        'data_centres': [{'name': DATA_CENTRE}],
-        'organisations': [
-            {
-                'name': 'desk',
-                'credential_sha256': credential_digest(CREDENTIAL),
-                'models': ['assistant'],
-            }
-        ],
-    }
