Put step and peer of a logged error into fields of the line

Cause: logs had step and peer of an error only in the message text. Change: a filter of the log handler sets both fields from the error that is logged.

--- a/wasabistream/logs.py
+++ b/wasabistream/logs.py
@@ -5,6 +5,21 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from wasabistream.exceptions import WasabiError
+
+
+class ErrorFieldsFilter(logging.Filter):
+    """Add step and peer of a logged error as fields of the line."""
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Pass every record on."""
+        arguments = record.args if isinstance(record.args, tuple) else ()
+        for argument in arguments:
+            if isinstance(argument, WasabiError):
+                record.step = argument.step
+                record.peer = argument.peer
+        return True
+
 
 def configure_logs(level: str, process_id: str) -> None:
     """Write JSON lines with the process id to standard error."""
@@ -15,6 +30,7 @@
             static_fields={'process_id': process_id},
         )
     )
+    handler.addFilter(ErrorFieldsFilter())
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(level)
