Require tokens before a cold engine of unknown speed gets more slots

Change: while normal speed is not known, a further slot also needs 256 tokens. Ruled out: a restart of the engine and a ramp held in each entry; all work came through one agent that had just started. Conclusion: short answers no longer count as proof of a warm engine.

--- a/tests/test_ramps.py
+++ b/tests/test_ramps.py
@@ -62,3 +62,12 @@
         for _ in range(FULL_COUNT):
             ramp.finished(NORMAL_SECONDS)
         self.assertTrue(ramp.open)
+
+    def test_short_answers_do_not_open(self) -> None:
+        """Guard a cold engine against many answers of a few tokens."""
+        ramp = Ramp(self.speeds, START_COUNT, FULL_COUNT)
+        for _ in range(6):
+            ramp.token()
+            ramp.token()
+            ramp.finished(3 * NORMAL_SECONDS)
+        self.assertEqual(ramp.limit_count, START_COUNT)
--- a/wasabistream/ramps.py
+++ b/wasabistream/ramps.py
@@ -20,6 +20,9 @@
 FORGET_RATIO = 0.005
 # Finished answers for each further slot while normal speed is not known.
 BLIND_FINISH_COUNT = 3
+# Tokens for each further slot while normal speed is not known. Short answers
+# alone would open the ramp before the engine has done any work to warm up.
+BLIND_SLOT_TOKENS = 256
 
 
 class Ramp:
@@ -45,6 +48,7 @@
         self._normal_first_seconds = 0.0
         self._slow_first_count = 0
         self._blind_finish_count = 0
+        self._blind_tokens = 0
         self._coldest_gap_seconds = 0.0
         self.close_count = 0
 
@@ -75,6 +79,7 @@
 
     def token(self) -> None:
         """Judge the speed after a token."""
+        self._blind_tokens += 1
         gap = self._speeds.gap_seconds
         normal = self._normal_gap_seconds
         if (
@@ -114,8 +119,12 @@
             self._normal_gap_seconds = gap_seconds
             return
         self._blind_finish_count += 1
-        if self._blind_finish_count >= BLIND_FINISH_COUNT * self._limit:
+        if (
+            self._blind_finish_count >= BLIND_FINISH_COUNT * self._limit
+            and self._blind_tokens >= BLIND_SLOT_TOKENS
+        ):
             self._blind_finish_count = 0
+            self._blind_tokens = 0
             self._open_by(1)
 
     def _open_by(self, slots: float) -> None:
@@ -128,6 +137,7 @@
         self._limit = self._start_count
         self._slow_first_count = 0
         self._blind_finish_count = 0
+        self._blind_tokens = 0
 
 
 class OpenRamp(Ramp):
