Remove two names that nothing uses

Cause: drains now ask the dispatcher for open requests, and the rule of the field checks the document's format, so AttemptTable.request_ids and documents.FORMAT had no user left. Change: both are removed; behaviour stays.

--- a/wasabistream/attempts.py
+++ b/wasabistream/attempts.py
@@ -44,11 +44,6 @@
         """Return how many attempts are open."""
         return len(self._open)
 
-    def request_ids(self) -> list[str]:
-        """Return the ids of open attempts."""
-        with self._lock:
-            return list(self._open)
-
     def add(
         self,
         request_id: str,
--- a/wasabistream/documents.py
+++ b/wasabistream/documents.py
@@ -24,7 +24,6 @@
 
 __all__ = ('CallRule', 'Document', 'DocumentError', 'Model', 'Organisation')
 
-FORMAT = 1
 MAX_DOCUMENT_BYTES = 1024 * 1024
 
 
