--- a/wasabistream/exceptions.py
+++ b/wasabistream/exceptions.py
@@ -46,6 +46,18 @@
     """Report a backend server that failed during a request."""
 
 
+class NotSentError(BackendError):
+    """Report a request that a backend server can not have run."""
+
+
+class StoreError(WasabiError):
+    """Report a platform store that is unreachable, refuses or is malformed."""
+
+
+class HistoryLostError(StoreError):
+    """Report changes that the platform store no longer has."""
+
+
 class ConfigurationError(WasabiError):
     """Report a configuration service that is unreachable or malformed."""
 
--- /dev/null
+++ b/wasabistream/forwarding/agent_links.py
@@ -0,0 +1,130 @@
+"""Links of an entry to the agents beside engines."""
+
+import logging
+import threading
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from wasabistream.dialers import PeerDialer
+from wasabistream.exceptions import LinkError
+from wasabistream.forwarding.backend_servers import BackendServer
+from wasabistream.forwarding.fleets import Fleet
+from wasabistream.forwarding.load_books import LoadBook
+from wasabistream.forwarding.move_books import MoveBook
+from wasabistream.forwarding.move_messages import (
+    RoomQuery,
+    RoomReport,
+    RunMoved,
+    RunMoving,
+)
+from wasabistream.forwarding.rooms import list_rooms
+from wasabistream.links import Link
+from wasabistream.messages import Message
+from wasabistream.notices import Hello, LoadReport
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class AgentAddress:
+    """Hold where the agent of one backend server listens."""
+
+    address: str
+    backend_port: int
+
+    @property
+    def endpoint(self) -> str:
+        """Return the endpoint of the backend server."""
+        return f'{self.address}:{self.backend_port}'
+
+
+class AgentLinks:
+    """Keep one link to the agent of each engine."""
+
+    def __init__(
+        self, hello: Hello, link_port: int, book: LoadBook, moves: MoveBook
+    ) -> None:
+        self._hello = hello
+        self._link_port = link_port
+        self._book = book
+        self._moves = moves
+        self._lock = threading.Lock()
+        self._dialers: dict[AgentAddress, PeerDialer] = {}
+        self._fleet = Fleet()
+
+    def follow(self, fleet: Fleet) -> None:
+        """Open links to new engines and close those of engines that left."""
+        wanted = {
+            AgentAddress(server.address, server.port)
+            for server in fleet.servers.values()
+            if _has_engine(fleet, server)
+        }
+        with self._lock:
+            self._fleet = fleet
+            for gone in set(self._dialers) - wanted:
+                self._dialers.pop(gone).stop()
+            for address in wanted - set(self._dialers):
+                dialer = PeerDialer(
+                    address.address,
+                    self._link_port,
+                    self._hello,
+                    _AgentLink(self, address.endpoint),
+                )
+                self._dialers[address] = dialer
+                dialer.start()
+
+    def stop(self) -> None:
+        """Close all links."""
+        with self._lock:
+            for dialer in self._dialers.values():
+                dialer.stop()
+            self._dialers.clear()
+
+    def receive(self, endpoint: str, link: Link, notice: Message) -> None:
+        """Handle one message of an agent."""
+        match notice:
+            case LoadReport():
+                self._book.report(endpoint, notice)
+            case RunMoving():
+                self._moves.moving(notice.run_id)
+            case RunMoved():
+                self._moves.moved(notice)
+            case RoomQuery():
+                self._tell_rooms(endpoint, link, notice)
+
+    def _tell_rooms(self, endpoint: str, link: Link, query: RoomQuery) -> None:
+        rows = list_rooms(self._fleet, self._book, query.service, endpoint)
+        try:
+            link.send(RoomReport(rows))
+        except LinkError as error:
+            # The agent asks all entries and again while it leaves.
+            logger.info('agent link: room report lost: %s', error)
+
+
+class _AgentLink:
+    """Handle the link to one agent."""
+
+    def __init__(self, links: AgentLinks, endpoint: str) -> None:
+        self._links = links
+        self._endpoint = endpoint
+
+    def on_opened(self, link: Link) -> None:
+        """Log that the agent is reached."""
+        logger.info('agent link: opened to %s', self._endpoint)
+
+    def on_messages(self, link: Link, received: Sequence[Message]) -> None:
+        """Handle the messages of the agent."""
+        for notice in received:
+            self._links.receive(self._endpoint, link, notice)
+
+    def on_closed(self, link: Link, reason: str) -> None:
+        """Log that the agent is lost."""
+        logger.info('agent link: lost to %s: %s', self._endpoint, reason)
+
+
+def _has_engine(fleet: Fleet, server: BackendServer) -> bool:
+    configuration = fleet.configuration
+    if configuration is None:
+        return False
+    service = configuration.services.get(server.service)
+    return service is not None and service.engine is not None
--- /dev/null
+++ b/wasabistream/forwarding/attempts.py
@@ -0,0 +1,144 @@
+"""One attempt of a request at one backend server."""
+
+import logging
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from functools import partial
+
+from wasabistream.exceptions import BackendError, NotSentError
+from wasabistream.forwarding.backend_servers import BackendServer
+from wasabistream.forwarding.budgets import RepeatBudgets
+from wasabistream.forwarding.failure_rates import FailureRates
+from wasabistream.forwarding.interfaces import (
+    Sending,
+    ServerClient,
+    ServerExchange,
+)
+from wasabistream.forwarding.load_books import LoadBook
+from wasabistream.forwarding.requests import Continuation
+from wasabistream.forwarding.supervisors import Watch
+
+logger = logging.getLogger(__name__)
+
+# Attempts that backend servers turned away without running them do not count
+# against the route's limit; this many end the search.
+MAX_TURNED_AWAY_COUNT = 3
+
+
+@dataclass
+class AttemptHistory:
+    """Count the attempts of one request."""
+
+    sent_count: int = 0
+    turned_away_count: int = 0
+    # Attempts that ran or may have run.
+    run_count: int = 0
+    endpoints: list[str] = field(default_factory=list)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether any attempt may have run."""
+        return self.run_count > 0
+
+
+class AttemptSender:
+    """Send attempts and keep the books about them."""
+
+    def __init__(
+        self,
+        client: ServerClient,
+        book: LoadBook,
+        rates: FailureRates,
+        budgets: RepeatBudgets,
+    ) -> None:
+        self._client = client
+        self._book = book
+        self._rates = rates
+        self._budgets = budgets
+
+    def may_send(self, watch: Watch, history: AttemptHistory) -> bool:
+        """Tell whether one more attempt is allowed; takes from the budget."""
+        request = watch.request
+        if watch.ended or request.deadline.expired:
+            return False
+        if not history.sent_count:
+            self._budgets.request(request.service)
+            return True
+        route = request.route
+        if history.turned_away_count >= MAX_TURNED_AWAY_COUNT:
+            return False
+        if history.run_count and not route.repeatable:
+            return False
+        if history.run_count >= route.max_attempt_count:
+            return False
+        return self._budgets.take(request.service)
+
+    @contextmanager
+    def open(
+        self,
+        server: BackendServer,
+        watch: Watch,
+        history: AttemptHistory,
+        continuation: Continuation | None = None,
+    ) -> Iterator[ServerExchange]:
+        """Send one attempt; the exchange is closed at the end.
+
+        Raises NotSentError when the request has not run at this backend
+        server, and BackendError when it may have.
+        """
+        request = watch.request
+        demand = request.demand
+        endpoint = server.endpoint
+        history.sent_count += 1
+        history.endpoints.append(endpoint)
+        self._book.sent(
+            endpoint,
+            request.request_id,
+            demand.expected_tokens if demand else 0,
+        )
+        try:
+            exchange = self._open(server, watch, history, continuation)
+            try:
+                yield exchange
+            finally:
+                watch.attach('', None)
+                exchange.close()
+        finally:
+            self._book.ended(endpoint, request.request_id)
+
+    def _open(
+        self,
+        server: BackendServer,
+        watch: Watch,
+        history: AttemptHistory,
+        continuation: Continuation | None,
+    ) -> ServerExchange:
+        started = time.monotonic()
+        try:
+            exchange = self._client.open(
+                server,
+                watch.request,
+                Sending(watch.request.deadline.remaining_seconds, continuation),
+                partial(watch.attach, server.endpoint),
+            )
+        except NotSentError:
+            history.turned_away_count += 1
+            self._rates.unreachable(server.endpoint)
+            raise
+        except BackendError:
+            history.run_count += 1
+            if not watch.ended:
+                self._rates.record(server.endpoint, failed=True)
+            raise
+        if exchange.answer.not_run:
+            history.turned_away_count += 1
+            exchange.close()
+            raise NotSentError(
+                f'turned away with {exchange.answer.status}',
+                f'head after {time.monotonic() - started:.3f} s',
+                server.endpoint,
+            )
+        history.run_count += 1
+        return exchange
--- /dev/null
+++ b/wasabistream/forwarding/budgets.py
@@ -0,0 +1,95 @@
+"""Budget of repeated sends that all entries share."""
+
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+# Part of the allowance that is left unused, as entries count in windows of
+# their own and requests of one may be missed by another.
+RESERVE_RATIO = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class RepeatLimit:
+    """Bound the repeated sends to one service in a sliding window."""
+
+    ratio: float
+    window_seconds: float
+    # Repeats that are allowed whatever the number of requests.
+    extra_count: float
+
+
+class RepeatBudget:
+    """Count requests and repeats of one service at one entry.
+
+    Nothing is shared: each entry uses the ratio of its own requests and its
+    part of the extra allowance.
+    """
+
+    def __init__(
+        self, limit: RepeatLimit, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._limit = limit
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._requests: deque[float] = deque()
+        self._repeats: deque[float] = deque()
+
+    def request(self) -> None:
+        """Count one request of a caller."""
+        with self._lock:
+            self._requests.append(self._clock())
+            self._trim()
+
+    def take(self, entry_count: int) -> bool:
+        """Take one repeat; tell whether the budget allows it."""
+        with self._lock:
+            self._trim()
+            allowance = (
+                self._limit.ratio * len(self._requests)
+                + self._limit.extra_count / max(entry_count, 1)
+            ) * (1 - RESERVE_RATIO)
+            if len(self._repeats) + 1 > allowance:
+                return False
+            self._repeats.append(self._clock())
+            return True
+
+    def _trim(self) -> None:
+        oldest = self._clock() - self._limit.window_seconds
+        for times in (self._requests, self._repeats):
+            while times and times[0] < oldest:
+                times.popleft()
+
+
+class RepeatBudgets:
+    """Hold the budget of each service."""
+
+    def __init__(
+        self,
+        limit: RepeatLimit,
+        count_entries: Callable[[], int],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._limit = limit
+        self._count_entries = count_entries
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._budgets: dict[str, RepeatBudget] = {}
+
+    def request(self, service: str) -> None:
+        """Count one request of a caller."""
+        self._budget(service).request()
+
+    def take(self, service: str) -> bool:
+        """Take one repeat; tell whether the budget allows it."""
+        return self._budget(service).take(self._count_entries())
+
+    def _budget(self, service: str) -> RepeatBudget:
+        with self._lock:
+            budget = self._budgets.get(service)
+            if budget is None:
+                budget = RepeatBudget(self._limit, self._clock)
+                self._budgets[service] = budget
+            return budget
--- /dev/null
+++ b/wasabistream/forwarding/caller_limits.py
@@ -0,0 +1,13 @@
+"""Limits on what a caller may send."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bound a caller's request and how long it may take or stay idle."""
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_seconds: float = 3
+    idle_timeout_seconds: float = 15
--- /dev/null
+++ b/wasabistream/forwarding/configurations.py
@@ -0,0 +1,41 @@
+"""Routing configuration in force."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from wasabistream.forwarding.caller_limits import CallerLimits
+from wasabistream.forwarding.organisations import KeyHolder
+from wasabistream.forwarding.routes import Route
+from wasabistream.forwarding.services import Service
+
+
+@dataclass(frozen=True)
+class RoutingConfiguration:
+    """Hold one version of the routes, services and API keys."""
+
+    version: int
+    routes_by_host: Mapping[str, tuple[Route, ...]]
+    services: Mapping[str, Service]
+    # None where requests need no key.
+    key_holders: Mapping[str, KeyHolder] | None
+    limits: CallerLimits = field(default_factory=CallerLimits)
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        for route in self.routes_by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def group_routes(routes: Iterable[Route]) -> dict[str, tuple[Route, ...]]:
+    """Return the routes of each host, those with the longest prefix first."""
+    groups: dict[str, list[Route]] = {}
+    for route in routes:
+        groups.setdefault(route.host, []).append(route)
+    return {
+        host: tuple(
+            sorted(group, key=lambda route: len(route.prefix), reverse=True)
+        )
+        for host, group in groups.items()
+    }
--- /dev/null
+++ b/wasabistream/forwarding/engine_watchers.py
@@ -0,0 +1,113 @@
+"""Watcher of the engine beside an agent."""
+
+import logging
+import threading
+import time
+from collections.abc import Callable
+
+from wasabistream.exceptions import BackendError
+from wasabistream.forwarding.engine_states import EngineState
+from wasabistream.forwarding.run_movers import MovableEngine
+from wasabistream.notices import LoadReport
+
+logger = logging.getLogger(__name__)
+
+# A notice of one and a half seconds leaves no time for a slower poll.
+POLL_SECONDS = 0.05
+# Load is reported at this interval; a change of state at once.
+REPORT_SECONDS = 0.25
+# Polls without an answer after which the engine counts as unresponsive.
+SILENT_COUNT = 2
+
+
+class EngineWatcher:
+    """Ask the engine for its state and tell the entries."""
+
+    def __init__(
+        self,
+        engine: MovableEngine,
+        report: Callable[[LoadReport], None],
+        on_leaving: Callable[[], None],
+    ) -> None:
+        self._engine = engine
+        self._report = report
+        self._on_leaving = on_leaving
+        self._stopped = threading.Event()
+        self._reported_seconds = 0.0
+        self._silent_count = 0
+        self._seen = False
+        self.last: LoadReport | None = None
+
+    def start(self) -> None:
+        """Start to ask."""
+        threading.Thread(target=self._run, name='engine', daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop to ask."""
+        self._stopped.set()
+
+    def _run(self) -> None:
+        while not self._stopped.wait(POLL_SECONDS):
+            try:
+                state = self._engine.state()
+            except BackendError as error:
+                self._missed(error)
+            else:
+                self._silent_count = 0
+                self._seen = True
+                self._publish(_load_report(state))
+
+    def _missed(self, error: BackendError) -> None:
+        self._silent_count += 1
+        if self._silent_count == SILENT_COUNT and self._seen:
+            logger.warning('engine: does not answer: %s', error)
+        if self._silent_count >= SILENT_COUNT and self.last is not None:
+            self._publish(
+                LoadReport(
+                    0,
+                    self.last.memory_capacity_tokens,
+                    0,
+                    0,
+                    0,
+                    leaving=False,
+                    responsive=False,
+                )
+            )
+
+    def _publish(self, report: LoadReport) -> None:
+        last = self.last
+        self.last = report
+        changed = last is None or (last.leaving, last.responsive) != (
+            report.leaving,
+            report.responsive,
+        )
+        now = time.monotonic()
+        due = now - self._reported_seconds >= REPORT_SECONDS
+        if not changed and (not due or report == last):
+            # An unchanged report is repeated before it counts as too old.
+            if now - self._reported_seconds < 4 * REPORT_SECONDS:
+                return
+        self._reported_seconds = now
+        self._report(report)
+        if changed:
+            logger.info(
+                'engine: state changed',
+                extra={
+                    'leaving': report.leaving,
+                    'responsive': report.responsive,
+                    'running_count': report.running_count,
+                },
+            )
+            if report.leaving:
+                self._on_leaving()
+
+
+def _load_report(state: EngineState) -> LoadReport:
+    return LoadReport(
+        memory_used_tokens=state.memory_used_tokens,
+        memory_capacity_tokens=state.memory_capacity_tokens,
+        running_count=state.running_count,
+        queued_count=state.waiting_count,
+        ramp_limit_count=0,
+        leaving=state.leaving,
+    )
--- /dev/null
+++ b/wasabistream/forwarding/event_splitters.py
@@ -0,0 +1,57 @@
+"""Split a stream of server-sent events into whole events."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+EVENT_ENDS = (b'\n\n', b'\r\n\r\n')
+ID_FIELD = b'id:'
+# An event of a few tokens is far shorter.
+MAX_EVENT_BYTES = 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class StreamEvent:
+    """Hold one whole event as it was received."""
+
+    # Empty where the event has none.
+    event_id: str
+    raw: bytes
+
+
+class EventSplitter:
+    """Collect bytes and return the events that they complete."""
+
+    def __init__(self) -> None:
+        self._pending = b''
+
+    @property
+    def torn(self) -> bool:
+        """Tell whether an event is incomplete."""
+        return bool(self._pending)
+
+    def feed(self, piece: bytes) -> Iterator[StreamEvent]:
+        """Return the events that a piece completes."""
+        self._pending += piece
+        while True:
+            end = _event_end(self._pending)
+            if not end:
+                return
+            raw = self._pending[:end]
+            self._pending = self._pending[end:]
+            yield StreamEvent(_event_id(raw), raw)
+
+
+def _event_end(pending: bytes) -> int:
+    ends = []
+    for mark in EVENT_ENDS:
+        found = pending.find(mark)
+        if found >= 0:
+            ends.append(found + len(mark))
+    return min(ends, default=0)
+
+
+def _event_id(raw: bytes) -> str:
+    for line in raw.splitlines():
+        if line.startswith(ID_FIELD):
+            return line.removeprefix(ID_FIELD).strip().decode('latin-1')
+    return ''
--- /dev/null
+++ b/wasabistream/forwarding/failure_rates.py
@@ -0,0 +1,73 @@
+"""Failures of backend servers as one entry sees them."""
+
+import math
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+# Weight of the newest outcome in the rate.
+OUTCOME_WEIGHT = 0.15
+# A rate halves in this time, so that a server is tried again.
+HALF_LIFE_SECONDS = 4.0
+# A server that does not accept connections is tried again after this time.
+UNREACHABLE_SECONDS = 0.7
+
+
+@dataclass(slots=True)
+class _Record:
+    rate: float = 0
+    updated_seconds: float = 0
+    unreachable_until_seconds: float = 0
+
+
+class FailureRates:
+    """Keep a decaying failure rate of each backend server.
+
+    No server is excluded by its rate: work goes to others while they are
+    better, and a few requests find out when a server works again.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._records: dict[str, _Record] = {}
+
+    def record(self, endpoint: str, *, failed: bool) -> None:
+        """Count the outcome of one request."""
+        with self._lock:
+            record = self._records.setdefault(endpoint, _Record())
+            rate = self._decayed(record)
+            record.rate = rate + OUTCOME_WEIGHT * (failed - rate)
+            record.updated_seconds = self._clock()
+
+    def unreachable(self, endpoint: str) -> None:
+        """Avoid a server that does not accept connections."""
+        self.record(endpoint, failed=True)
+        with self._lock:
+            until = self._clock() + UNREACHABLE_SECONDS
+            self._records[endpoint].unreachable_until_seconds = until
+
+    def rate(self, endpoint: str) -> float:
+        """Return the failure rate now, from 0 to 1."""
+        with self._lock:
+            record = self._records.get(endpoint)
+            return self._decayed(record) if record else 0.0
+
+    def is_unreachable(self, endpoint: str) -> bool:
+        """Tell whether a server has just refused a connection."""
+        record = self._records.get(endpoint)
+        if record is None:
+            return False
+        return self._clock() < record.unreachable_until_seconds
+
+    def keep_only(self, endpoints: frozenset[str]) -> None:
+        """Forget backend servers that are gone."""
+        with self._lock:
+            for endpoint in list(self._records):
+                if endpoint not in endpoints:
+                    self._records.pop(endpoint)
+
+    def _decayed(self, record: _Record) -> float:
+        age_seconds = self._clock() - record.updated_seconds
+        return record.rate * math.exp2(-age_seconds / HALF_LIFE_SECONDS)
--- /dev/null
+++ b/wasabistream/forwarding/fleets.py
@@ -0,0 +1,37 @@
+"""View of the fleet that decisions are made on."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from wasabistream.forwarding.backend_servers import BackendServer
+from wasabistream.forwarding.configurations import RoutingConfiguration
+
+
+@dataclass(frozen=True)
+class Fleet:
+    """Hold configuration, backend servers and data centres taken out.
+
+    A request is decided on one view from its start, so that two versions are
+    never mixed; where it is sent is decided on the newest view.
+    """
+
+    configuration: RoutingConfiguration | None = None
+    servers: Mapping[str, BackendServer] = field(default_factory=dict)
+    data_centres_out: frozenset[str] = frozenset()
+
+    def usable_servers(self, service: str) -> list[BackendServer]:
+        """Return the backend servers of a service that may get new work."""
+        return [
+            server
+            for server in self.servers.values()
+            if server.service == service
+            and not server.draining
+            and server.data_centre not in self.data_centres_out
+        ]
+
+
+class FleetHolder:
+    """Hold the newest view; it is replaced as a whole."""
+
+    def __init__(self) -> None:
+        self.current = Fleet()
--- /dev/null
+++ b/wasabistream/forwarding/forwarders.py
@@ -0,0 +1,84 @@
+"""Forward requests of callers."""
+
+import logging
+import time
+
+from wasabistream.forwarding.attempts import AttemptHistory
+from wasabistream.forwarding.interfaces import Caller
+from wasabistream.forwarding.plain_forwarders import PlainForwarder
+from wasabistream.forwarding.requests import ForwardRequest, Reply
+from wasabistream.forwarding.routes import RouteKind
+from wasabistream.forwarding.stream_forwarders import (
+    StreamForwarder,
+    StreamProgress,
+)
+from wasabistream.forwarding.supervisors import Supervisor, Watch
+
+logger = logging.getLogger(__name__)
+
+
+class Forwarder:
+    """Forward each request by the kind of its route."""
+
+    def __init__(
+        self,
+        supervisor: Supervisor,
+        plain: PlainForwarder,
+        streams: StreamForwarder,
+    ) -> None:
+        self._supervisor = supervisor
+        self._plain = plain
+        self._streams = streams
+
+    def forward(self, request: ForwardRequest, caller: Caller) -> None:
+        """Forward a request until its answer is complete."""
+        started = time.monotonic()
+        watch = Watch(request, caller)
+        history = AttemptHistory()
+        progress = StreamProgress()
+        reply: Reply | None = None
+        self._supervisor.add(watch)
+        try:
+            if request.route.kind == RouteKind.streaming:
+                reply = self._streams.forward(watch, history, progress)
+            else:
+                reply = self._plain.forward(watch, history)
+            if reply is not None:
+                caller.reply(reply)
+        except OSError as error:
+            # Errors of backend servers have a type of their own.
+            logger.info(
+                'request: caller left: %s',
+                error,
+                extra={'request_id': request.request_id},
+            )
+            caller.abort()
+        finally:
+            self._supervisor.remove(watch)
+        self._log(watch, history, progress, reply, started)
+
+    def _log(
+        self,
+        watch: Watch,
+        history: AttemptHistory,
+        progress: StreamProgress,
+        reply: Reply | None,
+        started: float,
+    ) -> None:
+        request = watch.request
+        logger.info(
+            'request: ended',
+            extra={
+                'request_id': request.request_id,
+                'route': request.route.name,
+                'service': request.service,
+                'status': reply.status if reply else 'stream',
+                'servers': history.endpoints,
+                'run_count': history.run_count,
+                'turned_away_count': history.turned_away_count,
+                'event_count': progress.event_count,
+                'move_count': progress.move_count,
+                'cut_reason': watch.reason,
+                'seconds': round(time.monotonic() - started, 4),
+            },
+        )
--- /dev/null
+++ b/wasabistream/forwarding/load_books.py
@@ -0,0 +1,121 @@
+"""Load of backend servers as one entry knows it."""
+
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from wasabistream.notices import LoadReport
+
+# A request that was sent before a report is part of the report after this
+# time; until then the entry adds it to the reported load itself.
+REPORT_DELAY_SECONDS = 0.3
+# A report that is older says nothing about the load.
+REPORT_AGE_LIMIT_SECONDS = 3.0
+
+
+@dataclass(slots=True)
+class Sending:
+    """Hold one request that runs at a backend server."""
+
+    sent_seconds: float
+    tokens: int
+
+
+@dataclass
+class ServerLoad:
+    """Hold what is known about the load of one backend server."""
+
+    report: LoadReport | None = None
+    received_seconds: float = 0
+    sendings: dict[str, Sending] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class LoadEstimate:
+    """Estimate the load of one backend server now."""
+
+    request_count: int
+    waiting_count: int
+    memory_tokens: int
+    memory_capacity_tokens: int
+    leaving: bool
+    responsive: bool
+
+
+class LoadBook:
+    """Count own requests and keep the reports of agents."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._loads: dict[str, ServerLoad] = {}
+
+    def sent(self, endpoint: str, request_id: str, tokens: int) -> None:
+        """Count a request before it is sent."""
+        with self._lock:
+            load = self._loads.setdefault(endpoint, ServerLoad())
+            load.sendings[request_id] = Sending(self._clock(), tokens)
+
+    def ended(self, endpoint: str, request_id: str) -> None:
+        """Forget a request that ended."""
+        with self._lock:
+            load = self._loads.get(endpoint)
+            if load is not None:
+                load.sendings.pop(request_id, None)
+
+    def report(self, endpoint: str, report: LoadReport) -> None:
+        """Keep the newest report."""
+        with self._lock:
+            load = self._loads.setdefault(endpoint, ServerLoad())
+            load.report = report
+            load.received_seconds = self._clock()
+
+    def keep_only(self, endpoints: frozenset[str]) -> None:
+        """Forget backend servers that are gone and run nothing."""
+        with self._lock:
+            for endpoint in list(self._loads):
+                idle = not self._loads[endpoint].sendings
+                if idle and endpoint not in endpoints:
+                    self._loads.pop(endpoint)
+
+    def estimate(self, endpoint: str) -> LoadEstimate:
+        """Estimate the load of one backend server."""
+        with self._lock:
+            now = self._clock()
+            load = self._loads.get(endpoint) or ServerLoad()
+            report = load.report
+            if (
+                report is None
+                or now - load.received_seconds > REPORT_AGE_LIMIT_SECONDS
+            ):
+                return _without_report(load)
+            return _with_report(load, report)
+
+
+def _without_report(load: ServerLoad) -> LoadEstimate:
+    return LoadEstimate(
+        request_count=len(load.sendings),
+        waiting_count=0,
+        memory_tokens=sum(one.tokens for one in load.sendings.values()),
+        memory_capacity_tokens=0,
+        leaving=False,
+        responsive=True,
+    )
+
+
+def _with_report(load: ServerLoad, report: LoadReport) -> LoadEstimate:
+    unseen_after = load.received_seconds - REPORT_DELAY_SECONDS
+    unseen = [
+        one for one in load.sendings.values() if one.sent_seconds > unseen_after
+    ]
+    seen_count = report.running_count + report.queued_count
+    return LoadEstimate(
+        request_count=max(seen_count + len(unseen), len(load.sendings)),
+        waiting_count=report.queued_count,
+        memory_tokens=report.memory_used_tokens
+        + sum(one.tokens for one in unseen),
+        memory_capacity_tokens=report.memory_capacity_tokens,
+        leaving=report.leaving,
+        responsive=report.responsive,
+    )
--- /dev/null
+++ b/wasabistream/forwarding/mirrors.py
@@ -0,0 +1,85 @@
+"""Copy of what a read-only store holds."""
+
+import threading
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class MirrorItem:
+    """Hold one value and the revision at which it was written."""
+
+    key: str
+    content: bytes
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Removal:
+    """Tell that a key was removed at a revision."""
+
+    key: str
+    revision: int
+
+
+MirrorChange = MirrorItem | Removal
+ChangeHandler = Callable[[Mapping[str, MirrorItem]], None]
+
+
+class StoreMirror:
+    """Hold the newest items seen; revisions only grow.
+
+    Changes come from the store or from a peer that reads it. An older
+    listing never replaces a newer one.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._items: dict[str, MirrorItem] = {}
+        self._handlers: list[ChangeHandler] = []
+        self.revision = 0
+
+    def subscribe(self, handler: ChangeHandler) -> None:
+        """Call a handler with all items after each change."""
+        self._handlers.append(handler)
+
+    def items(self) -> list[MirrorItem]:
+        """Return all items."""
+        with self._lock:
+            return list(self._items.values())
+
+    def apply(self, changes: Iterable[MirrorChange], revision: int) -> bool:
+        """Apply changes up to a revision; tell whether anything changed."""
+        with self._lock:
+            changed = [self._apply_one(change) for change in changes]
+            self.revision = max(self.revision, revision)
+            if any(changed):
+                self._notify()
+            return any(changed)
+
+    def replace(self, listing: Iterable[MirrorItem], revision: int) -> bool:
+        """Take over a whole listing; tell whether it was new enough."""
+        with self._lock:
+            if revision < self.revision:
+                return False
+            items = {listed.key: listed for listed in listing}
+            changed = items != self._items
+            self._items = items
+            self.revision = revision
+            if changed:
+                self._notify()
+            return True
+
+    def _apply_one(self, change: MirrorChange) -> bool:
+        held = self._items.get(change.key)
+        if held is not None and held.revision >= change.revision:
+            return False
+        if isinstance(change, MirrorItem):
+            self._items[change.key] = change
+            return True
+        return self._items.pop(change.key, None) is not None
+
+    def _notify(self) -> None:
+        # Handlers run under the lock, so that they see changes in order.
+        for handler in self._handlers:
+            handler(self._items)
--- /dev/null
+++ b/wasabistream/forwarding/move_books.py
@@ -0,0 +1,54 @@
+"""Generations that agents have moved, as an entry hears of them."""
+
+import threading
+import time
+from collections import OrderedDict
+
+from wasabistream.forwarding.move_messages import RunMoved
+
+# Moves of other entries' requests are heard as well and soon forgotten.
+MAX_MOVE_COUNT = 4096
+
+
+class MoveBook:
+    """Let a request wait for the place where its generation goes on."""
+
+    def __init__(self) -> None:
+        self._changed = threading.Condition()
+        self._moving: OrderedDict[str, None] = OrderedDict()
+        self._moved: OrderedDict[str, RunMoved] = OrderedDict()
+
+    def moving(self, run_id: str) -> None:
+        """Record that a generation is about to stop."""
+        with self._changed:
+            self._moving[run_id] = None
+            _trim(self._moving)
+            self._changed.notify_all()
+
+    def moved(self, notice: RunMoved) -> None:
+        """Record where a generation goes on."""
+        with self._changed:
+            self._moving.pop(notice.run_id, None)
+            self._moved[notice.run_id] = notice
+            _trim(self._moved)
+            self._changed.notify_all()
+
+    def take(
+        self, run_id: str, notice_seconds: float, copy_seconds: float
+    ) -> RunMoved | None:
+        """Wait for a move: for its notice first, then for its copy."""
+        started = time.monotonic()
+        with self._changed:
+            while run_id not in self._moved:
+                known = run_id in self._moving
+                limit_seconds = copy_seconds if known else notice_seconds
+                left_seconds = started + limit_seconds - time.monotonic()
+                if left_seconds <= 0:
+                    return None
+                self._changed.wait(left_seconds)
+            return self._moved.pop(run_id)
+
+
+def _trim(table: OrderedDict) -> None:
+    while len(table) > MAX_MOVE_COUNT:
+        table.popitem(last=False)
--- /dev/null
+++ b/wasabistream/forwarding/plain_forwarders.py
@@ -0,0 +1,95 @@
+"""Forward requests whose answers are short."""
+
+import logging
+import time
+
+from wasabistream.exceptions import BackendError, NotSentError
+from wasabistream.forwarding.attempts import AttemptHistory, AttemptSender
+from wasabistream.forwarding.backend_servers import BackendServer
+from wasabistream.forwarding.failure_rates import FailureRates
+from wasabistream.forwarding.interfaces import ServerExchange
+from wasabistream.forwarding.replies import bad_gateway, refuse, timed_out
+from wasabistream.forwarding.requests import Reply
+from wasabistream.forwarding.server_choosers import ServerChooser
+from wasabistream.forwarding.supervisors import CutReason, Watch
+
+logger = logging.getLogger(__name__)
+
+SERVER_ERROR = 500
+# An answer that is later than the route's target is asked for once more at
+# another backend server; a shorter wait would repeat answers that come.
+PATIENCE_RATIO = 1.0
+
+
+class PlainForwarder:
+    """Forward a request and return the whole answer.
+
+    The answer is read to its end before any of it goes to the caller, so
+    that one that breaks off can still be asked for again.
+    """
+
+    def __init__(
+        self,
+        chooser: ServerChooser,
+        sender: AttemptSender,
+        rates: FailureRates,
+    ) -> None:
+        self._chooser = chooser
+        self._sender = sender
+        self._rates = rates
+
+    def forward(self, watch: Watch, history: AttemptHistory) -> Reply:
+        """Return the answer to a request, or a refusal."""
+        request = watch.request
+        failure: Reply | None = None
+        while True:
+            server = self._chooser.choose(request, history.endpoints)
+            if server is None or not self._sender.may_send(watch, history):
+                return failure or self._give_up(watch, history)
+            reply = self._attempt(server, watch, history)
+            if reply is None:
+                continue
+            if reply.status < SERVER_ERROR or not request.route.repeatable:
+                return reply
+            failure = reply
+
+    def _give_up(self, watch: Watch, history: AttemptHistory) -> Reply:
+        if not history.may_have_run:
+            return refuse(watch.request.deadline.remaining_seconds)
+        if watch.request.deadline.expired:
+            return timed_out()
+        return bad_gateway()
+
+    def _attempt(
+        self, server: BackendServer, watch: Watch, history: AttemptHistory
+    ) -> Reply | None:
+        self._limit_patience(watch, history)
+        try:
+            with self._sender.open(server, watch, history) as exchange:
+                return self._read(server, exchange)
+        except NotSentError as error:
+            logger.info('attempt: not run: %s', error)
+        except BackendError as error:
+            logger.info('attempt: failed: %s', error)
+            if watch.reason != CutReason.caller_left:
+                self._rates.record(server.endpoint, failed=True)
+        return None
+
+    def _limit_patience(self, watch: Watch, history: AttemptHistory) -> None:
+        route = watch.request.route
+        watch.attempt_end_seconds = None
+        last = history.run_count + 1 >= route.max_attempt_count
+        if route.repeatable and not last:
+            patience_seconds = route.target_latency_seconds * PATIENCE_RATIO
+            watch.attempt_end_seconds = time.monotonic() + patience_seconds
+
+    def _read(self, server: BackendServer, exchange: ServerExchange) -> Reply:
+        pieces = []
+        while piece := exchange.read():
+            pieces.append(piece)
+        answer = exchange.answer
+        if answer.succeeded and not answer.sealed:
+            raise BackendError('answer is not signed', 'head', server.endpoint)
+        failed = answer.status >= SERVER_ERROR
+        self._rates.record(server.endpoint, failed=failed)
+        return Reply(answer.status, answer.headers, b''.join(pieces))
--- /dev/null
+++ b/wasabistream/forwarding/replies.py
@@ -0,0 +1,35 @@
+"""Answers that an entry makes itself."""
+
+import random
+
+from wasabistream.forwarding.requests import Reply
+
+NOT_RUN = 503
+BAD_GATEWAY = 502
+GATEWAY_TIMEOUT = 504
+# Clients come back within a third of the time they have left.
+RETURN_RATIO = 0.3
+# Jitter spreads the clients that were refused at the same moment.
+RETURN_SPREAD = 0.5
+RETRY_AFTER_MIN_SECONDS = 0.05
+RETRY_AFTER_MAX_SECONDS = 2.0
+
+
+def refuse(remaining_seconds: float) -> Reply:
+    """Refuse a request that has not run and say when to come back."""
+    wait_seconds = remaining_seconds * RETURN_RATIO
+    wait_seconds *= random.uniform(1 - RETURN_SPREAD, 1)
+    wait_seconds = min(
+        max(wait_seconds, RETRY_AFTER_MIN_SECONDS), RETRY_AFTER_MAX_SECONDS
+    )
+    return Reply(NOT_RUN, (('retry-after', f'{wait_seconds:.2f}'),))
+
+
+def bad_gateway() -> Reply:
+    """Report a request that may have run and has no answer."""
+    return Reply(BAD_GATEWAY)
+
+
+def timed_out() -> Reply:
+    """Report a request that was sent and got no answer in time."""
+    return Reply(GATEWAY_TIMEOUT)
--- /dev/null
+++ b/wasabistream/forwarding/rooms.py
@@ -0,0 +1,71 @@
+"""Room for generations that have to move."""
+
+from dataclasses import dataclass
+
+from wasabistream.forwarding.fleets import Fleet
+from wasabistream.forwarding.load_books import LoadBook
+
+# Part of an engine's memory that stays free for the growth of its own
+# generations.
+RESERVE_RATIO = 0.1
+# A copy inside the data centre takes half the time of one to another.
+DISTANCE_RATIO = 2.0
+
+
+@dataclass
+class Room:
+    """Hold what one backend server can take over."""
+
+    endpoint: str
+    data_centre: str
+    free_tokens: int
+    request_count: int
+
+
+def list_rooms(
+    fleet: Fleet, book: LoadBook, service: str, asking_endpoint: str
+) -> list[list[object]]:
+    """Return the rows of a room report for one agent."""
+    rows: list[list[object]] = []
+    for server in fleet.usable_servers(service):
+        estimate = book.estimate(server.endpoint)
+        usable = estimate.responsive and not estimate.leaving
+        if server.endpoint == asking_endpoint or not usable:
+            continue
+        capacity = estimate.memory_capacity_tokens * (1 - RESERVE_RATIO)
+        rows.append(
+            [
+                server.endpoint,
+                server.data_centre,
+                int(capacity) - estimate.memory_tokens,
+                estimate.request_count,
+            ]
+        )
+    return rows
+
+
+def decode_rooms(rows: list) -> list[Room]:
+    """Return the rooms in a report; raises ValueError and TypeError."""
+    return [
+        Room(str(endpoint), str(data_centre), int(free), int(count))
+        for endpoint, data_centre, free, count in rows
+    ]
+
+
+def choose_room(
+    rooms: list[Room], data_centre: str, tokens: int
+) -> Room | None:
+    """Return the room for one generation and take it; prefers the near."""
+    fitting = [room for room in rooms if room.free_tokens >= tokens]
+    if not fitting:
+        return None
+    best = min(
+        fitting,
+        key=lambda room: (
+            (room.request_count + 1)
+            * (1 if room.data_centre == data_centre else DISTANCE_RATIO)
+        ),
+    )
+    best.free_tokens -= tokens
+    best.request_count += 1
+    return best
--- /dev/null
+++ b/wasabistream/forwarding/routes.py
@@ -0,0 +1,54 @@
+"""Routes of a routing configuration."""
+
+import random
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class RouteKind(StrEnum):
+    """State what may be repeated on a route."""
+
+    idempotent = 'idempotent'
+    non_idempotent = 'non_idempotent'
+    streaming = 'streaming'
+
+
+@dataclass(frozen=True, slots=True)
+class Destination:
+    """Hold one service of a route and its part of the traffic."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Describe how requests under one host and path prefix are forwarded."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout_seconds: float
+    target_latency_seconds: float
+    # 0 is the most urgent.
+    priority: int
+    destinations: tuple[Destination, ...]
+    max_attempt_count: int
+    # Requests need no API key.
+    public: bool
+    # A stream may be continued by a new generation at its last event.
+    resumable: bool
+    # Longest pause between events; 0 on routes without streams.
+    event_gap_seconds: float
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request may run more than once."""
+        return self.kind == RouteKind.idempotent or self.resumable
+
+    def draw_service(self) -> str:
+        """Return a service at random by weight."""
+        weights = [destination.weight for destination in self.destinations]
+        chosen = random.choices(self.destinations, weights)
+        return chosen[0].service
--- /dev/null
+++ b/wasabistream/forwarding/server_choosers.py
@@ -0,0 +1,98 @@
+"""Choice of the backend server for a request."""
+
+import random
+from collections.abc import Collection
+
+from wasabistream.forwarding.backend_servers import BackendServer
+from wasabistream.forwarding.failure_rates import FailureRates
+from wasabistream.forwarding.fleets import FleetHolder
+from wasabistream.forwarding.load_books import LoadBook, LoadEstimate
+from wasabistream.forwarding.requests import ForwardRequest
+
+# A server that fails all requests costs as much as this many in progress.
+FAILURE_COST = 12.0
+# A server in another data centre is taken when it has this much less load.
+DISTANCE_COST = 0.4
+# Cost of a full memory compared with full slots; a generation whose memory
+# does not fit waits or preempts another.
+MEMORY_WEIGHT = 1.0
+SLOT_WEIGHT = 1.0
+# Cost of a generation that would not fit into the memory.
+NO_ROOM_COST = 4.0
+WAITING_COST = 0.2
+ENGINE_DISTANCE_COST = 0.03
+# Used while an engine's agent has not reported.
+DEFAULT_MEMORY_TOKENS = 32768
+
+
+class ServerChooser:
+    """Choose by load, failures and distance."""
+
+    def __init__(
+        self,
+        fleet: FleetHolder,
+        book: LoadBook,
+        rates: FailureRates,
+        data_centre: str,
+    ) -> None:
+        self._fleet = fleet
+        self._book = book
+        self._rates = rates
+        self._data_centre = data_centre
+
+    def choose(
+        self, request: ForwardRequest, excluded: Collection[str] = ()
+    ) -> BackendServer | None:
+        """Return the best backend server, or None when there is none."""
+        servers = [
+            server
+            for server in self._fleet.current.usable_servers(request.service)
+            if server.endpoint not in excluded
+        ]
+        reachable = [
+            server
+            for server in servers
+            if not self._rates.is_unreachable(server.endpoint)
+        ]
+        candidates = self._staying(reachable or servers)
+        if not candidates:
+            return None
+        return min(candidates, key=lambda server: self._cost(server, request))
+
+    def _staying(self, servers: list[BackendServer]) -> list[BackendServer]:
+        staying = []
+        for server in servers:
+            estimate = self._book.estimate(server.endpoint)
+            if not estimate.leaving and estimate.responsive:
+                staying.append(server)
+        return staying
+
+    def _cost(
+        self, server: BackendServer, request: ForwardRequest
+    ) -> tuple[float, float]:
+        estimate = self._book.estimate(server.endpoint)
+        remote = server.data_centre != self._data_centre
+        failures = FAILURE_COST * self._rates.rate(server.endpoint)
+        if request.demand is None:
+            cost = estimate.request_count + failures
+            cost += DISTANCE_COST * remote
+        else:
+            cost = _engine_cost(
+                estimate, server, request.demand.expected_tokens
+            )
+            cost += failures / max(server.slot_count, 1)
+            cost += ENGINE_DISTANCE_COST * remote
+        return cost, random.random()
+
+
+def _engine_cost(
+    estimate: LoadEstimate, server: BackendServer, tokens: int
+) -> float:
+    capacity = estimate.memory_capacity_tokens or DEFAULT_MEMORY_TOKENS
+    memory_ratio = (estimate.memory_tokens + tokens) / capacity
+    slot_ratio = estimate.request_count / max(server.slot_count, 1)
+    cost = MEMORY_WEIGHT * memory_ratio + SLOT_WEIGHT * slot_ratio
+    cost += WAITING_COST * estimate.waiting_count
+    if memory_ratio > 1:
+        cost += NO_ROOM_COST * (memory_ratio - 1)
+    return cost
--- /dev/null
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -0,0 +1,216 @@
+"""Forward streams of events that outlive their backend server."""
+
+import logging
+import time
+from dataclasses import dataclass
+
+from wasabistream.exceptions import BackendError, NotSentError
+from wasabistream.forwarding.attempts import AttemptHistory, AttemptSender
+from wasabistream.forwarding.backend_servers import BackendServer
+from wasabistream.forwarding.event_splitters import EventSplitter
+from wasabistream.forwarding.failure_rates import FailureRates
+from wasabistream.forwarding.fleets import FleetHolder
+from wasabistream.forwarding.interfaces import ServerExchange
+from wasabistream.forwarding.move_books import MoveBook
+from wasabistream.forwarding.move_messages import RunMoved
+from wasabistream.forwarding.replies import bad_gateway, refuse, timed_out
+from wasabistream.forwarding.requests import Continuation, Reply
+from wasabistream.forwarding.server_choosers import ServerChooser
+from wasabistream.forwarding.supervisors import CutReason, Watch
+
+logger = logging.getLogger(__name__)
+
+SERVER_ERROR = 500
+# An agent announces a move before it stops the generation, so the notice is
+# at most one trip behind the end of the stream.
+MOVE_NOTICE_SECONDS = 0.1
+# Longest time in which the last copy of a generation arrives.
+MOVE_COPY_SECONDS = 2.0
+
+
+@dataclass
+class StreamProgress:
+    """Hold how much of a stream its caller has."""
+
+    begun: bool = False
+    last_event_id: str = ''
+    event_count: int = 0
+    move_count: int = 0
+
+
+class StreamForwarder:
+    """Forward whole events as they come and continue where they stop.
+
+    An event that was cut off is dropped; the generation that goes on makes
+    it again, so that the caller gets each event once.
+    """
+
+    def __init__(
+        self,
+        fleet: FleetHolder,
+        chooser: ServerChooser,
+        sender: AttemptSender,
+        rates: FailureRates,
+        moves: MoveBook,
+    ) -> None:
+        self._fleet = fleet
+        self._chooser = chooser
+        self._sender = sender
+        self._rates = rates
+        self._moves = moves
+
+    def forward(
+        self, watch: Watch, history: AttemptHistory, progress: StreamProgress
+    ) -> Reply | None:
+        """Forward a stream; return an answer when none has begun."""
+        failure: Reply | None = None
+        while not watch.ended:
+            server = self._chooser.choose(watch.request, history.endpoints[-1:])
+            if server is None or not self._sender.may_send(watch, history):
+                break
+            continuation = _resumption(progress)
+            reply = self._follow(server, watch, history, progress, continuation)
+            if reply is None or not self._may_repeat(reply, watch, progress):
+                return reply
+            failure = reply
+        return self._give_up(watch, history, progress, failure)
+
+    def _may_repeat(
+        self, reply: Reply, watch: Watch, progress: StreamProgress
+    ) -> bool:
+        if reply.status in {502, 503}:
+            return True
+        return reply.status >= SERVER_ERROR and watch.request.route.repeatable
+
+    def _give_up(
+        self,
+        watch: Watch,
+        history: AttemptHistory,
+        progress: StreamProgress,
+        failure: Reply | None,
+    ) -> Reply | None:
+        if progress.begun:
+            watch.caller.abort()
+            return None
+        if not history.may_have_run:
+            return refuse(watch.request.deadline.remaining_seconds)
+        if watch.request.deadline.expired:
+            return timed_out()
+        return failure or bad_gateway()
+
+    def _follow(
+        self,
+        server: BackendServer,
+        watch: Watch,
+        history: AttemptHistory,
+        progress: StreamProgress,
+        continuation: Continuation | None,
+    ) -> Reply | None:
+        """Follow one generation over its moves.
+
+        Returns None when the stream is complete or its caller has left.
+        """
+        while True:
+            try:
+                with self._sender.open(
+                    server, watch, history, continuation
+                ) as exchange:
+                    return self._relay(server, watch, exchange, progress)
+            except NotSentError as error:
+                logger.info('stream: not run: %s', error)
+                return refuse(watch.request.deadline.remaining_seconds)
+            except BackendError as error:
+                self._log_cut(watch, error, progress)
+            moved = self._find_move(watch)
+            if moved is None:
+                return bad_gateway()
+            server_found = self._server_at(moved.endpoint)
+            if server_found is None:
+                return bad_gateway()
+            server = server_found
+            progress.move_count += 1
+            # A generation that goes on is the same run, not a new attempt.
+            history.run_count -= 1
+            continuation = Continuation(
+                moved.memory_endpoint, moved.handle, progress.last_event_id
+            )
+
+    def _relay(
+        self,
+        server: BackendServer,
+        watch: Watch,
+        exchange: ServerExchange,
+        progress: StreamProgress,
+    ) -> Reply | None:
+        answer = exchange.answer
+        if not answer.succeeded or not answer.event_stream:
+            return _read_whole(server, exchange)
+        if not answer.sealed:
+            raise BackendError('answer is not signed', 'head', server.endpoint)
+        if not progress.begun:
+            progress.begun = True
+            watch.caller.begin(answer.status, answer.headers)
+        splitter = EventSplitter()
+        while piece := exchange.read():
+            for event in splitter.feed(piece):
+                if _is_next(event.event_id, progress.last_event_id):
+                    watch.caller.write(event.raw)
+                    progress.last_event_id = event.event_id
+                    progress.event_count += 1
+        if splitter.torn or watch.reason is not None:
+            raise BackendError('stream was cut', 'events', server.endpoint)
+        self._rates.record(server.endpoint, failed=False)
+        return None
+
+    def _find_move(self, watch: Watch) -> RunMoved | None:
+        if watch.ended:
+            return None
+        notice_seconds = MOVE_NOTICE_SECONDS
+        copy_seconds = min(
+            MOVE_COPY_SECONDS, watch.request.deadline.remaining_seconds
+        )
+        return self._moves.take(
+            watch.request.request_id, notice_seconds, copy_seconds
+        )
+
+    def _server_at(self, endpoint: str) -> BackendServer | None:
+        for server in self._fleet.current.servers.values():
+            if server.endpoint == endpoint:
+                return server
+        return None
+
+    def _log_cut(
+        self, watch: Watch, error: BackendError, progress: StreamProgress
+    ) -> None:
+        logger.info(
+            'stream: cut: %s',
+            error,
+            extra={
+                'request_id': watch.request.request_id,
+                'reason': watch.reason or CutReason.unresponsive,
+                'event_count': progress.event_count,
+                'at_seconds': time.monotonic(),
+            },
+        )
+
+
+def _resumption(progress: StreamProgress) -> Continuation | None:
+    if not progress.last_event_id:
+        return None
+    return Continuation('', '', progress.last_event_id)
+
+
+def _is_next(event_id: str, last_event_id: str) -> bool:
+    if not event_id.isdigit() or not last_event_id:
+        return True
+    return int(event_id) > int(last_event_id)
+
+
+def _read_whole(server: BackendServer, exchange: ServerExchange) -> Reply:
+    pieces = []
+    while piece := exchange.read():
+        pieces.append(piece)
+    answer = exchange.answer
+    if answer.succeeded and not answer.sealed:
+        raise BackendError('answer is not signed', 'head', server.endpoint)
+    return Reply(answer.status, answer.headers, b''.join(pieces))
--- /dev/null
+++ b/wasabistream/forwarding/supervisors.py
@@ -0,0 +1,122 @@
+"""Supervisor that ends exchanges nobody needs any more."""
+
+import logging
+import threading
+import time
+from collections.abc import Callable
+from enum import StrEnum
+
+from wasabistream.exceptions import WasabiError
+from wasabistream.forwarding.interfaces import Caller, Cancellable
+from wasabistream.forwarding.requests import ForwardRequest
+
+logger = logging.getLogger(__name__)
+
+POLL_SECONDS = 0.1
+
+
+class CutReason(StrEnum):
+    """State why an exchange was ended early."""
+
+    caller_left = 'caller_left'
+    timeout = 'timeout'
+    unresponsive = 'unresponsive'
+    slow = 'slow'
+
+
+class Watch:
+    """Hold one request in progress and the exchange that serves it."""
+
+    def __init__(self, request: ForwardRequest, caller: Caller) -> None:
+        self.request = request
+        self.caller = caller
+        self.endpoint = ''
+        self.reason: CutReason | None = None
+        # End of the current attempt; the request's deadline goes before it.
+        self.attempt_end_seconds: float | None = None
+        self._exchange: Cancellable | None = None
+        self._lock = threading.Lock()
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether the request is not to go on."""
+        return self.reason in {CutReason.caller_left, CutReason.timeout}
+
+    def attach(self, endpoint: str, exchange: Cancellable | None) -> None:
+        """Set the exchange that a cut ends; a cut may have come before."""
+        with self._lock:
+            self.endpoint = endpoint
+            self._exchange = exchange
+            if not self.ended:
+                self.reason = None
+            elif exchange is not None:
+                exchange.close()
+
+    def cut(self, reason: CutReason) -> None:
+        """End the exchange."""
+        with self._lock:
+            if self.reason is not None:
+                return
+            self.reason = reason
+            if self._exchange is not None:
+                self._exchange.close()
+
+
+class Supervisor:
+    """Look at all requests in progress several times in a second.
+
+    A thread that waits for a backend server cannot see that its caller has
+    left, so one thread looks for all of them.
+    """
+
+    def __init__(self, is_responsive: Callable[[str], bool]) -> None:
+        self._is_responsive = is_responsive
+        self._lock = threading.Lock()
+        self._watches: set[Watch] = set()
+        self._stopped = threading.Event()
+
+    def start(self) -> None:
+        """Start to look."""
+        threading.Thread(
+            target=self._run, name='supervisor', daemon=True
+        ).start()
+
+    def stop(self) -> None:
+        """Stop to look."""
+        self._stopped.set()
+
+    def add(self, watch: Watch) -> None:
+        """Start to watch a request."""
+        with self._lock:
+            self._watches.add(watch)
+
+    def remove(self, watch: Watch) -> None:
+        """Stop to watch a request that ended."""
+        with self._lock:
+            self._watches.discard(watch)
+
+    def request_ids(self) -> list[str]:
+        """Return the ids of the requests in progress."""
+        with self._lock:
+            return [watch.request.request_id for watch in self._watches]
+
+    def _run(self) -> None:
+        while not self._stopped.wait(POLL_SECONDS):
+            with self._lock:
+                watches = list(self._watches)
+            for watch in watches:
+                try:
+                    self._check(watch)
+                except (OSError, WasabiError) as error:
+                    logger.warning('supervisor: %r', error)
+
+    def _check(self, watch: Watch) -> None:
+        attempt_end = watch.attempt_end_seconds
+        if watch.caller.has_left():
+            watch.cut(CutReason.caller_left)
+        elif watch.request.deadline.expired:
+            watch.cut(CutReason.timeout)
+        elif attempt_end is not None and time.monotonic() > attempt_end:
+            watch.cut(CutReason.slow)
+        elif watch.endpoint and not self._is_responsive(watch.endpoint):
+            watch.cut(CutReason.unresponsive)
--- a/wasabistream/notices.py
+++ b/wasabistream/notices.py
@@ -40,6 +40,8 @@
     leaving: bool
     # Requests that the agent had taken from this link before the report.
     taken_count: int = UNKNOWN_COUNT
+    # Whether the backend server answered its agent.
+    responsive: bool = True
 
 
 @message(4)
--- /dev/null
+++ b/wasabistream/platform/__main__.py
@@ -0,0 +1,51 @@
+"""Command line of the daemons on the platform."""
+
+import os
+import sys
+
+import fire
+
+from wasabistream.applications import EXIT_BAD_SETTINGS, Application
+from wasabistream.exceptions import SettingsError
+from wasabistream.logs import configure_logs
+from wasabistream.platform.agent_applications import PlatformAgent
+from wasabistream.platform.entry_applications import PlatformEntry
+from wasabistream.platform.node_files import NodeSettings, read_node_file
+
+NODE_FILE_VARIABLE = 'WASABISTREAM_NODE_FILE'
+DEFAULT_NODE_FILE = '/etc/wasabistream/boot.yaml'
+DEFAULT_LOG_LEVEL = 'INFO'
+
+
+class PlatformCommands:
+    """Run wasabistream on the platform."""
+
+    def entry(self, log_level: str = DEFAULT_LOG_LEVEL) -> None:
+        """Run the entry of a front machine."""
+        node = _read_settings(log_level)
+        _run(PlatformEntry(node))
+
+    def agent(self, log_level: str = DEFAULT_LOG_LEVEL) -> None:
+        """Run the agent beside an engine."""
+        node = _read_settings(log_level)
+        _run(PlatformAgent(node))
+
+
+def _read_settings(log_level: str) -> NodeSettings:
+    path = os.environ.get(NODE_FILE_VARIABLE, DEFAULT_NODE_FILE)
+    try:
+        node = read_node_file(path)
+    except SettingsError as error:
+        for problem in error.problems:
+            sys.stderr.write(f'{problem}\n')
+        sys.exit(EXIT_BAD_SETTINGS)
+    configure_logs(log_level, node.process_id)
+    return node
+
+
+def _run(application: Application) -> None:
+    sys.exit(application.run())
+
+
+if __name__ == '__main__':
+    fire.Fire(PlatformCommands, name='wasabistream.platform')
--- /dev/null
+++ b/wasabistream/platform/agent_applications.py
@@ -0,0 +1,105 @@
+"""Agent: the process beside one engine."""
+
+import logging
+import secrets
+import threading
+from collections.abc import Sequence
+
+from wasabistream.exceptions import LinkError
+from wasabistream.forwarding.engine_watchers import EngineWatcher
+from wasabistream.forwarding.move_messages import RoomReport
+from wasabistream.forwarding.run_movers import RunMover
+from wasabistream.links import Link
+from wasabistream.listeners import LinkListener
+from wasabistream.messages import Message
+from wasabistream.notices import LoadReport
+from wasabistream.platform.engine_clients import EngineClient
+from wasabistream.platform.node_applications import NodeApplication
+from wasabistream.platform.node_files import NodeSettings
+
+logger = logging.getLogger(__name__)
+
+
+class PlatformAgent(NodeApplication):
+    """Report the engine's load and move its generations when it leaves."""
+
+    part = 'agent'
+
+    def __init__(self, node: NodeSettings) -> None:
+        super().__init__(node, secrets.token_hex(4))
+        backend = node.backend
+        if backend is None:
+            raise ValueError('the settings name no backend server')
+        self._links: set[Link] = set()
+        self._links_lock = threading.Lock()
+        engine = EngineClient(backend.address, backend.port)
+        self._mover = RunMover(
+            engine,
+            f'{backend.address}:{backend.port}',
+            node.data_centre,
+            node.service,
+            self._broadcast,
+        )
+        self._watcher = EngineWatcher(
+            EngineClient(backend.address, backend.port),
+            self._broadcast,
+            self._start_moves,
+        )
+        self._listener = LinkListener(
+            node.address, node.link_port, self.hello, self
+        )
+
+    def on_start(self) -> None:
+        """Watch the engine and accept links of entries."""
+        self._listener.start()
+        self._watcher.start()
+
+    def on_stop(self) -> None:
+        """Close the links."""
+        self._watcher.stop()
+        self._listener.stop()
+        for link in self._open_links():
+            link.close()
+
+    def on_opened(self, link: Link) -> None:
+        """Tell a new entry the load."""
+        with self._links_lock:
+            self._links.add(link)
+        last = self._watcher.last
+        if last is not None:
+            _send(link, last)
+
+    def on_messages(self, link: Link, received: Sequence[Message]) -> None:
+        """Handle the messages of an entry."""
+        for notice in received:
+            if isinstance(notice, RoomReport):
+                self._mover.learn_rooms(notice)
+
+    def on_closed(self, link: Link, reason: str) -> None:
+        """Forget an entry."""
+        with self._links_lock:
+            self._links.discard(link)
+        logger.info('agent: link to %s ended: %s', link.peer.peer_id, reason)
+
+    def _start_moves(self) -> None:
+        threading.Thread(
+            target=self._mover.move_all, name='mover', daemon=True
+        ).start()
+
+    def _broadcast(self, notice: Message) -> None:
+        for link in self._open_links():
+            _send(link, notice)
+
+    def _open_links(self) -> list[Link]:
+        with self._links_lock:
+            return list(self._links)
+
+
+def _send(link: Link, notice: Message) -> None:
+    try:
+        link.send(notice)
+    except LinkError as error:
+        level = (
+            logging.DEBUG if isinstance(notice, LoadReport) else logging.INFO
+        )
+        logger.log(level, 'agent: message lost: %s', error)
--- /dev/null
+++ b/wasabistream/platform/engine_clients.py
@@ -0,0 +1,121 @@
+"""Client for the engine beside an agent."""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from wasabistream.exceptions import BackendError
+from wasabistream.forwarding.engine_states import EngineRun, EngineState
+from wasabistream.forwarding.move_outcomes import MoveOutcome
+from wasabistream.platform.server_clients import SOCKET_OPTIONS
+
+REPORT_TIMEOUT_SECONDS = 0.4
+# A copy waits behind others on the link; beyond this time the backend server
+# has left anyway.
+MOVE_TIMEOUT_SECONDS = 5.0
+CONNECTION_COUNT = 4
+MILLISECONDS = 1000
+OK = 200
+NO_ROOM = 503
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    status: int
+    body: Any
+
+
+class EngineClient:
+    """Ask the engine of this machine for its state and for copies."""
+
+    def __init__(self, address: str, port: int) -> None:
+        self._peer = f'{address}:{port}'
+        self._pool = urllib3.HTTPConnectionPool(
+            address,
+            port,
+            maxsize=CONNECTION_COUNT,
+            retries=False,
+            socket_options=SOCKET_OPTIONS,
+        )
+
+    def state(self) -> EngineState:
+        """Return the engine's state; raises BackendError."""
+        answer = self._call('GET', '/-/report', None, REPORT_TIMEOUT_SECONDS)
+        if answer.status != OK:
+            raise BackendError(f'status {answer.status}', 'state', self._peer)
+        return decode_state(answer.body, self._peer)
+
+    def move(self, run_id: str, endpoint: str, *, final: bool) -> MoveOutcome:
+        """Copy the memory of a generation to another backend server.
+
+        With `final` the generation stops here first. Raises BackendError.
+        """
+        body: dict[str, object] = {'id': run_id, 'to': endpoint}
+        if final:
+            body['last'] = True
+        answer = self._call('POST', '/-/kv-move', body, MOVE_TIMEOUT_SECONDS)
+        fields = answer.body if isinstance(answer.body, dict) else {}
+        return MoveOutcome(
+            copied=answer.status == OK,
+            handle=str(fields.get('handle', '')),
+            no_room=answer.status == NO_ROOM,
+            status=answer.status,
+        )
+
+    def drop_copy(self, handle: str) -> None:
+        """Free the copy of a handle at both ends; raises BackendError."""
+        self._call(
+            'DELETE', f'/-/kv-handle/{handle}', None, REPORT_TIMEOUT_SECONDS
+        )
+
+    def _call(
+        self, method: str, path: str, body: object, timeout_seconds: float
+    ) -> _Answer:
+        headers = {}
+        if body is not None:
+            headers['Content-Type'] = 'application/json'
+        try:
+            response = self._pool.request(
+                method,
+                path,
+                body=None if body is None else json.dumps(body).encode(),
+                headers=headers,
+                timeout=timeout_seconds,
+            )
+            decoded = json.loads(response.data) if response.data else None
+        except (HTTPError, OSError, ValueError) as error:
+            raise BackendError(str(error), path, self._peer) from error
+        return _Answer(response.status, decoded)
+
+
+def decode_state(body: Any, peer: str) -> EngineState:
+    """Return the state in a report; raises BackendError."""
+    try:
+        leaves_ms = body.get('leaves_ms')
+        draining = body.get('state') == 'draining'
+        return EngineState(
+            running_count=int(body['running']),
+            waiting_count=int(body['waiting']),
+            memory_used_tokens=int(body['kv_used']),
+            memory_capacity_tokens=int(body['kv_total']),
+            leaving=draining or leaves_ms is not None,
+            leaves_seconds=(
+                None if leaves_ms is None else float(leaves_ms) / MILLISECONDS
+            ),
+            runs=tuple(_decode_run(row) for row in body.get('runs') or ()),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise BackendError(repr(error), 'report', peer) from error
+
+
+def _decode_run(row: list) -> EngineRun:
+    run_id, memory_tokens, event_count, priority = row[:4]
+    return EngineRun(
+        run_id=str(run_id),
+        memory_tokens=int(memory_tokens),
+        event_count=int(event_count),
+        priority=int(priority),
+    )
--- /dev/null
+++ b/wasabistream/platform/entry_applications.py
@@ -0,0 +1,186 @@
+"""Entry: the process that callers reach."""
+
+import logging
+import secrets
+from collections.abc import Mapping
+
+from cheroot.server import HTTPRequest
+
+from wasabistream.exceptions import RequestError
+from wasabistream.forwarding.agent_links import AgentLinks
+from wasabistream.forwarding.attempts import AttemptSender
+from wasabistream.forwarding.budgets import RepeatBudgets
+from wasabistream.forwarding.failure_rates import FailureRates
+from wasabistream.forwarding.fleets import FleetHolder
+from wasabistream.forwarding.forwarders import Forwarder
+from wasabistream.forwarding.load_books import LoadBook
+from wasabistream.forwarding.mirrors import MirrorItem, StoreMirror
+from wasabistream.forwarding.move_books import MoveBook
+from wasabistream.forwarding.plain_forwarders import PlainForwarder
+from wasabistream.forwarding.replies import refuse
+from wasabistream.forwarding.requests import Reply
+from wasabistream.forwarding.server_choosers import ServerChooser
+from wasabistream.forwarding.stream_forwarders import StreamForwarder
+from wasabistream.forwarding.supervisors import Supervisor
+from wasabistream.platform.ingress_servers import HttpCaller, IngressServer
+from wasabistream.platform.node_applications import NodeApplication
+from wasabistream.platform.node_files import NodeSettings
+from wasabistream.platform.request_decoders import (
+    decode_request,
+    request_id_of,
+)
+from wasabistream.platform.server_clients import HttpServerClient
+from wasabistream.platform.store_clients import StoreClient
+from wasabistream.platform.store_decoders import FleetDecoder
+from wasabistream.platform.store_followers import StoreFollower
+
+logger = logging.getLogger(__name__)
+
+# Each request in progress holds one thread.
+THREAD_COUNT = 128
+READY_THREAD_COUNT = 2
+# Assumed while the number of entries is not known.
+ASSUMED_ENTRY_COUNT = 4
+# Refused callers without a deadline come back after this time.
+UNKNOWN_DEADLINE_SECONDS = 3.0
+READY_STATUS = 200
+NOT_READY_STATUS = 503
+
+
+class PlatformEntry(NodeApplication):
+    """Wire the servers, the store and the decisions."""
+
+    part = 'entry'
+
+    def __init__(self, node: NodeSettings) -> None:
+        super().__init__(node, secrets.token_hex(4))
+        self.fleet = FleetHolder()
+        self.mirror = StoreMirror()
+        self._decoder = FleetDecoder()
+        self._book = LoadBook()
+        self._rates = FailureRates()
+        moves = MoveBook()
+        self._agents = AgentLinks(self.hello, node.link_port, self._book, moves)
+        self.follower = StoreFollower(
+            StoreClient(node.store.address, node.store.port), self.mirror
+        )
+        self._supervisor = Supervisor(self._is_responsive)
+        self._forwarder = self._make_forwarder(moves)
+        front = node.listen['front']
+        ready = node.listen['ready']
+        self._front = IngressServer(
+            front.address, front.port, self._handle, THREAD_COUNT
+        )
+        self._ready = IngressServer(
+            ready.address, ready.port, self._tell_ready, READY_THREAD_COUNT
+        )
+
+    def on_start(self) -> None:
+        """Follow the store and serve callers."""
+        self.mirror.subscribe(self._apply)
+        self._supervisor.start()
+        self.follower.start()
+        self._front.run_in_thread('front')
+        self._ready.run_in_thread('ready')
+
+    def on_stop(self) -> None:
+        """Close the servers and the links."""
+        self.follower.stop()
+        self._front.stop()
+        self._ready.stop()
+        self._supervisor.stop()
+        self._agents.stop()
+
+    def notice_seconds(self) -> float:
+        """Return how long the balancer may still send connections."""
+        return 2.5
+
+    def work_in_progress(self) -> list[str]:
+        """Return the ids of requests whose callers still wait."""
+        return self._supervisor.request_ids()
+
+    def _make_forwarder(self, moves: MoveBook) -> Forwarder:
+        chooser = ServerChooser(
+            self.fleet, self._book, self._rates, self.node.data_centre
+        )
+        sender = AttemptSender(
+            HttpServerClient(),
+            self._book,
+            self._rates,
+            RepeatBudgets(
+                self.node.bounds.repeat_limit, lambda: ASSUMED_ENTRY_COUNT
+            ),
+        )
+        return Forwarder(
+            self._supervisor,
+            PlainForwarder(chooser, sender, self._rates),
+            StreamForwarder(self.fleet, chooser, sender, self._rates, moves),
+        )
+
+    def _handle(self, request: HTTPRequest, body: bytes) -> None:
+        if self.draining:
+            request.close_connection = True
+        caller = HttpCaller(request, request_id_of(request))
+        configuration = self.fleet.current.configuration
+        if configuration is None:
+            caller.reply(refuse(UNKNOWN_DEADLINE_SECONDS))
+            return
+        try:
+            decoded = decode_request(configuration, request, body)
+        except RequestError as error:
+            logger.info(
+                'request: refused: %s',
+                error.reason,
+                extra={
+                    'request_id': request_id_of(request),
+                    'status': error.status,
+                    'version': configuration.version,
+                },
+            )
+            caller.reply(Reply(error.status))
+            return
+        self._forwarder.forward(decoded, caller)
+
+    def _tell_ready(self, request: HTTPRequest, body: bytes) -> None:
+        known = self.fleet.current.configuration is not None
+        ready = known and not self.draining
+        status = READY_STATUS if ready else NOT_READY_STATUS
+        HttpCaller(request, '').reply(Reply(status))
+
+    def _apply(self, items: Mapping[str, MirrorItem]) -> None:
+        before = self.fleet.current
+        fleet = self._decoder.decode(items)
+        self.fleet.current = fleet
+        configuration = fleet.configuration
+        if configuration is not None:
+            limits = configuration.limits
+            self._front.limit(
+                limits.max_header_bytes,
+                limits.max_body_bytes,
+                limits.idle_timeout_seconds,
+            )
+        endpoints = frozenset(
+            server.endpoint for server in fleet.servers.values()
+        )
+        self._book.keep_only(endpoints)
+        self._rates.keep_only(endpoints)
+        self._agents.follow(fleet)
+        if before.configuration is not configuration and configuration:
+            logger.info(
+                'fleet: configuration in force',
+                extra={
+                    'version': configuration.version,
+                    'revision': self.mirror.revision,
+                },
+            )
+        logger.info(
+            'fleet: changed',
+            extra={
+                'server_count': len(fleet.servers),
+                'out': sorted(fleet.data_centres_out),
+                'revision': self.mirror.revision,
+            },
+        )
+
+    def _is_responsive(self, endpoint: str) -> bool:
+        return self._book.estimate(endpoint).responsive
--- /dev/null
+++ b/wasabistream/platform/node_files.py
@@ -0,0 +1,109 @@
+"""Reader of the settings file that the platform writes for a process."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from wasabistream.exceptions import SettingsError
+from wasabistream.forwarding.budgets import RepeatLimit
+
+MILLISECONDS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """Hold an address and a port."""
+
+    address: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Hold the platform's limits for this deployment."""
+
+    repeat_limit: RepeatLimit
+    drain_seconds: float
+    # Time between SIGTERM and SIGKILL.
+    grace_seconds: float
+    # Factor and addition to the requests that a cold backend server bears.
+    cold_ratio: float
+    cold_extra_count: float
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Hold what the platform tells a process about itself."""
+
+    process_id: str
+    address: str
+    data_centre: str
+    # Addresses by what they serve: front, ready or control.
+    listen: Mapping[str, Endpoint]
+    # Port for links between processes, the same on all machines.
+    link_port: int
+    metrics_port: int
+    seeds: tuple[Endpoint, ...]
+    store: Endpoint
+    # The backend server beside an agent; None for an entry.
+    backend: Endpoint | None
+    service: str
+    bounds: Bounds
+
+
+def read_node_file(path: str) -> NodeSettings:
+    """Return the settings in a file; raises SettingsError."""
+    try:
+        fields = yaml.safe_load(Path(path).read_text())
+        return decode_node(fields)
+    except (OSError, yaml.YAMLError) as error:
+        raise SettingsError((f'{path}: {error}',)) from error
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise SettingsError((f'{path}: {error!r}',)) from error
+
+
+def decode_node(fields: Any) -> NodeSettings:
+    """Return typed settings; raises ValueError and its kin."""
+    first_port, last_port = fields['internal_ports'][:2]
+    app = fields.get('app')
+    return NodeSettings(
+        process_id=str(fields['node_name']),
+        address=str(fields['ip']),
+        data_centre=str(fields['zone']),
+        listen={
+            name: decode_endpoint(text)
+            for name, text in (fields.get('listen') or {}).items()
+        },
+        link_port=int(first_port),
+        metrics_port=int(last_port),
+        seeds=tuple(
+            decode_endpoint(text) for text in fields.get('seeds') or ()
+        ),
+        store=decode_endpoint(fields['platform']['address']),
+        backend=decode_endpoint(app) if app else None,
+        service=str(fields.get('service') or ''),
+        bounds=_decode_bounds(fields['bounds']),
+    )
+
+
+def decode_endpoint(text: str) -> Endpoint:
+    """Return address and port; raises ValueError."""
+    address, _, port = text.rpartition(':')
+    return Endpoint(address, int(port))
+
+
+def _decode_bounds(bounds: Mapping[str, Any]) -> Bounds:
+    return Bounds(
+        repeat_limit=RepeatLimit(
+            ratio=float(bounds['retry_budget_ratio']),
+            window_seconds=float(bounds['budget_window_s']),
+            extra_count=float(bounds['budget_extra']),
+        ),
+        drain_seconds=float(bounds['drain_ms']) / MILLISECONDS,
+        grace_seconds=float(bounds['grace_s']),
+        cold_ratio=float(bounds['cold_over']),
+        cold_extra_count=float(bounds['cold_slack']),
+    )
--- /dev/null
+++ b/wasabistream/platform/request_decoders.py
@@ -0,0 +1,132 @@
+"""Decode callers' requests with the configuration in force."""
+
+from cheroot.server import HTTPRequest
+
+from wasabistream.digests import hash64
+from wasabistream.exceptions import RequestError
+from wasabistream.forwarding.configurations import RoutingConfiguration
+from wasabistream.forwarding.organisations import KeyHolder
+from wasabistream.forwarding.requests import (
+    ForwardRequest,
+    GenerationDemand,
+    Headers,
+)
+from wasabistream.forwarding.routes import Route
+from wasabistream.platform import header_names as names
+from wasabistream.retries import Deadline
+
+MILLISECONDS = 1000
+BEARER = 'bearer'
+# Headers that go on only in the form that the adapter writes.
+REWRITTEN = frozenset(
+    (
+        'authorization',
+        names.REQUEST_ID,
+        names.REMAINING_MS,
+        names.SEAL,
+        names.NOT_EXECUTED,
+    )
+)
+NOT_FORWARDED = names.SYSTEM_ONLY | names.HOP_BY_HOP | REWRITTEN
+
+
+def decode_request(
+    configuration: RoutingConfiguration, request: HTTPRequest, body: bytes
+) -> ForwardRequest:
+    """Return a request with its route; raises RequestError."""
+    headers = _decode_headers(request)
+    try:
+        target = request.uri.decode('ascii')
+    except UnicodeDecodeError as error:
+        raise RequestError('path is not ASCII', 400, 'path') from error
+    route = _find_route(configuration, headers, target)
+    holder = _find_holder(configuration, route, headers)
+    request_id = headers.get(names.REQUEST_ID, '')
+    if not request_id:
+        raise RequestError('request has no id', 400, 'id')
+    api_key = headers.get('authorization', '')
+    priority = route.priority
+    if holder is not None and holder.priority is not None:
+        priority = holder.priority
+    return ForwardRequest(
+        request_id=request_id,
+        method=request.method.decode('latin-1'),
+        target=target,
+        headers=_forwarded(headers),
+        body=body,
+        deadline=Deadline(_remaining_seconds(headers, route)),
+        route=route,
+        service=route.draw_service(),
+        organisation=holder.name if holder else '',
+        priority=priority,
+        demand=_decode_demand(headers),
+        fingerprint=hash64(api_key, target, body.hex()),
+    )
+
+
+def request_id_of(request: HTTPRequest) -> str:
+    """Return the id of a request, or an empty text."""
+    text: bytes = request.inheaders.get(names.REQUEST_ID.title().encode(), b'')
+    return text.decode('latin-1')
+
+
+def _decode_headers(request: HTTPRequest) -> dict[str, str]:
+    return {
+        name.decode('latin-1').lower(): text.decode('latin-1')
+        for name, text in request.inheaders.items()
+    }
+
+
+def _find_route(
+    configuration: RoutingConfiguration, headers: dict[str, str], target: str
+) -> Route:
+    host = headers.get('host', '').partition(':')[0].lower()
+    path = target.partition('?')[0]
+    route = configuration.find_route(host, path)
+    if route is None:
+        raise RequestError('no route', 404, 'route')
+    return route
+
+
+def _find_holder(
+    configuration: RoutingConfiguration, route: Route, headers: dict[str, str]
+) -> KeyHolder | None:
+    holders = configuration.key_holders
+    if holders is None:
+        return None
+    scheme, _, api_key = headers.get('authorization', '').partition(' ')
+    holder = None
+    if scheme.lower() == BEARER:
+        holder = holders.get(api_key.strip())
+    if holder is None and not route.public:
+        raise RequestError('key is not valid', 401, 'key')
+    return holder
+
+
+def _remaining_seconds(headers: dict[str, str], route: Route) -> float:
+    text = headers.get(names.REMAINING_MS, '')
+    try:
+        remaining_seconds = float(text) / MILLISECONDS
+    except ValueError:
+        return route.timeout_seconds
+    return min(remaining_seconds, route.timeout_seconds)
+
+
+def _decode_demand(headers: dict[str, str]) -> GenerationDemand | None:
+    counts = headers.get(names.TOKENS, '').split(',')
+    try:
+        prompt_tokens, max_output_tokens = (int(text) for text in counts)
+        hinted = int(float(headers.get(names.LENGTH_HINT) or 0))
+    except ValueError:
+        return None
+    return GenerationDemand(prompt_tokens, max_output_tokens, hinted)
+
+
+def _forwarded(headers: dict[str, str]) -> Headers:
+    listed = headers.get('connection', '')
+    connection_only = {text.strip().lower() for text in listed.split(',')}
+    return tuple(
+        (name, text)
+        for name, text in headers.items()
+        if name not in NOT_FORWARDED and name not in connection_only
+    )
--- /dev/null
+++ b/wasabistream/platform/server_clients.py
@@ -0,0 +1,224 @@
+"""Client for requests to backend servers."""
+
+import http.client
+import socket
+from collections.abc import Callable, Mapping
+
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+from urllib3.util import SKIP_HEADER
+
+from wasabistream.exceptions import BackendError, NotSentError
+from wasabistream.forwarding.backend_servers import BackendServer
+from wasabistream.forwarding.interfaces import (
+    Cancellable,
+    Sending,
+    ServerAnswer,
+)
+from wasabistream.forwarding.requests import ForwardRequest, Headers
+from wasabistream.platform import header_names as names
+
+# A machine without power does not answer; a connection within a region takes
+# a few milliseconds, and its first packet is sent again only after a second.
+CONNECT_TIMEOUT_SECONDS = 0.4
+# A socket without a timeout would wait for ever.
+MIN_TIMEOUT_SECONDS = 0.001
+READ_BYTES = 64 * 1024
+# Unacknowledged bytes for longer show a connection that went silent.
+UNACKNOWLEDGED_LIMIT_MS = 2000
+KEEPALIVE_SECONDS = 1
+KEEPALIVE_COUNT = 3
+NOT_RUN_STATUSES = frozenset((421, 429, 503))
+MILLISECONDS = 1000
+LOWEST_URGENCY = 9
+
+SOCKET_OPTIONS: list[tuple[int, int, int | bytes]] = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS),
+]
+
+
+class SocketCloser:
+    """End an exchange from another thread."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+
+    def close(self) -> None:
+        """Shut the socket down, which wakes the thread that reads it."""
+        close_socket(self._sock)
+
+
+class HttpExchange:
+    """Read one answer of a backend server."""
+
+    def __init__(
+        self, connection: HTTPConnection, request: ForwardRequest, peer: str
+    ) -> None:
+        self._connection = connection
+        self._peer = peer
+        self._sock = connection.sock
+        self._response = http.client.HTTPResponse(
+            self._sock, method=request.method
+        )
+        try:
+            self._response.begin()
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            raise BackendError(repr(error), 'head', peer) from error
+        self.answer = _decode_head(self._response, request, peer)
+
+    def read(self) -> bytes:
+        """Return bytes of the body, or none at its proper end.
+
+        Raises BackendError when the answer breaks off.
+        """
+        try:
+            piece = self._response.read1(READ_BYTES)
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            raise BackendError(repr(error), 'body', self._peer) from error
+        if not piece and self._response.length:
+            raise BackendError('body is too short', 'body', self._peer)
+        return piece
+
+    def close(self) -> None:
+        """End the exchange; a backend server stops work on it."""
+        close_socket(self._sock)
+        self._connection.close()
+
+
+class HttpServerClient:
+    """Send each request over a connection of its own.
+
+    A kept connection may carry a late answer or be dropped just as a request
+    that may run only once goes out on it, so none is reused.
+    """
+
+    def open(
+        self,
+        server: BackendServer,
+        request: ForwardRequest,
+        sending: Sending,
+        on_connected: Callable[[Cancellable], None],
+    ) -> HttpExchange:
+        """Send a request and read the head of its answer.
+
+        `on_connected` gets what ends the wait early. Raises NotSentError
+        when the request can not have run, and BackendError when it may have.
+        """
+        connection = connect(server.address, server.port, server.endpoint)
+        on_connected(SocketCloser(connection.sock))
+        try:
+            return _send(connection, server, request, sending)
+        except BackendError:
+            connection.close()
+            raise
+
+
+def connect(address: str, port: int, peer: str) -> HTTPConnection:
+    """Open a connection to a backend server; raises NotSentError."""
+    connection = HTTPConnection(
+        address,
+        port,
+        timeout=CONNECT_TIMEOUT_SECONDS,
+        socket_options=SOCKET_OPTIONS,
+    )
+    try:
+        connection.connect()
+    except (OSError, HTTPError) as error:
+        raise NotSentError(str(error), 'connect', peer) from error
+    return connection
+
+
+def close_socket(sock: socket.socket | None) -> None:
+    """Shut a socket down, which wakes a thread that reads from it."""
+    if sock is None:
+        return
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # The peer has closed it already.
+        return
+
+
+def _send(
+    connection: HTTPConnection,
+    server: BackendServer,
+    request: ForwardRequest,
+    sending: Sending,
+) -> HttpExchange:
+    # Applies to each wait from here on, also to that for the head.
+    connection.timeout = max(sending.timeout_seconds, MIN_TIMEOUT_SECONDS)
+    connection.sock.settimeout(connection.timeout)
+    try:
+        connection.request(
+            request.method,
+            request.target,
+            body=request.body or None,
+            headers=encode_headers(server, request, sending),
+        )
+    except ValueError as error:
+        raise NotSentError(str(error), 'encode', server.endpoint) from error
+    except (OSError, HTTPError) as error:
+        # A backend server may answer before it has read a long body; that
+        # answer can still be read.
+        if not request.body:
+            raise BackendError(str(error), 'send', server.endpoint) from error
+    return HttpExchange(connection, request, server.endpoint)
+
+
+def encode_headers(
+    server: BackendServer, request: ForwardRequest, sending: Sending
+) -> Mapping[str, str]:
+    """Return the headers of one attempt."""
+    remaining_ms = max(
+        int(request.deadline.remaining_seconds * MILLISECONDS), 1
+    )
+    headers = dict(request.headers)
+    headers.setdefault('user-agent', SKIP_HEADER)
+    headers.setdefault('accept-encoding', 'identity')
+    headers[names.REQUEST_ID] = request.request_id
+    headers[names.REMAINING_MS] = str(remaining_ms)
+    headers[names.EXPECTED_SERVER] = server.server_id
+    if request.organisation:
+        headers[names.ORGANISATION] = request.organisation
+    if request.demand is not None:
+        headers[names.URGENCY] = str(min(request.priority, LOWEST_URGENCY))
+    continuation = sending.continuation
+    if continuation is not None:
+        if continuation.handle:
+            headers[names.MEMORY_SOURCE] = (
+                f'{continuation.memory_endpoint}/{continuation.handle}'
+            )
+        if continuation.last_event_id:
+            headers[names.LAST_EVENT_ID] = continuation.last_event_id
+    if sending.backup_endpoint:
+        headers[names.BACKUP] = sending.backup_endpoint
+    return headers
+
+
+def _decode_head(
+    response: http.client.HTTPResponse, request: ForwardRequest, peer: str
+) -> ServerAnswer:
+    pairs = [(name.lower(), text) for name, text in response.getheaders()]
+    headers = dict(pairs)
+    echoed = headers.get(names.REQUEST_ID, request.request_id)
+    if echoed != request.request_id:
+        raise BackendError('answer belongs to another request', 'head', peer)
+    if headers.get('content-encoding', 'identity') != 'identity':
+        raise BackendError('body has an encoding', 'head', peer)
+    media_type = headers.get('content-type', '')
+    return ServerAnswer(
+        status=response.status,
+        headers=_passed_headers(pairs),
+        sealed=names.SEAL in headers,
+        not_run=response.status == 421 or names.NOT_EXECUTED in headers,
+        event_stream=media_type.startswith('text/event-stream'),
+    )
+
+
+def _passed_headers(pairs: list[tuple[str, str]]) -> Headers:
+    return tuple(pair for pair in pairs if pair[0] not in names.HOP_BY_HOP)
--- /dev/null
+++ b/wasabistream/platform/store_clients.py
@@ -0,0 +1,153 @@
+"""Client of the platform's store, which can only be read."""
+
+import base64
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from wasabistream.exceptions import HistoryLostError, StoreError
+from wasabistream.forwarding.mirrors import MirrorChange, MirrorItem, Removal
+from wasabistream.platform.server_clients import SOCKET_OPTIONS
+
+# The store answers in milliseconds; a slow one takes some hundred.
+READ_TIMEOUT_SECONDS = 2.0
+# Added to the time that a watch waits.
+WATCH_GRACE_SECONDS = 1.5
+MILLISECONDS = 1000
+OK = 200
+GONE = 410
+MAX_PAGE_COUNT = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """Hold all items and the revision to watch from."""
+
+    items: tuple[MirrorItem, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Hold changes and the revision that they lead up to."""
+
+    changes: tuple[MirrorChange, ...]
+    revision: int
+
+
+class StoreClient:
+    """Read the store and wait for changes; never reads stale values."""
+
+    def __init__(self, address: str, port: int) -> None:
+        self._address = address
+        self._port = port
+        self._peer = f'{address}:{port}'
+        self._pool = self._make_pool()
+
+    def read_all(self, prefix: str) -> Listing:
+        """Return all items under a prefix.
+
+        The pages are no snapshot: the revision is that of the first page, so
+        that a watch from there repeats what changed in between. Raises
+        StoreError.
+        """
+        items: list[MirrorItem] = []
+        revision = 0
+        after = ''
+        for _ in range(MAX_PAGE_COUNT):
+            query = {'prefix': prefix}
+            if after:
+                query['after'] = after
+            page = self._get('/-/kv-range', query, READ_TIMEOUT_SECONDS)
+            listed = [_decode_item(row) for row in page['items']]
+            items.extend(listed)
+            revision = revision or int(page['current_rev'])
+            if not page.get('has_more') or not listed:
+                break
+            after = listed[-1].key
+        return Listing(tuple(items), revision)
+
+    def watch(
+        self, prefix: str, after_revision: int, wait_seconds: float
+    ) -> Changes:
+        """Wait for changes after a revision.
+
+        Raises HistoryLostError when the store no longer has them, and
+        StoreError.
+        """
+        page = self._get(
+            '/-/kv-watch',
+            {
+                'prefix': prefix,
+                'after': str(after_revision),
+                'wait_ms': str(int(wait_seconds * MILLISECONDS)),
+            },
+            wait_seconds + WATCH_GRACE_SECONDS,
+        )
+        changes = tuple(_decode_change(row) for row in page['events'])
+        return Changes(changes, int(page['current_rev']))
+
+    def reset(self) -> None:
+        """Use a new connection; the old one may have lost an answer."""
+        self._pool.close()
+        self._pool = self._make_pool()
+
+    def _make_pool(self) -> urllib3.HTTPConnectionPool:
+        return urllib3.HTTPConnectionPool(
+            self._address,
+            self._port,
+            maxsize=1,
+            retries=False,
+            socket_options=SOCKET_OPTIONS,
+        )
+
+    def _get(
+        self, path: str, query: Mapping[str, str], timeout_seconds: float
+    ) -> Any:
+        try:
+            response = self._pool.request(
+                'GET', path, fields=query, timeout=timeout_seconds
+            )
+            if response.status == GONE:
+                raise HistoryLostError('history is gone', path, self._peer)
+            if response.status != OK:
+                raise StoreError(f'status {response.status}', path, self._peer)
+            page = json.loads(response.data)
+            if not isinstance(page, dict):
+                raise ValueError('answer is not an object')
+        except (HTTPError, OSError, ValueError) as error:
+            raise StoreError(str(error), path, self._peer) from error
+        return _Page(page, path, self._peer)
+
+
+class _Page(dict):
+    """Raise StoreError for a field that is missing."""
+
+    def __init__(self, fields: dict, path: str, peer: str) -> None:
+        super().__init__(fields)
+        self._path = path
+        self._peer = peer
+
+    def __missing__(self, name: str) -> Any:
+        raise StoreError(f'no field {name}', self._path, self._peer)
+
+
+def _decode_item(row: Any) -> MirrorItem:
+    try:
+        return MirrorItem(
+            key=str(row['key']),
+            content=base64.b64decode(row['value'], validate=True),
+            revision=int(row['revision']),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise StoreError(repr(error), 'decode') from error
+
+
+def _decode_change(row: Any) -> MirrorChange:
+    if isinstance(row, dict) and row.get('removed'):
+        return Removal(str(row.get('key')), int(row.get('revision') or 0))
+    return _decode_item(row)
--- /dev/null
+++ b/wasabistream/platform/store_decoders.py
@@ -0,0 +1,227 @@
+"""Decode what the operator and the backend servers write to the store."""
+
+import json
+import logging
+import math
+from collections.abc import Mapping
+from typing import Any
+
+from wasabistream.forwarding.backend_servers import BackendServer
+from wasabistream.forwarding.caller_limits import CallerLimits
+from wasabistream.forwarding.configurations import (
+    RoutingConfiguration,
+    group_routes,
+)
+from wasabistream.forwarding.fleets import Fleet
+from wasabistream.forwarding.mirrors import MirrorItem
+from wasabistream.forwarding.organisations import KeyHolder
+from wasabistream.forwarding.routes import Destination, Route, RouteKind
+from wasabistream.forwarding.services import EngineProfile, Service
+
+logger = logging.getLogger(__name__)
+
+CONFIGURATION_KEY = 'op/config'
+EVACUATION_PREFIX = 'op/evacuate/'
+SERVER_PREFIX = 'servers/'
+SERVER_STATES = frozenset(('ready', 'draining'))
+MILLISECONDS = 1000
+DECODE_ERRORS = (
+    AttributeError,
+    KeyError,
+    IndexError,
+    TypeError,
+    ValueError,
+    OverflowError,
+)
+
+
+class FleetDecoder:
+    """Build the view of the fleet from the items of the store.
+
+    The configuration is decoded only when its item has changed.
+    """
+
+    def __init__(self) -> None:
+        self._configuration: RoutingConfiguration | None = None
+        self._configuration_revision = 0
+        self._unreadable: set[tuple[str, int]] = set()
+
+    def decode(self, items: Mapping[str, MirrorItem]) -> Fleet:
+        """Return the view; what cannot be read is logged and left out."""
+        self._decode_configuration(items.get(CONFIGURATION_KEY))
+        configuration = self._configuration
+        known = configuration.services if configuration else {}
+        servers = {}
+        for key, listed in items.items():
+            if key.startswith(SERVER_PREFIX):
+                server = self._decode_server(listed)
+                if server is not None and server.service in known:
+                    servers[server.server_id] = server
+        return Fleet(
+            configuration=configuration,
+            servers=servers,
+            data_centres_out=frozenset(
+                key.removeprefix(EVACUATION_PREFIX)
+                for key in items
+                if key.startswith(EVACUATION_PREFIX)
+            ),
+        )
+
+    def _decode_configuration(self, listed: MirrorItem | None) -> None:
+        if listed is None or listed.revision == self._configuration_revision:
+            return
+        self._configuration_revision = listed.revision
+        try:
+            decoded = decode_configuration(json.loads(listed.content))
+        except DECODE_ERRORS as error:
+            logger.error('platform: configuration is refused: %r', error)
+            return
+        held = self._configuration
+        if held is None or decoded.version > held.version:
+            self._configuration = decoded
+
+    def _decode_server(self, listed: MirrorItem) -> BackendServer | None:
+        server_id = listed.key.removeprefix(SERVER_PREFIX)
+        try:
+            return decode_server(server_id, json.loads(listed.content))
+        except DECODE_ERRORS as error:
+            if (listed.key, listed.revision) not in self._unreadable:
+                self._unreadable.add((listed.key, listed.revision))
+                logger.warning(
+                    'platform: server entry is left out: %r',
+                    error,
+                    extra={'server_id': server_id},
+                )
+            return None
+
+
+def decode_configuration(document: Any) -> RoutingConfiguration:
+    """Return a configuration; raises ValueError and its kin."""
+    holders = document.get('tenants')
+    limits = document.get('limits') or {}
+    default = CallerLimits()
+    return RoutingConfiguration(
+        version=int(document['version']),
+        routes_by_host=group_routes(
+            _decode_route(row) for row in document['routes']
+        ),
+        services={
+            str(row['name']): _decode_service(row)
+            for row in document['services']
+        },
+        key_holders=None if not holders else _decode_holders(holders),
+        limits=CallerLimits(
+            max_header_bytes=int(
+                limits.get('max_header_bytes', default.max_header_bytes)
+            ),
+            max_body_bytes=int(
+                limits.get('max_body_bytes', default.max_body_bytes)
+            ),
+            header_timeout_seconds=_seconds(
+                limits, 'header_timeout_ms', default.header_timeout_seconds
+            ),
+            idle_timeout_seconds=_seconds(
+                limits, 'idle_timeout_ms', default.idle_timeout_seconds
+            ),
+        ),
+    )
+
+
+def decode_server(server_id: str, entry: Any) -> BackendServer:
+    """Return a listed backend server; raises ValueError and its kin."""
+    if not isinstance(entry['service'], str):
+        raise TypeError('service is not a text')
+    if entry['state'] not in SERVER_STATES:
+        raise ValueError(f'state {entry["state"]!r} is unknown')
+    address, _, port = entry['address'].rpartition(':')
+    if not address or not 0 < int(port) < 65536:
+        raise ValueError(f'address {entry["address"]!r} is not valid')
+    if not isinstance(entry['zone'], str):
+        raise TypeError('zone is not a text')
+    return BackendServer(
+        server_id=server_id,
+        service=entry['service'],
+        address=address,
+        port=int(port),
+        data_centre=entry['zone'],
+        slot_count=_whole(entry['slots']),
+        draining=entry['state'] == 'draining',
+        cold_remaining_seconds=(
+            _whole(entry.get('cold_remaining_ms', 0)) / MILLISECONDS
+        ),
+        started_unix_ms=_whole(entry.get('born', 0)),
+    )
+
+
+def _whole(number: Any) -> int:
+    if isinstance(number, bool) or not isinstance(number, int | float):
+        raise TypeError(f'{number!r} is not a number')
+    if not math.isfinite(number) or number < 0:
+        raise ValueError(f'{number!r} is not a count')
+    return int(number)
+
+
+def _seconds(
+    limits: Mapping[str, Any], name: str, default_seconds: float
+) -> float:
+    if name not in limits:
+        return default_seconds
+    return float(limits[name]) / MILLISECONDS
+
+
+def _decode_route(row: Any) -> Route:
+    split = row.get('traffic_split')
+    if split:
+        destinations = tuple(
+            Destination(str(part['service']), float(part['weight']))
+            for part in split
+        )
+    else:
+        destinations = (Destination(str(row['service']), 1),)
+    return Route(
+        name=str(row['name']),
+        host=str(row['host']).lower(),
+        prefix=str(row['prefix']),
+        kind=RouteKind(row['kind']),
+        timeout_seconds=float(row['timeout_ms']) / MILLISECONDS,
+        target_latency_seconds=(float(row['target_latency_ms']) / MILLISECONDS),
+        priority=int(row.get('priority', 0)),
+        destinations=destinations,
+        max_attempt_count=int(row.get('max_attempts', 1)),
+        public=bool(row.get('public', False)),
+        resumable=bool(row.get('resumable', False)),
+        event_gap_seconds=(float(row.get('gap_aim_ms') or 0) / MILLISECONDS),
+    )
+
+
+def _decode_service(row: Any) -> Service:
+    engine = row.get('engine')
+    return Service(
+        name=str(row['name']),
+        health_path=str(row.get('health_path', '')),
+        max_connection_count=int(row.get('max_connections', 0)),
+        cold_requests_per_second=float(row.get('cold_per_s') or 0),
+        engine=_decode_engine(engine) if engine else None,
+    )
+
+
+def _decode_engine(row: Any) -> EngineProfile:
+    return EngineProfile(
+        slot_count=int(row['slots']),
+        memory_tokens=int(row['kv_tokens']),
+        moves=bool(row.get('moves', False)),
+        backups=bool(row.get('backups', False)),
+    )
+
+
+def _decode_holders(rows: Any) -> dict[str, KeyHolder]:
+    holders = {}
+    for row in rows:
+        priority = row.get('priority')
+        holder = KeyHolder(
+            name=str(row['name']),
+            priority=None if priority is None else int(priority),
+        )
+        for api_key in row.get('api_keys') or ():
+            holders[str(api_key)] = holder
+    return holders
--- /dev/null
+++ b/wasabistream/platform/store_followers.py
@@ -0,0 +1,82 @@
+"""Follower that keeps a mirror up to date with the store."""
+
+import logging
+import random
+import threading
+import time
+
+from wasabistream.exceptions import HistoryLostError, StoreError
+from wasabistream.forwarding.mirrors import StoreMirror
+from wasabistream.platform.store_clients import StoreClient
+
+logger = logging.getLogger(__name__)
+
+# A watch that hears nothing costs one call in this time.
+WATCH_SECONDS = 5.0
+RETRY_MIN_SECONDS = 0.1
+RETRY_MAX_SECONDS = 0.5
+
+
+class StoreFollower:
+    """Read the store once, then wait for changes."""
+
+    def __init__(self, client: StoreClient, mirror: StoreMirror) -> None:
+        self._client = client
+        self._mirror = mirror
+        self._stopped = threading.Event()
+        self._listed = False
+        self._revision = 0
+        # Since when the store has not answered; None while it answers.
+        self.lost_since_seconds: float | None = time.monotonic()
+
+    def start(self) -> None:
+        """Start to follow."""
+        threading.Thread(target=self._run, name='store', daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop to follow."""
+        self._stopped.set()
+
+    def _run(self) -> None:
+        wait_seconds = RETRY_MIN_SECONDS
+        while not self._stopped.is_set():
+            try:
+                self._step()
+            except HistoryLostError as error:
+                logger.info('store: list is read anew: %s', error)
+                self._listed = False
+            except StoreError as error:
+                self._lost(error)
+                self._client.reset()
+                self._stopped.wait(wait_seconds * random.uniform(0.5, 1.5))
+                wait_seconds = min(wait_seconds * 2, RETRY_MAX_SECONDS)
+            else:
+                self._regained()
+                wait_seconds = RETRY_MIN_SECONDS
+
+    def _step(self) -> None:
+        if not self._listed:
+            listing = self._client.read_all('')
+            self._mirror.replace(listing.items, listing.revision)
+            self._revision = listing.revision
+            self._listed = True
+            return
+        changes = self._client.watch('', self._revision, WATCH_SECONDS)
+        self._mirror.apply(changes.changes, changes.revision)
+        self._revision = changes.revision
+
+    def _lost(self, error: StoreError) -> None:
+        if self.lost_since_seconds is None:
+            self.lost_since_seconds = time.monotonic()
+            logger.warning('store: lost: %s', error)
+
+    def _regained(self) -> None:
+        if self.lost_since_seconds is not None:
+            logger.info(
+                'store: regained',
+                extra={
+                    'away_seconds': time.monotonic() - self.lost_since_seconds,
+                    'revision': self._revision,
+                },
+            )
+            self.lost_since_seconds = None
