Keep links to agents of backend servers that left the list

Cause: an engine that is taken away with short notice leaves the list at once, the entry closed its link, and the agent could neither ask for room nor tell where generations went ('mover: no room' for four runs at 14.7 s).

--- a/wasabistream/forwarding/agent_links.py
+++ b/wasabistream/forwarding/agent_links.py
@@ -2,6 +2,7 @@
 
 import logging
 import threading
+import time
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -24,6 +25,10 @@
 
 logger = logging.getLogger(__name__)
 
+# A backend server that leaves the list goes on serving for some seconds, in
+# which its agent moves generations and needs its links.
+LINGER_SECONDS = 20.0
+
 
 @dataclass(frozen=True, slots=True)
 class AgentAddress:
@@ -50,6 +55,8 @@
         self._moves = moves
         self._lock = threading.Lock()
         self._dialers: dict[AgentAddress, PeerDialer] = {}
+        # When backend servers left the list.
+        self._unlisted_seconds: dict[AgentAddress, float] = {}
         self._fleet = Fleet()
 
     def follow(self, fleet: Fleet) -> None:
@@ -61,8 +68,7 @@
         }
         with self._lock:
             self._fleet = fleet
-            for gone in set(self._dialers) - wanted:
-                self._dialers.pop(gone).stop()
+            self._drop_unlisted(wanted)
             for address in wanted - set(self._dialers):
                 dialer = PeerDialer(
                     address.address,
@@ -92,6 +98,17 @@
             case RoomQuery():
                 self._tell_rooms(endpoint, link, notice)
 
+    def _drop_unlisted(self, wanted: set[AgentAddress]) -> None:
+        now = time.monotonic()
+        for address in list(self._dialers):
+            if address in wanted:
+                self._unlisted_seconds.pop(address, None)
+                continue
+            unlisted = self._unlisted_seconds.setdefault(address, now)
+            if now - unlisted > LINGER_SECONDS:
+                self._unlisted_seconds.pop(address)
+                self._dialers.pop(address).stop()
+
     def _tell_rooms(self, endpoint: str, link: Link, query: RoomQuery) -> None:
         rows = list_rooms(self._fleet, self._book, query.service, endpoint)
         try:
--- a/wasabistream/forwarding/run_movers.py
+++ b/wasabistream/forwarding/run_movers.py
@@ -77,7 +77,7 @@
 
     def move_all(self) -> None:
         """Move generations until the engine is gone or empty."""
-        failed: set[str] = set()
+        retry_seconds: dict[str, float] = {}
         while True:
             try:
                 state = self._engine.state()
@@ -86,13 +86,18 @@
                 return
             if not state.leaving:
                 return
-            runs = [run for run in state.runs if run.run_id not in failed]
+            now = time.monotonic()
+            runs = [
+                run
+                for run in state.runs
+                if retry_seconds.get(run.run_id, 0) <= now
+            ]
             if not runs:
                 time.sleep(STATE_WAIT_SECONDS)
                 continue
             run = max(runs, key=_saved_work)
             if not self._move(run):
-                failed.add(run.run_id)
+                retry_seconds[run.run_id] = now + ROOM_AGE_SECONDS
 
     def _move(self, run: EngineRun) -> bool:
         room = self._find_room(run)
