Let entries find each other and read the store through peers

Cause: an entry that the store turns away knew neither new versions nor how many entries share the retry budget.

--- /dev/null
+++ b/wasabistream/forwarding/lapse_guards.py
@@ -0,0 +1,80 @@
+"""Guard against entries that lapse while the store is away."""
+
+import threading
+import time
+from collections.abc import Callable, Iterable
+
+from wasabistream.forwarding.mirrors import (
+    MirrorChange,
+    MirrorItem,
+    Removal,
+    StoreMirror,
+)
+
+# Backend servers whose entries lapsed while the store was away write them
+# again within about two seconds of its return.
+RETURN_SECONDS = 2.2
+# A shorter loss lets no entry lapse.
+MIN_AWAY_SECONDS = 1.0
+
+
+class LapseGuard:
+    """Hold removals back for a while after the store has returned.
+
+    An entry that is still missing after that time is removed.
+    """
+
+    def __init__(
+        self,
+        mirror: StoreMirror,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._mirror = mirror
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._guarded_until_seconds = 0.0
+        self._held: dict[str, Removal] = {}
+
+    @property
+    def waiting(self) -> bool:
+        """Tell whether removals are held back."""
+        return bool(self._held)
+
+    def regained(self, away_seconds: float) -> None:
+        """Start to hold removals back."""
+        if away_seconds >= MIN_AWAY_SECONDS:
+            self._guarded_until_seconds = self._clock() + RETURN_SECONDS
+
+    def apply(self, changes: Iterable[MirrorChange], revision: int) -> None:
+        """Apply changes; removals wait while entries may come back."""
+        with self._lock:
+            passed: list[MirrorChange] = []
+            for change in changes:
+                self._held.pop(change.key, None)
+                if isinstance(change, Removal) and self._guarding:
+                    self._held[change.key] = change
+                else:
+                    passed.append(change)
+            self._mirror.apply(passed, revision)
+
+    def replace(self, listing: Iterable[MirrorItem], revision: int) -> None:
+        """Take over a listing; items that it lacks count as removed."""
+        with self._lock:
+            items = {listed.key: listed for listed in listing}
+            for held in self._mirror.items():
+                if held.key not in items and self._guarding:
+                    self._held[held.key] = Removal(held.key, revision)
+                    items[held.key] = held
+            self._mirror.replace(items.values(), revision)
+
+    def release(self) -> None:
+        """Apply the removals whose entries have not come back."""
+        with self._lock:
+            if self._held and not self._guarding:
+                removals = list(self._held.values())
+                self._held.clear()
+                self._mirror.apply(removals, self._mirror.revision)
+
+    @property
+    def _guarding(self) -> bool:
+        return self._clock() < self._guarded_until_seconds
--- /dev/null
+++ b/wasabistream/forwarding/peer_links.py
@@ -0,0 +1,212 @@
+"""Links between entries."""
+
+import logging
+import threading
+import time
+from collections.abc import Callable, Sequence
+
+from wasabistream.dialers import PeerDialer
+from wasabistream.exceptions import LinkError
+from wasabistream.forwarding.mirrors import MirrorItem, StoreMirror
+from wasabistream.forwarding.peer_messages import (
+    MirrorPart,
+    MirrorQuery,
+    PeerNotice,
+)
+from wasabistream.links import Link
+from wasabistream.messages import Message
+from wasabistream.notices import Hello
+
+logger = logging.getLogger(__name__)
+
+NOTICE_SECONDS = 1.0
+# An entry that was not heard for three notices does not count as alive.
+ALIVE_SECONDS = 3.5
+# Links that an entry opens; more entries are counted but not dialled.
+MAX_DIALER_COUNT = 40
+# Items are joined into frames up to this size.
+PART_BYTES = 256 * 1024
+
+
+class PeerLinks:
+    """Find the other entries and read the store through them.
+
+    Entries find each other by the seeds and by whom their peers know. An
+    entry that cannot read the store takes over what a peer has read, when
+    that is newer.
+    """
+
+    def __init__(
+        self,
+        hello: Hello,
+        endpoint: str,
+        seeds: Sequence[str],
+        mirror: StoreMirror,
+        is_store_lost: Callable[[], bool],
+    ) -> None:
+        self._hello = hello
+        self._endpoint = endpoint
+        self._seeds = [seed for seed in seeds if seed != endpoint]
+        self._mirror = mirror
+        self._is_store_lost = is_store_lost
+        self._lock = threading.Lock()
+        self._dialers: dict[str, PeerDialer] = {}
+        self._links: dict[Link, PeerNotice | None] = {}
+        self._heard_seconds: dict[str, float] = {}
+        self._parts: dict[Link, list[MirrorItem]] = {}
+        self._stopped = threading.Event()
+        self._wake = threading.Event()
+
+    def start(self) -> None:
+        """Start to look for the other entries."""
+        threading.Thread(target=self._run, name='peers', daemon=True).start()
+
+    def stop(self) -> None:
+        """Close all links."""
+        self._stopped.set()
+        self._wake.set()
+        with self._lock:
+            dialers = list(self._dialers.values())
+            links = list(self._links)
+        for dialer in dialers:
+            dialer.stop()
+        for link in links:
+            link.close()
+
+    def notify(self) -> None:
+        """Tell the peers at once that there is news."""
+        self._wake.set()
+
+    def entry_count(self) -> int:
+        """Return how many entries are alive, this one included."""
+        oldest = time.monotonic() - ALIVE_SECONDS
+        with self._lock:
+            heard = [
+                endpoint
+                for endpoint, seconds in self._heard_seconds.items()
+                if seconds >= oldest and endpoint != self._endpoint
+            ]
+        return len(heard) + 1
+
+    def on_opened(self, link: Link) -> None:
+        """Introduce this entry."""
+        with self._lock:
+            self._links[link] = None
+        self._send(link, self._notice())
+
+    def on_messages(self, link: Link, received: Sequence[Message]) -> None:
+        """Handle the messages of a peer."""
+        for notice in received:
+            match notice:
+                case PeerNotice():
+                    self._learn(link, notice)
+                case MirrorQuery():
+                    self._tell(link, notice)
+                case MirrorPart():
+                    self._collect(link, notice)
+
+    def on_closed(self, link: Link, reason: str) -> None:
+        """Forget a link that ended."""
+        with self._lock:
+            self._links.pop(link, None)
+            self._parts.pop(link, None)
+        logger.info('peer: link to %s ended: %s', link.peer.peer_id, reason)
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            self._dial()
+            notice = self._notice()
+            with self._lock:
+                links = list(self._links)
+            for link in links:
+                self._send(link, notice)
+            self._wake.wait(NOTICE_SECONDS)
+            self._wake.clear()
+
+    def _dial(self) -> None:
+        oldest = time.monotonic() - ALIVE_SECONDS
+        with self._lock:
+            alive = {
+                endpoint
+                for endpoint, seconds in self._heard_seconds.items()
+                if seconds >= oldest and endpoint < self._endpoint
+            }
+            wanted = (alive | set(self._seeds)) - {self._endpoint}
+            for gone in set(self._dialers) - wanted:
+                self._dialers.pop(gone).stop()
+            for endpoint in sorted(wanted - set(self._dialers)):
+                if len(self._dialers) >= MAX_DIALER_COUNT:
+                    break
+                address, _, port = endpoint.rpartition(':')
+                dialer = PeerDialer(address, int(port), self._hello, self)
+                self._dialers[endpoint] = dialer
+                dialer.start()
+
+    def _notice(self) -> PeerNotice:
+        with self._lock:
+            known = [
+                notice.endpoint for notice in self._links.values() if notice
+            ]
+        return PeerNotice(
+            self._endpoint,
+            self._mirror.revision,
+            self._is_store_lost(),
+            sorted(set(known)),
+        )
+
+    def _learn(self, link: Link, notice: PeerNotice) -> None:
+        now = time.monotonic()
+        with self._lock:
+            self._links[link] = notice
+            self._heard_seconds[notice.endpoint] = now
+            for endpoint in notice.known:
+                # What a peer hears is up to one notice older.
+                seconds = self._heard_seconds.get(endpoint, 0)
+                self._heard_seconds[endpoint] = max(
+                    seconds, now - NOTICE_SECONDS
+                )
+        newer = notice.revision > self._mirror.revision
+        if newer and self._is_store_lost():
+            self._send(link, MirrorQuery(self._mirror.revision))
+
+    def _tell(self, link: Link, query: MirrorQuery) -> None:
+        if query.revision >= self._mirror.revision:
+            return
+        revision = self._mirror.revision
+        rows: list[list[object]] = []
+        size_bytes = 0
+        for held in self._mirror.items():
+            size_bytes += len(held.content)
+            if rows and size_bytes > PART_BYTES:
+                self._send(link, MirrorPart(revision, rows, last=False))
+                rows, size_bytes = [], len(held.content)
+            rows.append([held.key, held.content, held.revision])
+        self._send(link, MirrorPart(revision, rows, last=True))
+
+    def _collect(self, link: Link, part: MirrorPart) -> None:
+        items = self._parts.setdefault(link, [])
+        try:
+            items.extend(
+                MirrorItem(str(key), bytes(content), int(revision))
+                for key, content, revision in part.rows
+            )
+        except (TypeError, ValueError) as error:
+            logger.warning('peer: listing is malformed: %r', error)
+            self._parts.pop(link, None)
+            return
+        if part.last:
+            self._parts.pop(link, None)
+            # The store itself goes first as soon as it can be read.
+            if self._is_store_lost():
+                taken = self._mirror.replace(items, part.revision)
+                logger.info(
+                    'peer: read the store through %s',
+                    link.peer.peer_id,
+                    extra={'revision': part.revision, 'taken': taken},
+                )
+
+    def _send(self, link: Link, notice: Message) -> None:
+        try:
+            link.send(notice)
+        except LinkError as error:
+            logger.debug('peer: message lost: %s', error)
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -36,6 +36,14 @@
     last_event_id: str = ''
     event_count: int = 0
     move_count: int = 0
+    complete: bool = False
+
+    @property
+    def outcome(self) -> str:
+        """Return how the stream ended, for the log."""
+        if not self.begun:
+            return 'answered'
+        return 'complete' if self.complete else 'cut'
 
 
 class StreamForwarder:
@@ -160,6 +168,7 @@
         if splitter.torn or watch.reason is not None:
             raise BackendError('stream was cut', 'events', server.endpoint)
         self._rates.record(server.endpoint, failed=False)
+        progress.complete = True
         return None
 
     def _find_move(self, watch: Watch) -> RunMoved | None:
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -16,12 +16,14 @@
 from wasabistream.forwarding.load_books import LoadBook
 from wasabistream.forwarding.mirrors import MirrorItem, StoreMirror
 from wasabistream.forwarding.move_books import MoveBook
+from wasabistream.forwarding.peer_links import PeerLinks
 from wasabistream.forwarding.plain_forwarders import PlainForwarder
 from wasabistream.forwarding.replies import refuse
 from wasabistream.forwarding.requests import Reply
 from wasabistream.forwarding.server_choosers import ServerChooser
 from wasabistream.forwarding.stream_forwarders import StreamForwarder
 from wasabistream.forwarding.supervisors import Supervisor
+from wasabistream.listeners import LinkListener
 from wasabistream.platform.ingress_servers import HttpCaller, IngressServer
 from wasabistream.platform.node_applications import NodeApplication
 from wasabistream.platform.node_files import NodeSettings
@@ -39,8 +41,6 @@
 # Each request in progress holds one thread.
 THREAD_COUNT = 128
 READY_THREAD_COUNT = 2
-# Assumed while the number of entries is not known.
-ASSUMED_ENTRY_COUNT = 4
 # Refused callers without a deadline come back after this time.
 UNKNOWN_DEADLINE_SECONDS = 3.0
 READY_STATUS = 200
@@ -64,6 +64,17 @@
         self.follower = StoreFollower(
             StoreClient(node.store.address, node.store.port), self.mirror
         )
+        control = node.listen['control']
+        self._peers = PeerLinks(
+            self.hello,
+            f'{control.address}:{control.port}',
+            [f'{seed.address}:{seed.port}' for seed in node.seeds],
+            self.mirror,
+            lambda: self.follower.lost_since_seconds is not None,
+        )
+        self._listener = LinkListener(
+            control.address, control.port, self.hello, self._peers
+        )
         self._supervisor = Supervisor(self._is_responsive)
         self._forwarder = self._make_forwarder(moves)
         front = node.listen['front']
@@ -80,12 +91,16 @@
         self.mirror.subscribe(self._apply)
         self._supervisor.start()
         self.follower.start()
+        self._listener.start()
+        self._peers.start()
         self._front.run_in_thread('front')
         self._ready.run_in_thread('ready')
 
     def on_stop(self) -> None:
         """Close the servers and the links."""
         self.follower.stop()
+        self._listener.stop()
+        self._peers.stop()
         self._front.stop()
         self._ready.stop()
         self._supervisor.stop()
@@ -108,7 +123,7 @@
             self._book,
             self._rates,
             RepeatBudgets(
-                self.node.bounds.repeat_limit, lambda: ASSUMED_ENTRY_COUNT
+                self.node.bounds.repeat_limit, self._peers.entry_count
             ),
         )
         return Forwarder(
@@ -165,6 +180,7 @@
         self._book.keep_only(endpoints)
         self._rates.keep_only(endpoints)
         self._agents.follow(fleet)
+        self._peers.notify()
         if before.configuration is not configuration and configuration:
             logger.info(
                 'fleet: configuration in force',
--- a/wasabistream/platform/store_followers.py
+++ b/wasabistream/platform/store_followers.py
@@ -6,6 +6,7 @@
 import time
 
 from wasabistream.exceptions import HistoryLostError, StoreError
+from wasabistream.forwarding.lapse_guards import LapseGuard
 from wasabistream.forwarding.mirrors import StoreMirror
 from wasabistream.platform.store_clients import StoreClient
 
@@ -13,6 +14,8 @@
 
 # A watch that hears nothing costs one call in this time.
 WATCH_SECONDS = 5.0
+# Removals that are held back are looked at again after this time.
+GUARDED_WATCH_SECONDS = 0.5
 RETRY_MIN_SECONDS = 0.1
 RETRY_MAX_SECONDS = 0.5
 
@@ -23,12 +26,20 @@
     def __init__(self, client: StoreClient, mirror: StoreMirror) -> None:
         self._client = client
         self._mirror = mirror
+        self._guard = LapseGuard(mirror)
         self._stopped = threading.Event()
         self._listed = False
         self._revision = 0
         # Since when the store has not answered; None while it answers.
         self.lost_since_seconds: float | None = time.monotonic()
 
+    @property
+    def away_seconds(self) -> float:
+        """Return for how long the store has not answered."""
+        if self.lost_since_seconds is None:
+            return 0
+        return time.monotonic() - self.lost_since_seconds
+
     def start(self) -> None:
         """Start to follow."""
         threading.Thread(target=self._run, name='store', daemon=True).start()
@@ -57,13 +68,19 @@
     def _step(self) -> None:
         if not self._listed:
             listing = self._client.read_all('')
-            self._mirror.replace(listing.items, listing.revision)
+            self._guard.regained(self.away_seconds)
+            self._guard.replace(listing.items, listing.revision)
             self._revision = listing.revision
             self._listed = True
             return
-        changes = self._client.watch('', self._revision, WATCH_SECONDS)
-        self._mirror.apply(changes.changes, changes.revision)
+        wait_seconds = GUARDED_WATCH_SECONDS
+        if not self._guard.waiting:
+            wait_seconds = WATCH_SECONDS
+        changes = self._client.watch('', self._revision, wait_seconds)
+        self._guard.regained(self.away_seconds)
+        self._guard.apply(changes.changes, changes.revision)
         self._revision = changes.revision
+        self._guard.release()
 
     def _lost(self, error: StoreError) -> None:
         if self.lost_since_seconds is None:
@@ -75,7 +92,7 @@
             logger.info(
                 'store: regained',
                 extra={
-                    'away_seconds': time.monotonic() - self.lost_since_seconds,
+                    'away_seconds': self.away_seconds,
                     'revision': self._revision,
                 },
             )
