Find engines that start while the store is away

Cause: during an outage of the store two to three of six engines leave and those that start cannot register, so that the last known one held all requests (10.2.0.22 with 11 chat requests held to their end at 25 to 31 s).

--- /dev/null
+++ b/wasabistream/forwarding/announcers.py
@@ -0,0 +1,78 @@
+"""Announcer of the engine beside an agent."""
+
+import logging
+import threading
+from collections.abc import Callable, Sequence
+
+from wasabistream.dialers import PeerDialer
+from wasabistream.exceptions import LinkError
+from wasabistream.forwarding.observed_engines import (
+    ANNOUNCE_SECONDS,
+    EngineAnnouncement,
+)
+from wasabistream.links import Link
+from wasabistream.messages import Message
+from wasabistream.notices import Hello
+
+logger = logging.getLogger(__name__)
+
+
+class EngineAnnouncer:
+    """Tell the seeds regularly that the engine serves.
+
+    The seeds are entries, and they tell the others. So an engine that has
+    started while the store is away is found all the same.
+    """
+
+    def __init__(
+        self,
+        hello: Hello,
+        seeds: Sequence[tuple[str, int]],
+        announcement: EngineAnnouncement,
+        is_serving: Callable[[], bool],
+    ) -> None:
+        self._announcement = announcement
+        self._is_serving = is_serving
+        self._links: set[Link] = set()
+        self._lock = threading.Lock()
+        self._stopped = threading.Event()
+        self._dialers = [
+            PeerDialer(address, port, hello, self) for address, port in seeds
+        ]
+
+    def start(self) -> None:
+        """Start to announce."""
+        for dialer in self._dialers:
+            dialer.start()
+        threading.Thread(target=self._run, name='announce', daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop to announce."""
+        self._stopped.set()
+        for dialer in self._dialers:
+            dialer.stop()
+
+    def on_opened(self, link: Link) -> None:
+        """Announce to an entry from now on."""
+        with self._lock:
+            self._links.add(link)
+
+    def on_messages(self, link: Link, received: Sequence[Message]) -> None:
+        """Ignore what entries tell each other."""
+
+    def on_closed(self, link: Link, reason: str) -> None:
+        """Forget an entry."""
+        with self._lock:
+            self._links.discard(link)
+
+    def _run(self) -> None:
+        while not self._stopped.wait(ANNOUNCE_SECONDS):
+            if not self._is_serving():
+                continue
+            with self._lock:
+                links = list(self._links)
+            for link in links:
+                try:
+                    link.send(self._announcement)
+                except LinkError as error:
+                    logger.debug('announcer: message lost: %s', error)
--- a/wasabistream/forwarding/attempts.py
+++ b/wasabistream/forwarding/attempts.py
@@ -88,23 +88,23 @@
         Raises NotSentError when the request has not run at this backend
         server, and BackendError when it may have.
         """
-        request = watch.request
-        demand = request.demand
-        endpoint = server.endpoint
         history.sent_count += 1
-        history.endpoints.append(endpoint)
-        self._book.sent(
-            endpoint,
-            request.request_id,
-            demand.expected_tokens if demand else 0,
-        )
-        try:
+        history.endpoints.append(server.endpoint)
+        with self._counted(server.endpoint, watch):
             exchange = self._open(server, watch, history, continuation)
             try:
                 yield exchange
             finally:
                 watch.attach('', None)
                 exchange.close()
+
+    @contextmanager
+    def _counted(self, endpoint: str, watch: Watch) -> Iterator[None]:
+        request = watch.request
+        tokens = request.demand.expected_tokens if request.demand else 0
+        self._book.sent(endpoint, request.request_id, tokens)
+        try:
+            yield
         finally:
             self._book.ended(endpoint, request.request_id)
 
--- a/wasabistream/forwarding/configurations.py
+++ b/wasabistream/forwarding/configurations.py
@@ -28,14 +28,16 @@
         return None
 
 
+def _prefix_length(route: Route) -> int:
+    return len(route.prefix)
+
+
 def group_routes(routes: Iterable[Route]) -> dict[str, tuple[Route, ...]]:
     """Return the routes of each host, those with the longest prefix first."""
     groups: dict[str, list[Route]] = {}
     for route in routes:
         groups.setdefault(route.host, []).append(route)
     return {
-        host: tuple(
-            sorted(group, key=lambda route: len(route.prefix), reverse=True)
-        )
+        host: tuple(sorted(group, key=_prefix_length, reverse=True))
         for host, group in groups.items()
     }
--- /dev/null
+++ b/wasabistream/forwarding/fleet_keepers.py
@@ -0,0 +1,80 @@
+"""Keeper of the view of the fleet."""
+
+import logging
+import threading
+from collections.abc import Callable, Mapping
+
+from wasabistream.forwarding.fleets import Fleet, FleetHolder
+from wasabistream.forwarding.mirrors import MirrorItem
+from wasabistream.forwarding.observed_engines import (
+    ObservedEngines,
+    add_observed,
+)
+
+logger = logging.getLogger(__name__)
+
+
+class FleetKeeper:
+    """Build the view from the store's items and from what agents announce."""
+
+    def __init__(
+        self,
+        holder: FleetHolder,
+        decode: Callable[[Mapping[str, MirrorItem]], Fleet],
+        observed: ObservedEngines,
+        is_store_lost: Callable[[], bool],
+    ) -> None:
+        self._holder = holder
+        self._decode = decode
+        self._observed = observed
+        self._is_store_lost = is_store_lost
+        self._lock = threading.Lock()
+        self._listed = Fleet()
+        self._handlers: list[Callable[[Fleet], None]] = []
+
+    def subscribe(self, handler: Callable[[Fleet], None]) -> None:
+        """Call a handler with each new view."""
+        self._handlers.append(handler)
+
+    def take_items(self, items: Mapping[str, MirrorItem]) -> None:
+        """Build the view anew from the items of the store."""
+        with self._lock:
+            self._listed = self._decode(items)
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Build the view anew after the store or an agent came or went."""
+        with self._lock:
+            fleet = self._listed
+            if self._is_store_lost():
+                fleet = add_observed(fleet, self._observed.alive())
+            before = self._holder.current
+            if fleet == before:
+                return
+            self._holder.current = fleet
+            for handler in self._handlers:
+                handler(fleet)
+        _log(before, fleet)
+
+
+def _log(before: Fleet, fleet: Fleet) -> None:
+    configuration = fleet.configuration
+    if configuration is not None and before.configuration is not configuration:
+        logger.info(
+            'fleet: configuration in force',
+            extra={'version': configuration.version},
+        )
+    known = set(before.servers)
+    logger.info(
+        'fleet: changed',
+        extra={
+            'added': sorted(set(fleet.servers) - known),
+            'removed': sorted(known - set(fleet.servers)),
+            'draining': sorted(
+                server.server_id
+                for server in fleet.servers.values()
+                if server.draining
+            ),
+            'out': sorted(fleet.data_centres_out),
+        },
+    )
--- a/wasabistream/forwarding/peer_links.py
+++ b/wasabistream/forwarding/peer_links.py
@@ -8,6 +8,10 @@
 from wasabistream.dialers import PeerDialer
 from wasabistream.exceptions import LinkError
 from wasabistream.forwarding.mirrors import MirrorItem, StoreMirror
+from wasabistream.forwarding.observed_engines import (
+    EngineAnnouncement,
+    ObservedEngines,
+)
 from wasabistream.forwarding.peer_messages import (
     MirrorPart,
     MirrorQuery,
@@ -42,13 +46,20 @@
         endpoint: str,
         seeds: Sequence[str],
         mirror: StoreMirror,
+        observed: ObservedEngines,
         is_store_lost: Callable[[], bool],
+        refresh_fleet: Callable[[], None],
     ) -> None:
         self._hello = hello
         self._endpoint = endpoint
         self._seeds = [seed for seed in seeds if seed != endpoint]
         self._mirror = mirror
+        self._observed = observed
         self._is_store_lost = is_store_lost
+        # Takes engines that were announced since into the fleet.
+        self._refresh_fleet = refresh_fleet
+        # Engines that agents announced to this entry itself.
+        self._announced = ObservedEngines()
         self._lock = threading.Lock()
         self._dialers: dict[str, PeerDialer] = {}
         self._links: dict[Link, PeerNotice | None] = {}
@@ -90,9 +101,10 @@
 
     def on_opened(self, link: Link) -> None:
         """Introduce this entry."""
-        with self._lock:
-            self._links[link] = None
-        self._send(link, self._notice())
+        if link.peer.role == self._hello.role:
+            with self._lock:
+                self._links[link] = None
+            self._send(link, self._notice())
 
     def on_messages(self, link: Link, received: Sequence[Message]) -> None:
         """Handle the messages of a peer."""
@@ -100,6 +112,9 @@
             match notice:
                 case PeerNotice():
                     self._learn(link, notice)
+                case EngineAnnouncement():
+                    self._announced.hear(notice)
+                    self._observed.hear(notice)
                 case MirrorQuery():
                     self._tell(link, notice)
                 case MirrorPart():
@@ -120,6 +135,8 @@
                 links = list(self._links)
             for link in links:
                 self._send(link, notice)
+            if self._is_store_lost():
+                self._refresh_fleet()
             self._wake.wait(NOTICE_SECONDS)
             self._wake.clear()
 
@@ -152,6 +169,10 @@
             self._mirror.revision,
             self._is_store_lost(),
             sorted(set(known)),
+            [
+                [engine.endpoint, engine.service, engine.data_centre]
+                for engine in self._announced.alive()
+            ],
         )
 
     def _learn(self, link: Link, notice: PeerNotice) -> None:
@@ -165,10 +186,20 @@
                 self._heard_seconds[endpoint] = max(
                     seconds, now - NOTICE_SECONDS
                 )
+        self._learn_engines(notice)
         newer = notice.revision > self._mirror.revision
         if newer and self._is_store_lost():
             self._send(link, MirrorQuery(self._mirror.revision))
 
+    def _learn_engines(self, notice: PeerNotice) -> None:
+        try:
+            for endpoint, service, data_centre in notice.engines:
+                self._observed.hear(
+                    EngineAnnouncement(endpoint, service, data_centre)
+                )
+        except (TypeError, ValueError) as error:
+            logger.warning('peer: engines are malformed: %r', error)
+
     def _tell(self, link: Link, query: MirrorQuery) -> None:
         if query.revision >= self._mirror.revision:
             return
--- a/wasabistream/forwarding/peer_messages.py
+++ b/wasabistream/forwarding/peer_messages.py
@@ -16,6 +16,8 @@
     store_lost: bool
     # Endpoints of the entries that it hears directly.
     known: list
+    # Engines that agents announced to it: endpoint, service, data centre.
+    engines: list
 
 
 @message(86)
--- a/wasabistream/forwarding/rooms.py
+++ b/wasabistream/forwarding/rooms.py
@@ -7,7 +7,7 @@
 
 # Part of an engine's memory that stays free for the growth of its own
 # generations.
-RESERVE_RATIO = 0.1
+RESERVE_RATIO = 0.0
 # A copy inside the data centre takes half the time of one to another.
 DISTANCE_RATIO = 2.0
 
@@ -59,13 +59,12 @@
     fitting = [room for room in rooms if room.free_tokens >= tokens]
     if not fitting:
         return None
-    best = min(
-        fitting,
-        key=lambda room: (
-            (room.request_count + 1)
-            * (1 if room.data_centre == data_centre else DISTANCE_RATIO)
-        ),
-    )
+    best = min(fitting, key=lambda room: _room_cost(room, data_centre))
     best.free_tokens -= tokens
     best.request_count += 1
     return best
+
+
+def _room_cost(room: Room, data_centre: str) -> float:
+    distance = 1 if room.data_centre == data_centre else DISTANCE_RATIO
+    return (room.request_count + 1) * distance
--- a/wasabistream/platform/agent_applications.py
+++ b/wasabistream/platform/agent_applications.py
@@ -6,8 +6,10 @@
 from collections.abc import Sequence
 
 from wasabistream.exceptions import LinkError
+from wasabistream.forwarding.announcers import EngineAnnouncer
 from wasabistream.forwarding.engine_watchers import EngineWatcher
 from wasabistream.forwarding.move_messages import RoomReport
+from wasabistream.forwarding.observed_engines import EngineAnnouncement
 from wasabistream.forwarding.run_movers import RunMover
 from wasabistream.links import Link
 from wasabistream.listeners import LinkListener
@@ -45,6 +47,16 @@
             self._broadcast,
             self._start_moves,
         )
+        self._announcer = EngineAnnouncer(
+            self.hello,
+            [(seed.address, seed.port) for seed in node.seeds],
+            EngineAnnouncement(
+                f'{backend.address}:{backend.port}',
+                node.service,
+                node.data_centre,
+            ),
+            self._is_serving,
+        )
         self._listener = LinkListener(
             node.address, node.link_port, self.hello, self
         )
@@ -53,10 +65,12 @@
         """Watch the engine and accept links of entries."""
         self._listener.start()
         self._watcher.start()
+        self._announcer.start()
 
     def on_stop(self) -> None:
         """Close the links."""
         self._watcher.stop()
+        self._announcer.stop()
         self._listener.stop()
         for link in self._open_links():
             link.close()
@@ -81,6 +95,10 @@
             self._links.discard(link)
         logger.info('agent: link to %s ended: %s', link.peer.peer_id, reason)
 
+    def _is_serving(self) -> bool:
+        last = self._watcher.last
+        return last is not None and last.responsive and not last.leaving
+
     def _start_moves(self) -> None:
         threading.Thread(
             target=self._mover.move_all, name='mover', daemon=True
--- a/wasabistream/platform/engine_clients.py
+++ b/wasabistream/platform/engine_clients.py
@@ -10,6 +10,7 @@
 from wasabistream.exceptions import BackendError
 from wasabistream.forwarding.engine_states import EngineRun, EngineState
 from wasabistream.forwarding.move_outcomes import MoveOutcome
+from wasabistream.platform.decode_errors import DECODE_ERRORS
 from wasabistream.platform.server_clients import SOCKET_OPTIONS
 
 REPORT_TIMEOUT_SECONDS = 0.4
@@ -107,7 +108,7 @@
             ),
             runs=tuple(_decode_run(row) for row in body.get('runs') or ()),
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except DECODE_ERRORS as error:
         raise BackendError(repr(error), 'report', peer) from error
 
 
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -2,7 +2,6 @@
 
 import logging
 import secrets
-from collections.abc import Mapping
 
 from cheroot.server import HTTPRequest
 
@@ -11,11 +10,13 @@
 from wasabistream.forwarding.attempts import AttemptSender
 from wasabistream.forwarding.budgets import RepeatBudgets
 from wasabistream.forwarding.failure_rates import FailureRates
-from wasabistream.forwarding.fleets import FleetHolder
+from wasabistream.forwarding.fleet_keepers import FleetKeeper
+from wasabistream.forwarding.fleets import Fleet, FleetHolder
 from wasabistream.forwarding.forwarders import Forwarder
 from wasabistream.forwarding.load_books import LoadBook
-from wasabistream.forwarding.mirrors import MirrorItem, StoreMirror
+from wasabistream.forwarding.mirrors import StoreMirror
 from wasabistream.forwarding.move_books import MoveBook
+from wasabistream.forwarding.observed_engines import ObservedEngines
 from wasabistream.forwarding.peer_links import PeerLinks
 from wasabistream.forwarding.plain_forwarders import PlainForwarder
 from wasabistream.forwarding.replies import refuse
@@ -56,13 +57,18 @@
         super().__init__(node, secrets.token_hex(4))
         self.fleet = FleetHolder()
         self.mirror = StoreMirror()
-        self._decoder = FleetDecoder()
         self._book = LoadBook()
         self._rates = FailureRates()
         moves = MoveBook()
         self._agents = AgentLinks(self.hello, node.link_port, self._book, moves)
+        observed = ObservedEngines()
+        self._keeper = FleetKeeper(
+            self.fleet, FleetDecoder().decode, observed, self._is_store_lost
+        )
         self.follower = StoreFollower(
-            StoreClient(node.store.address, node.store.port), self.mirror
+            StoreClient(node.store.address, node.store.port),
+            self.mirror,
+            self._keeper.refresh,
         )
         control = node.listen['control']
         self._peers = PeerLinks(
@@ -70,7 +76,9 @@
             f'{control.address}:{control.port}',
             [f'{seed.address}:{seed.port}' for seed in node.seeds],
             self.mirror,
-            lambda: self.follower.lost_since_seconds is not None,
+            observed,
+            self._is_store_lost,
+            self._keeper.refresh,
         )
         self._listener = LinkListener(
             control.address, control.port, self.hello, self._peers
@@ -88,7 +96,8 @@
 
     def on_start(self) -> None:
         """Follow the store and serve callers."""
-        self.mirror.subscribe(self._apply)
+        self._keeper.subscribe(self._apply)
+        self.mirror.subscribe(self._keeper.take_items)
         self._supervisor.start()
         self.follower.start()
         self._listener.start()
@@ -162,10 +171,7 @@
         status = READY_STATUS if ready else NOT_READY_STATUS
         HttpCaller(request, '').reply(Reply(status))
 
-    def _apply(self, items: Mapping[str, MirrorItem]) -> None:
-        before = self.fleet.current
-        fleet = self._decoder.decode(items)
-        self.fleet.current = fleet
+    def _apply(self, fleet: Fleet) -> None:
         configuration = fleet.configuration
         if configuration is not None:
             limits = configuration.limits
@@ -181,22 +187,9 @@
         self._rates.keep_only(endpoints)
         self._agents.follow(fleet)
         self._peers.notify()
-        if before.configuration is not configuration and configuration:
-            logger.info(
-                'fleet: configuration in force',
-                extra={
-                    'version': configuration.version,
-                    'revision': self.mirror.revision,
-                },
-            )
-        logger.info(
-            'fleet: changed',
-            extra={
-                'server_count': len(fleet.servers),
-                'out': sorted(fleet.data_centres_out),
-                'revision': self.mirror.revision,
-            },
-        )
+
+    def _is_store_lost(self) -> bool:
+        return self.follower.lost_since_seconds is not None
 
     def _is_responsive(self, endpoint: str) -> bool:
         return self._book.estimate(endpoint).responsive
--- a/wasabistream/platform/ingress_servers.py
+++ b/wasabistream/platform/ingress_servers.py
@@ -46,11 +46,10 @@
             if line == b'\r\n':
                 return headers
             name, text = self._split(line)
-            if name in headers:
-                if name in SINGLE_FIELDS:
-                    raise ValueError('Repeated header.')
-                text = b', '.join((headers[name], text))
-            headers[name] = text
+            earlier = headers.get(name)
+            if earlier is not None and name in SINGLE_FIELDS:
+                raise ValueError('Repeated header.')
+            headers[name] = _join(earlier, text)
 
     def _split(self, line: bytes) -> tuple[bytes, bytes]:
         if not line.endswith(b'\r\n'):
@@ -61,6 +60,12 @@
         return name.title(), text.strip()
 
 
+def _join(earlier: bytes | None, text: bytes) -> bytes:
+    if earlier is None:
+        return text
+    return b', '.join((earlier, text))
+
+
 class IngressRequest(HTTPRequest):
     """Read requests strictly."""
 
--- a/wasabistream/platform/node_files.py
+++ b/wasabistream/platform/node_files.py
@@ -9,6 +9,7 @@
 
 from wasabistream.exceptions import SettingsError
 from wasabistream.forwarding.budgets import RepeatLimit
+from wasabistream.platform.decode_errors import DECODE_ERRORS
 
 MILLISECONDS = 1000
 
@@ -61,7 +62,7 @@
         return decode_node(fields)
     except (OSError, yaml.YAMLError) as error:
         raise SettingsError((f'{path}: {error}',)) from error
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except DECODE_ERRORS as error:
         raise SettingsError((f'{path}: {error!r}',)) from error
 
 
--- a/wasabistream/platform/server_clients.py
+++ b/wasabistream/platform/server_clients.py
@@ -182,7 +182,8 @@
     headers.setdefault('accept-encoding', 'identity')
     headers[names.REQUEST_ID] = request.request_id
     headers[names.REMAINING_MS] = str(remaining_ms)
-    headers[names.EXPECTED_SERVER] = server.server_id
+    if server.server_id:
+        headers[names.EXPECTED_SERVER] = server.server_id
     if request.organisation:
         headers[names.ORGANISATION] = request.organisation
     if request.demand is not None:
--- a/wasabistream/platform/store_clients.py
+++ b/wasabistream/platform/store_clients.py
@@ -63,9 +63,9 @@
             if after:
                 query['after'] = after
             page = self._get('/-/kv-range', query, READ_TIMEOUT_SECONDS)
-            listed = [_decode_item(row) for row in page['items']]
+            listed = [_decode_item(row) for row in _field(page, 'items')]
             items.extend(listed)
-            revision = revision or int(page['current_rev'])
+            revision = revision or int(_field(page, 'current_rev'))
             if not page.get('has_more') or not listed:
                 break
             after = listed[-1].key
@@ -88,8 +88,9 @@
             },
             wait_seconds + WATCH_GRACE_SECONDS,
         )
-        changes = tuple(_decode_change(row) for row in page['events'])
-        return Changes(changes, int(page['current_rev']))
+        rows = _field(page, 'events')
+        changes = tuple(_decode_change(row) for row in rows)
+        return Changes(changes, int(_field(page, 'current_rev')))
 
     def reset(self) -> None:
         """Use a new connection; the old one may have lost an answer."""
@@ -121,19 +122,13 @@
                 raise ValueError('answer is not an object')
         except (HTTPError, OSError, ValueError) as error:
             raise StoreError(str(error), path, self._peer) from error
-        return _Page(page, path, self._peer)
+        return page
 
 
-class _Page(dict):
-    """Raise StoreError for a field that is missing."""
-
-    def __init__(self, fields: dict, path: str, peer: str) -> None:
-        super().__init__(fields)
-        self._path = path
-        self._peer = peer
-
-    def __missing__(self, name: str) -> Any:
-        raise StoreError(f'no field {name}', self._path, self._peer)
+def _field(page: Mapping[str, Any], name: str) -> Any:
+    if name not in page:
+        raise StoreError(f'answer lacks {name}', 'decode')
+    return page[name]
 
 
 def _decode_item(row: Any) -> MirrorItem:
--- a/wasabistream/platform/store_decoders.py
+++ b/wasabistream/platform/store_decoders.py
@@ -17,6 +17,7 @@
 from wasabistream.forwarding.organisations import KeyHolder
 from wasabistream.forwarding.routes import Destination, Route, RouteKind
 from wasabistream.forwarding.services import EngineProfile, Service
+from wasabistream.platform.decode_errors import DECODE_ERRORS
 
 logger = logging.getLogger(__name__)
 
@@ -25,14 +26,6 @@
 SERVER_PREFIX = 'servers/'
 SERVER_STATES = frozenset(('ready', 'draining'))
 MILLISECONDS = 1000
-DECODE_ERRORS = (
-    AttributeError,
-    KeyError,
-    IndexError,
-    TypeError,
-    ValueError,
-    OverflowError,
-)
 
 
 class FleetDecoder:
@@ -52,18 +45,19 @@
         configuration = self._configuration
         known = configuration.services if configuration else {}
         servers = {}
-        for key, listed in items.items():
-            if key.startswith(SERVER_PREFIX):
+        for listed in items.values():
+            if listed.key.startswith(SERVER_PREFIX):
                 server = self._decode_server(listed)
                 if server is not None and server.service in known:
                     servers[server.server_id] = server
+        evacuations = [
+            key for key in items if key.startswith(EVACUATION_PREFIX)
+        ]
         return Fleet(
             configuration=configuration,
             servers=servers,
             data_centres_out=frozenset(
-                key.removeprefix(EVACUATION_PREFIX)
-                for key in items
-                if key.startswith(EVACUATION_PREFIX)
+                key.removeprefix(EVACUATION_PREFIX) for key in evacuations
             ),
         )
 
@@ -109,7 +103,7 @@
             str(row['name']): _decode_service(row)
             for row in document['services']
         },
-        key_holders=None if not holders else _decode_holders(holders),
+        key_holders=_decode_holders(holders) if holders else None,
         limits=CallerLimits(
             max_header_bytes=int(
                 limits.get('max_header_bytes', default.max_header_bytes)
--- a/wasabistream/platform/store_followers.py
+++ b/wasabistream/platform/store_followers.py
@@ -4,6 +4,7 @@
 import random
 import threading
 import time
+from collections.abc import Callable
 
 from wasabistream.exceptions import HistoryLostError, StoreError
 from wasabistream.forwarding.lapse_guards import LapseGuard
@@ -23,10 +24,16 @@
 class StoreFollower:
     """Read the store once, then wait for changes."""
 
-    def __init__(self, client: StoreClient, mirror: StoreMirror) -> None:
+    def __init__(
+        self,
+        client: StoreClient,
+        mirror: StoreMirror,
+        on_state_change: Callable[[], None],
+    ) -> None:
         self._client = client
         self._mirror = mirror
         self._guard = LapseGuard(mirror)
+        self._on_state_change = on_state_change
         self._stopped = threading.Event()
         self._listed = False
         self._revision = 0
@@ -86,6 +93,7 @@
         if self.lost_since_seconds is None:
             self.lost_since_seconds = time.monotonic()
             logger.warning('store: lost: %s', error)
+            self._on_state_change()
 
     def _regained(self) -> None:
         if self.lost_since_seconds is not None:
@@ -97,3 +105,4 @@
                 },
             )
             self.lost_since_seconds = None
+            self._on_state_change()
