Send callers elsewhere whose request would be cut by a shutdown

Ruled out: new connections, which the balancer no longer sends. The gate refuses at once what would not end in time, and the refusal states truly that nothing has run.

--- /dev/null
+++ b/tests/forwarding_builders.py
@@ -0,0 +1,168 @@
+"""Builders of test data for forwarding."""
+
+from wasabistream.forwarding.backend_servers import BackendServer
+from wasabistream.forwarding.budgets import RepeatBudgets, RepeatLimit
+from wasabistream.forwarding.configurations import (
+    RoutingConfiguration,
+    group_routes,
+)
+from wasabistream.forwarding.fleets import Fleet, FleetHolder
+from wasabistream.forwarding.mirrors import MirrorItem
+from wasabistream.forwarding.requests import (
+    ForwardRequest,
+    GenerationDemand,
+)
+from wasabistream.forwarding.routes import Destination, Route, RouteKind
+from wasabistream.forwarding.services import EngineProfile, Service
+from wasabistream.notices import LoadReport
+from wasabistream.retries import Deadline
+
+ENGINE_SERVICE = 'writer'
+PLAIN_SERVICE = 'desk'
+MEMORY_TOKENS = 30000
+OWN_DATA_CENTRE = 'dc-a'
+PORT = 8000
+
+
+def build_route(
+    kind: RouteKind = RouteKind.idempotent,
+    *,
+    resumable: bool = False,
+    max_attempt_count: int = 2,
+    prefix: str = '/a/',
+    service: str = PLAIN_SERVICE,
+) -> Route:
+    """Return a route under one host."""
+    return Route(
+        name='route',
+        host='host.example',
+        prefix=prefix,
+        kind=kind,
+        timeout_seconds=10,
+        target_latency_seconds=1,
+        priority=1,
+        destinations=(Destination(service, 1),),
+        max_attempt_count=max_attempt_count,
+        public=False,
+        resumable=resumable,
+        event_gap_seconds=0.18,
+    )
+
+
+def build_request(
+    route: Route | None = None, request_id: str = 'request-1'
+) -> ForwardRequest:
+    """Return a request of a caller."""
+    chosen = route or build_route()
+    streaming = chosen.kind == RouteKind.streaming
+    return ForwardRequest(
+        request_id=request_id,
+        method='POST',
+        target='/a/b?c=%2F',
+        headers=(('host', 'host.example'),),
+        body=b'body',
+        deadline=Deadline(5),
+        route=chosen,
+        service=ENGINE_SERVICE if streaming else PLAIN_SERVICE,
+        organisation='org',
+        priority=1,
+        demand=GenerationDemand(3000, 1000, 0) if streaming else None,
+        fingerprint=1,
+    )
+
+
+def build_server(
+    number: int,
+    *,
+    service: str = PLAIN_SERVICE,
+    data_centre: str = OWN_DATA_CENTRE,
+    draining: bool = False,
+) -> BackendServer:
+    """Return a listed backend server."""
+    return BackendServer(
+        server_id=f'server-{number}',
+        service=service,
+        address=f'10.0.0.{number}',
+        port=PORT,
+        data_centre=data_centre,
+        slot_count=24 if service == ENGINE_SERVICE else 6,
+        draining=draining,
+        cold_remaining_seconds=0,
+        started_unix_ms=0,
+    )
+
+
+def build_configuration(
+    *routes: Route, version: int = 1
+) -> RoutingConfiguration:
+    """Return a configuration with an engine and a plain service."""
+    engine = EngineProfile(24, MEMORY_TOKENS, moves=True, backups=True)
+    return RoutingConfiguration(
+        version=version,
+        routes_by_host=group_routes(routes),
+        services={
+            ENGINE_SERVICE: Service(ENGINE_SERVICE, '/health', 240, 37, engine),
+            PLAIN_SERVICE: Service(PLAIN_SERVICE, '/health', 100, 0, None),
+        },
+        key_holders=None,
+    )
+
+
+def build_fleet(*servers: BackendServer, out: str = '') -> Fleet:
+    """Return a fleet of these backend servers, one data centre taken out."""
+    return Fleet(
+        build_configuration(),
+        {server.server_id: server for server in servers},
+        frozenset((out,)) if out else frozenset(),
+    )
+
+
+def build_holder(*servers: BackendServer) -> FleetHolder:
+    """Return a holder of a fleet of these backend servers."""
+    holder = FleetHolder()
+    holder.current = build_fleet(*servers)
+    return holder
+
+
+def build_report(
+    *,
+    used_tokens: int = 0,
+    running_count: int = 0,
+    leaving: bool = False,
+    responsive: bool = True,
+) -> LoadReport:
+    """Return a report of an agent."""
+    return LoadReport(
+        memory_used_tokens=used_tokens,
+        memory_capacity_tokens=MEMORY_TOKENS,
+        running_count=running_count,
+        queued_count=0,
+        ramp_limit_count=0,
+        leaving=leaving,
+        responsive=responsive,
+    )
+
+
+def build_budgets(extra_count: float = 100) -> RepeatBudgets:
+    """Return budgets of an entry that is alone."""
+    return RepeatBudgets(RepeatLimit(0.2, 10, extra_count), lambda: 1)
+
+
+def build_item(key: str, revision: int, content: bytes = b'{}') -> MirrorItem:
+    """Return one item of the store."""
+    return MirrorItem(key, content, revision)
+
+
+class Clock:
+    """Tell a time that the test moves."""
+
+    def __init__(self) -> None:
+        self.now_seconds = 1000.0
+
+    def __call__(self) -> float:
+        """Return the time."""
+        return self.now_seconds
+
+    def advance(self, seconds: float) -> None:
+        """Move the time forward."""
+        self.now_seconds += seconds
--- /dev/null
+++ b/tests/forwarding_fakes.py
@@ -0,0 +1,154 @@
+"""Fakes of what forwarding needs of the outside."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from wasabistream.exceptions import BackendError, NotSentError
+from wasabistream.forwarding.backend_servers import BackendServer
+from wasabistream.forwarding.interfaces import (
+    Cancellable,
+    Sending,
+    ServerAnswer,
+)
+from wasabistream.forwarding.requests import ForwardRequest, Headers, Reply
+
+
+@dataclass
+class FakeExchange:
+    """Answer with these pieces, then end or break off."""
+
+    answer: ServerAnswer
+    pieces: list[bytes]
+    torn: bool = False
+    closed: bool = False
+
+    def read(self) -> bytes:
+        """Return the next piece; raises BackendError when torn."""
+        if self.pieces:
+            return self.pieces.pop(0)
+        if self.torn:
+            raise BackendError('cut', 'body', 'fake')
+        return b''
+
+    def close(self) -> None:
+        """Record the end."""
+        self.closed = True
+
+
+@dataclass(frozen=True)
+class Sent:
+    """Hold one attempt that was sent."""
+
+    server: BackendServer
+    request: ForwardRequest
+    sending: Sending
+
+
+class FakeClient:
+    """Answer attempts in the order of a script."""
+
+    def __init__(self, *script: FakeExchange | BackendError) -> None:
+        self._script = deque(script)
+        self.sent: list[Sent] = []
+
+    def open(
+        self,
+        server: BackendServer,
+        request: ForwardRequest,
+        sending: Sending,
+        on_connected: Callable[[Cancellable], None],
+    ) -> FakeExchange:
+        """Return the next answer; raises the next error."""
+        self.sent.append(Sent(server, request, sending))
+        step = self._script.popleft()
+        if isinstance(step, BackendError):
+            raise step
+        on_connected(step)
+        return step
+
+    @property
+    def endpoints(self) -> list[str]:
+        """Return where attempts were sent."""
+        return [one.server.endpoint for one in self.sent]
+
+
+@dataclass
+class FakeCaller:
+    """Record what a caller receives."""
+
+    replies: list[Reply] = field(default_factory=list)
+    heads: list[int] = field(default_factory=list)
+    body: bytes = b''
+    aborted: bool = False
+    left: bool = False
+
+    def reply(self, reply: Reply) -> None:
+        """Record a whole answer."""
+        self.replies.append(reply)
+
+    def begin(self, status: int, headers: Headers) -> None:
+        """Record the head of a stream."""
+        self.heads.append(status)
+
+    def write(self, piece: bytes) -> None:
+        """Record a piece of a stream."""
+        self.body += piece
+
+    def abort(self) -> None:
+        """Record that the connection was ended."""
+        self.aborted = True
+
+    def has_left(self) -> bool:
+        """Tell whether the caller has left."""
+        return self.left
+
+
+def whole(status: int = 200, body: bytes = b'answer') -> FakeExchange:
+    """Return a whole, signed answer."""
+    return FakeExchange(_answer(status), [body])
+
+
+def torn(body: bytes = b'ans') -> FakeExchange:
+    """Return an answer that breaks off."""
+    return FakeExchange(_answer(200), [body], torn=True)
+
+
+def turned_away(status: int = 503) -> FakeExchange:
+    """Return an answer that states that the request has not run."""
+    return FakeExchange(_answer(status, not_run=True), [b''])
+
+
+def events(first: int, last: int) -> bytes:
+    """Return events with these ids."""
+    return b''.join(
+        f'id: {number}\ndata: token {number}\n\n'.encode()
+        for number in range(first, last + 1)
+    )
+
+
+def stream(*pieces: bytes, cut: bool = False) -> FakeExchange:
+    """Return a stream of events."""
+    return FakeExchange(_answer(200, event_stream=True), list(pieces), torn=cut)
+
+
+def not_sent() -> NotSentError:
+    """Return the error of a request that has not run."""
+    return NotSentError('refused', 'connect', 'fake')
+
+
+def no_answer() -> BackendError:
+    """Return the error of a request that may have run."""
+    return BackendError('reset', 'head', 'fake')
+
+
+def _answer(
+    status: int, *, not_run: bool = False, event_stream: bool = False
+) -> ServerAnswer:
+    return ServerAnswer(
+        status=status,
+        headers=(('content-type', 'text/plain'),),
+        sealed=True,
+        not_run=not_run,
+        event_stream=event_stream,
+    )
--- /dev/null
+++ b/tests/test_event_splitters.py
@@ -0,0 +1,42 @@
+"""Tests of the split of streams into events."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.forwarding_fakes import events
+from wasabistream.forwarding.event_splitters import EventSplitter, StreamEvent
+
+
+class EventSplitterTest(unittest.TestCase):
+    """Guard against torn, lost or joined events."""
+
+    @given(st.lists(st.integers(1, 40), max_size=20))
+    def test_any_cuts(self, lengths: list[int]) -> None:
+        """Guard against a result that depends on how bytes arrive."""
+        raw = events(1, 5)
+        splitter = EventSplitter()
+        found: list[StreamEvent] = []
+        position = 0
+        for length in [*lengths, len(raw)]:
+            found.extend(splitter.feed(raw[position : position + length]))
+            position += length
+        self.assertEqual(b''.join(event.raw for event in found), raw)
+        self.assertEqual(
+            [event.event_id for event in found], ['1', '2', '3', '4', '5']
+        )
+        self.assertFalse(splitter.torn)
+
+    def test_torn_event(self) -> None:
+        """Guard against forwarding half of an event."""
+        splitter = EventSplitter()
+        found = list(splitter.feed(events(1, 2)[:-1]))
+        self.assertEqual([event.event_id for event in found], ['1'])
+        self.assertTrue(splitter.torn)
+
+    def test_version_line_before_the_id(self) -> None:
+        """Guard against an id that is missed behind another field."""
+        raw = b'wasabistream-weight-versions: 2\r\nid: 7\r\ndata: x\r\n\r\n'
+        found = list(EventSplitter().feed(raw))
+        self.assertEqual(found[0].event_id, '7')
--- /dev/null
+++ b/tests/test_peer_links.py
@@ -0,0 +1,163 @@
+"""Tests of the links between entries.
+
+Patterns: a store that turns some entries away; engines that start while the
+store is away.
+"""
+
+import time
+import unittest
+from collections.abc import Callable
+
+from tests.forwarding_builders import (
+    Clock,
+    build_fleet,
+    build_item,
+    build_server,
+)
+from wasabistream.forwarding.mirrors import StoreMirror
+from wasabistream.forwarding.observed_engines import (
+    ALIVE_SECONDS,
+    EngineAnnouncement,
+    ObservedEngines,
+    add_observed,
+)
+from wasabistream.forwarding.peer_links import PeerLinks
+from wasabistream.listeners import LinkListener
+from wasabistream.messages import PROTOCOL_VERSION_MAX, PROTOCOL_VERSION_MIN
+from wasabistream.notices import Hello
+
+ADDRESS = '127.0.0.1'
+WAIT_SECONDS = 10
+ENGINE = EngineAnnouncement('10.0.0.9:8000', 'writer', 'dc-b')
+
+
+class Entry:
+    """Run the links of one entry on loopback."""
+
+    def __init__(self, name: str, seeds: list[str]) -> None:
+        self.mirror = StoreMirror()
+        self.observed = ObservedEngines()
+        self.store_lost = False
+        hello = Hello(
+            PROTOCOL_VERSION_MIN, PROTOCOL_VERSION_MAX, 'entry', name, 'i', 'dc'
+        )
+        self.listener = LinkListener(ADDRESS, 0, hello, self)
+        self.endpoint = f'{ADDRESS}:{self.listener.port}'
+        self.links = PeerLinks(
+            hello,
+            self.endpoint,
+            seeds,
+            self.mirror,
+            self.observed,
+            lambda: self.store_lost,
+            lambda: None,
+        )
+        self.on_opened = self.links.on_opened
+        self.on_messages = self.links.on_messages
+        self.on_closed = self.links.on_closed
+        self.listener.start()
+        self.links.start()
+
+    def stop(self) -> None:
+        """Close all links."""
+        self.links.stop()
+        self.listener.stop()
+
+
+def wait_for(condition: Callable[[], bool]) -> bool:
+    """Wait until a condition holds; tell whether it did."""
+    deadline = time.monotonic() + WAIT_SECONDS
+    while time.monotonic() < deadline:
+        if condition():
+            return True
+        time.sleep(0.05)
+    return False
+
+
+class PeerLinksTest(unittest.TestCase):
+    """Guard against entries that know nothing of each other."""
+
+    def start(self, name: str, seeds: list[str]) -> Entry:
+        """Start one entry."""
+        entry = Entry(name, seeds)
+        self.addCleanup(entry.stop)
+        return entry
+
+    def test_entries_count_each_other(self) -> None:
+        """Guard against budgets that are split by a wrong number."""
+        seed = self.start('a', [])
+        others = [self.start(name, [seed.endpoint]) for name in ('b', 'c')]
+        entries = (seed, *others)
+        self.assertTrue(
+            wait_for(
+                lambda: {one.links.entry_count() for one in entries} == {3}
+            )
+        )
+
+    def test_store_is_read_through_a_peer(self) -> None:
+        """Guard against an entry that serves an old configuration."""
+        reader = self.start('a', [])
+        reader.mirror.replace(
+            [
+                build_item(f'servers/{one}', one, b'x' * 9000)
+                for one in range(60)
+            ],
+            60,
+        )
+        cut_off = self.start('b', [reader.endpoint])
+        cut_off.store_lost = True
+        self.assertTrue(wait_for(lambda: cut_off.mirror.revision == 60))
+        self.assertEqual(len(cut_off.mirror.items()), 60)
+
+    def test_older_peer_changes_nothing(self) -> None:
+        """Guard against a configuration that goes back."""
+        behind = self.start('a', [])
+        behind.mirror.replace([build_item('op/config', 3, b'old')], 3)
+        cut_off = self.start('b', [behind.endpoint])
+        cut_off.mirror.replace([build_item('op/config', 9, b'new')], 9)
+        cut_off.store_lost = True
+        self.assertTrue(wait_for(lambda: cut_off.links.entry_count() == 2))
+        self.assertEqual(cut_off.mirror.items()[0].content, b'new')
+
+    def test_engines_are_passed_on(self) -> None:
+        """Guard against an engine that only one entry knows."""
+        seed = self.start('a', [])
+        other = self.start('b', [seed.endpoint])
+        agent_link = next(iter(_links(seed)))
+        seed.links.on_messages(agent_link, [ENGINE])
+        self.assertTrue(wait_for(lambda: other.observed.alive() == [ENGINE]))
+
+
+class ObservedEnginesTest(unittest.TestCase):
+    """Guard against engines that are used after they have gone."""
+
+    def test_silent_engine_is_forgotten(self) -> None:
+        """Guard against work for an engine that nobody hears."""
+        clock = Clock()
+        observed = ObservedEngines(clock)
+        self.assertTrue(observed.hear(ENGINE))
+        self.assertFalse(observed.hear(ENGINE))
+        clock.advance(ALIVE_SECONDS + 1)
+        self.assertEqual(observed.alive(), [])
+
+    def test_list_goes_first(self) -> None:
+        """Guard against a listed server that appears twice."""
+        listed = build_server(9, service='writer')
+        fleet = add_observed(build_fleet(listed), [ENGINE])
+        self.assertEqual(list(fleet.servers.values()), [listed])
+
+    def test_new_engine_is_added(self) -> None:
+        """Guard against a fleet that shrinks while the store is away."""
+        fleet = add_observed(build_fleet(), [ENGINE])
+        usable = fleet.usable_servers('writer')
+        self.assertEqual([one.endpoint for one in usable], ['10.0.0.9:8000'])
+
+    def test_unknown_service_is_left_out(self) -> None:
+        """Guard against a server of a service that is not configured."""
+        other = EngineAnnouncement('10.0.0.9:8000', 'other', 'dc-b')
+        self.assertEqual(add_observed(build_fleet(), [other]).servers, {})
+
+
+def _links(entry: Entry) -> list:
+    wait_for(lambda: entry.links.entry_count() == 2)
+    return list(entry.links._links)  # noqa: SLF001
--- /dev/null
+++ b/tests/test_plain_forwarders.py
@@ -0,0 +1,108 @@
+"""Tests of requests with short answers.
+
+Patterns: servers that fail, lose answers, spoil them or refuse.
+"""
+
+import dataclasses
+import unittest
+
+from tests.forwarding_builders import (
+    OWN_DATA_CENTRE,
+    build_budgets,
+    build_holder,
+    build_request,
+    build_route,
+    build_server,
+)
+from tests.forwarding_fakes import (
+    FakeCaller,
+    FakeClient,
+    FakeExchange,
+    no_answer,
+    not_sent,
+    torn,
+    turned_away,
+    whole,
+)
+from wasabistream.exceptions import BackendError
+from wasabistream.forwarding.attempts import AttemptHistory, AttemptSender
+from wasabistream.forwarding.failure_rates import FailureRates
+from wasabistream.forwarding.load_books import LoadBook
+from wasabistream.forwarding.plain_forwarders import PlainForwarder
+from wasabistream.forwarding.requests import Reply
+from wasabistream.forwarding.routes import Route, RouteKind
+from wasabistream.forwarding.server_choosers import ServerChooser
+from wasabistream.forwarding.supervisors import Watch
+
+LOOKUP = build_route(RouteKind.idempotent)
+BOOKING = build_route(RouteKind.non_idempotent)
+
+
+class PlainForwarderTest(unittest.TestCase):
+    """Guard against bookings that run twice and lookups that fail."""
+
+    def forward(
+        self, route: Route, *script: FakeExchange | BackendError
+    ) -> Reply:
+        """Forward one request to servers that act by a script."""
+        self.client = FakeClient(*script)
+        holder = build_holder(*(build_server(number) for number in (1, 2, 3)))
+        book = LoadBook()
+        rates = FailureRates()
+        chooser = ServerChooser(holder, book, rates, OWN_DATA_CENTRE)
+        sender = AttemptSender(self.client, book, rates, build_budgets())
+        forwarder = PlainForwarder(chooser, sender, rates)
+        watch = Watch(build_request(route), FakeCaller())
+        return forwarder.forward(watch, AttemptHistory())
+
+    def test_lookup_is_repeated_elsewhere(self) -> None:
+        """Guard against a lookup that fails with one server's error."""
+        reply = self.forward(LOOKUP, whole(500), whole())
+        self.assertEqual(reply.status, 200)
+        self.assertEqual(len(set(self.client.endpoints)), 2)
+
+    def test_attempts_are_limited(self) -> None:
+        """Guard against more runs than the route allows."""
+        reply = self.forward(LOOKUP, whole(500), whole(500))
+        self.assertEqual(reply.status, 500)
+        self.assertEqual(len(self.client.sent), LOOKUP.max_attempt_count)
+
+    def test_booking_with_a_lost_answer(self) -> None:
+        """Guard against a second run and against a false "not run"."""
+        for lost in (no_answer(), torn()):
+            reply = self.forward(BOOKING, lost)
+            self.assertEqual(reply.status, 502)
+            self.assertEqual(len(self.client.sent), 1)
+
+    def test_booking_that_was_turned_away(self) -> None:
+        """Guard against failing a booking that another server can run."""
+        reply = self.forward(BOOKING, not_sent(), turned_away(), whole())
+        self.assertEqual(reply.status, 200)
+
+    def test_booking_that_nobody_ran(self) -> None:
+        """Guard against an unclear answer where nothing has run."""
+        reply = self.forward(BOOKING, *(turned_away() for _ in range(3)))
+        self.assertEqual(reply.status, 503)
+        self.assertIn('retry-after', dict(reply.headers))
+
+    def test_lost_answer_then_turned_away(self) -> None:
+        """Guard against "not run" for a lookup whose first attempt ran."""
+        reply = self.forward(LOOKUP, no_answer(), turned_away(), turned_away())
+        self.assertEqual(reply.status, 502)
+
+    def test_torn_answer_is_asked_again(self) -> None:
+        """Guard against handing on an answer that broke off."""
+        reply = self.forward(LOOKUP, torn(b'half'), whole(body=b'whole'))
+        self.assertEqual(reply.body, b'whole')
+
+    def test_unsigned_success_is_not_handed_on(self) -> None:
+        """Guard against bytes that the server has not signed."""
+        unsigned = whole()
+        unsigned.answer = dataclasses.replace(unsigned.answer, sealed=False)
+        reply = self.forward(BOOKING, unsigned)
+        self.assertEqual(reply.status, 502)
+
+    def test_failure_of_a_booking_is_handed_on(self) -> None:
+        """Guard against hiding what the server answered."""
+        reply = self.forward(BOOKING, whole(500, b'no'))
+        self.assertEqual((reply.status, reply.body), (500, b'no'))
--- /dev/null
+++ b/tests/test_run_movers.py
@@ -0,0 +1,164 @@
+"""Tests of the moves off an engine that leaves.
+
+Pattern: an engine with several drafts leaves with a second of notice.
+"""
+
+import itertools
+import threading
+import unittest
+from unittest.mock import Mock
+
+from tests.forwarding_builders import build_report
+from wasabistream.exceptions import BackendError
+from wasabistream.forwarding.engine_states import EngineRun, EngineState
+from wasabistream.forwarding.engine_watchers import EngineWatcher
+from wasabistream.forwarding.move_messages import (
+    RoomQuery,
+    RoomReport,
+    RunMoved,
+    RunMoving,
+)
+from wasabistream.forwarding.move_outcomes import MoveOutcome
+from wasabistream.forwarding.rooms import choose_room, decode_rooms
+from wasabistream.forwarding.run_movers import RunMover
+from wasabistream.messages import Message
+
+OWN = '10.0.0.1:8000'
+NEAR = '10.0.0.2:8000'
+FAR = '10.0.0.3:8000'
+WAIT_SECONDS = 5
+
+
+class FakeEngine:
+    """Hold generations until they are moved or the engine ends."""
+
+    def __init__(self, *runs: EngineRun, full: tuple[str, ...] = ()) -> None:
+        self.runs = list(runs)
+        self.full = full
+        self.moves: list[tuple[str, str, bool]] = []
+        self.state_count = 0
+
+    def state(self) -> EngineState:
+        """Return the state; raises BackendError once it is empty."""
+        self.state_count += 1
+        if not self.runs or self.state_count > 100:
+            raise BackendError('gone', 'state', OWN)
+        return EngineState(
+            len(self.runs), 0, 9000, 30000, True, 1.5, tuple(self.runs)
+        )
+
+    def move(self, run_id: str, endpoint: str, *, final: bool) -> MoveOutcome:
+        """Copy a generation."""
+        self.moves.append((run_id, endpoint, final))
+        if endpoint in self.full:
+            return MoveOutcome(False, '', True, 503)
+        if final:
+            self.runs = [run for run in self.runs if run.run_id != run_id]
+        return MoveOutcome(True, f'handle-{run_id}', False, 200)
+
+
+class RunMoverTest(unittest.TestCase):
+    """Guard against drafts that end with their engine."""
+
+    def move_all(self, engine: FakeEngine, *rows: list) -> list[Message]:
+        """Move all generations to these rooms and return what was told."""
+        told: list[Message] = []
+
+        def tell(notice: Message) -> None:
+            told.append(notice)
+            if isinstance(notice, RoomQuery):
+                mover.learn_rooms(RoomReport(list(rows)))
+
+        mover = RunMover(engine, OWN, 'dc-a', 'writer', tell)
+        mover.move_all()
+        return told
+
+    def test_each_generation_is_moved(self) -> None:
+        """Guard against a generation that is left behind."""
+        engine = FakeEngine(
+            EngineRun('short', 3000, 5, 1), EngineRun('long', 3000, 90, 1)
+        )
+        told = self.move_all(engine, [NEAR, 'dc-a', 20000, 0])
+        moved = [one for one in told if isinstance(one, RunMoved)]
+        self.assertEqual([one.run_id for one in moved], ['long', 'short'])
+        self.assertEqual(moved[0].endpoint, NEAR)
+        self.assertEqual(moved[0].memory_endpoint, OWN)
+
+    def test_move_is_announced_before_the_stop(self) -> None:
+        """Guard against an entry that takes the stop for a crash."""
+        told = self.move_all(
+            FakeEngine(EngineRun('a', 3000, 5, 1)), [NEAR, 'dc-a', 20000, 0]
+        )
+        kinds = [type(one) for one in told]
+        self.assertLess(kinds.index(RunMoving), kinds.index(RunMoved))
+
+    def test_full_engine_is_not_asked_twice(self) -> None:
+        """Guard against losing the notice time at an engine without room."""
+        engine = FakeEngine(EngineRun('a', 3000, 5, 1), full=(NEAR,))
+        told = self.move_all(
+            engine, [NEAR, 'dc-a', 20000, 0], [FAR, 'dc-b', 20000, 0]
+        )
+        moved = [one for one in told if isinstance(one, RunMoved)]
+        self.assertEqual([one.endpoint for one in moved], [FAR])
+
+    def test_near_room_goes_first(self) -> None:
+        """Guard against copies that take twice as long."""
+        rooms = decode_rooms([[FAR, 'dc-b', 9000, 0], [NEAR, 'dc-a', 9000, 0]])
+        room = choose_room(rooms, 'dc-a', 4000)
+        self.assertEqual(room.endpoint if room else '', NEAR)
+
+    def test_rooms_are_used_up(self) -> None:
+        """Guard against all generations going to one engine."""
+        rooms = decode_rooms([[NEAR, 'dc-a', 9000, 0], [FAR, 'dc-b', 9000, 0]])
+        chosen = [choose_room(rooms, 'dc-a', 4000) for _ in range(4)]
+        self.assertEqual(
+            sorted(room.endpoint for room in chosen if room),
+            [NEAR, NEAR, FAR, FAR],
+        )
+        self.assertIsNone(choose_room(rooms, 'dc-a', 4000))
+
+    def test_malformed_rooms(self) -> None:
+        """Guard against an agent that ends on a malformed report."""
+        mover = RunMover(FakeEngine(), OWN, 'dc-a', 'writer', Mock())
+        mover.learn_rooms(RoomReport([['only an endpoint']]))
+
+
+class EngineWatcherTest(unittest.TestCase):
+    """Guard against a notice that is seen late."""
+
+    def watch(self, engine: Mock, done: threading.Event) -> EngineWatcher:
+        """Watch an engine until `done` is set."""
+        self.reports: list = []
+
+        def report(notice: object) -> None:
+            self.reports.append(notice)
+            if getattr(notice, 'responsive', True) is False:
+                done.set()
+
+        watcher = EngineWatcher(engine, report, done.set)
+        watcher.start()
+        self.addCleanup(watcher.stop)
+        self.assertTrue(done.wait(WAIT_SECONDS))
+        return watcher
+
+    def test_leaving_is_reported_at_once(self) -> None:
+        """Guard against moves that start too late."""
+        calm = EngineState(1, 0, 3000, 30000, False, None, ())
+        leaving = EngineState(1, 0, 3000, 30000, True, 1.5, ())
+        engine = Mock()
+        engine.state.side_effect = itertools.chain(
+            (calm,), itertools.repeat(leaving)
+        )
+        self.watch(engine, threading.Event())
+        self.assertTrue(self.reports[-1].leaving)
+
+    def test_silent_engine_is_reported(self) -> None:
+        """Guard against work for an engine that has gone dark."""
+        calm = EngineState(1, 0, 3000, 30000, False, None, ())
+        engine = Mock()
+        engine.state.side_effect = itertools.chain(
+            (calm,), itertools.repeat(BackendError('silent', 'state', OWN))
+        )
+        self.watch(engine, threading.Event())
+        expected = build_report(responsive=False)
+        self.assertEqual(self.reports[-1], expected)
--- /dev/null
+++ b/tests/test_server_choosers.py
@@ -0,0 +1,109 @@
+"""Tests of the choice of a backend server.
+
+Patterns: leaving engines, uneven load, sick servers, data centres taken out.
+"""
+
+import unittest
+
+from tests.forwarding_builders import (
+    ENGINE_SERVICE,
+    MEMORY_TOKENS,
+    OWN_DATA_CENTRE,
+    build_fleet,
+    build_holder,
+    build_report,
+    build_request,
+    build_route,
+    build_server,
+)
+from wasabistream.forwarding.failure_rates import FailureRates
+from wasabistream.forwarding.load_books import LoadBook
+from wasabistream.forwarding.routes import RouteKind
+from wasabistream.forwarding.server_choosers import ServerChooser
+
+
+class ServerChooserTest(unittest.TestCase):
+    """Guard against work where it waits, fails or is lost."""
+
+    def setUp(self) -> None:
+        """Start with two engines and two plain servers."""
+        self.engines = [
+            build_server(number, service=ENGINE_SERVICE) for number in (1, 2)
+        ]
+        self.plain = [build_server(number) for number in (11, 12)]
+        self.holder = build_holder(*self.engines, *self.plain)
+        self.book = LoadBook()
+        self.rates = FailureRates()
+        self.chooser = ServerChooser(
+            self.holder, self.book, self.rates, OWN_DATA_CENTRE
+        )
+        self.generation = build_request(build_route(RouteKind.streaming))
+
+    def choose_engine(self) -> str:
+        """Return the id of the engine that is chosen."""
+        server = self.chooser.choose(self.generation)
+        return server.server_id if server else ''
+
+    def test_leaving_engine_gets_nothing(self) -> None:
+        """Guard against work for an engine that its agent sees leaving."""
+        self.book.report('10.0.0.1:8000', build_report(leaving=True))
+        chosen = {self.choose_engine() for _ in range(20)}
+        self.assertEqual(chosen, {'server-2'})
+
+    def test_all_leaving(self) -> None:
+        """Guard against a request that waits where nobody will serve it."""
+        for engine in self.engines:
+            self.book.report(engine.endpoint, build_report(leaving=True))
+        self.assertEqual(self.choose_engine(), '')
+
+    def test_own_sends_count_before_the_next_report(self) -> None:
+        """Guard against herding on a report that is late."""
+        for engine in self.engines:
+            self.book.report(engine.endpoint, build_report())
+        chosen = []
+        for number in range(8):
+            server = self.chooser.choose(self.generation)
+            self.assertIsNotNone(server)
+            endpoint = server.endpoint if server else ''
+            self.book.sent(endpoint, str(number), 4000)
+            chosen.append(endpoint)
+        self.assertEqual(chosen.count('10.0.0.1:8000'), 4)
+
+    def test_full_memory_is_avoided(self) -> None:
+        """Guard against preemption while another engine has room."""
+        self.book.report(
+            '10.0.0.1:8000', build_report(used_tokens=MEMORY_TOKENS)
+        )
+        self.book.report('10.0.0.2:8000', build_report(running_count=10))
+        self.assertEqual(self.choose_engine(), 'server-2')
+
+    def test_failing_server_is_avoided(self) -> None:
+        """Guard against a server that fails what it is given."""
+        for _ in range(10):
+            self.rates.record('10.0.0.11:8000', failed=True)
+        chosen = {self.chooser.choose(build_request()) for _ in range(20)}
+        self.assertEqual(chosen, {self.plain[1]})
+
+    def test_unreachable_server_is_used_when_alone(self) -> None:
+        """Guard against refusing all when every server refused once."""
+        for server in self.plain:
+            self.rates.unreachable(server.endpoint)
+        self.assertIsNotNone(self.chooser.choose(build_request()))
+
+    def test_data_centre_out(self) -> None:
+        """Guard against work in a data centre that operators took out."""
+        far = build_server(13, data_centre='dc-b')
+        self.holder.current = build_fleet(*self.plain, far, out=OWN_DATA_CENTRE)
+        self.assertEqual(self.chooser.choose(build_request()), far)
+
+    def test_draining_server_gets_nothing(self) -> None:
+        """Guard against work for a server that the list shows leaving."""
+        self.holder.current = build_fleet(build_server(11, draining=True))
+        self.assertIsNone(self.chooser.choose(build_request()))
+
+    def test_near_server_is_preferred(self) -> None:
+        """Guard against needless traffic between data centres."""
+        far = build_server(13, data_centre='dc-b')
+        self.holder.current = build_fleet(far, self.plain[0])
+        chosen = {self.chooser.choose(build_request()) for _ in range(20)}
+        self.assertEqual(chosen, {self.plain[0]})
--- /dev/null
+++ b/tests/test_store_mirrors.py
@@ -0,0 +1,86 @@
+"""Tests of the copy of the store and of lapsed entries."""
+
+import unittest
+
+from tests.forwarding_builders import Clock, build_item
+from wasabistream.forwarding.lapse_guards import RETURN_SECONDS, LapseGuard
+from wasabistream.forwarding.mirrors import Removal, StoreMirror
+
+
+def keys(mirror: StoreMirror) -> set[str]:
+    """Return the keys that a mirror holds."""
+    return {held.key for held in mirror.items()}
+
+
+class StoreMirrorTest(unittest.TestCase):
+    """Guard against a view that goes back to an older version."""
+
+    def test_older_listing_is_refused(self) -> None:
+        """Guard against a peer that is behind replacing a newer listing."""
+        mirror = StoreMirror()
+        mirror.replace([build_item('op/config', 9, b'new')], 9)
+        self.assertFalse(
+            mirror.replace([build_item('op/config', 4, b'old')], 8)
+        )
+        self.assertEqual(mirror.items()[0].content, b'new')
+
+    def test_repeated_change_is_ignored(self) -> None:
+        """Guard against a watch that repeats what pages already held."""
+        mirror = StoreMirror()
+        mirror.replace([build_item('servers/a', 9, b'new')], 5)
+        mirror.apply(
+            [build_item('servers/a', 7, b'old'), Removal('servers/a', 8)], 9
+        )
+        self.assertEqual(mirror.items()[0].content, b'new')
+
+    def test_handlers_see_all_items(self) -> None:
+        """Guard against a change that is not handed on."""
+        mirror = StoreMirror()
+        seen: list[set[str]] = []
+        mirror.subscribe(lambda items: seen.append(set(items)))
+        mirror.apply([build_item('servers/a', 1)], 1)
+        mirror.apply([], 2)
+        mirror.apply([Removal('servers/a', 3)], 3)
+        self.assertEqual(seen, [{'servers/a'}, set()])
+
+
+class LapseGuardTest(unittest.TestCase):
+    """Guard against an empty fleet after an outage of the store."""
+
+    def setUp(self) -> None:
+        """Start with one backend server in the list."""
+        self.clock = Clock()
+        self.mirror = StoreMirror()
+        self.guard = LapseGuard(self.mirror, self.clock)
+        self.guard.replace([build_item('servers/a', 1)], 1)
+
+    def test_removal_is_applied_at_once(self) -> None:
+        """Guard against work for a server that left in calm times."""
+        self.guard.apply([Removal('servers/a', 2)], 2)
+        self.assertEqual(keys(self.mirror), set())
+
+    def test_lapsed_entry_that_returns(self) -> None:
+        """Guard against dropping a server whose entry lapsed in an outage."""
+        self.guard.regained(away_seconds=5)
+        self.guard.apply([Removal('servers/a', 2)], 2)
+        self.assertEqual(keys(self.mirror), {'servers/a'})
+        self.guard.apply([build_item('servers/a', 3)], 3)
+        self.clock.advance(RETURN_SECONDS + 1)
+        self.guard.release()
+        self.assertEqual(keys(self.mirror), {'servers/a'})
+
+    def test_lapsed_entry_that_stays_away(self) -> None:
+        """Guard against keeping a server that did not come back."""
+        self.guard.regained(away_seconds=5)
+        self.guard.replace([], 7)
+        self.assertEqual(keys(self.mirror), {'servers/a'})
+        self.clock.advance(RETURN_SECONDS + 1)
+        self.guard.release()
+        self.assertEqual(keys(self.mirror), set())
+        self.assertFalse(self.guard.waiting)
+
+    def test_short_loss_holds_nothing_back(self) -> None:
+        """Guard against late removals after a single lost answer."""
+        self.guard.regained(away_seconds=0.1)
+        self.guard.apply([Removal('servers/a', 2)], 2)
+        self.assertEqual(keys(self.mirror), set())
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -9,6 +9,7 @@
 from wasabistream.forwarding.agent_links import AgentLinks
 from wasabistream.forwarding.attempts import AttemptSender
 from wasabistream.forwarding.budgets import RepeatBudgets
+from wasabistream.forwarding.drain_gates import DrainGate
 from wasabistream.forwarding.failure_rates import FailureRates
 from wasabistream.forwarding.fleet_keepers import FleetKeeper
 from wasabistream.forwarding.fleets import Fleet, FleetHolder
@@ -42,6 +43,8 @@
 # Each request in progress holds one thread.
 THREAD_COUNT = 128
 READY_THREAD_COUNT = 2
+# Other entries can serve at once what this one refuses as it shuts down.
+DRAIN_RETRY_SECONDS = 0.2
 # Refused callers without a deadline come back after this time.
 UNKNOWN_DEADLINE_SECONDS = 3.0
 READY_STATUS = 200
@@ -83,6 +86,7 @@
         self._listener = LinkListener(
             control.address, control.port, self.hello, self._peers
         )
+        self._drain_gate = DrainGate()
         self._supervisor = Supervisor(self._is_responsive)
         self._forwarder = self._make_forwarder(moves)
         front = node.listen['front']
@@ -105,6 +109,10 @@
         self._front.run_in_thread('front')
         self._ready.run_in_thread('ready')
 
+    def on_drain(self) -> None:
+        """Send callers whose requests would be cut to other entries."""
+        self._drain_gate.close(self.settings.drain_limit_seconds)
+
     def on_stop(self) -> None:
         """Close the servers and the links."""
         self.follower.stop()
@@ -163,6 +171,13 @@
             )
             caller.reply(Reply(error.status))
             return
+        if not self._drain_gate.admits(decoded):
+            logger.info(
+                'request: refused: this entry shuts down',
+                extra={'request_id': decoded.request_id},
+            )
+            caller.reply(refuse(DRAIN_RETRY_SECONDS))
+            return
         self._forwarder.forward(decoded, caller)
 
     def _tell_ready(self, request: HTTPRequest, body: bytes) -> None:
