--- a/tests/test_drain_gates.py
+++ b/tests/test_drain_gates.py
@@ -8,7 +8,7 @@
 import unittest
 
 from tests.forwarding_builders import Clock, build_request, build_route
-from wasabistream.forwarding.drain_gates import DrainGate
+from wasabistream.forwarding.drain_gates import EARLY_SECONDS, DrainGate
 from wasabistream.forwarding.requests import ForwardRequest, GenerationDemand
 from wasabistream.forwarding.routes import RouteKind
 
@@ -29,7 +29,8 @@
     def setUp(self) -> None:
         """Start with a gate that is open."""
         self.clock = Clock()
-        self.gate = DrainGate(self.clock)
+        self.others_serve = True
+        self.gate = DrainGate(lambda: self.others_serve, self.clock)
 
     def test_open_gate_admits_all(self) -> None:
         """Guard against refusals without a shutdown."""
@@ -40,6 +41,14 @@
         self.gate.close(4)
         self.assertFalse(self.gate.admits(generation(900)))
 
+    def test_draft_is_taken_when_all_shut_down(self) -> None:
+        """Guard against refusing drafts that no entry would take."""
+        self.others_serve = False
+        self.gate.close(GRACE_SECONDS)
+        self.assertTrue(self.gate.admits(generation(900)))
+        self.clock.advance(EARLY_SECONDS)
+        self.assertFalse(self.gate.admits(generation(900)))
+
     def test_short_reply_is_served(self) -> None:
         """Guard against refusing what ends in time."""
         self.gate.close(GRACE_SECONDS)
--- a/wasabistream/forwarding/drain_gates.py
+++ b/wasabistream/forwarding/drain_gates.py
@@ -8,6 +8,9 @@
 
 # Time of one output token on a busy engine; a batch of 24 takes about 10 ms.
 TOKEN_SECONDS = 0.02
+# Requests of this first time may be cut at the end of the grace time when no
+# other entry can take them.
+EARLY_SECONDS = 2.7
 # Time before the first token on a busy engine.
 FIRST_TOKEN_SECONDS = 1.5
 
@@ -18,21 +21,31 @@
     Callers whose request would be cut are sent to another entry at once.
     """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        others_serve: Callable[[], bool],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._others_serve = others_serve
         self._clock = clock
         self._lock = threading.Lock()
         self._end_seconds: float | None = None
+        self._early_end_seconds = 0.0
 
     def close(self, remaining_seconds: float) -> None:
         """Start to shut down; the process ends after this time."""
         with self._lock:
+            self._early_end_seconds = self._clock() + EARLY_SECONDS
             self._end_seconds = self._clock() + remaining_seconds
 
     def admits(self, request: ForwardRequest) -> bool:
-        """Tell whether a request ends in time."""
+        """Tell whether a request ends in time or has nowhere else to go."""
         if self._end_seconds is None:
             return True
-        return self._clock() + longest_seconds(request) < self._end_seconds
+        now = self._clock()
+        if now + longest_seconds(request) < self._end_seconds:
+            return True
+        return now < self._early_end_seconds and not self._others_serve()
 
 
 def longest_seconds(request: ForwardRequest) -> float:
--- a/wasabistream/forwarding/peer_links.py
+++ b/wasabistream/forwarding/peer_links.py
@@ -65,6 +65,8 @@
         self._links: dict[Link, PeerNotice | None] = {}
         self._heard_seconds: dict[str, float] = {}
         self._parts: dict[Link, list[MirrorItem]] = {}
+        # Set when this entry shuts down.
+        self.draining = False
         self._stopped = threading.Event()
         self._wake = threading.Event()
 
@@ -99,6 +101,16 @@
             ]
         return len(heard) + 1
 
+    def others_serve(self) -> bool:
+        """Tell whether most of the other entries do not shut down."""
+        with self._lock:
+            draining = {
+                notice.endpoint: notice.draining
+                for notice in self._links.values()
+                if notice is not None
+            }
+        return sum(draining.values()) * 2 < len(draining)
+
     def on_opened(self, link: Link) -> None:
         """Introduce this entry."""
         if link.peer.role == self._hello.role:
@@ -173,6 +185,7 @@
                 [engine.endpoint, engine.service, engine.data_centre]
                 for engine in self._announced.alive()
             ],
+            self.draining,
         )
 
     def _learn(self, link: Link, notice: PeerNotice) -> None:
--- a/wasabistream/forwarding/peer_messages.py
+++ b/wasabistream/forwarding/peer_messages.py
@@ -18,6 +18,8 @@
     known: list
     # Engines that agents announced to it: endpoint, service, data centre.
     engines: list
+    # Whether the entry shuts down.
+    draining: bool = False
 
 
 @message(86)
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -86,7 +86,7 @@
         self._listener = LinkListener(
             control.address, control.port, self.hello, self._peers
         )
-        self._drain_gate = DrainGate()
+        self._drain_gate = DrainGate(self._peers.others_serve)
         self._supervisor = Supervisor(self._is_responsive)
         self._forwarder = self._make_forwarder(moves)
         front = node.listen['front']
@@ -111,6 +111,8 @@
 
     def on_drain(self) -> None:
         """Send callers whose requests would be cut to other entries."""
+        self._peers.draining = True
+        self._peers.notify()
         self._drain_gate.close(self.settings.drain_limit_seconds)
 
     def on_stop(self) -> None:
