--- a/tests/forwarding_builders.py
+++ b/tests/forwarding_builders.py
@@ -2,6 +2,7 @@
 
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.budgets import RepeatBudgets, RepeatLimit
+from wasabistream.forwarding.cold_limiters import ColdLimit, ColdLimiter
 from wasabistream.forwarding.configurations import (
     RoutingConfiguration,
     group_routes,
@@ -63,6 +64,7 @@
         body=b'body',
         deadline=Deadline(5),
         route=chosen,
+        version=1,
         service=ENGINE_SERVICE if streaming else PLAIN_SERVICE,
         organisation='org',
         priority=1,
@@ -148,6 +150,11 @@
     return RepeatBudgets(RepeatLimit(0.2, 10, extra_count), lambda: 1)
 
 
+def build_cold_limiter() -> ColdLimiter:
+    """Return a limiter that knows no cold server."""
+    return ColdLimiter(ColdLimit(1.5, 5), lambda: 1)
+
+
 def build_item(key: str, revision: int, content: bytes = b'{}') -> MirrorItem:
     """Return one item of the store."""
     return MirrorItem(key, content, revision)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -5,8 +5,10 @@
 import json
 import logging
 import unittest
+from unittest.mock import Mock, patch
 
 from wasabistream.exceptions import LinkError
+from wasabistream.log_queues import MAX_QUEUED_LINE_COUNT, BoundedLogHandler
 from wasabistream.logs import configure_logs
 
 
@@ -20,12 +22,43 @@
         self.addCleanup(setattr, root, 'handlers', handlers)
         self.addCleanup(root.setLevel, level)
         written = io.StringIO()
-        with contextlib.redirect_stderr(written):
-            configure_logs('INFO', 'entry-1')
+        with contextlib.redirect_stdout(written):
+            handler = configure_logs('INFO', 'entry-1')
         error = LinkError('peer is silent', 'receive', 'engine-1')
         logging.getLogger('test').info('link: %s', error)
+        handler.stop()
         line = json.loads(written.getvalue())
         self.assertEqual(
             (line['process_id'], line['step'], line['peer']),
             ('entry-1', 'receive', 'engine-1'),
         )
+
+
+class BoundedLogTest(unittest.TestCase):
+    """Guard against a process that waits for the reader of its log."""
+
+    def test_lines_are_dropped_and_counted(self) -> None:
+        """Guard against a log that grows without bound under load."""
+        written: list[logging.LogRecord] = []
+        output = Mock(level=logging.INFO, handle=written.append)
+        handler = BoundedLogHandler(output)
+        for number in range(MAX_QUEUED_LINE_COUNT + 10):
+            handler.enqueue(make_record(number))
+        handler.start()
+        handler.stop()
+        self.assertLessEqual(len(written), MAX_QUEUED_LINE_COUNT)
+        self.assertGreater(len(written), 0)
+
+    def test_next_line_tells_what_is_missing(self) -> None:
+        """Guard against a gap that nobody sees."""
+        handler = BoundedLogHandler(Mock())
+        with patch.object(handler, '_may_write', side_effect=(False, True)):
+            handler.enqueue(make_record(1))
+            record = make_record(2)
+            handler.enqueue(record)
+        self.assertEqual(record.__dict__['dropped_count'], 1)
+
+
+def make_record(number: int) -> logging.LogRecord:
+    """Return one log record."""
+    return logging.makeLogRecord({'msg': f'line {number}'})
--- a/tests/test_plain_forwarders.py
+++ b/tests/test_plain_forwarders.py
@@ -9,6 +9,7 @@
 from tests.forwarding_builders import (
     OWN_DATA_CENTRE,
     build_budgets,
+    build_cold_limiter,
     build_holder,
     build_request,
     build_route,
@@ -49,8 +50,12 @@
         holder = build_holder(*(build_server(number) for number in (1, 2, 3)))
         book = LoadBook()
         rates = FailureRates()
-        chooser = ServerChooser(holder, book, rates, OWN_DATA_CENTRE)
-        sender = AttemptSender(self.client, book, rates, build_budgets())
+        chooser = ServerChooser(
+            holder, book, rates, build_cold_limiter(), OWN_DATA_CENTRE
+        )
+        sender = AttemptSender(
+            self.client, book, rates, build_budgets(), build_cold_limiter()
+        )
         forwarder = PlainForwarder(chooser, sender, rates)
         watch = Watch(build_request(route), FakeCaller())
         return forwarder.forward(watch, AttemptHistory())
--- a/tests/test_server_choosers.py
+++ b/tests/test_server_choosers.py
@@ -9,6 +9,7 @@
     ENGINE_SERVICE,
     MEMORY_TOKENS,
     OWN_DATA_CENTRE,
+    build_cold_limiter,
     build_fleet,
     build_holder,
     build_report,
@@ -35,7 +36,11 @@
         self.book = LoadBook()
         self.rates = FailureRates()
         self.chooser = ServerChooser(
-            self.holder, self.book, self.rates, OWN_DATA_CENTRE
+            self.holder,
+            self.book,
+            self.rates,
+            build_cold_limiter(),
+            OWN_DATA_CENTRE,
         )
         self.generation = build_request(build_route(RouteKind.streaming))
 
--- a/tests/test_stream_forwarders.py
+++ b/tests/test_stream_forwarders.py
@@ -10,6 +10,7 @@
     ENGINE_SERVICE,
     OWN_DATA_CENTRE,
     build_budgets,
+    build_cold_limiter,
     build_holder,
     build_request,
     build_route,
@@ -71,8 +72,12 @@
         )
         book = LoadBook()
         rates = FailureRates()
-        chooser = ServerChooser(holder, book, rates, OWN_DATA_CENTRE)
-        sender = AttemptSender(self.client, book, rates, build_budgets())
+        chooser = ServerChooser(
+            holder, book, rates, build_cold_limiter(), OWN_DATA_CENTRE
+        )
+        sender = AttemptSender(
+            self.client, book, rates, build_budgets(), build_cold_limiter()
+        )
         forwarder = StreamForwarder(holder, chooser, sender, rates, self.moves)
         self.watch = Watch(build_request(route), self.caller)
         return forwarder.forward(self.watch, AttemptHistory(), self.progress)
--- a/wasabistream/forwarding/attempts.py
+++ b/wasabistream/forwarding/attempts.py
@@ -10,6 +10,7 @@
 from wasabistream.exceptions import BackendError, NotSentError
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.budgets import RepeatBudgets
+from wasabistream.forwarding.cold_limiters import ColdLimiter
 from wasabistream.forwarding.failure_rates import FailureRates
 from wasabistream.forwarding.interfaces import (
     Sending,
@@ -52,11 +53,13 @@
         book: LoadBook,
         rates: FailureRates,
         budgets: RepeatBudgets,
+        cold: ColdLimiter,
     ) -> None:
         self._client = client
         self._book = book
         self._rates = rates
         self._budgets = budgets
+        self._cold = cold
 
     def may_send(self, watch: Watch, history: AttemptHistory) -> bool:
         """Tell whether one more attempt is allowed; takes from the budget."""
@@ -90,6 +93,7 @@
         """
         history.sent_count += 1
         history.endpoints.append(server.endpoint)
+        self._cold.sent(server)
         with self._counted(server.endpoint, watch):
             exchange = self._open(server, watch, history, continuation)
             try:
--- a/wasabistream/forwarding/fleet_keepers.py
+++ b/wasabistream/forwarding/fleet_keepers.py
@@ -10,6 +10,7 @@
     ObservedEngines,
     add_observed,
 )
+from wasabistream.metrics import CONFIGURATION_VERSION, LISTED_SERVERS
 
 logger = logging.getLogger(__name__)
 
@@ -58,7 +59,10 @@
 
 
 def _log(before: Fleet, fleet: Fleet) -> None:
+    LISTED_SERVERS.set(len(fleet.servers))
     configuration = fleet.configuration
+    if configuration is not None:
+        CONFIGURATION_VERSION.set(configuration.version)
     if configuration is not None and before.configuration is not configuration:
         logger.info(
             'fleet: configuration in force',
--- a/wasabistream/forwarding/forwarders.py
+++ b/wasabistream/forwarding/forwarders.py
@@ -13,6 +13,7 @@
     StreamProgress,
 )
 from wasabistream.forwarding.supervisors import Supervisor, Watch
+from wasabistream.metrics import FORWARD_SECONDS, REQUESTS
 
 logger = logging.getLogger(__name__)
 
@@ -66,12 +67,20 @@
         started: float,
     ) -> None:
         request = watch.request
+        seconds = time.monotonic() - started
+        kind = request.route.kind.value
+        outcome = str(reply.status) if reply else progress.outcome
+        REQUESTS.labels(kind, outcome).inc()
+        FORWARD_SECONDS.labels(kind).observe(seconds)
         logger.info(
             'request: ended',
             extra={
                 'request_id': request.request_id,
                 'route': request.route.name,
                 'service': request.service,
+                'organisation': request.organisation,
+                'priority': request.priority,
+                'version': request.version,
                 'outcome': progress.outcome,
                 'status': reply.status if reply else None,
                 'servers': history.endpoints,
@@ -80,6 +89,6 @@
                 'event_count': progress.event_count,
                 'move_count': progress.move_count,
                 'cut_reason': watch.reason,
-                'seconds': round(time.monotonic() - started, 4),
+                'seconds': round(seconds, 4),
             },
         )
--- a/wasabistream/forwarding/peer_links.py
+++ b/wasabistream/forwarding/peer_links.py
@@ -19,6 +19,7 @@
 )
 from wasabistream.links import Link
 from wasabistream.messages import Message
+from wasabistream.metrics import KNOWN_ENTRIES
 from wasabistream.notices import Hello
 
 logger = logging.getLogger(__name__)
@@ -147,6 +148,7 @@
                 links = list(self._links)
             for link in links:
                 self._send(link, notice)
+            KNOWN_ENTRIES.set(self.entry_count())
             if self._is_store_lost():
                 self._refresh_fleet()
             self._wake.wait(NOTICE_SECONDS)
--- a/wasabistream/forwarding/requests.py
+++ b/wasabistream/forwarding/requests.py
@@ -37,6 +37,8 @@
     body: bytes
     deadline: Deadline
     route: Route
+    # Version of the configuration that the request was decided with.
+    version: int
     service: str
     organisation: str
     # 0 is the most urgent; the organisation's goes before the route's.
--- a/wasabistream/forwarding/run_movers.py
+++ b/wasabistream/forwarding/run_movers.py
@@ -17,6 +17,7 @@
 from wasabistream.forwarding.move_outcomes import MoveOutcome
 from wasabistream.forwarding.rooms import Room, choose_room, decode_rooms
 from wasabistream.messages import Message
+from wasabistream.metrics import MOVES
 
 logger = logging.getLogger(__name__)
 
@@ -140,6 +141,7 @@
     def _log(
         self, run: EngineRun, room: Room, outcome: MoveOutcome, started: float
     ) -> None:
+        MOVES.labels('moved' if outcome.copied else 'not_moved').inc()
         logger.info(
             'mover: moved' if outcome.copied else 'mover: not moved',
             extra={
--- a/wasabistream/forwarding/server_choosers.py
+++ b/wasabistream/forwarding/server_choosers.py
@@ -4,8 +4,9 @@
 from collections.abc import Collection
 
 from wasabistream.forwarding.backend_servers import BackendServer
+from wasabistream.forwarding.cold_limiters import ColdLimiter
 from wasabistream.forwarding.failure_rates import FailureRates
-from wasabistream.forwarding.fleets import FleetHolder
+from wasabistream.forwarding.fleets import Fleet, FleetHolder
 from wasabistream.forwarding.load_books import LoadBook, LoadEstimate
 from wasabistream.forwarding.requests import ForwardRequest
 
@@ -33,21 +34,25 @@
         fleet: FleetHolder,
         book: LoadBook,
         rates: FailureRates,
+        cold: ColdLimiter,
         data_centre: str,
     ) -> None:
         self._fleet = fleet
         self._book = book
         self._rates = rates
+        self._cold = cold
         self._data_centre = data_centre
 
     def choose(
         self, request: ForwardRequest, excluded: Collection[str] = ()
     ) -> BackendServer | None:
         """Return the best backend server, or None when there is none."""
+        fleet = self._fleet.current
         servers = [
             server
-            for server in self._fleet.current.usable_servers(request.service)
+            for server in fleet.usable_servers(request.service)
             if server.endpoint not in excluded
+            and self._cold.admits(server, _cold_rate(fleet, request))
         ]
         reachable = [
             server
@@ -85,6 +90,13 @@
         return cost, random.random()
 
 
+def _cold_rate(fleet: Fleet, request: ForwardRequest) -> float:
+    if fleet.configuration is None:
+        return 0
+    service = fleet.configuration.services.get(request.service)
+    return service.cold_requests_per_second if service else 0
+
+
 def _engine_cost(
     estimate: LoadEstimate, server: BackendServer, tokens: int
 ) -> float:
--- a/wasabistream/logs.py
+++ b/wasabistream/logs.py
@@ -1,11 +1,13 @@
 """Structured logs of a process."""
 
+import atexit
 import logging
 import sys
 
 from pythonjsonlogger.json import JsonFormatter
 
 from wasabistream.exceptions import WasabiError
+from wasabistream.log_queues import BoundedLogHandler
 
 
 class ErrorFieldsFilter(logging.Filter):
@@ -21,16 +23,24 @@
         return True
 
 
-def configure_logs(level: str, process_id: str) -> None:
-    """Write JSON lines with the process id to standard error."""
-    handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(
+def configure_logs(level: str, process_id: str) -> BoundedLogHandler:
+    """Write JSON lines with the process id to standard output.
+
+    A reader that is slow or gone holds no thread up: lines are dropped and
+    counted.
+    """
+    output = logging.StreamHandler(sys.stdout)
+    output.setFormatter(
         JsonFormatter(
             '%(asctime)s %(levelname)s %(name)s %(message)s',
             static_fields={'process_id': process_id},
         )
     )
+    handler = BoundedLogHandler(output)
     handler.addFilter(ErrorFieldsFilter())
+    handler.start()
+    atexit.register(handler.stop)
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(level)
+    return handler
--- a/wasabistream/metrics.py
+++ b/wasabistream/metrics.py
@@ -40,6 +40,29 @@
     'Time from the last lease check to the end of the send to the service',
     buckets=(0.0001, 0.001, 0.01, 0.1, 1, 5, 10),
 )
+DROPPED_LOG_LINES = Counter(
+    'wasabi_dropped_log_lines', 'Log lines that were not written'
+)
+FORWARD_SECONDS = Histogram(
+    'wasabi_forward_seconds',
+    'Time from a request to the end of its answer, by kind of route',
+    ['kind'],
+    buckets=(0.02, 0.05, 0.125, 0.3, 0.8, 1.8, 4, 10, 40),
+)
+MOVES = Counter(
+    'wasabi_moves', 'Generations moved to another engine', ['outcome']
+)
+STORE_LOST = Gauge('wasabi_store_lost', 'Whether the store does not answer')
+STORE_CALLS = Counter(
+    'wasabi_store_calls', 'Calls to the store by outcome', ['outcome']
+)
+LISTED_SERVERS = Gauge(
+    'wasabi_listed_servers', 'Backend servers in the view of the fleet'
+)
+CONFIGURATION_VERSION = Gauge(
+    'wasabi_configuration_version', 'Version of the routes in force'
+)
+KNOWN_ENTRIES = Gauge('wasabi_known_entries', 'Entries alive, this included')
 LEASE_HELD = Gauge(
     'wasabi_lease_held', 'Whether this agent may run calls of its keys'
 )
--- a/wasabistream/platform/__main__.py
+++ b/wasabistream/platform/__main__.py
@@ -15,20 +15,30 @@
 NODE_FILE_VARIABLE = 'WASABISTREAM_NODE_FILE'
 DEFAULT_NODE_FILE = '/etc/wasabistream/boot.yaml'
 DEFAULT_LOG_LEVEL = 'INFO'
+# The deploy file names the same port.
+DEFAULT_METRICS_PORT = 9464
 
 
 class PlatformCommands:
     """Run wasabistream on the platform."""
 
-    def entry(self, log_level: str = DEFAULT_LOG_LEVEL) -> None:
+    def entry(
+        self,
+        log_level: str = DEFAULT_LOG_LEVEL,
+        metrics_port: int = DEFAULT_METRICS_PORT,
+    ) -> None:
         """Run the entry of a front machine."""
         node = _read_settings(log_level)
-        _run(PlatformEntry(node))
+        _run(PlatformEntry(node, metrics_port))
 
-    def agent(self, log_level: str = DEFAULT_LOG_LEVEL) -> None:
+    def agent(
+        self,
+        log_level: str = DEFAULT_LOG_LEVEL,
+        metrics_port: int = DEFAULT_METRICS_PORT,
+    ) -> None:
         """Run the agent beside an engine."""
         node = _read_settings(log_level)
-        _run(PlatformAgent(node))
+        _run(PlatformAgent(node, metrics_port))
 
 
 def _read_settings(log_level: str) -> NodeSettings:
--- a/wasabistream/platform/agent_applications.py
+++ b/wasabistream/platform/agent_applications.py
@@ -27,8 +27,8 @@
 
     part = 'agent'
 
-    def __init__(self, node: NodeSettings) -> None:
-        super().__init__(node, secrets.token_hex(4))
+    def __init__(self, node: NodeSettings, metrics_port: int) -> None:
+        super().__init__(node, secrets.token_hex(4), metrics_port)
         backend = node.backend
         if backend is None:
             raise ValueError('the settings name no backend server')
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -9,6 +9,7 @@
 from wasabistream.forwarding.agent_links import AgentLinks
 from wasabistream.forwarding.attempts import AttemptSender
 from wasabistream.forwarding.budgets import RepeatBudgets
+from wasabistream.forwarding.cold_limiters import ColdLimiter
 from wasabistream.forwarding.drain_gates import DrainGate
 from wasabistream.forwarding.failure_rates import FailureRates
 from wasabistream.forwarding.fleet_keepers import FleetKeeper
@@ -56,8 +57,8 @@
 
     part = 'entry'
 
-    def __init__(self, node: NodeSettings) -> None:
-        super().__init__(node, secrets.token_hex(4))
+    def __init__(self, node: NodeSettings, metrics_port: int) -> None:
+        super().__init__(node, secrets.token_hex(4), metrics_port)
         self.fleet = FleetHolder()
         self.mirror = StoreMirror()
         self._book = LoadBook()
@@ -86,6 +87,9 @@
         self._listener = LinkListener(
             control.address, control.port, self.hello, self._peers
         )
+        self._cold = ColdLimiter(
+            node.bounds.cold_limit, self._peers.entry_count
+        )
         self._drain_gate = DrainGate(self._peers.others_serve)
         self._supervisor = Supervisor(self._is_responsive)
         self._forwarder = self._make_forwarder(moves)
@@ -135,7 +139,11 @@
 
     def _make_forwarder(self, moves: MoveBook) -> Forwarder:
         chooser = ServerChooser(
-            self.fleet, self._book, self._rates, self.node.data_centre
+            self.fleet,
+            self._book,
+            self._rates,
+            self._cold,
+            self.node.data_centre,
         )
         sender = AttemptSender(
             HttpServerClient(),
@@ -144,6 +152,7 @@
             RepeatBudgets(
                 self.node.bounds.repeat_limit, self._peers.entry_count
             ),
+            self._cold,
         )
         return Forwarder(
             self._supervisor,
@@ -202,6 +211,7 @@
         )
         self._book.keep_only(endpoints)
         self._rates.keep_only(endpoints)
+        self._cold.follow(fleet)
         self._agents.follow(fleet)
         self._peers.notify()
 
--- a/wasabistream/platform/node_applications.py
+++ b/wasabistream/platform/node_applications.py
@@ -3,6 +3,8 @@
 import signal
 from types import FrameType
 
+from prometheus_client import start_http_server
+
 from wasabistream.applications import Application
 from wasabistream.messages import PROTOCOL_VERSION_MAX, PROTOCOL_VERSION_MIN
 from wasabistream.notices import Hello
@@ -16,7 +18,9 @@
 class NodeApplication(Application):
     """Run one process with the settings of the platform."""
 
-    def __init__(self, node: NodeSettings, incarnation: str) -> None:
+    def __init__(
+        self, node: NodeSettings, incarnation: str, metrics_port: int
+    ) -> None:
         super().__init__(
             ProcessSettings(
                 process_id=node.process_id,
@@ -28,6 +32,7 @@
             )
         )
         self.node = node
+        self._metrics_port = metrics_port
         self.hello = Hello(
             PROTOCOL_VERSION_MIN,
             PROTOCOL_VERSION_MAX,
@@ -40,6 +45,7 @@
     def run(self) -> int:
         """Run until a signal arrives and return the exit code."""
         signal.signal(signal.SIGHUP, self._reload)
+        start_http_server(self._metrics_port, self.node.address)
         return super().run()
 
     def on_reload(self) -> None:
--- a/wasabistream/platform/node_files.py
+++ b/wasabistream/platform/node_files.py
@@ -9,6 +9,7 @@
 
 from wasabistream.exceptions import SettingsError
 from wasabistream.forwarding.budgets import RepeatLimit
+from wasabistream.forwarding.cold_limiters import ColdLimit
 from wasabistream.platform.decode_errors import DECODE_ERRORS
 
 MILLISECONDS = 1000
@@ -30,9 +31,7 @@
     drain_seconds: float
     # Time between SIGTERM and SIGKILL.
     grace_seconds: float
-    # Factor and addition to the requests that a cold backend server bears.
-    cold_ratio: float
-    cold_extra_count: float
+    cold_limit: ColdLimit
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,7 +45,6 @@
     listen: Mapping[str, Endpoint]
     # Port for links between processes, the same on all machines.
     link_port: int
-    metrics_port: int
     seeds: tuple[Endpoint, ...]
     store: Endpoint
     # The backend server beside an agent; None for an entry.
@@ -68,7 +66,6 @@
 
 def decode_node(fields: Any) -> NodeSettings:
     """Return typed settings; raises ValueError and its kin."""
-    first_port, last_port = fields['internal_ports'][:2]
     app = fields.get('app')
     return NodeSettings(
         process_id=str(fields['node_name']),
@@ -78,8 +75,7 @@
             name: decode_endpoint(text)
             for name, text in (fields.get('listen') or {}).items()
         },
-        link_port=int(first_port),
-        metrics_port=int(last_port),
+        link_port=int(fields['internal_ports'][0]),
         seeds=tuple(
             decode_endpoint(text) for text in fields.get('seeds') or ()
         ),
@@ -105,6 +101,8 @@
         ),
         drain_seconds=float(bounds['drain_ms']) / MILLISECONDS,
         grace_seconds=float(bounds['grace_s']),
-        cold_ratio=float(bounds['cold_over']),
-        cold_extra_count=float(bounds['cold_slack']),
+        cold_limit=ColdLimit(
+            ratio=float(bounds['cold_over']),
+            extra_count=float(bounds['cold_slack']),
+        ),
     )
--- a/wasabistream/platform/request_decoders.py
+++ b/wasabistream/platform/request_decoders.py
@@ -56,6 +56,7 @@
         body=body,
         deadline=Deadline(_remaining_seconds(headers, route)),
         route=route,
+        version=configuration.version,
         service=route.draw_service(),
         organisation=holder.name if holder else '',
         priority=priority,
--- a/wasabistream/platform/store_clients.py
+++ b/wasabistream/platform/store_clients.py
@@ -11,6 +11,7 @@
 
 from wasabistream.exceptions import HistoryLostError, StoreError
 from wasabistream.forwarding.mirrors import MirrorChange, MirrorItem, Removal
+from wasabistream.metrics import STORE_CALLS
 from wasabistream.platform.server_clients import SOCKET_OPTIONS
 
 # The store answers in milliseconds; a slow one takes some hundred.
@@ -113,6 +114,7 @@
             response = self._pool.request(
                 'GET', path, fields=query, timeout=timeout_seconds
             )
+            STORE_CALLS.labels(str(response.status)).inc()
             if response.status == GONE:
                 raise HistoryLostError('history is gone', path, self._peer)
             if response.status != OK:
@@ -121,6 +123,7 @@
             if not isinstance(page, dict):
                 raise ValueError('answer is not an object')
         except (HTTPError, OSError, ValueError) as error:
+            STORE_CALLS.labels('no_answer').inc()
             raise StoreError(str(error), path, self._peer) from error
         return page
 
--- a/wasabistream/platform/store_followers.py
+++ b/wasabistream/platform/store_followers.py
@@ -9,6 +9,7 @@
 from wasabistream.exceptions import HistoryLostError, StoreError
 from wasabistream.forwarding.lapse_guards import LapseGuard
 from wasabistream.forwarding.mirrors import StoreMirror
+from wasabistream.metrics import STORE_LOST
 from wasabistream.platform.store_clients import StoreClient
 
 logger = logging.getLogger(__name__)
@@ -92,6 +93,7 @@
     def _lost(self, error: StoreError) -> None:
         if self.lost_since_seconds is None:
             self.lost_since_seconds = time.monotonic()
+            STORE_LOST.set(1)
             logger.warning('store: lost: %s', error)
             self._on_state_change()
 
@@ -105,4 +107,5 @@
                 },
             )
             self.lost_since_seconds = None
+            STORE_LOST.set(0)
             self._on_state_change()
