--- a/wasabistream/forwarding/forwarders.py
+++ b/wasabistream/forwarding/forwarders.py
@@ -87,6 +87,8 @@
                 'run_count': history.run_count,
                 'turned_away_count': history.turned_away_count,
                 'event_count': progress.event_count,
+                'first_event_seconds': round(progress.first_event_seconds, 3),
+                'longest_gap_seconds': round(progress.longest_gap_seconds, 3),
                 'move_count': progress.move_count,
                 'cut_reason': watch.reason,
                 'seconds': round(seconds, 4),
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -2,7 +2,7 @@
 
 import logging
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from wasabistream.exceptions import BackendError, NotSentError
 from wasabistream.forwarding.attempts import AttemptHistory, AttemptSender
@@ -17,6 +17,7 @@
 from wasabistream.forwarding.requests import Continuation, Reply
 from wasabistream.forwarding.server_choosers import ServerChooser
 from wasabistream.forwarding.supervisors import CutReason, Watch
+from wasabistream.metrics import FIRST_TOKEN_SECONDS
 
 logger = logging.getLogger(__name__)
 
@@ -37,6 +38,25 @@
     event_count: int = 0
     move_count: int = 0
     complete: bool = False
+    started_seconds: float = field(default_factory=time.monotonic)
+    first_event_seconds: float = 0
+    last_event_at_seconds: float = 0
+    longest_gap_seconds: float = 0
+
+    def count_event(self, event_id: str) -> None:
+        """Note an event that the caller got."""
+        now = time.monotonic()
+        if self.event_count:
+            gap_seconds = now - self.last_event_at_seconds
+            self.longest_gap_seconds = max(
+                self.longest_gap_seconds, gap_seconds
+            )
+        else:
+            self.first_event_seconds = now - self.started_seconds
+            FIRST_TOKEN_SECONDS.observe(self.first_event_seconds)
+        self.last_event_at_seconds = now
+        self.last_event_id = event_id
+        self.event_count += 1
 
     @property
     def outcome(self) -> str:
@@ -163,8 +183,7 @@
             for event in splitter.feed(piece):
                 if _is_next(event.event_id, progress.last_event_id):
                     watch.caller.write(event.raw)
-                    progress.last_event_id = event.event_id
-                    progress.event_count += 1
+                    progress.count_event(event.event_id)
         if splitter.torn or watch.reason is not None:
             raise BackendError('stream was cut', 'events', server.endpoint)
         self._rates.record(server.endpoint, failed=False)
