--- a/tests/test_server_choosers.py
+++ b/tests/test_server_choosers.py
@@ -3,6 +3,7 @@
 Patterns: leaving engines, uneven load, sick servers, data centres taken out.
 """
 
+import dataclasses
 import unittest
 
 from tests.forwarding_builders import (
@@ -82,6 +83,14 @@
         self.book.report('10.0.0.2:8000', build_report(running_count=10))
         self.assertEqual(self.choose_engine(), 'server-2')
 
+    def test_prompts_in_progress_count(self) -> None:
+        """Guard against a new engine that gets all prompts at once."""
+        busy = build_report(used_tokens=12000, running_count=3)
+        fresh = dataclasses.replace(build_report(), queued_count=3)
+        self.book.report('10.0.0.1:8000', busy)
+        self.book.report('10.0.0.2:8000', fresh)
+        self.assertEqual(self.choose_engine(), 'server-1')
+
     def test_failing_server_is_avoided(self) -> None:
         """Guard against a server that fails what it is given."""
         for _ in range(10):
--- a/wasabistream/forwarding/engine_watchers.py
+++ b/wasabistream/forwarding/engine_watchers.py
@@ -15,7 +15,9 @@
 # A notice of one and a half seconds leaves no time for a slower poll.
 POLL_SECONDS = 0.05
 # Load is reported at this interval; a change of state at once.
-REPORT_SECONDS = 0.25
+REPORT_SECONDS = 0.1
+# An unchanged report is repeated before it counts as too old.
+REPEAT_SECONDS = 1.0
 # Polls without an answer after which the engine counts as unresponsive.
 SILENT_COUNT = 2
 
@@ -84,8 +86,7 @@
         now = time.monotonic()
         due = now - self._reported_seconds >= REPORT_SECONDS
         if not changed and (not due or report == last):
-            # An unchanged report is repeated before it counts as too old.
-            if now - self._reported_seconds < 4 * REPORT_SECONDS:
+            if now - self._reported_seconds < REPEAT_SECONDS:
                 return
         self._reported_seconds = now
         self._report(report)
@@ -107,7 +108,10 @@
         memory_used_tokens=state.memory_used_tokens,
         memory_capacity_tokens=state.memory_capacity_tokens,
         running_count=state.running_count,
-        queued_count=state.waiting_count,
+        # An engine reads one prompt after the other: a generation without
+        # events holds up those behind it like one that waits.
+        queued_count=state.waiting_count
+        + max(state.running_count - len(state.runs), 0),
         ramp_limit_count=0,
         leaving=state.leaving,
     )
--- a/wasabistream/forwarding/load_books.py
+++ b/wasabistream/forwarding/load_books.py
@@ -9,7 +9,7 @@
 
 # A request that was sent before a report is part of the report after this
 # time; until then the entry adds it to the reported load itself.
-REPORT_DELAY_SECONDS = 0.3
+REPORT_DELAY_SECONDS = 0.15
 # A report that is older says nothing about the load.
 REPORT_AGE_LIMIT_SECONDS = 3.0
 
@@ -96,7 +96,7 @@
 def _without_report(load: ServerLoad) -> LoadEstimate:
     return LoadEstimate(
         request_count=len(load.sendings),
-        waiting_count=0,
+        waiting_count=len(load.sendings),
         memory_tokens=sum(one.tokens for one in load.sendings.values()),
         memory_capacity_tokens=0,
         leaving=False,
@@ -112,7 +112,7 @@
     seen_count = report.running_count + report.queued_count
     return LoadEstimate(
         request_count=max(seen_count + len(unseen), len(load.sendings)),
-        waiting_count=report.queued_count,
+        waiting_count=report.queued_count + len(unseen),
         memory_tokens=report.memory_used_tokens
         + sum(one.tokens for one in unseen),
         memory_capacity_tokens=report.memory_capacity_tokens,
--- a/wasabistream/forwarding/server_choosers.py
+++ b/wasabistream/forwarding/server_choosers.py
@@ -20,7 +20,8 @@
 SLOT_WEIGHT = 1.0
 # Cost of a generation that would not fit into the memory.
 NO_ROOM_COST = 4.0
-WAITING_COST = 0.2
+# Cost of each prompt that is read before; it takes up to half a second.
+WAITING_COST = 0.3
 ENGINE_DISTANCE_COST = 0.03
 # Used while an engine's agent has not reported.
 DEFAULT_MEMORY_TOKENS = 32768
