--- a/wasabistream/forwarding/cold_limiters.py
+++ b/wasabistream/forwarding/cold_limiters.py
@@ -78,6 +78,11 @@
             own = max(bound * USE_RATIO / max(self._count_entries(), 1), 1)
             return len(cold.sent_seconds) + 1 <= own
 
+    def is_cold(self, server: BackendServer) -> bool:
+        """Tell whether the list shows a server as cold."""
+        with self._lock:
+            return self._find(server) is not None
+
     def sent(self, server: BackendServer) -> None:
         """Count a request that is sent."""
         with self._lock:
--- a/wasabistream/forwarding/server_choosers.py
+++ b/wasabistream/forwarding/server_choosers.py
@@ -21,7 +21,9 @@
 # Cost of a generation that would not fit into the memory.
 NO_ROOM_COST = 4.0
 # Cost of each prompt that is read before; it takes up to half a second.
-WAITING_COST = 0.3
+WAITING_COST = 0.6
+# A cold engine reads prompts at half its speed or less.
+COLD_COST = 0.5
 ENGINE_DISTANCE_COST = 0.03
 # Used while an engine's agent has not reported.
 DEFAULT_MEMORY_TOKENS = 32768
@@ -86,6 +88,7 @@
             cost = _engine_cost(
                 estimate, server, request.demand.expected_tokens
             )
+            cost += COLD_COST * self._cold.is_cold(server)
             cost += failures / max(server.slot_count, 1)
             cost += ENGINE_DISTANCE_COST * remote
         return cost, random.random()
