--- a/tests/test_run_movers.py
+++ b/tests/test_run_movers.py
@@ -19,6 +19,7 @@
     RunMoving,
 )
 from wasabistream.forwarding.move_outcomes import MoveOutcome
+from wasabistream.forwarding.room_finders import RoomFinder
 from wasabistream.forwarding.rooms import choose_room, decode_rooms
 from wasabistream.forwarding.run_movers import RunMover
 from wasabistream.messages import Message
@@ -67,10 +68,10 @@
         def tell(notice: Message) -> None:
             told.append(notice)
             if isinstance(notice, RoomQuery):
-                mover.learn_rooms(RoomReport(list(rows)))
+                rooms.learn(RoomReport(list(rows)))
 
-        mover = RunMover(engine, OWN, 'dc-a', 'writer', tell)
-        mover.move_all()
+        rooms = RoomFinder('writer', 'dc-a', tell)
+        RunMover(engine, OWN, rooms, tell).move_all()
         return told
 
     def test_each_generation_is_moved(self) -> None:
@@ -119,8 +120,9 @@
 
     def test_malformed_rooms(self) -> None:
         """Guard against an agent that ends on a malformed report."""
-        mover = RunMover(FakeEngine(), OWN, 'dc-a', 'writer', Mock())
-        mover.learn_rooms(RoomReport([['only an endpoint']]))
+        rooms = RoomFinder('writer', 'dc-a', Mock())
+        rooms.learn(RoomReport([['only an endpoint']]))
+        self.assertFalse(rooms.has_near)
 
 
 class EngineWatcherTest(unittest.TestCase):
--- a/wasabistream/forwarding/rooms.py
+++ b/wasabistream/forwarding/rooms.py
@@ -8,8 +8,9 @@
 # Part of an engine's memory that stays free for the growth of its own
 # generations.
 RESERVE_RATIO = 0.0
-# A copy inside the data centre takes half the time of one to another.
-DISTANCE_RATIO = 2.0
+# A copy inside the data centre takes half the time of one to another, and
+# the time of a notice is short.
+DISTANCE_RATIO = 5.0
 
 
 @dataclass
--- a/wasabistream/platform/agent_applications.py
+++ b/wasabistream/platform/agent_applications.py
@@ -10,6 +10,7 @@
 from wasabistream.forwarding.engine_watchers import EngineWatcher
 from wasabistream.forwarding.move_messages import RoomReport
 from wasabistream.forwarding.observed_engines import EngineAnnouncement
+from wasabistream.forwarding.room_finders import RoomFinder
 from wasabistream.forwarding.run_movers import RunMover
 from wasabistream.links import Link
 from wasabistream.listeners import LinkListener
@@ -35,13 +36,11 @@
         self._links: set[Link] = set()
         self._links_lock = threading.Lock()
         engine = EngineClient(backend.address, backend.port)
-        self._mover = RunMover(
-            engine,
-            f'{backend.address}:{backend.port}',
-            node.data_centre,
-            node.service,
-            self._broadcast,
+        endpoint = f'{backend.address}:{backend.port}'
+        self._rooms = RoomFinder(
+            node.service, node.data_centre, self._broadcast
         )
+        self._mover = RunMover(engine, endpoint, self._rooms, self._broadcast)
         self._watcher = EngineWatcher(
             EngineClient(backend.address, backend.port),
             self._broadcast,
@@ -50,11 +49,7 @@
         self._announcer = EngineAnnouncer(
             self.hello,
             [(seed.address, seed.port) for seed in node.seeds],
-            EngineAnnouncement(
-                f'{backend.address}:{backend.port}',
-                node.service,
-                node.data_centre,
-            ),
+            EngineAnnouncement(endpoint, node.service, node.data_centre),
             self._is_serving,
         )
         self._listener = LinkListener(
@@ -87,7 +82,7 @@
         """Handle the messages of an entry."""
         for notice in received:
             if isinstance(notice, RoomReport):
-                self._mover.learn_rooms(notice)
+                self._rooms.learn(notice)
 
     def on_closed(self, link: Link, reason: str) -> None:
         """Forget an entry."""
