--- a/wasabistream/forwarding/plain_forwarders.py
+++ b/wasabistream/forwarding/plain_forwarders.py
@@ -68,9 +68,9 @@
             with self._sender.open(server, watch, history) as exchange:
                 return self._read(server, exchange)
         except NotSentError as error:
-            logger.info('attempt: not run: %s', error)
+            _log_attempt('not run', watch, error)
         except BackendError as error:
-            logger.info('attempt: failed: %s', error)
+            _log_attempt('failed', watch, error)
             if watch.reason != CutReason.caller_left:
                 self._rates.record(server.endpoint, failed=True)
         return None
@@ -93,3 +93,15 @@
         failed = answer.status >= SERVER_ERROR
         self._rates.record(server.endpoint, failed=failed)
         return Reply(answer.status, answer.headers, b''.join(pieces))
+
+
+def _log_attempt(outcome: str, watch: Watch, error: BackendError) -> None:
+    logger.info(
+        'attempt: %s: %s',
+        outcome,
+        error,
+        extra={
+            'request_id': watch.request.request_id,
+            'reason': watch.reason,
+        },
+    )
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -16,7 +16,7 @@
 from wasabistream.forwarding.replies import bad_gateway, refuse, timed_out
 from wasabistream.forwarding.requests import Continuation, Reply
 from wasabistream.forwarding.server_choosers import ServerChooser
-from wasabistream.forwarding.supervisors import CutReason, Watch
+from wasabistream.forwarding.supervisors import Watch
 from wasabistream.metrics import FIRST_TOKEN_SECONDS
 
 logger = logging.getLogger(__name__)
@@ -145,10 +145,10 @@
                 ) as exchange:
                     return self._relay(server, watch, exchange, progress)
             except NotSentError as error:
-                logger.info('stream: not run: %s', error)
+                self._log('not run', watch, error, progress)
                 return refuse(watch.request.deadline.remaining_seconds)
             except BackendError as error:
-                self._log_cut(watch, error, progress)
+                self._log('cut', watch, error, progress)
             moved = self._find_move(watch)
             if moved is None:
                 return bad_gateway()
@@ -207,17 +207,21 @@
                 return server
         return None
 
-    def _log_cut(
-        self, watch: Watch, error: BackendError, progress: StreamProgress
+    def _log(
+        self,
+        outcome: str,
+        watch: Watch,
+        error: BackendError,
+        progress: StreamProgress,
     ) -> None:
         logger.info(
-            'stream: cut: %s',
+            'stream: %s: %s',
+            outcome,
             error,
             extra={
                 'request_id': watch.request.request_id,
-                'reason': watch.reason or CutReason.unresponsive,
+                'reason': watch.reason,
                 'event_count': progress.event_count,
-                'at_seconds': time.monotonic(),
             },
         )
 
