--- /dev/null
+++ b/tests/platform_stores.py
@@ -0,0 +1,110 @@
+"""Stand-in for the platform's store."""
+
+import json
+import threading
+import time
+import urllib.parse
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+
+PAGE_COUNT = 2
+POLL_SECONDS = 0.02
+
+
+class _Handler(BaseHTTPRequestHandler):
+    """Answer one call."""
+
+    protocol_version = 'HTTP/1.1'
+
+    def do_GET(self) -> None:
+        """Answer a read or a watch."""
+        parts = urllib.parse.urlsplit(self.path)
+        query = dict(urllib.parse.parse_qsl(parts.query))
+        store = self.server.store  # type: ignore[attr-defined]
+        status, body = store.answer(parts.path, query)
+        raw = json.dumps(body).encode()
+        self.send_response(status)
+        self.send_header('Content-Length', str(len(raw)))
+        self.end_headers()
+        self.wfile.write(raw)
+
+    def log_message(self, *arguments: Any) -> None:
+        """Write nothing."""
+
+
+class _StoreServer(ThreadingHTTPServer):
+    daemon_threads = True
+
+    def __init__(self, store: 'StandInStore') -> None:
+        super().__init__(('127.0.0.1', 0), _Handler)
+        self.store = store
+
+
+class StandInStore:
+    """Hold items and changes and answer reads and watches."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, dict[str, Any]] = {}
+        self.changes: list[dict[str, Any]] = []
+        self.revision = 1
+        # Watches from before this revision find no history.
+        self.forgotten_revision = 0
+        # Status of all answers, where it is not 0.
+        self.failing_status = 0
+        self.calls: list[str] = []
+        self._server = _StoreServer(self)
+        self.port: int = self._server.server_address[1]
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop to answer."""
+        self._server.shutdown()
+        self._server.server_close()
+
+    def put(self, row: dict[str, Any]) -> None:
+        """Write an item."""
+        self.revision = max(self.revision, row['revision'])
+        self.items[row['key']] = row
+        self.changes.append(row)
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        self.revision += 1
+        self.items.pop(key)
+        self.changes.append(
+            {'key': key, 'revision': self.revision, 'removed': True}
+        )
+
+    def answer(
+        self, path: str, query: dict[str, str]
+    ) -> tuple[int, dict[str, Any]]:
+        """Return status and body of one call."""
+        self.calls.append(path)
+        if self.failing_status:
+            return self.failing_status, {}
+        if path == '/-/kv-range':
+            return 200, self._page(query)
+        return self._watch(query)
+
+    def _page(self, query: dict[str, str]) -> dict[str, Any]:
+        after = query.get('after', '')
+        keys = sorted(key for key in self.items if key > after)
+        return {
+            'items': [self.items[key] for key in keys[:PAGE_COUNT]],
+            'has_more': len(keys) > PAGE_COUNT,
+            'current_rev': self.revision,
+        }
+
+    def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        after = int(query['after'])
+        if after < self.forgotten_revision:
+            return 410, {}
+        deadline = time.monotonic() + int(query['wait_ms']) / 1000
+        while time.monotonic() < deadline:
+            if after < self.forgotten_revision:
+                return 410, {}
+            events = [row for row in self.changes if row['revision'] > after]
+            if events or self.failing_status:
+                return 200, {'events': events, 'current_rev': self.revision}
+            time.sleep(POLL_SECONDS)
+        return 200, {'events': [], 'current_rev': self.revision}
--- /dev/null
+++ b/tests/test_platform_decoders.py
@@ -0,0 +1,109 @@
+"""Tests of the adapter's decoders."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.platform_builders import CONFIGURATION, NODE, SERVER
+from wasabistream.exceptions import BackendError, SettingsError
+from wasabistream.forwarding.routes import RouteKind
+from wasabistream.platform.decode_errors import DECODE_ERRORS
+from wasabistream.platform.engine_clients import decode_state
+from wasabistream.platform.node_files import decode_node, read_node_file
+from wasabistream.platform.store_decoders import (
+    decode_configuration,
+    decode_server,
+)
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+REPORT = {'running': 3, 'waiting': 1, 'kv_used': 41000, 'kv_total': 90000}
+
+
+class DecoderTest(unittest.TestCase):
+    """Guard against values that end a process or are misread."""
+
+    def test_longest_prefix(self) -> None:
+        """Guard against a route that hides a more exact one."""
+        configuration = decode_configuration(CONFIGURATION)
+        route = configuration.find_route('host.example', '/chat/desk/x')
+        self.assertEqual(route.name if route else '', 'desk')
+        route = configuration.find_route('host.example', '/chat/other')
+        self.assertEqual(route.name if route else '', 'chat')
+        self.assertIsNone(configuration.find_route('host.example', '/chat'))
+
+    def test_route_fields(self) -> None:
+        """Guard against milliseconds that are taken for seconds."""
+        configuration = decode_configuration(CONFIGURATION)
+        route = configuration.find_route('host.example', '/chat/a')
+        self.assertIsNotNone(route)
+        if route is not None:
+            self.assertEqual(route.kind, RouteKind.streaming)
+            self.assertEqual(route.timeout_seconds, 6)
+            self.assertTrue(route.repeatable)
+
+    def test_split_by_weight(self) -> None:
+        """Guard against traffic for a service whose weight is zero."""
+        configuration = decode_configuration(CONFIGURATION)
+        route = configuration.find_route('host.example', '/chat/desk/')
+        services = {route.draw_service() for _ in range(50)} if route else set()
+        self.assertEqual(services, {'desk'})
+
+    def test_server_fields(self) -> None:
+        """Guard against a server whose cold time is misread."""
+        server = decode_server('s1', SERVER)
+        self.assertEqual(server.endpoint, '10.128.0.9:8080')
+        self.assertEqual(server.cold_remaining_seconds, 1.5)
+
+    @given(JSON_VALUES, st.sampled_from(sorted(SERVER)))
+    def test_spoiled_server_fields(self, spoiled: object, name: str) -> None:
+        """Guard against an entry of another writer that ends the process."""
+        try:
+            decode_server('s1', {**SERVER, name: spoiled})
+        except DECODE_ERRORS as error:
+            self.assertIsInstance(error, Exception)
+
+    @given(JSON_VALUES)
+    def test_any_report(self, body: object) -> None:
+        """Guard against a report that ends the agent."""
+        try:
+            decode_state(body, 'engine')
+        except BackendError as error:
+            self.assertEqual(error.step, 'report')
+
+    def test_leaving_report(self) -> None:
+        """Guard against a notice that is overlooked."""
+        runs = [['a', 3000, 12, 1]]
+        leaving = decode_state(
+            {**REPORT, 'leaves_ms': 1500, 'runs': runs}, 'engine'
+        )
+        self.assertTrue(leaving.leaving)
+        self.assertEqual(leaving.leaves_seconds, 1.5)
+        self.assertEqual(leaving.runs[0].event_count, 12)
+        draining = decode_state({**REPORT, 'state': 'draining'}, 'engine')
+        self.assertTrue(draining.leaving)
+        self.assertFalse(decode_state(REPORT, 'engine').leaving)
+
+    def test_node_file(self) -> None:
+        """Guard against settings that are misread."""
+        node = decode_node(NODE)
+        self.assertEqual(node.bounds.grace_seconds, 8)
+        self.assertEqual(node.seeds[1].address, '10.2.0.13')
+        self.assertIsNone(node.backend)
+
+    def test_unknown_fields_are_ignored(self) -> None:
+        """Guard against a newer platform that stops the process."""
+        node = decode_node({**NODE, 'new': {'field': 1}})
+        self.assertEqual(node.process_id, 'front-a-1')
+
+    def test_missing_node_file(self) -> None:
+        """Guard against a start with settings that cannot be read."""
+        with self.assertRaises(SettingsError):
+            read_node_file('/nowhere/node.yaml')
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,144 @@
+"""Tests of the follower of the platform's store.
+
+Patterns: a store that is down, forgets its history or spoils an entry.
+"""
+
+import time
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from tests.platform_builders import CONFIGURATION, SERVER, build_row
+from tests.platform_stores import StandInStore
+from wasabistream.exceptions import HistoryLostError, StoreError
+from wasabistream.forwarding.fleets import Fleet
+from wasabistream.forwarding.mirrors import StoreMirror
+from wasabistream.platform.store_clients import StoreClient
+from wasabistream.platform.store_decoders import FleetDecoder
+from wasabistream.platform.store_followers import StoreFollower
+
+WAIT_SECONDS = 10
+SPOILED_ENTRIES: tuple[Any, ...] = (
+    {**SERVER, 'state': 'odd'},
+    {**SERVER, 'address': 'nowhere'},
+    {**SERVER, 'slots': 'many'},
+    {**SERVER, 'service': 7},
+    [],
+    None,
+)
+
+
+def wait_for(condition: Callable[[], bool]) -> bool:
+    """Wait until a condition holds; tell whether it did."""
+    deadline = time.monotonic() + WAIT_SECONDS
+    while time.monotonic() < deadline:
+        if condition():
+            return True
+        time.sleep(0.02)
+    return False
+
+
+class StoreTest(unittest.TestCase):
+    """Guard against a view that is late, old or empty."""
+
+    def setUp(self) -> None:
+        """Start a store with a configuration and three servers."""
+        self.store = StandInStore()
+        self.addCleanup(self.store.stop)
+        self.store.put(build_row('op/config', 2, CONFIGURATION))
+        for number in range(3):
+            self.store.put(build_row(f'servers/s{number}', 3 + number, SERVER))
+        self.client = StoreClient('127.0.0.1', self.store.port)
+
+    def follow(self) -> tuple[StoreFollower, StoreMirror]:
+        """Follow the store."""
+        mirror = StoreMirror()
+        follower = StoreFollower(self.client, mirror, lambda: None)
+        follower.start()
+        self.addCleanup(follower.stop)
+        self.assertTrue(wait_for(lambda: len(mirror.items()) == 4))
+        return follower, mirror
+
+    def test_all_pages_are_read(self) -> None:
+        """Guard against a list that ends with its first page."""
+        listing = self.client.read_all('')
+        self.assertEqual(len(listing.items), 4)
+
+    def test_lost_history(self) -> None:
+        """Guard against taking a lost history for no changes."""
+        self.store.forgotten_revision = 5
+        with self.assertRaises(HistoryLostError):
+            self.client.watch('', 1, 0.1)
+
+    def test_refused_call(self) -> None:
+        """Guard against an empty list when the store refuses."""
+        self.store.failing_status = 503
+        with self.assertRaises(StoreError):
+            self.client.read_all('')
+
+    def test_changes_arrive(self) -> None:
+        """Guard against a follower that reads only once."""
+        _, mirror = self.follow()
+        self.store.remove('servers/s1')
+        self.assertTrue(wait_for(lambda: len(mirror.items()) == 3))
+
+    def test_history_lost_while_following(self) -> None:
+        """Guard against changes that are missed for ever."""
+        _, mirror = self.follow()
+        self.store.remove('servers/s1')
+        self.store.changes.clear()
+        self.store.revision += 1
+        self.store.forgotten_revision = self.store.revision
+        self.assertTrue(wait_for(lambda: len(mirror.items()) == 3))
+
+    def test_outage_is_noticed(self) -> None:
+        """Guard against an outage that nobody sees, and against its echo."""
+        follower, mirror = self.follow()
+        self.store.failing_status = 503
+        self.assertTrue(
+            wait_for(lambda: follower.lost_since_seconds is not None)
+        )
+        self.assertEqual(len(mirror.items()), 4)
+        self.store.failing_status = 0
+        self.assertTrue(wait_for(lambda: follower.lost_since_seconds is None))
+
+    def decode(self) -> Fleet:
+        """Return the view that the store's items give."""
+        mirror = StoreMirror()
+        listing = self.client.read_all('')
+        mirror.replace(listing.items, listing.revision)
+        return FleetDecoder().decode(
+            {held.key: held for held in mirror.items()}
+        )
+
+    def test_spoiled_entries_are_left_out(self) -> None:
+        """Guard against one bad entry hiding the good ones."""
+        for number, spoiled in enumerate(SPOILED_ENTRIES):
+            self.store.put(build_row(f'servers/bad{number}', 9, spoiled))
+        self.assertEqual(set(self.decode().servers), {'s0', 's1', 's2'})
+
+    def test_evacuation(self) -> None:
+        """Guard against work in a data centre that was taken out."""
+        self.store.put(build_row('op/evacuate/dc-a', 9, {}))
+        fleet = self.decode()
+        self.assertEqual(fleet.usable_servers('writer'), [])
+
+    def test_bad_configuration_changes_nothing(self) -> None:
+        """Guard against a configuration that displaces a good one."""
+        decoder = FleetDecoder()
+        good = {held.key: held for held in self.client.read_all('').items}
+        before = decoder.decode(good)
+        self.store.put(build_row('op/config', 9, {'version': 8}))
+        bad = {held.key: held for held in self.client.read_all('').items}
+        self.assertIs(decoder.decode(bad).configuration, before.configuration)
+
+    def test_older_version_changes_nothing(self) -> None:
+        """Guard against a version that goes back."""
+        decoder = FleetDecoder()
+        good = {held.key: held for held in self.client.read_all('').items}
+        decoder.decode(good)
+        older = {**CONFIGURATION, 'version': 6}
+        self.store.put(build_row('op/config', 9, older))
+        listed = {held.key: held for held in self.client.read_all('').items}
+        configuration = decoder.decode(listed).configuration
+        self.assertEqual(configuration.version if configuration else 0, 7)
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -102,6 +102,16 @@
             ready.address, ready.port, self._tell_ready, READY_THREAD_COUNT
         )
 
+    @property
+    def front_port(self) -> int:
+        """Return the port for callers."""
+        return self._front.port
+
+    @property
+    def ready_port(self) -> int:
+        """Return the port for readiness."""
+        return self._ready.port
+
     def on_start(self) -> None:
         """Follow the store and serve callers."""
         self._keeper.subscribe(self._apply)
