Copy to far engines while the notice leaves time

Cause: all drafts of a leaving engine went to the one near engine, which left next with six drafts and no near engine of its own (26.28 s, two drafts cut). Now a far and less loaded engine is chosen while the time that is left allows near copies of the rest; the pace of copies is learnt from each copy.

--- a/tests/test_run_movers.py
+++ b/tests/test_run_movers.py
@@ -105,24 +105,27 @@
     def test_near_room_goes_first(self) -> None:
         """Guard against copies that take twice as long."""
         rooms = decode_rooms([[FAR, 'dc-b', 9000, 0], [NEAR, 'dc-a', 9000, 0]])
-        room = choose_room(rooms, 'dc-a', 4000)
+        room = choose_room(rooms, 'dc-a', 4000, may_go_far=False)
         self.assertEqual(room.endpoint if room else '', NEAR)
 
     def test_rooms_are_used_up(self) -> None:
         """Guard against all generations going to one engine."""
         rooms = decode_rooms([[NEAR, 'dc-a', 9000, 0], [FAR, 'dc-b', 9000, 0]])
-        chosen = [choose_room(rooms, 'dc-a', 4000) for _ in range(4)]
+        chosen = [
+            choose_room(rooms, 'dc-a', 4000, may_go_far=False) for _ in range(4)
+        ]
         self.assertEqual(
             sorted(room.endpoint for room in chosen if room),
             [NEAR, NEAR, FAR, FAR],
         )
-        self.assertIsNone(choose_room(rooms, 'dc-a', 4000))
+        self.assertIsNone(choose_room(rooms, 'dc-a', 4000, may_go_far=False))
 
     def test_malformed_rooms(self) -> None:
         """Guard against an agent that ends on a malformed report."""
         rooms = RoomFinder('writer', 'dc-a', Mock())
         rooms.learn(RoomReport([['only an endpoint']]))
-        self.assertFalse(rooms.has_near)
+        run = EngineRun('a', 3000, 5, 1)
+        self.assertIsNone(rooms.find(run, 0, may_go_far=True))
 
 
 class EngineWatcherTest(unittest.TestCase):
--- a/wasabistream/forwarding/room_finders.py
+++ b/wasabistream/forwarding/room_finders.py
@@ -34,13 +34,6 @@
         self._learnt_seconds = 0.0
         self._changed = threading.Event()
 
-    @property
-    def has_near(self) -> bool:
-        """Tell whether an engine of the same data centre was listed."""
-        return any(
-            room.data_centre == self._data_centre for room in self._rooms
-        )
-
     def learn(self, report: RoomReport) -> None:
         """Take over the rooms that an entry lists."""
         try:
@@ -53,14 +46,23 @@
             self._learnt_seconds = time.monotonic()
         self._changed.set()
 
-    def find(self, run: EngineRun, reserve_tokens: int) -> Room | None:
+    def is_far(self, room: Room) -> bool:
+        """Tell whether a room is in another data centre."""
+        return room.data_centre != self._data_centre
+
+    def find(
+        self, run: EngineRun, reserve_tokens: int, *, may_go_far: bool
+    ) -> Room | None:
         """Return room for a generation that leaves a reserve free."""
         if self._is_old():
             self._changed.clear()
             self._broadcast(RoomQuery(self._service))
             self._changed.wait(ROOM_WAIT_SECONDS)
         return choose_room(
-            self._rooms, self._data_centre, run.memory_tokens + reserve_tokens
+            self._rooms,
+            self._data_centre,
+            run.memory_tokens + reserve_tokens,
+            may_go_far=may_go_far,
         )
 
     def _is_old(self) -> bool:
--- a/wasabistream/forwarding/rooms.py
+++ b/wasabistream/forwarding/rooms.py
@@ -8,9 +8,10 @@
 # Part of an engine's memory that stays free for the growth of its own
 # generations.
 RESERVE_RATIO = 0.0
-# A copy inside the data centre takes half the time of one to another, and
-# the time of a notice is short.
-DISTANCE_RATIO = 5.0
+# A far engine is chosen when it has this much less load, depending on whether
+# the time of the notice allows the longer copy.
+EASY_DISTANCE_RATIO = 1.5
+SHORT_DISTANCE_RATIO = 6.0
 
 
 @dataclass
@@ -54,18 +55,19 @@
 
 
 def choose_room(
-    rooms: list[Room], data_centre: str, tokens: int
+    rooms: list[Room], data_centre: str, tokens: int, *, may_go_far: bool
 ) -> Room | None:
     """Return the room for one generation and take it; prefers the near."""
+    ratio = EASY_DISTANCE_RATIO if may_go_far else SHORT_DISTANCE_RATIO
     fitting = [room for room in rooms if room.free_tokens >= tokens]
     if not fitting:
         return None
-    best = min(fitting, key=lambda room: _room_cost(room, data_centre))
+    best = min(fitting, key=lambda room: _room_cost(room, data_centre, ratio))
     best.free_tokens -= tokens
     best.request_count += 1
     return best
 
 
-def _room_cost(room: Room, data_centre: str) -> float:
-    distance = 1 if room.data_centre == data_centre else DISTANCE_RATIO
+def _room_cost(room: Room, data_centre: str, ratio: float) -> float:
+    distance = 1 if room.data_centre == data_centre else ratio
     return (room.request_count + 1) * distance
--- a/wasabistream/forwarding/run_movers.py
+++ b/wasabistream/forwarding/run_movers.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from wasabistream.exceptions import BackendError
+from wasabistream.forwarding.copy_paces import CopyPace
 from wasabistream.forwarding.engine_states import EngineRun, EngineState
 from wasabistream.forwarding.move_messages import RunMoved, RunMoving
 from wasabistream.forwarding.move_outcomes import MoveOutcome
@@ -50,6 +51,7 @@
         self._endpoint = endpoint
         self._rooms = rooms
         self._broadcast = broadcast
+        self._pace = CopyPace()
 
     def move_all(self) -> None:
         """Move generations until the engine is gone or empty."""
@@ -72,12 +74,13 @@
                 time.sleep(STATE_WAIT_SECONDS)
                 continue
             run = max(runs, key=_saved_work)
-            if not self._move(run):
+            may_go_far = self._pace.may_go_far(run, runs, state.leaves_seconds)
+            if not self._move(run, may_go_far=may_go_far):
                 retry_seconds[run.run_id] = now + RETRY_SECONDS
 
-    def _move(self, run: EngineRun) -> bool:
+    def _move(self, run: EngineRun, *, may_go_far: bool) -> bool:
         started = time.monotonic()
-        room = self._rooms.find(run, GROWTH_TOKENS)
+        room = self._rooms.find(run, GROWTH_TOKENS, may_go_far=may_go_far)
         if room is None:
             logger.warning('mover: no room', extra={'request_id': run.run_id})
             return False
@@ -91,6 +94,11 @@
             room.free_tokens = 0
             # A generation that has ended meanwhile is no failure.
             return first.no_room
+        self._pace.copied(
+            run.memory_tokens,
+            time.monotonic() - started,
+            far=self._rooms.is_far(room),
+        )
         return self._finish(run, room.endpoint, first.handle, started)
 
     def _finish(
