Contain requests that crash servers, tell isolation, reload settings

A request whose server is gone right after it began to run is blamed by its caller, target and body, and all entries refuse it after the second crash. An entry that hears neither the store nor any peer or agent is not ready.

--- a/tests/forwarding_builders.py
+++ b/tests/forwarding_builders.py
@@ -1,5 +1,7 @@
 """Builders of test data for forwarding."""
 
+from unittest.mock import Mock
+
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.budgets import RepeatBudgets, RepeatLimit
 from wasabistream.forwarding.cold_limiters import ColdLimit, ColdLimiter
@@ -7,6 +9,7 @@
     RoutingConfiguration,
     group_routes,
 )
+from wasabistream.forwarding.crash_blames import CrashBlame
 from wasabistream.forwarding.fleets import Fleet, FleetHolder
 from wasabistream.forwarding.mirrors import MirrorItem
 from wasabistream.forwarding.requests import (
@@ -155,6 +158,11 @@
     return ColdLimiter(ColdLimit(1.5, 5), lambda: 1)
 
 
+def build_crash_blame() -> CrashBlame:
+    """Return a blame that finds all servers alive."""
+    return CrashBlame(Mock(), Mock())
+
+
 def build_item(key: str, revision: int, content: bytes = b'{}') -> MirrorItem:
     """Return one item of the store."""
     return MirrorItem(key, content, revision)
--- a/tests/test_plain_forwarders.py
+++ b/tests/test_plain_forwarders.py
@@ -10,6 +10,7 @@
     OWN_DATA_CENTRE,
     build_budgets,
     build_cold_limiter,
+    build_crash_blame,
     build_holder,
     build_request,
     build_route,
@@ -56,7 +57,7 @@
         sender = AttemptSender(
             self.client, book, rates, build_budgets(), build_cold_limiter()
         )
-        forwarder = PlainForwarder(chooser, sender, rates)
+        forwarder = PlainForwarder(chooser, sender, rates, build_crash_blame())
         watch = Watch(build_request(route), FakeCaller())
         return forwarder.forward(watch, AttemptHistory())
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -16,6 +16,7 @@
 from tests.platform_builders import CONFIGURATION, NODE, SERVER, build_row
 from tests.platform_stores import StandInStore
 from wasabistream.platform.entry_applications import PlatformEntry
+from wasabistream.platform.node_applications import ProcessOptions
 from wasabistream.platform.node_files import decode_node
 
 WAIT_SECONDS = 10
@@ -95,7 +96,7 @@
             'seeds': [],
             'platform': {'address': f'127.0.0.1:{cls.store.port}'},
         }
-        cls.entry = PlatformEntry(decode_node(node), 0)
+        cls.entry = PlatformEntry(decode_node(node), ProcessOptions('', 0))
         cls.entry.on_start()
         deadline = time.monotonic() + WAIT_SECONDS
         while not cls.entry.fleet.current.servers:
--- a/tests/test_stream_forwarders.py
+++ b/tests/test_stream_forwarders.py
@@ -11,6 +11,7 @@
     OWN_DATA_CENTRE,
     build_budgets,
     build_cold_limiter,
+    build_crash_blame,
     build_holder,
     build_request,
     build_route,
@@ -78,7 +79,9 @@
         sender = AttemptSender(
             self.client, book, rates, build_budgets(), build_cold_limiter()
         )
-        forwarder = StreamForwarder(holder, chooser, sender, rates, self.moves)
+        forwarder = StreamForwarder(
+            holder, chooser, sender, rates, self.moves, build_crash_blame()
+        )
         self.watch = Watch(build_request(route), self.caller)
         return forwarder.forward(self.watch, AttemptHistory(), self.progress)
 
--- /dev/null
+++ b/wasabistream/forwarding/crash_blames.py
@@ -0,0 +1,81 @@
+"""Containment of requests that crash the servers that run them."""
+
+import logging
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+from wasabistream.crash_notices import ClearNotice, CrashNotice
+from wasabistream.exceptions import NotSentError
+from wasabistream.forwarding.backend_servers import BackendServer
+from wasabistream.forwarding.requests import ForwardRequest
+from wasabistream.messages import Message
+from wasabistream.quarantines import Quarantine, Verdict
+
+logger = logging.getLogger(__name__)
+
+# Crashes of one server closer together than this are one crash.
+CRASH_SECONDS = 2.0
+
+
+class ServerProbe(Protocol):
+    """Find out whether a server still accepts connections."""
+
+    def probe(self, server: BackendServer) -> None:
+        """Connect once; raises NotSentError when that fails."""
+
+
+class CrashBlame:
+    """Blame a request whose server was gone right after it began to run.
+
+    A request is known by its caller, target and body, so that it is known
+    again when it comes back under another id and through another entry.
+    """
+
+    def __init__(
+        self,
+        probe: ServerProbe,
+        tell_entries: Callable[[Message], None],
+    ) -> None:
+        self._probe = probe
+        self._tell_entries = tell_entries
+        self._quarantine = Quarantine()
+
+    def is_banned(self, request: ForwardRequest) -> bool:
+        """Tell whether a request crashed servers more than once."""
+        verdict = self._quarantine.check(request.fingerprint)
+        return verdict == Verdict.banned
+
+    def lost(self, server: BackendServer, request: ForwardRequest) -> None:
+        """Blame a request without an answer if its server has crashed."""
+        try:
+            self._probe.probe(server)
+        except NotSentError:
+            self._blame(server, request)
+
+    def answered(self, request: ForwardRequest) -> None:
+        """Clear a request that ran to its end."""
+        if self._quarantine.cleared(request.fingerprint):
+            self._tell_entries(ClearNotice(request.fingerprint))
+
+    def learn(self, notice: CrashNotice | ClearNotice) -> None:
+        """Take over what another entry found out."""
+        if isinstance(notice, CrashNotice):
+            self._quarantine.crashed(notice.crash_id, notice.fingerprints)
+        else:
+            self._quarantine.cleared(notice.fingerprint)
+
+    def _blame(self, server: BackendServer, request: ForwardRequest) -> None:
+        crash_time = int(time.time() / CRASH_SECONDS)
+        fingerprint = request.fingerprint
+        crash_id = f'{server.endpoint}/{crash_time}/{fingerprint}'
+        if self._quarantine.crashed(crash_id, [fingerprint]):
+            self._tell_entries(CrashNotice(crash_id, [fingerprint]))
+            logger.warning(
+                'crash: server is gone while it ran a request',
+                extra={
+                    'request_id': request.request_id,
+                    'peer': server.endpoint,
+                    'crash_count': self._quarantine.crash_count(fingerprint),
+                },
+            )
--- a/wasabistream/forwarding/forwarders.py
+++ b/wasabistream/forwarding/forwarders.py
@@ -4,8 +4,10 @@
 import time
 
 from wasabistream.forwarding.attempts import AttemptHistory
+from wasabistream.forwarding.crash_blames import CrashBlame
 from wasabistream.forwarding.interfaces import Caller
 from wasabistream.forwarding.plain_forwarders import PlainForwarder
+from wasabistream.forwarding.replies import refuse
 from wasabistream.forwarding.requests import ForwardRequest, Reply
 from wasabistream.forwarding.routes import RouteKind
 from wasabistream.forwarding.stream_forwarders import (
@@ -26,10 +28,12 @@
         supervisor: Supervisor,
         plain: PlainForwarder,
         streams: StreamForwarder,
+        crashes: CrashBlame,
     ) -> None:
         self._supervisor = supervisor
         self._plain = plain
         self._streams = streams
+        self._crashes = crashes
 
     def forward(self, request: ForwardRequest, caller: Caller) -> None:
         """Forward a request until its answer is complete."""
@@ -37,6 +41,13 @@
         watch = Watch(request, caller)
         history = AttemptHistory()
         progress = StreamProgress()
+        if self._crashes.is_banned(request):
+            logger.warning(
+                'request: refused: it crashes servers',
+                extra={'request_id': request.request_id},
+            )
+            caller.reply(refuse(request.deadline.remaining_seconds))
+            return
         reply: Reply | None = None
         self._supervisor.add(watch)
         try:
--- a/wasabistream/forwarding/load_books.py
+++ b/wasabistream/forwarding/load_books.py
@@ -79,6 +79,15 @@
                 if idle and endpoint not in endpoints:
                     self._loads.pop(endpoint)
 
+    def has_fresh_reports(self) -> bool:
+        """Tell whether any agent has reported lately."""
+        oldest = self._clock() - REPORT_AGE_LIMIT_SECONDS
+        with self._lock:
+            return any(
+                load.report is not None and load.received_seconds > oldest
+                for load in self._loads.values()
+            )
+
     def estimate(self, endpoint: str) -> LoadEstimate:
         """Estimate the load of one backend server."""
         with self._lock:
--- a/wasabistream/forwarding/peer_links.py
+++ b/wasabistream/forwarding/peer_links.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable, Sequence
 
+from wasabistream.crash_notices import ClearNotice, CrashNotice
 from wasabistream.dialers import PeerDialer
 from wasabistream.exceptions import LinkError
 from wasabistream.forwarding.mirrors import MirrorItem, StoreMirror
@@ -53,7 +54,7 @@
     ) -> None:
         self._hello = hello
         self._endpoint = endpoint
-        self._seeds = [seed for seed in seeds if seed != endpoint]
+        self._seeds = tuple(seeds)
         self._mirror = mirror
         self._observed = observed
         self._is_store_lost = is_store_lost
@@ -66,6 +67,9 @@
         self._links: dict[Link, PeerNotice | None] = {}
         self._heard_seconds: dict[str, float] = {}
         self._parts: dict[Link, list[MirrorItem]] = {}
+        self._on_crash_notice: Callable[[CrashNotice | ClearNotice], None] = (
+            _ignore
+        )
         # Set when this entry shuts down.
         self.draining = False
         self._stopped = threading.Event()
@@ -75,6 +79,11 @@
         """Start to look for the other entries."""
         threading.Thread(target=self._run, name='peers', daemon=True).start()
 
+    def reseed(self, seeds: Sequence[str]) -> None:
+        """Look for the other entries at other seeds."""
+        self._seeds = tuple(seeds)
+        self._wake.set()
+
     def stop(self) -> None:
         """Close all links."""
         self._stopped.set()
@@ -87,6 +96,19 @@
         for link in links:
             link.close()
 
+    def subscribe_crashes(
+        self, handler: Callable[[CrashNotice | ClearNotice], None]
+    ) -> None:
+        """Call a handler with what other entries tell about crashes."""
+        self._on_crash_notice = handler
+
+    def tell(self, notice: Message) -> None:
+        """Send a message to all entries that are linked."""
+        with self._lock:
+            links = list(self._links)
+        for link in links:
+            self._send(link, notice)
+
     def notify(self) -> None:
         """Tell the peers at once that there is news."""
         self._wake.set()
@@ -128,6 +150,8 @@
                 case EngineAnnouncement():
                     self._announced.hear(notice)
                     self._observed.hear(notice)
+                case CrashNotice() | ClearNotice():
+                    self._on_crash_notice(notice)
                 case MirrorQuery():
                     self._tell(link, notice)
                 case MirrorPart():
@@ -143,11 +167,7 @@
     def _run(self) -> None:
         while not self._stopped.is_set():
             self._dial()
-            notice = self._notice()
-            with self._lock:
-                links = list(self._links)
-            for link in links:
-                self._send(link, notice)
+            self.tell(self._notice())
             KNOWN_ENTRIES.set(self.entry_count())
             if self._is_store_lost():
                 self._refresh_fleet()
@@ -256,3 +276,7 @@
             link.send(notice)
         except LinkError as error:
             logger.debug('peer: message lost: %s', error)
+
+
+def _ignore(notice: Message) -> None:
+    """Stand for a handler that is not set."""
--- a/wasabistream/forwarding/plain_forwarders.py
+++ b/wasabistream/forwarding/plain_forwarders.py
@@ -6,6 +6,7 @@
 from wasabistream.exceptions import BackendError, NotSentError
 from wasabistream.forwarding.attempts import AttemptHistory, AttemptSender
 from wasabistream.forwarding.backend_servers import BackendServer
+from wasabistream.forwarding.crash_blames import CrashBlame
 from wasabistream.forwarding.failure_rates import FailureRates
 from wasabistream.forwarding.interfaces import ServerExchange
 from wasabistream.forwarding.replies import bad_gateway, refuse, timed_out
@@ -33,10 +34,12 @@
         chooser: ServerChooser,
         sender: AttemptSender,
         rates: FailureRates,
+        crashes: CrashBlame,
     ) -> None:
         self._chooser = chooser
         self._sender = sender
         self._rates = rates
+        self._crashes = crashes
 
     def forward(self, watch: Watch, history: AttemptHistory) -> Reply:
         """Return the answer to a request, or a refusal."""
@@ -66,11 +69,15 @@
         self._limit_patience(watch, history)
         try:
             with self._sender.open(server, watch, history) as exchange:
-                return self._read(server, exchange)
+                reply = self._read(server, exchange)
+                self._crashes.answered(watch.request)
+                return reply
         except NotSentError as error:
             _log_attempt('not run', watch, error)
         except BackendError as error:
             _log_attempt('failed', watch, error)
+            if watch.reason is None:
+                self._crashes.lost(server, watch.request)
             if watch.reason != CutReason.caller_left:
                 self._rates.record(server.endpoint, failed=True)
         return None
--- a/wasabistream/forwarding/server_choosers.py
+++ b/wasabistream/forwarding/server_choosers.py
@@ -66,7 +66,11 @@
             for server in servers
             if not self._rates.is_unreachable(server.endpoint)
         ]
-        candidates = self._staying(reachable or servers)
+        # When none is reachable, one attempt tells whether that has changed;
+        # more would only hold the request.
+        if not reachable and not excluded:
+            reachable = servers
+        candidates = self._staying(reachable)
         if not candidates:
             return None
         data_centres = Counter(server.data_centre for server in candidates)
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -7,6 +7,7 @@
 from wasabistream.exceptions import BackendError, NotSentError
 from wasabistream.forwarding.attempts import AttemptHistory, AttemptSender
 from wasabistream.forwarding.backend_servers import BackendServer
+from wasabistream.forwarding.crash_blames import CrashBlame
 from wasabistream.forwarding.event_splitters import EventSplitter
 from wasabistream.forwarding.failure_rates import FailureRates
 from wasabistream.forwarding.fleets import FleetHolder
@@ -80,12 +81,14 @@
         sender: AttemptSender,
         rates: FailureRates,
         moves: MoveBook,
+        crashes: CrashBlame,
     ) -> None:
         self._fleet = fleet
         self._chooser = chooser
         self._sender = sender
         self._rates = rates
         self._moves = moves
+        self._crashes = crashes
 
     def forward(
         self, watch: Watch, history: AttemptHistory, progress: StreamProgress
@@ -151,6 +154,8 @@
                 self._log('cut', watch, error, progress)
             moved = self._find_move(watch)
             if moved is None:
+                if watch.reason is None and not progress.event_count:
+                    self._crashes.lost(server, watch.request)
                 return bad_gateway()
             server_found = self._server_at(moved.endpoint)
             if server_found is None:
@@ -183,6 +188,8 @@
             for event in splitter.feed(piece):
                 if _is_next(event.event_id, progress.last_event_id):
                     watch.caller.write(event.raw)
+                    if not progress.event_count:
+                        self._crashes.answered(watch.request)
                     progress.count_event(event.event_id)
         if splitter.torn or watch.reason is not None:
             raise BackendError('stream was cut', 'events', server.endpoint)
--- a/wasabistream/platform/__main__.py
+++ b/wasabistream/platform/__main__.py
@@ -10,6 +10,7 @@
 from wasabistream.logs import configure_logs
 from wasabistream.platform.agent_applications import PlatformAgent
 from wasabistream.platform.entry_applications import PlatformEntry
+from wasabistream.platform.node_applications import ProcessOptions
 from wasabistream.platform.node_files import NodeSettings, read_node_file
 
 NODE_FILE_VARIABLE = 'WASABISTREAM_NODE_FILE'
@@ -29,7 +30,7 @@
     ) -> None:
         """Run the entry of a front machine."""
         node = _read_settings(log_level)
-        _run(PlatformEntry(node, metrics_port))
+        _run(PlatformEntry(node, _options(metrics_port)))
 
     def agent(
         self,
@@ -38,13 +39,17 @@
     ) -> None:
         """Run the agent beside an engine."""
         node = _read_settings(log_level)
-        _run(PlatformAgent(node, metrics_port))
+        _run(PlatformAgent(node, _options(metrics_port)))
 
 
-def _read_settings(log_level: str) -> NodeSettings:
+def _options(metrics_port: int) -> ProcessOptions:
     path = os.environ.get(NODE_FILE_VARIABLE, DEFAULT_NODE_FILE)
+    return ProcessOptions(path, metrics_port)
+
+
+def _read_settings(log_level: str) -> NodeSettings:
     try:
-        node = read_node_file(path)
+        node = read_node_file(_options(0).settings_path)
     except SettingsError as error:
         for problem in error.problems:
             sys.stderr.write(f'{problem}\n')
--- a/wasabistream/platform/agent_applications.py
+++ b/wasabistream/platform/agent_applications.py
@@ -1,7 +1,6 @@
 """Agent: the process beside one engine."""
 
 import logging
-import secrets
 import threading
 from collections.abc import Sequence
 
@@ -17,7 +16,10 @@
 from wasabistream.messages import Message
 from wasabistream.notices import LoadReport
 from wasabistream.platform.engine_clients import EngineClient
-from wasabistream.platform.node_applications import NodeApplication
+from wasabistream.platform.node_applications import (
+    NodeApplication,
+    ProcessOptions,
+)
 from wasabistream.platform.node_files import NodeSettings
 
 logger = logging.getLogger(__name__)
@@ -28,8 +30,8 @@
 
     part = 'agent'
 
-    def __init__(self, node: NodeSettings, metrics_port: int) -> None:
-        super().__init__(node, secrets.token_hex(4), metrics_port)
+    def __init__(self, node: NodeSettings, process: ProcessOptions) -> None:
+        super().__init__(node, process)
         backend = node.backend
         if backend is None:
             raise ValueError('the settings name no backend server')
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -1,7 +1,6 @@
 """Entry: the process that callers reach."""
 
 import logging
-import secrets
 
 from cheroot.server import HTTPRequest
 
@@ -10,6 +9,7 @@
 from wasabistream.forwarding.attempts import AttemptSender
 from wasabistream.forwarding.budgets import RepeatBudgets
 from wasabistream.forwarding.cold_limiters import ColdLimiter
+from wasabistream.forwarding.crash_blames import CrashBlame
 from wasabistream.forwarding.drain_gates import DrainGate
 from wasabistream.forwarding.failure_rates import FailureRates
 from wasabistream.forwarding.fleet_keepers import FleetKeeper
@@ -28,7 +28,10 @@
 from wasabistream.forwarding.supervisors import Supervisor
 from wasabistream.listeners import LinkListener
 from wasabistream.platform.ingress_servers import HttpCaller, IngressServer
-from wasabistream.platform.node_applications import NodeApplication
+from wasabistream.platform.node_applications import (
+    NodeApplication,
+    ProcessOptions,
+)
 from wasabistream.platform.node_files import NodeSettings
 from wasabistream.platform.request_decoders import (
     decode_request,
@@ -48,6 +51,8 @@
 DRAIN_RETRY_SECONDS = 0.2
 # Refused callers without a deadline come back after this time.
 UNKNOWN_DEADLINE_SECONDS = 3.0
+# Peers and agents are heard at least once in this time.
+ISOLATED_SECONDS = 3.0
 READY_STATUS = 200
 NOT_READY_STATUS = 503
 
@@ -57,8 +62,8 @@
 
     part = 'entry'
 
-    def __init__(self, node: NodeSettings, metrics_port: int) -> None:
-        super().__init__(node, secrets.token_hex(4), metrics_port)
+    def __init__(self, node: NodeSettings, process: ProcessOptions) -> None:
+        super().__init__(node, process)
         self.fleet = FleetHolder()
         self.mirror = StoreMirror()
         self._book = LoadBook()
@@ -78,7 +83,7 @@
         self._peers = PeerLinks(
             self.hello,
             f'{control.address}:{control.port}',
-            [f'{seed.address}:{seed.port}' for seed in node.seeds],
+            _endpoints(node),
             self.mirror,
             observed,
             self._is_store_lost,
@@ -129,6 +134,10 @@
         self._peers.notify()
         self._drain_gate.close(self.settings.drain_limit_seconds)
 
+    def on_reload(self, node: NodeSettings) -> None:
+        """Look for the other entries at new seeds."""
+        self._peers.reseed(_endpoints(node))
+
     def on_stop(self) -> None:
         """Close the servers and the links."""
         self.follower.stop()
@@ -155,8 +164,11 @@
             self._cold,
             self.node.data_centre,
         )
+        client = HttpServerClient()
+        crashes = CrashBlame(client, self._peers.tell)
+        self._peers.subscribe_crashes(crashes.learn)
         sender = AttemptSender(
-            HttpServerClient(),
+            client,
             self._book,
             self._rates,
             RepeatBudgets(
@@ -166,8 +178,11 @@
         )
         return Forwarder(
             self._supervisor,
-            PlainForwarder(chooser, sender, self._rates),
-            StreamForwarder(self.fleet, chooser, sender, self._rates, moves),
+            PlainForwarder(chooser, sender, self._rates, crashes),
+            StreamForwarder(
+                self.fleet, chooser, sender, self._rates, moves, crashes
+            ),
+            crashes,
         )
 
     def _handle(self, request: HTTPRequest, body: bytes) -> None:
@@ -203,7 +218,7 @@
 
     def _tell_ready(self, request: HTTPRequest, body: bytes) -> None:
         known = self.fleet.current.configuration is not None
-        ready = known and not self.draining
+        ready = known and not self.draining and not self._is_isolated()
         status = READY_STATUS if ready else NOT_READY_STATUS
         HttpCaller(request, '').reply(Reply(status))
 
@@ -228,5 +243,17 @@
     def _is_store_lost(self) -> bool:
         return self.follower.lost_since_seconds is not None
 
+    def _is_isolated(self) -> bool:
+        """Tell whether neither the store nor any peer or agent is heard."""
+        return (
+            self.follower.away_seconds > ISOLATED_SECONDS
+            and self._peers.entry_count() == 1
+            and not self._book.has_fresh_reports()
+        )
+
     def _is_responsive(self, endpoint: str) -> bool:
         return self._book.estimate(endpoint).responsive
+
+
+def _endpoints(node: NodeSettings) -> list[str]:
+    return [f'{seed.address}:{seed.port}' for seed in node.seeds]
--- a/wasabistream/platform/server_clients.py
+++ b/wasabistream/platform/server_clients.py
@@ -20,7 +20,7 @@
 
 # A machine without power does not answer; a connection within a region takes
 # a few milliseconds, and its first packet is sent again only after a second.
-CONNECT_TIMEOUT_SECONDS = 0.4
+CONNECT_TIMEOUT_SECONDS = 0.25
 # A socket without a timeout would wait for ever.
 MIN_TIMEOUT_SECONDS = 0.001
 READ_BYTES = 64 * 1024
@@ -117,6 +117,10 @@
             connection.close()
             raise
 
+    def probe(self, server: BackendServer) -> None:
+        """Connect once; raises NotSentError when that fails."""
+        connect(server.address, server.port, server.endpoint).close()
+
 
 def connect(address: str, port: int, peer: str) -> HTTPConnection:
     """Open a connection to a backend server; raises NotSentError."""
