Split large modules of the platform's entry and drop unused parts

Requests are handled in request_handlers, stores are exchanged in mirror_exchanges, entries that were heard are kept in heard_entries, and the progress of a stream has a module of its own. One list of hop-by-hop headers serves both interfaces. An event that is too long ends its stream.

--- a/tests/forwarding_builders.py
+++ b/tests/forwarding_builders.py
@@ -49,7 +49,6 @@
         max_attempt_count=max_attempt_count,
         public=False,
         resumable=resumable,
-        event_gap_seconds=0.18,
     )
 
 
@@ -101,13 +100,13 @@
     *routes: Route, version: int = 1
 ) -> RoutingConfiguration:
     """Return a configuration with an engine and a plain service."""
-    engine = EngineProfile(24, MEMORY_TOKENS, moves=True, backups=True)
+    engine = EngineProfile(24, MEMORY_TOKENS)
     return RoutingConfiguration(
         version=version,
         routes_by_host=group_routes(routes),
         services={
-            ENGINE_SERVICE: Service(ENGINE_SERVICE, '/health', 240, 37, engine),
-            PLAIN_SERVICE: Service(PLAIN_SERVICE, '/health', 100, 0, None),
+            ENGINE_SERVICE: Service(ENGINE_SERVICE, 37, engine),
+            PLAIN_SERVICE: Service(PLAIN_SERVICE, 0, None),
         },
         key_holders=None,
     )
--- a/tests/test_event_splitters.py
+++ b/tests/test_event_splitters.py
@@ -6,7 +6,12 @@
 from hypothesis import strategies as st
 
 from tests.forwarding_fakes import events
-from wasabistream.forwarding.event_splitters import EventSplitter, StreamEvent
+from wasabistream.exceptions import BackendError
+from wasabistream.forwarding.event_splitters import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    StreamEvent,
+)
 
 
 class EventSplitterTest(unittest.TestCase):
@@ -35,6 +40,12 @@
         self.assertEqual([event.event_id for event in found], ['1'])
         self.assertTrue(splitter.torn)
 
+    def test_endless_event(self) -> None:
+        """Guard against memory that one stream fills."""
+        splitter = EventSplitter()
+        with self.assertRaises(BackendError):
+            list(splitter.feed(b'x' * (MAX_EVENT_BYTES + 1)))
+
     def test_version_line_before_the_id(self) -> None:
         """Guard against an id that is missed behind another field."""
         raw = b'wasabistream-weight-versions: 2\r\nid: 7\r\ndata: x\r\n\r\n'
--- a/tests/test_stream_forwarders.py
+++ b/tests/test_stream_forwarders.py
@@ -37,10 +37,8 @@
 from wasabistream.forwarding.requests import Reply
 from wasabistream.forwarding.routes import Route, RouteKind
 from wasabistream.forwarding.server_choosers import ServerChooser
-from wasabistream.forwarding.stream_forwarders import (
-    StreamForwarder,
-    StreamProgress,
-)
+from wasabistream.forwarding.stream_forwarders import StreamForwarder
+from wasabistream.forwarding.stream_progress import StreamProgress
 from wasabistream.forwarding.supervisors import CutReason, Watch
 
 DRAFT = build_route(RouteKind.streaming, max_attempt_count=1)
--- a/wasabistream/forwarding/backend_servers.py
+++ b/wasabistream/forwarding/backend_servers.py
@@ -15,7 +15,8 @@
     slot_count: int
     draining: bool
     cold_remaining_seconds: float
-    # Start of this incarnation; 0 where the list does not tell.
+    # Tells a new start under the same id from the one before; 0 where the
+    # list does not tell.
     started_unix_ms: int
 
     @property
--- a/wasabistream/forwarding/drain_gates.py
+++ b/wasabistream/forwarding/drain_gates.py
@@ -32,6 +32,11 @@
         self._end_seconds: float | None = None
         self._early_end_seconds = 0.0
 
+    @property
+    def closed(self) -> bool:
+        """Tell whether the entry shuts down."""
+        return self._end_seconds is not None
+
     def close(self, remaining_seconds: float) -> None:
         """Start to shut down; the process ends after this time."""
         with self._lock:
--- a/wasabistream/forwarding/event_splitters.py
+++ b/wasabistream/forwarding/event_splitters.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from wasabistream.exceptions import BackendError
+
 EVENT_ENDS = (b'\n\n', b'\r\n\r\n')
 ID_FIELD = b'id:'
 # An event of a few tokens is far shorter.
@@ -30,8 +32,13 @@
         return bool(self._pending)
 
     def feed(self, piece: bytes) -> Iterator[StreamEvent]:
-        """Return the events that a piece completes."""
+        """Return the events that a piece completes.
+
+        Raises BackendError when an event is too long to hold.
+        """
         self._pending += piece
+        if len(self._pending) > MAX_EVENT_BYTES:
+            raise BackendError('event is too long', 'events')
         while True:
             end = _event_end(self._pending)
             if not end:
--- a/wasabistream/forwarding/forwarders.py
+++ b/wasabistream/forwarding/forwarders.py
@@ -10,10 +10,8 @@
 from wasabistream.forwarding.replies import refuse
 from wasabistream.forwarding.requests import ForwardRequest, Reply
 from wasabistream.forwarding.routes import RouteKind
-from wasabistream.forwarding.stream_forwarders import (
-    StreamForwarder,
-    StreamProgress,
-)
+from wasabistream.forwarding.stream_forwarders import StreamForwarder
+from wasabistream.forwarding.stream_progress import StreamProgress
 from wasabistream.forwarding.supervisors import Supervisor, Watch
 from wasabistream.metrics import FORWARD_SECONDS, REQUESTS
 
--- /dev/null
+++ b/wasabistream/forwarding/mirror_exchanges.py
@@ -0,0 +1,57 @@
+"""Exchange of what entries have read from the store."""
+
+import logging
+from collections.abc import Iterator
+
+from wasabistream.forwarding.mirrors import MirrorItem, StoreMirror
+from wasabistream.forwarding.peer_messages import MirrorPart
+from wasabistream.links import Link
+
+logger = logging.getLogger(__name__)
+
+# Items are joined into frames up to this size.
+PART_BYTES = 256 * 1024
+
+
+class MirrorExchange:
+    """Give a peer the items of the store, and take over a peer's."""
+
+    def __init__(self, mirror: StoreMirror) -> None:
+        self._mirror = mirror
+        self._collected: dict[Link, list[MirrorItem]] = {}
+
+    def parts_after(self, revision: int) -> Iterator[MirrorPart]:
+        """Return the listing for a peer that is behind, else nothing."""
+        own_revision = self._mirror.revision
+        if revision >= own_revision:
+            return
+        rows: list[list[object]] = []
+        size_bytes = 0
+        for held in self._mirror.items():
+            size_bytes += len(held.content)
+            if rows and size_bytes > PART_BYTES:
+                yield MirrorPart(own_revision, rows, last=False)
+                rows, size_bytes = [], len(held.content)
+            rows.append([held.key, held.content, held.revision])
+        yield MirrorPart(own_revision, rows, last=True)
+
+    def collect(self, link: Link, part: MirrorPart) -> list[MirrorItem] | None:
+        """Add a part; return the listing when it is complete."""
+        items = self._collected.setdefault(link, [])
+        try:
+            items.extend(
+                MirrorItem(str(key), bytes(content), int(revision))
+                for key, content, revision in part.rows
+            )
+        except (TypeError, ValueError) as error:
+            logger.warning('peer: listing is malformed: %r', error)
+            self.forget(link)
+            return None
+        if not part.last:
+            return None
+        self.forget(link)
+        return items
+
+    def forget(self, link: Link) -> None:
+        """Drop what a link has sent so far."""
+        self._collected.pop(link, None)
--- a/wasabistream/forwarding/peer_links.py
+++ b/wasabistream/forwarding/peer_links.py
@@ -2,13 +2,14 @@
 
 import logging
 import threading
-import time
 from collections.abc import Callable, Sequence
 
 from wasabistream.crash_notices import ClearNotice, CrashNotice
 from wasabistream.dialers import PeerDialer
 from wasabistream.exceptions import LinkError
-from wasabistream.forwarding.mirrors import MirrorItem, StoreMirror
+from wasabistream.forwarding.heard_entries import HeardEntries
+from wasabistream.forwarding.mirror_exchanges import MirrorExchange
+from wasabistream.forwarding.mirrors import StoreMirror
 from wasabistream.forwarding.observed_engines import (
     EngineAnnouncement,
     ObservedEngines,
@@ -26,12 +27,8 @@
 logger = logging.getLogger(__name__)
 
 NOTICE_SECONDS = 1.0
-# An entry that was not heard for three notices does not count as alive.
-ALIVE_SECONDS = 3.5
 # Links that an entry opens; more entries are counted but not dialled.
 MAX_DIALER_COUNT = 40
-# Items are joined into frames up to this size.
-PART_BYTES = 256 * 1024
 
 
 class PeerLinks:
@@ -65,8 +62,8 @@
         self._lock = threading.Lock()
         self._dialers: dict[str, PeerDialer] = {}
         self._links: dict[Link, PeerNotice | None] = {}
-        self._heard_seconds: dict[str, float] = {}
-        self._parts: dict[Link, list[MirrorItem]] = {}
+        self._heard = HeardEntries(endpoint)
+        self._exchange = MirrorExchange(mirror)
         self._on_crash_notice: Callable[[CrashNotice | ClearNotice], None] = (
             _ignore
         )
@@ -115,14 +112,7 @@
 
     def entry_count(self) -> int:
         """Return how many entries are alive, this one included."""
-        oldest = time.monotonic() - ALIVE_SECONDS
-        with self._lock:
-            heard = [
-                endpoint
-                for endpoint, seconds in self._heard_seconds.items()
-                if seconds >= oldest and endpoint != self._endpoint
-            ]
-        return len(heard) + 1
+        return len(self._heard.alive()) + 1
 
     def others_serve(self) -> bool:
         """Tell whether most of the other entries do not shut down."""
@@ -153,15 +143,16 @@
                 case CrashNotice() | ClearNotice():
                     self._on_crash_notice(notice)
                 case MirrorQuery():
-                    self._tell(link, notice)
+                    for part in self._exchange.parts_after(notice.revision):
+                        self._send(link, part)
                 case MirrorPart():
-                    self._collect(link, notice)
+                    self._take_over(link, notice)
 
     def on_closed(self, link: Link, reason: str) -> None:
         """Forget a link that ended."""
         with self._lock:
             self._links.pop(link, None)
-            self._parts.pop(link, None)
+            self._exchange.forget(link)
         logger.info('peer: link to %s ended: %s', link.peer.peer_id, reason)
 
     def _run(self) -> None:
@@ -175,13 +166,9 @@
             self._wake.clear()
 
     def _dial(self) -> None:
-        oldest = time.monotonic() - ALIVE_SECONDS
+        # Of two entries, one dials; seeds are dialled by all.
+        alive = {one for one in self._heard.alive() if one < self._endpoint}
         with self._lock:
-            alive = {
-                endpoint
-                for endpoint, seconds in self._heard_seconds.items()
-                if seconds >= oldest and endpoint < self._endpoint
-            }
             wanted = (alive | set(self._seeds)) - {self._endpoint}
             for gone in set(self._dialers) - wanted:
                 self._dialers.pop(gone).stop()
@@ -211,16 +198,9 @@
         )
 
     def _learn(self, link: Link, notice: PeerNotice) -> None:
-        now = time.monotonic()
         with self._lock:
             self._links[link] = notice
-            self._heard_seconds[notice.endpoint] = now
-            for endpoint in notice.known:
-                # What a peer hears is up to one notice older.
-                seconds = self._heard_seconds.get(endpoint, 0)
-                self._heard_seconds[endpoint] = max(
-                    seconds, now - NOTICE_SECONDS
-                )
+        self._heard.hear(notice.endpoint, notice.known)
         self._learn_engines(notice)
         newer = notice.revision > self._mirror.revision
         if newer and self._is_store_lost():
@@ -235,41 +215,17 @@
         except (TypeError, ValueError) as error:
             logger.warning('peer: engines are malformed: %r', error)
 
-    def _tell(self, link: Link, query: MirrorQuery) -> None:
-        if query.revision >= self._mirror.revision:
+    def _take_over(self, link: Link, part: MirrorPart) -> None:
+        items = self._exchange.collect(link, part)
+        # The store itself goes first as soon as it can be read.
+        if items is None or not self._is_store_lost():
             return
-        revision = self._mirror.revision
-        rows: list[list[object]] = []
-        size_bytes = 0
-        for held in self._mirror.items():
-            size_bytes += len(held.content)
-            if rows and size_bytes > PART_BYTES:
-                self._send(link, MirrorPart(revision, rows, last=False))
-                rows, size_bytes = [], len(held.content)
-            rows.append([held.key, held.content, held.revision])
-        self._send(link, MirrorPart(revision, rows, last=True))
-
-    def _collect(self, link: Link, part: MirrorPart) -> None:
-        items = self._parts.setdefault(link, [])
-        try:
-            items.extend(
-                MirrorItem(str(key), bytes(content), int(revision))
-                for key, content, revision in part.rows
-            )
-        except (TypeError, ValueError) as error:
-            logger.warning('peer: listing is malformed: %r', error)
-            self._parts.pop(link, None)
-            return
-        if part.last:
-            self._parts.pop(link, None)
-            # The store itself goes first as soon as it can be read.
-            if self._is_store_lost():
-                taken = self._mirror.replace(items, part.revision)
-                logger.info(
-                    'peer: read the store through %s',
-                    link.peer.peer_id,
-                    extra={'revision': part.revision, 'taken': taken},
-                )
+        taken = self._mirror.replace(items, part.revision)
+        logger.info(
+            'peer: read the store through %s',
+            link.peer.peer_id,
+            extra={'revision': part.revision, 'taken': taken},
+        )
 
     def _send(self, link: Link, notice: Message) -> None:
         try:
--- a/wasabistream/forwarding/routes.py
+++ b/wasabistream/forwarding/routes.py
@@ -39,8 +39,6 @@
     public: bool
     # A stream may be continued by a new generation at its last event.
     resumable: bool
-    # Longest pause between events; 0 on routes without streams.
-    event_gap_seconds: float
 
     @property
     def repeatable(self) -> bool:
--- a/wasabistream/forwarding/services.py
+++ b/wasabistream/forwarding/services.py
@@ -9,9 +9,6 @@
 
     slot_count: int
     memory_tokens: int
-    # Whether memory of a generation can be copied to another engine.
-    moves: bool
-    backups: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,8 +16,6 @@
     """Describe a service and the limits of each of its backend servers."""
 
     name: str
-    health_path: str
-    max_connection_count: int
     # Requests that a cold backend server bears in a second; 0 is no limit.
     cold_requests_per_second: float
     engine: EngineProfile | None
--- /dev/null
+++ b/wasabistream/forwarding/stream_progress.py
@@ -0,0 +1,43 @@
+"""Progress of a stream towards its caller."""
+
+import time
+from dataclasses import dataclass, field
+
+from wasabistream.metrics import FIRST_TOKEN_SECONDS
+
+
+@dataclass
+class StreamProgress:
+    """Hold how much of a stream its caller has."""
+
+    begun: bool = False
+    last_event_id: str = ''
+    event_count: int = 0
+    move_count: int = 0
+    complete: bool = False
+    started_seconds: float = field(default_factory=time.monotonic)
+    first_event_seconds: float = 0
+    last_event_at_seconds: float = 0
+    longest_gap_seconds: float = 0
+
+    def count_event(self, event_id: str) -> None:
+        """Note an event that the caller got."""
+        now = time.monotonic()
+        if self.event_count:
+            gap_seconds = now - self.last_event_at_seconds
+            self.longest_gap_seconds = max(
+                self.longest_gap_seconds, gap_seconds
+            )
+        else:
+            self.first_event_seconds = now - self.started_seconds
+            FIRST_TOKEN_SECONDS.observe(self.first_event_seconds)
+        self.last_event_at_seconds = now
+        self.last_event_id = event_id
+        self.event_count += 1
+
+    @property
+    def outcome(self) -> str:
+        """Return how the stream ended, for the log."""
+        if not self.begun:
+            return 'answered'
+        return 'complete' if self.complete else 'cut'
--- a/wasabistream/platform/engine_clients.py
+++ b/wasabistream/platform/engine_clients.py
@@ -66,12 +66,6 @@
             status=answer.status,
         )
 
-    def drop_copy(self, handle: str) -> None:
-        """Free the copy of a handle at both ends; raises BackendError."""
-        self._call(
-            'DELETE', f'/-/kv-handle/{handle}', None, REPORT_TIMEOUT_SECONDS
-        )
-
     def _call(
         self, method: str, path: str, body: object, timeout_seconds: float
     ) -> _Answer:
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -1,10 +1,7 @@
 """Entry: the process that callers reach."""
 
-import logging
-
 from cheroot.server import HTTPRequest
 
-from wasabistream.exceptions import RequestError
 from wasabistream.forwarding.agent_links import AgentLinks
 from wasabistream.forwarding.attempts import AttemptSender
 from wasabistream.forwarding.budgets import RepeatBudgets
@@ -21,7 +18,6 @@
 from wasabistream.forwarding.observed_engines import ObservedEngines
 from wasabistream.forwarding.peer_links import PeerLinks
 from wasabistream.forwarding.plain_forwarders import PlainForwarder
-from wasabistream.forwarding.replies import refuse
 from wasabistream.forwarding.requests import Reply
 from wasabistream.forwarding.server_choosers import ServerChooser
 from wasabistream.forwarding.stream_forwarders import StreamForwarder
@@ -33,24 +29,17 @@
     ProcessOptions,
 )
 from wasabistream.platform.node_files import NodeSettings
-from wasabistream.platform.request_decoders import (
-    decode_request,
-    request_id_of,
-)
+from wasabistream.platform.request_handlers import RequestHandler
 from wasabistream.platform.server_clients import HttpServerClient
 from wasabistream.platform.store_clients import StoreClient
 from wasabistream.platform.store_decoders import FleetDecoder
 from wasabistream.platform.store_followers import StoreFollower
 
-logger = logging.getLogger(__name__)
-
 # Each request in progress holds one thread.
 THREAD_COUNT = 128
 READY_THREAD_COUNT = 2
-# Other entries can serve at once what this one refuses as it shuts down.
-DRAIN_RETRY_SECONDS = 0.2
-# Refused callers without a deadline come back after this time.
-UNKNOWN_DEADLINE_SECONDS = 3.0
+# The balancer asks each second and takes an entry out after two misses.
+BALANCER_NOTICE_SECONDS = 2.5
 # Peers and agents are heard at least once in this time.
 ISOLATED_SECONDS = 3.0
 READY_STATUS = 200
@@ -97,11 +86,13 @@
         )
         self._drain_gate = DrainGate(self._peers.others_serve)
         self._supervisor = Supervisor(self._is_responsive)
-        self._forwarder = self._make_forwarder(moves)
+        handler = RequestHandler(
+            self.fleet, self._drain_gate, self._make_forwarder(moves)
+        )
         front = node.listen['front']
         ready = node.listen['ready']
         self._front = IngressServer(
-            front.address, front.port, self._handle, THREAD_COUNT
+            front.address, front.port, handler.handle, THREAD_COUNT
         )
         self._ready = IngressServer(
             ready.address, ready.port, self._tell_ready, READY_THREAD_COUNT
@@ -150,7 +141,7 @@
 
     def notice_seconds(self) -> float:
         """Return how long the balancer may still send connections."""
-        return 2.5
+        return BALANCER_NOTICE_SECONDS
 
     def work_in_progress(self) -> list[str]:
         """Return the ids of requests whose callers still wait."""
@@ -185,37 +176,6 @@
             crashes,
         )
 
-    def _handle(self, request: HTTPRequest, body: bytes) -> None:
-        if self.draining:
-            request.close_connection = True
-        caller = HttpCaller(request, request_id_of(request))
-        configuration = self.fleet.current.configuration
-        if configuration is None:
-            caller.reply(refuse(UNKNOWN_DEADLINE_SECONDS))
-            return
-        try:
-            decoded = decode_request(configuration, request, body)
-        except RequestError as error:
-            logger.info(
-                'request: refused: %s',
-                error.reason,
-                extra={
-                    'request_id': request_id_of(request),
-                    'status': error.status,
-                    'version': configuration.version,
-                },
-            )
-            caller.reply(Reply(error.status))
-            return
-        if not self._drain_gate.admits(decoded):
-            logger.info(
-                'request: refused: this entry shuts down',
-                extra={'request_id': decoded.request_id},
-            )
-            caller.reply(refuse(DRAIN_RETRY_SECONDS))
-            return
-        self._forwarder.forward(decoded, caller)
-
     def _tell_ready(self, request: HTTPRequest, body: bytes) -> None:
         known = self.fleet.current.configuration is not None
         ready = known and not self.draining and not self._is_isolated()
--- a/wasabistream/platform/header_names.py
+++ b/wasabistream/platform/header_names.py
@@ -1,11 +1,12 @@
 """Names of the platform's HTTP headers, in lower case."""
 
+from wasabistream.headers import HOP_BY_HOP
+
 REQUEST_ID = 'wasabistream-request-attempt-id'
 REMAINING_MS = 'wasabistream-deadline-remaining'
 EXPECTED_SERVER = 'wasabistream-expect-replica'
 EXPECTED_VERSION = 'wasabistream-expect-version'
 ORGANISATION = 'wasabistream-tenant'
-MODEL = 'wasabistream-model'
 # Prompt tokens and the most output tokens.
 TOKENS = 'wasabistream-token-usage'
 LENGTH_HINT = 'wasabistream-length-hint'
@@ -18,8 +19,6 @@
 LAST_EVENT_ID = 'last-event-id'
 SEAL = 'wasabistream-response-seal'
 NOT_EXECUTED = 'wasabistream-not-executed'
-SERVER_ID = 'wasabistream-replica-id'
-COLD_MS = 'wasabistream-cold-ms'
 
 # Headers that only the system may set.
 SYSTEM_ONLY = frozenset(
@@ -35,19 +34,5 @@
         MEMORY_FETCH,
     )
 )
-# Headers that concern one connection.
-HOP_BY_HOP = frozenset(
-    (
-        'connection',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-        'content-length',
-        'expect',
-    )
-)
+# Headers that concern one connection or are written anew for each.
+CONNECTION_ONLY = HOP_BY_HOP | {'content-length', 'expect'}
--- a/wasabistream/platform/request_decoders.py
+++ b/wasabistream/platform/request_decoders.py
@@ -27,7 +27,7 @@
         names.NOT_EXECUTED,
     )
 )
-NOT_FORWARDED = names.SYSTEM_ONLY | names.HOP_BY_HOP | REWRITTEN
+NOT_FORWARDED = names.SYSTEM_ONLY | names.CONNECTION_ONLY | REWRITTEN
 
 
 def decode_request(
--- a/wasabistream/platform/server_clients.py
+++ b/wasabistream/platform/server_clients.py
@@ -226,4 +226,4 @@
 
 
 def _passed_headers(pairs: list[tuple[str, str]]) -> Headers:
-    return tuple(pair for pair in pairs if pair[0] not in names.HOP_BY_HOP)
+    return tuple(pair for pair in pairs if pair[0] not in names.CONNECTION_ONLY)
--- a/wasabistream/platform/store_decoders.py
+++ b/wasabistream/platform/store_decoders.py
@@ -184,7 +184,6 @@
         max_attempt_count=int(row.get('max_attempts', 1)),
         public=bool(row.get('public', False)),
         resumable=bool(row.get('resumable', False)),
-        event_gap_seconds=(float(row.get('gap_aim_ms') or 0) / MILLISECONDS),
     )
 
 
@@ -192,8 +191,6 @@
     engine = row.get('engine')
     return Service(
         name=str(row['name']),
-        health_path=str(row.get('health_path', '')),
-        max_connection_count=int(row.get('max_connections', 0)),
         cold_requests_per_second=float(row.get('cold_per_s') or 0),
         engine=_decode_engine(engine) if engine else None,
     )
@@ -203,8 +200,6 @@
     return EngineProfile(
         slot_count=int(row['slots']),
         memory_tokens=int(row['kv_tokens']),
-        moves=bool(row.get('moves', False)),
-        backups=bool(row.get('backups', False)),
     )
 
 
