Keep a moved generation one run and never answer inside a stream

Found by reading the change, each with a test that failed first: a draft that was moved before its first event and then turned away could be sent again as a new request; a failure after a move was written into the stream that had begun; a chat that had run and was then turned away was refused as not run; a cut by the supervisor was taken for a crash, as its reason was reset too early. Moves no longer count as attempts that did not happen.

--- a/tests/test_stream_forwarders.py
+++ b/tests/test_stream_forwarders.py
@@ -164,6 +164,29 @@
         reply = self.forward(DRAFT, *(turned_away() for _ in range(3)))
         self.assertEqual(reply.status if reply else 0, 503)
 
+    def test_moved_draft_that_is_turned_away(self) -> None:
+        """Guard against a second run of a draft without events yet."""
+        self.moves.moved(moved())
+        reply = self.forward(DRAFT, no_answer(), turned_away())
+        self.assertEqual(reply.status if reply else 0, 502)
+        self.assertEqual(len(self.client.sent), 2)
+
+    def test_failure_after_a_move(self) -> None:
+        """Guard against a second answer inside a stream."""
+        self.moves.moved(moved())
+        reply = self.forward(
+            DRAFT, stream(events(1, 2), cut=True), whole(500, b'no')
+        )
+        self.assertIsNone(reply)
+        self.assertTrue(self.caller.aborted)
+
+    def test_chat_that_ran_and_was_turned_away(self) -> None:
+        """Guard against "not run" for a reply whose first attempt ran."""
+        reply = self.forward(
+            CHAT, whole(500, b'no'), turned_away(), turned_away(), turned_away()
+        )
+        self.assertEqual(reply.status if reply else 0, 500)
+
     def test_failure_of_an_engine_is_handed_on(self) -> None:
         """Guard against hiding what the engine answered."""
         reply = self.forward(DRAFT, whole(500, b'no'))
--- /dev/null
+++ b/tests/test_supervisors.py
@@ -0,0 +1,98 @@
+"""Tests of exchanges that are ended early.
+
+Pattern: callers that leave before their answer, servers that hang.
+"""
+
+import dataclasses
+import threading
+import time
+import unittest
+from collections.abc import Callable
+
+from tests.forwarding_builders import build_request
+from tests.forwarding_fakes import FakeCaller, FakeExchange, whole
+from wasabistream.forwarding.supervisors import CutReason, Supervisor, Watch
+from wasabistream.retries import Deadline
+
+WAIT_SECONDS = 5
+ENDPOINT = '10.0.0.1:8000'
+
+
+def wait_for(condition: Callable[[], bool]) -> bool:
+    """Wait until a condition holds; tell whether it did."""
+    deadline = time.monotonic() + WAIT_SECONDS
+    while time.monotonic() < deadline:
+        if condition():
+            return True
+        time.sleep(0.02)
+    return False
+
+
+class SupervisorTest(unittest.TestCase):
+    """Guard against work that goes on for nobody."""
+
+    def setUp(self) -> None:
+        """Watch one request whose exchange is open."""
+        self.responsive = threading.Event()
+        self.responsive.set()
+        self.caller = FakeCaller()
+        self.exchange = whole()
+        self.watch = Watch(build_request(), self.caller)
+        self.watch.attach(ENDPOINT, self.exchange)
+
+    def supervise(self) -> None:
+        """Start to look at the request."""
+        supervisor = Supervisor(lambda endpoint: self.responsive.is_set())
+        supervisor.add(self.watch)
+        supervisor.start()
+        self.addCleanup(supervisor.stop)
+
+    def is_cut(self, exchange: FakeExchange | None = None) -> bool:
+        """Wait for the end of the exchange."""
+        ended = exchange or self.exchange
+        return wait_for(lambda: ended.closed)
+
+    def test_caller_left(self) -> None:
+        """Guard against a server that works for a caller who left."""
+        self.supervise()
+        self.caller.left = True
+        self.assertTrue(self.is_cut())
+        self.assertTrue(self.watch.ended)
+
+    def test_deadline(self) -> None:
+        """Guard against a request that is held past its time."""
+        request = dataclasses.replace(build_request(), deadline=Deadline(0))
+        self.watch = Watch(request, self.caller)
+        self.watch.attach(ENDPOINT, self.exchange)
+        self.supervise()
+        self.assertTrue(self.is_cut())
+        self.assertEqual(self.watch.reason, CutReason.timeout)
+
+    def test_silent_engine(self) -> None:
+        """Guard against a stream that waits for an engine gone dark."""
+        self.supervise()
+        self.responsive.clear()
+        self.assertTrue(self.is_cut())
+        self.assertFalse(self.watch.ended)
+
+    def test_slow_attempt(self) -> None:
+        """Guard against a lookup that waits for one slow server."""
+        self.watch.attempt_end_seconds = time.monotonic()
+        self.supervise()
+        self.assertTrue(self.is_cut())
+        self.assertEqual(self.watch.reason, CutReason.slow)
+
+    def test_reason_outlives_the_exchange(self) -> None:
+        """Guard against a cut that is taken for a crash of the server."""
+        self.watch.cut(CutReason.slow)
+        self.watch.attach('', None)
+        self.assertEqual(self.watch.reason, CutReason.slow)
+        self.watch.attach(ENDPOINT, whole())
+        self.assertIsNone(self.watch.reason)
+
+    def test_exchange_after_the_caller_left(self) -> None:
+        """Guard against an attempt that starts after its caller left."""
+        self.watch.cut(CutReason.caller_left)
+        later = whole()
+        self.watch.attach(ENDPOINT, later)
+        self.assertTrue(later.closed)
--- a/wasabistream/forwarding/attempts.py
+++ b/wasabistream/forwarding/attempts.py
@@ -120,6 +120,8 @@
         continuation: Continuation | None,
     ) -> ServerExchange:
         started = time.monotonic()
+        # A generation that goes on elsewhere is the same run.
+        counted = continuation is None or not continuation.handle
         try:
             exchange = self._client.open(
                 server,
@@ -132,7 +134,7 @@
             self._rates.unreachable(server.endpoint)
             raise
         except BackendError:
-            history.run_count += 1
+            history.run_count += counted
             if not watch.ended:
                 self._rates.record(server.endpoint, failed=True)
             raise
@@ -144,5 +146,5 @@
                 f'head after {time.monotonic() - started:.3f} s',
                 server.endpoint,
             )
-        history.run_count += 1
+        history.run_count += counted
         return exchange
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -12,7 +12,13 @@
 from wasabistream.forwarding.interfaces import ServerExchange
 from wasabistream.forwarding.move_books import MoveBook
 from wasabistream.forwarding.move_messages import RunMoved
-from wasabistream.forwarding.replies import bad_gateway, refuse, timed_out
+from wasabistream.forwarding.replies import (
+    BAD_GATEWAY,
+    NOT_RUN,
+    bad_gateway,
+    refuse,
+    timed_out,
+)
 from wasabistream.forwarding.requests import Continuation, Reply
 from wasabistream.forwarding.server_choosers import ServerChooser
 from wasabistream.forwarding.stream_progress import StreamProgress
@@ -62,18 +68,14 @@
                 break
             continuation = _resumption(progress)
             reply = self._follow(server, watch, history, progress, continuation)
-            if reply is None or not self._may_repeat(reply, watch, progress):
+            if reply is None:
+                return None
+            if not progress.begun and not _may_repeat(reply, watch):
                 return reply
-            failure = reply
+            if reply.status != NOT_RUN:
+                failure = reply
         return self._give_up(watch, history, progress, failure)
 
-    def _may_repeat(
-        self, reply: Reply, watch: Watch, progress: StreamProgress
-    ) -> bool:
-        if reply.status in {502, 503}:
-            return True
-        return reply.status >= SERVER_ERROR and watch.request.route.repeatable
-
     def _give_up(
         self,
         watch: Watch,
@@ -123,8 +125,6 @@
                 return bad_gateway()
             server = server_found
             progress.move_count += 1
-            # A generation that goes on is the same run, not a new attempt.
-            history.run_count -= 1
             continuation = Continuation(
                 moved.memory_endpoint, moved.handle, progress.last_event_id
             )
@@ -194,6 +194,12 @@
         )
 
 
+def _may_repeat(reply: Reply, watch: Watch) -> bool:
+    if reply.status in {BAD_GATEWAY, NOT_RUN}:
+        return True
+    return reply.status >= SERVER_ERROR and watch.request.route.repeatable
+
+
 def _resumption(progress: StreamProgress) -> Continuation | None:
     if not progress.last_event_id:
         return None
--- a/wasabistream/forwarding/supervisors.py
+++ b/wasabistream/forwarding/supervisors.py
@@ -47,10 +47,12 @@
         with self._lock:
             self.endpoint = endpoint
             self._exchange = exchange
-            if not self.ended:
-                self.reason = None
-            elif exchange is not None:
+            if exchange is None:
+                return
+            if self.ended:
                 exchange.close()
+            else:
+                self.reason = None
 
     def cut(self, reason: CutReason) -> None:
         """End the exchange."""
