Share the reading of whole answers and the tests' bounded wait

Read through the change: both forwarders read and checked a whole answer in code of their own, three test modules had the same wait, and two types were named Sending. The header for backups and the drain bound were set by nobody and are gone.

--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -4,9 +4,7 @@
 store is away.
 """
 
-import time
 import unittest
-from collections.abc import Callable
 
 from tests.forwarding_builders import (
     Clock,
@@ -14,6 +12,7 @@
     build_item,
     build_server,
 )
+from tests.waits import wait_for
 from wasabistream.forwarding.mirrors import StoreMirror
 from wasabistream.forwarding.observed_engines import (
     ALIVE_SECONDS,
@@ -27,7 +26,6 @@
 from wasabistream.notices import Hello
 
 ADDRESS = '127.0.0.1'
-WAIT_SECONDS = 10
 ENGINE = EngineAnnouncement('10.0.0.9:8000', 'writer', 'dc-b')
 
 
@@ -64,16 +62,6 @@
         self.listener.stop()
 
 
-def wait_for(condition: Callable[[], bool]) -> bool:
-    """Wait until a condition holds; tell whether it did."""
-    deadline = time.monotonic() + WAIT_SECONDS
-    while time.monotonic() < deadline:
-        if condition():
-            return True
-        time.sleep(0.05)
-    return False
-
-
 class PeerLinksTest(unittest.TestCase):
     """Guard against entries that know nothing of each other."""
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -3,13 +3,12 @@
 Patterns: a store that is down, forgets its history or spoils an entry.
 """
 
-import time
 import unittest
-from collections.abc import Callable
 from typing import Any
 
 from tests.platform_builders import CONFIGURATION, SERVER, build_row
 from tests.platform_stores import StandInStore
+from tests.waits import wait_for
 from wasabistream.exceptions import HistoryLostError, StoreError
 from wasabistream.forwarding.fleets import Fleet
 from wasabistream.forwarding.mirrors import StoreMirror
@@ -17,7 +16,6 @@
 from wasabistream.platform.store_decoders import FleetDecoder
 from wasabistream.platform.store_followers import StoreFollower
 
-WAIT_SECONDS = 10
 SPOILED_ENTRIES: tuple[Any, ...] = (
     {**SERVER, 'state': 'odd'},
     {**SERVER, 'address': 'nowhere'},
@@ -28,16 +26,6 @@
 )
 
 
-def wait_for(condition: Callable[[], bool]) -> bool:
-    """Wait until a condition holds; tell whether it did."""
-    deadline = time.monotonic() + WAIT_SECONDS
-    while time.monotonic() < deadline:
-        if condition():
-            return True
-        time.sleep(0.02)
-    return False
-
-
 class StoreTest(unittest.TestCase):
     """Guard against a view that is late, old or empty."""
 
--- a/tests/test_supervisors.py
+++ b/tests/test_supervisors.py
@@ -7,27 +7,16 @@
 import threading
 import time
 import unittest
-from collections.abc import Callable
 
 from tests.forwarding_builders import build_request
 from tests.forwarding_fakes import FakeCaller, FakeExchange, whole
+from tests.waits import wait_for
 from wasabistream.forwarding.supervisors import CutReason, Supervisor, Watch
 from wasabistream.retries import Deadline
 
-WAIT_SECONDS = 5
 ENDPOINT = '10.0.0.1:8000'
 
 
-def wait_for(condition: Callable[[], bool]) -> bool:
-    """Wait until a condition holds; tell whether it did."""
-    deadline = time.monotonic() + WAIT_SECONDS
-    while time.monotonic() < deadline:
-        if condition():
-            return True
-        time.sleep(0.02)
-    return False
-
-
 class SupervisorTest(unittest.TestCase):
     """Guard against work that goes on for nobody."""
 
--- a/wasabistream/forwarding/interfaces.py
+++ b/wasabistream/forwarding/interfaces.py
@@ -60,8 +60,6 @@
 
     timeout_seconds: float
     continuation: Continuation | None = None
-    # Endpoint that keeps a copy of the memory; empty for none.
-    backup_endpoint: str = ''
 
 
 class ServerClient(Protocol):
--- a/wasabistream/forwarding/load_books.py
+++ b/wasabistream/forwarding/load_books.py
@@ -15,7 +15,7 @@
 
 
 @dataclass(slots=True)
-class Sending:
+class SentRequest:
     """Hold one request that runs at a backend server."""
 
     sent_seconds: float
@@ -28,7 +28,7 @@
 
     report: LoadReport | None = None
     received_seconds: float = 0
-    sendings: dict[str, Sending] = field(default_factory=dict)
+    requests: dict[str, SentRequest] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,14 +55,14 @@
         """Count a request before it is sent."""
         with self._lock:
             load = self._loads.setdefault(endpoint, ServerLoad())
-            load.sendings[request_id] = Sending(self._clock(), tokens)
+            load.requests[request_id] = SentRequest(self._clock(), tokens)
 
     def ended(self, endpoint: str, request_id: str) -> None:
         """Forget a request that ended."""
         with self._lock:
             load = self._loads.get(endpoint)
             if load is not None:
-                load.sendings.pop(request_id, None)
+                load.requests.pop(request_id, None)
 
     def report(self, endpoint: str, report: LoadReport) -> None:
         """Keep the newest report."""
@@ -75,7 +75,7 @@
         """Forget backend servers that are gone and run nothing."""
         with self._lock:
             for endpoint in list(self._loads):
-                idle = not self._loads[endpoint].sendings
+                idle = not self._loads[endpoint].requests
                 if idle and endpoint not in endpoints:
                     self._loads.pop(endpoint)
 
@@ -104,9 +104,9 @@
 
 def _without_report(load: ServerLoad) -> LoadEstimate:
     return LoadEstimate(
-        request_count=len(load.sendings),
-        waiting_count=len(load.sendings),
-        memory_tokens=sum(one.tokens for one in load.sendings.values()),
+        request_count=len(load.requests),
+        waiting_count=len(load.requests),
+        memory_tokens=sum(one.tokens for one in load.requests.values()),
         memory_capacity_tokens=0,
         leaving=False,
         responsive=True,
@@ -116,11 +116,11 @@
 def _with_report(load: ServerLoad, report: LoadReport) -> LoadEstimate:
     unseen_after = load.received_seconds - REPORT_DELAY_SECONDS
     unseen = [
-        one for one in load.sendings.values() if one.sent_seconds > unseen_after
+        one for one in load.requests.values() if one.sent_seconds > unseen_after
     ]
     seen_count = report.running_count + report.queued_count
     return LoadEstimate(
-        request_count=max(seen_count + len(unseen), len(load.sendings)),
+        request_count=max(seen_count + len(unseen), len(load.requests)),
         waiting_count=report.queued_count + len(unseen),
         memory_tokens=report.memory_used_tokens
         + sum(one.tokens for one in unseen),
--- a/wasabistream/forwarding/plain_forwarders.py
+++ b/wasabistream/forwarding/plain_forwarders.py
@@ -9,14 +9,19 @@
 from wasabistream.forwarding.crash_blames import CrashBlame
 from wasabistream.forwarding.failure_rates import FailureRates
 from wasabistream.forwarding.interfaces import ServerExchange
-from wasabistream.forwarding.replies import bad_gateway, refuse, timed_out
+from wasabistream.forwarding.replies import (
+    SERVER_ERROR,
+    bad_gateway,
+    refuse,
+    timed_out,
+)
+from wasabistream.forwarding.reply_readers import read_reply
 from wasabistream.forwarding.requests import Reply
 from wasabistream.forwarding.server_choosers import ServerChooser
 from wasabistream.forwarding.supervisors import CutReason, Watch
 
 logger = logging.getLogger(__name__)
 
-SERVER_ERROR = 500
 # An answer that is later than the route's target is asked for once more at
 # another backend server; a shorter wait would repeat answers that come.
 PATIENCE_RATIO = 1.0
@@ -91,15 +96,10 @@
             watch.attempt_end_seconds = time.monotonic() + patience_seconds
 
     def _read(self, server: BackendServer, exchange: ServerExchange) -> Reply:
-        pieces = []
-        while piece := exchange.read():
-            pieces.append(piece)
-        answer = exchange.answer
-        if answer.succeeded and not answer.sealed:
-            raise BackendError('answer is not signed', 'head', server.endpoint)
-        failed = answer.status >= SERVER_ERROR
+        reply = read_reply(server, exchange)
+        failed = reply.status >= SERVER_ERROR
         self._rates.record(server.endpoint, failed=failed)
-        return Reply(answer.status, answer.headers, b''.join(pieces))
+        return reply
 
 
 def _log_attempt(outcome: str, watch: Watch, error: BackendError) -> None:
--- a/wasabistream/forwarding/replies.py
+++ b/wasabistream/forwarding/replies.py
@@ -4,6 +4,8 @@
 
 from wasabistream.forwarding.requests import Reply
 
+# Statuses from here on are failures of a server.
+SERVER_ERROR = 500
 NOT_RUN = 503
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -15,10 +15,12 @@
 from wasabistream.forwarding.replies import (
     BAD_GATEWAY,
     NOT_RUN,
+    SERVER_ERROR,
     bad_gateway,
     refuse,
     timed_out,
 )
+from wasabistream.forwarding.reply_readers import read_reply
 from wasabistream.forwarding.requests import Continuation, Reply
 from wasabistream.forwarding.server_choosers import ServerChooser
 from wasabistream.forwarding.stream_progress import StreamProgress
@@ -26,7 +28,6 @@
 
 logger = logging.getLogger(__name__)
 
-SERVER_ERROR = 500
 # An agent announces a move before it stops the generation, so the notice is
 # at most one trip behind the end of the stream.
 MOVE_NOTICE_SECONDS = 0.1
@@ -138,7 +139,7 @@
     ) -> Reply | None:
         answer = exchange.answer
         if not answer.succeeded or not answer.event_stream:
-            return _read_whole(server, exchange)
+            return read_reply(server, exchange)
         if not answer.sealed:
             raise BackendError('answer is not signed', 'head', server.endpoint)
         if not progress.begun:
@@ -210,13 +211,3 @@
     if not event_id.isdigit() or not last_event_id:
         return True
     return int(event_id) > int(last_event_id)
-
-
-def _read_whole(server: BackendServer, exchange: ServerExchange) -> Reply:
-    pieces = []
-    while piece := exchange.read():
-        pieces.append(piece)
-    answer = exchange.answer
-    if answer.succeeded and not answer.sealed:
-        raise BackendError('answer is not signed', 'head', server.endpoint)
-    return Reply(answer.status, answer.headers, b''.join(pieces))
--- a/wasabistream/platform/node_files.py
+++ b/wasabistream/platform/node_files.py
@@ -12,8 +12,6 @@
 from wasabistream.forwarding.cold_limiters import ColdLimit
 from wasabistream.platform.decode_errors import DECODE_ERRORS
 
-MILLISECONDS = 1000
-
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
@@ -28,7 +26,6 @@
     """Hold the platform's limits for this deployment."""
 
     repeat_limit: RepeatLimit
-    drain_seconds: float
     # Time between SIGTERM and SIGKILL.
     grace_seconds: float
     cold_limit: ColdLimit
@@ -99,7 +96,6 @@
             window_seconds=float(bounds['budget_window_s']),
             extra_count=float(bounds['budget_extra']),
         ),
-        drain_seconds=float(bounds['drain_ms']) / MILLISECONDS,
         grace_seconds=float(bounds['grace_s']),
         cold_limit=ColdLimit(
             ratio=float(bounds['cold_over']),
--- a/wasabistream/platform/server_clients.py
+++ b/wasabistream/platform/server_clients.py
@@ -199,8 +199,6 @@
             )
         if continuation.last_event_id:
             headers[names.LAST_EVENT_ID] = continuation.last_event_id
-    if sending.backup_endpoint:
-        headers[names.BACKUP] = sending.backup_endpoint
     return headers
 
 
