--- a/wasabistream/forwarding/copy_paces.py
+++ b/wasabistream/forwarding/copy_paces.py
@@ -38,16 +38,7 @@
         left_seconds: float | None,
     ) -> bool:
         """Tell whether a far copy leaves time for near copies of the rest."""
+        left = DEFAULT_NOTICE_SECONDS if left_seconds is None else left_seconds
         tokens = sum(one.memory_tokens for one in waiting)
         tokens += int(run.memory_tokens * (FAR_RATIO - 1))
-        needed_seconds = tokens * self._token_seconds + MARGIN_SECONDS
-        return needed_seconds < _notice_left(left_seconds)
-
-    def is_in_time(self, run: EngineRun, left_seconds: float | None) -> bool:
-        """Tell whether a near copy ends before the engine does."""
-        needed_seconds = run.memory_tokens * self._token_seconds
-        return needed_seconds < _notice_left(left_seconds)
-
-
-def _notice_left(left_seconds: float | None) -> float:
-    return DEFAULT_NOTICE_SECONDS if left_seconds is None else left_seconds
+        return tokens * self._token_seconds + MARGIN_SECONDS < left
--- a/wasabistream/forwarding/run_movers.py
+++ b/wasabistream/forwarding/run_movers.py
@@ -9,7 +9,6 @@
 from wasabistream.forwarding.copy_paces import CopyPace
 from wasabistream.forwarding.engine_states import EngineRun, EngineState
 from wasabistream.forwarding.move_messages import RunMoved, RunMoving
-from wasabistream.forwarding.move_orders import choose_next_run
 from wasabistream.forwarding.move_outcomes import MoveOutcome
 from wasabistream.forwarding.room_finders import RoomFinder
 from wasabistream.messages import Message
@@ -74,7 +73,7 @@
             if not runs:
                 time.sleep(STATE_WAIT_SECONDS)
                 continue
-            run = choose_next_run(runs, state.leaves_seconds, self._pace)
+            run = max(runs, key=_saved_work)
             may_go_far = self._pace.may_go_far(run, runs, state.leaves_seconds)
             if not self._move(run, may_go_far=may_go_far):
                 retry_seconds[run.run_id] = now + RETRY_SECONDS
@@ -125,6 +124,11 @@
         return last.copied
 
 
+def _saved_work(run: EngineRun) -> int:
+    # What is lost when a generation cannot be moved.
+    return run.event_count
+
+
 def _log_error(run: EngineRun, error: BackendError) -> None:
     logger.warning('mover: %s', error, extra={'request_id': run.run_id})
 
