Keep fewer generations on an engine that is alone in its data centre

Their copies go to another data centre and take 0.53 s each, so three fit into a notice of 1.4 to 2.1 s. Such engines got their drafts from the one that left before them.

--- a/tests/test_copy_paces.py
+++ b/tests/test_copy_paces.py
@@ -42,3 +42,18 @@
         near = choose_room(decode_rooms(rows), 'dc-a', 4000, may_go_far=False)
         self.assertEqual(far.endpoint if far else '', FAR)
         self.assertEqual(near.endpoint if near else '', NEAR)
+
+    def test_lonely_engine_gets_fewer(self) -> None:
+        """Guard against a last near engine that cannot hand over its drafts.
+
+        Copies from it go to other data centres and take twice as long.
+        """
+        rows = [
+            [NEAR, 'dc-a', 20000, 1],
+            [FAR, 'dc-b', 20000, 1],
+            ['10.0.0.4:8000', 'dc-b', 20000, 3],
+        ]
+        far = choose_room(decode_rooms(rows), 'dc-a', 4000, may_go_far=True)
+        near = choose_room(decode_rooms(rows), 'dc-a', 4000, may_go_far=False)
+        self.assertEqual(far.endpoint if far else '', FAR)
+        self.assertEqual(near.endpoint if near else '', NEAR)
--- a/tests/test_server_choosers.py
+++ b/tests/test_server_choosers.py
@@ -121,3 +121,37 @@
         self.holder.current = build_fleet(far, self.plain[0])
         chosen = {self.chooser.choose(build_request()) for _ in range(20)}
         self.assertEqual(chosen, {self.plain[0]})
+
+    def test_lonely_engine_gets_fewer(self) -> None:
+        """Guard against drafts that are lost when a lonely engine leaves.
+
+        Pattern: one data centre has a single engine left, the other has two,
+        and drafts come until there are fourteen. Three copies to another data
+        centre fit into a notice.
+        """
+        lonely = build_server(
+            1, service=ENGINE_SERVICE, data_centre=OWN_DATA_CENTRE
+        )
+        others = [
+            build_server(number, service=ENGINE_SERVICE, data_centre='dc-b')
+            for number in (2, 3)
+        ]
+        self.chooser = ServerChooser(
+            build_holder(lonely, *others),
+            self.book,
+            self.rates,
+            build_cold_limiter(),
+            OWN_DATA_CENTRE,
+        )
+        counts = {server.server_id: 0 for server in (lonely, *others)}
+        for _ in range(14):
+            chosen = self.choose_engine()
+            counts[chosen] += 1
+            self.book.report(
+                f'10.0.0.{chosen[-1]}:8000',
+                build_report(
+                    used_tokens=4000 * counts[chosen],
+                    running_count=counts[chosen],
+                ),
+            )
+        self.assertLessEqual(counts[lonely.server_id], 3)
--- a/wasabistream/forwarding/rooms.py
+++ b/wasabistream/forwarding/rooms.py
@@ -1,5 +1,6 @@
 """Room for generations that have to move."""
 
+from collections import Counter
 from dataclasses import dataclass
 
 from wasabistream.forwarding.fleets import Fleet
@@ -12,6 +13,9 @@
 # the time of the notice allows the longer copy.
 EASY_DISTANCE_RATIO = 1.5
 SHORT_DISTANCE_RATIO = 6.0
+# An engine that is alone in its data centre takes twice as long to hand over
+# its generations when it leaves in turn.
+LONELY_RATIO = 2.0
 
 
 @dataclass
@@ -62,12 +66,21 @@
     fitting = [room for room in rooms if room.free_tokens >= tokens]
     if not fitting:
         return None
-    best = min(fitting, key=lambda room: _room_cost(room, data_centre, ratio))
+    # The engine that asks leaves and keeps none of the rooms company.
+    company = Counter(room.data_centre for room in rooms)
+    best = min(
+        fitting,
+        key=lambda room: _room_cost(
+            room,
+            1 if room.data_centre == data_centre else ratio,
+            lonely=company[room.data_centre] == 1,
+        ),
+    )
     best.free_tokens -= tokens
     best.request_count += 1
     return best
 
 
-def _room_cost(room: Room, data_centre: str, ratio: float) -> float:
-    distance = 1 if room.data_centre == data_centre else ratio
-    return (room.request_count + 1) * distance
+def _room_cost(room: Room, distance: float, *, lonely: bool) -> float:
+    cost = (room.request_count + 1) * distance
+    return cost * LONELY_RATIO if lonely else cost
--- a/wasabistream/forwarding/server_choosers.py
+++ b/wasabistream/forwarding/server_choosers.py
@@ -27,7 +27,7 @@
 COLD_COST = 0.5
 # Generations of an engine that is alone in its data centre take twice as long
 # to move when it leaves, so it gets fewer.
-LONELY_COST = 0.08
+LONELY_COST = 0.16
 ENGINE_DISTANCE_COST = 0.03
 # Used while an engine's agent has not reported.
 DEFAULT_MEMORY_TOKENS = 32768
