Hold the limit of cold servers with many entries; share sliding windows and units

Changes besides: one sliding window for repeats and cold servers, one constant for milliseconds, Endpoint gives its own text, and the decoder forgets unreadable entries that are gone instead of keeping a mark for ever. Ruled out: spreading by the entry's place among its peers, as entries do not agree on an order while they learn each other.

--- a/tests/test_cold_limiters.py
+++ b/tests/test_cold_limiters.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 import unittest
+from functools import partial
 
 from tests.forwarding_builders import (
     ENGINE_SERVICE,
@@ -67,3 +68,32 @@
         limiter.follow(build_fleet(self.server))
         self.clock.advance(1.5)
         self.assertTrue(all(self.send(limiter) for _ in range(50)))
+
+    def test_many_entries_stay_below_a_low_bound(self) -> None:
+        """Guard against a request of each entry in the same second.
+
+        Pattern: forty entries and a server that bears four requests a second.
+        """
+        limit = ColdLimit(1.5, 2)
+        count = 40
+        limiters = []
+        for number in range(count):
+            limiter = ColdLimiter(
+                limit,
+                partial(int, count),
+                self.clock,
+                partial(float, number / count),
+            )
+            limiter.follow(build_fleet(self.server))
+            limiters.append(limiter)
+        sent_seconds = []
+        for _ in range(25):
+            self.clock.advance(0.1)
+            for limiter in limiters:
+                if limiter.admits(self.server, 4):
+                    limiter.sent(self.server)
+                    sent_seconds.append(self.clock())
+        self.assertTrue(sent_seconds)
+        for first in sent_seconds:
+            in_window = [one for one in sent_seconds if 0 <= one - first < 1]
+            self.assertLessEqual(len(in_window), 4 * limit.ratio + 2)
--- a/wasabistream/fencing.py
+++ b/wasabistream/fencing.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Callable
 
-MILLISECONDS = 1000
+from wasabistream.units import MILLISECONDS_PER_SECOND
 
 
 class FencingCounter:
@@ -19,6 +19,6 @@
         The time alone can go back; the number that the engine reports keeps
         the order of numbers then.
         """
-        now = int(self._wall_clock() * MILLISECONDS)
+        now = int(self._wall_clock() * MILLISECONDS_PER_SECOND)
         self._last = max(now, self._last + 1, reported + 1)
         return self._last
--- a/wasabistream/forwarding/budgets.py
+++ b/wasabistream/forwarding/budgets.py
@@ -2,10 +2,11 @@
 
 import threading
 import time
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from wasabistream.forwarding.sliding_windows import SlidingWindow
+
 # Part of the allowance that is left unused, as entries count in windows of
 # their own and requests of one may be missed by another.
 RESERVE_RATIO = 0.3
@@ -32,36 +33,29 @@
         self, limit: RepeatLimit, clock: Callable[[], float] = time.monotonic
     ) -> None:
         self._limit = limit
-        self._clock = clock
         self._lock = threading.Lock()
-        self._requests: deque[float] = deque()
-        self._repeats: deque[float] = deque()
+        self._requests = SlidingWindow(clock)
+        self._repeats = SlidingWindow(clock)
 
     def request(self) -> None:
         """Count one request of a caller."""
         with self._lock:
-            self._requests.append(self._clock())
-            self._trim()
+            self._requests.add()
+            self._requests.count(self._limit.window_seconds)
 
     def take(self, entry_count: int) -> bool:
         """Take one repeat; tell whether the budget allows it."""
         with self._lock:
-            self._trim()
+            window_seconds = self._limit.window_seconds
             allowance = (
-                self._limit.ratio * len(self._requests)
+                self._limit.ratio * self._requests.count(window_seconds)
                 + self._limit.extra_count / max(entry_count, 1)
             ) * (1 - RESERVE_RATIO)
-            if len(self._repeats) + 1 > allowance:
+            if self._repeats.count(window_seconds) + 1 > allowance:
                 return False
-            self._repeats.append(self._clock())
+            self._repeats.add()
             return True
 
-    def _trim(self) -> None:
-        oldest = self._clock() - self._limit.window_seconds
-        for times in (self._requests, self._repeats):
-            while times and times[0] < oldest:
-                times.popleft()
-
 
 class RepeatBudgets:
     """Hold the budget of each service."""
--- a/wasabistream/forwarding/cold_limiters.py
+++ b/wasabistream/forwarding/cold_limiters.py
@@ -1,13 +1,14 @@
 """Limit of requests to backend servers that are cold."""
 
+import random
 import threading
 import time
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.fleets import Fleet
+from wasabistream.forwarding.sliding_windows import SlidingWindow
 
 WINDOW_SECONDS = 1.0
 # Part of the limit that is used: entries' windows are not aligned, and the
@@ -29,8 +30,11 @@
 @dataclass(slots=True)
 class _ColdServer:
     entry: BackendServer
+    cold_since_seconds: float
     cold_until_seconds: float
-    sent_seconds: deque[float] = field(default_factory=deque)
+    # Part of a window that passes before the first request.
+    phase: float
+    sent: SlidingWindow
 
 
 class ColdLimiter:
@@ -41,10 +45,12 @@
         limit: ColdLimit,
         count_entries: Callable[[], int],
         clock: Callable[[], float] = time.monotonic,
+        pick_phase: Callable[[], float] = random.random,
     ) -> None:
         self._limit = limit
         self._count_entries = count_entries
         self._clock = clock
+        self._pick_phase = pick_phase
         self._lock = threading.Lock()
         self._servers: dict[str, _ColdServer] = {}
 
@@ -61,7 +67,13 @@
                     continue
                 if server.cold_remaining_seconds > 0:
                     until = now + server.cold_remaining_seconds
-                    self._servers[server.endpoint] = _ColdServer(server, until)
+                    self._servers[server.endpoint] = _ColdServer(
+                        entry=server,
+                        cold_since_seconds=now,
+                        cold_until_seconds=until,
+                        phase=self._pick_phase(),
+                        sent=SlidingWindow(self._clock),
+                    )
 
     def admits(self, server: BackendServer, requests_per_second: float) -> bool:
         """Tell whether a server bears one more request of this entry."""
@@ -75,8 +87,10 @@
                 requests_per_second * self._limit.ratio
                 + self._limit.extra_count
             )
-            own = max(bound * USE_RATIO / max(self._count_entries(), 1), 1)
-            return len(cold.sent_seconds) + 1 <= own
+            own = bound * USE_RATIO / max(self._count_entries(), 1)
+            if own >= 1:
+                return cold.sent.count(WINDOW_SECONDS) + 1 <= own
+            return own > 0 and self._admits_one(cold, WINDOW_SECONDS / own)
 
     def is_cold(self, server: BackendServer) -> bool:
         """Tell whether the list shows a server as cold."""
@@ -88,14 +102,18 @@
         with self._lock:
             cold = self._find(server)
             if cold is not None:
-                cold.sent_seconds.append(self._clock())
+                cold.sent.add()
+
+    def _admits_one(self, cold: _ColdServer, window_seconds: float) -> bool:
+        # Many entries share a low limit: each sends one request in a longer
+        # window, and they do not all start at once.
+        cold_seconds = self._clock() - cold.cold_since_seconds
+        if cold_seconds < cold.phase * window_seconds:
+            return False
+        return not cold.sent.count(window_seconds)
 
     def _find(self, server: BackendServer) -> _ColdServer | None:
         cold = self._servers.get(server.endpoint)
-        now = self._clock()
-        if cold is None or cold.cold_until_seconds < now:
+        if cold is None or cold.cold_until_seconds < self._clock():
             return None
-        times = cold.sent_seconds
-        while times and times[0] < now - WINDOW_SECONDS:
-            times.popleft()
         return cold
--- a/wasabistream/keys.py
+++ b/wasabistream/keys.py
@@ -3,11 +3,12 @@
 import secrets
 import uuid
 
+from wasabistream.units import MILLISECONDS_PER_SECOND
+
 UUID_VERSION = 7
 TIMESTAMP_SHIFT = 80
 VERSION_SHIFT = 76
 VARIANT_SHIFT = 62
-MILLISECONDS = 1000
 # Half of the random bits stand on each side of the variant.
 HIGH_RANDOM_BITS = 12
 LOW_RANDOM_BITS = 62
@@ -17,7 +18,7 @@
 def make_key(now_unix_seconds: float) -> str:
     """Return a UUIDv7 that carries a time."""
     high = secrets.randbits(HIGH_RANDOM_BITS)
-    number = int(now_unix_seconds * MILLISECONDS) << TIMESTAMP_SHIFT
+    number = int(now_unix_seconds * MILLISECONDS_PER_SECOND) << TIMESTAMP_SHIFT
     number |= UUID_VERSION << VERSION_SHIFT | high << (VARIANT_SHIFT + 2)
     number |= VARIANT << VARIANT_SHIFT | secrets.randbits(LOW_RANDOM_BITS)
     return str(uuid.UUID(int=number))
@@ -31,7 +32,7 @@
         return None
     if parsed.version != UUID_VERSION:
         return None
-    return (parsed.int >> TIMESTAMP_SHIFT) / MILLISECONDS
+    return (parsed.int >> TIMESTAMP_SHIFT) / MILLISECONDS_PER_SECOND
 
 
 def key_age_seconds(
--- a/wasabistream/platform/agent_applications.py
+++ b/wasabistream/platform/agent_applications.py
@@ -38,7 +38,7 @@
         self._links: set[Link] = set()
         self._links_lock = threading.Lock()
         engine = EngineClient(backend.address, backend.port)
-        endpoint = f'{backend.address}:{backend.port}'
+        endpoint = str(backend)
         self._rooms = RoomFinder(
             node.service, node.data_centre, self._broadcast
         )
--- a/wasabistream/platform/engine_clients.py
+++ b/wasabistream/platform/engine_clients.py
@@ -12,13 +12,13 @@
 from wasabistream.forwarding.move_outcomes import MoveOutcome
 from wasabistream.platform.decode_errors import DECODE_ERRORS
 from wasabistream.platform.server_clients import SOCKET_OPTIONS
+from wasabistream.units import MILLISECONDS_PER_SECOND
 
 REPORT_TIMEOUT_SECONDS = 0.4
 # A copy waits behind others on the link; beyond this time the backend server
 # has left anyway.
 MOVE_TIMEOUT_SECONDS = 5.0
 CONNECTION_COUNT = 4
-MILLISECONDS = 1000
 OK = 200
 NO_ROOM = 503
 
@@ -98,7 +98,9 @@
             memory_capacity_tokens=int(body['kv_total']),
             leaving=draining or leaves_ms is not None,
             leaves_seconds=(
-                None if leaves_ms is None else float(leaves_ms) / MILLISECONDS
+                None
+                if leaves_ms is None
+                else float(leaves_ms) / MILLISECONDS_PER_SECOND
             ),
             runs=tuple(_decode_run(row) for row in body.get('runs') or ()),
         )
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -71,7 +71,7 @@
         control = node.listen['control']
         self._peers = PeerLinks(
             self.hello,
-            f'{control.address}:{control.port}',
+            str(control),
             _endpoints(node),
             self.mirror,
             observed,
@@ -216,4 +216,4 @@
 
 
 def _endpoints(node: NodeSettings) -> list[str]:
-    return [f'{seed.address}:{seed.port}' for seed in node.seeds]
+    return [str(seed) for seed in node.seeds]
--- a/wasabistream/platform/node_files.py
+++ b/wasabistream/platform/node_files.py
@@ -20,6 +20,10 @@
     address: str
     port: int
 
+    def __str__(self) -> str:
+        """Return both as one text."""
+        return f'{self.address}:{self.port}'
+
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
--- a/wasabistream/platform/request_decoders.py
+++ b/wasabistream/platform/request_decoders.py
@@ -14,8 +14,8 @@
 from wasabistream.forwarding.routes import Route
 from wasabistream.platform import header_names as names
 from wasabistream.retries import Deadline
+from wasabistream.units import MILLISECONDS_PER_SECOND
 
-MILLISECONDS = 1000
 BEARER = 'bearer'
 # Headers that go on only in the form that the adapter writes.
 REWRITTEN = frozenset(
@@ -107,7 +107,7 @@
 def _remaining_seconds(headers: dict[str, str], route: Route) -> float:
     text = headers.get(names.REMAINING_MS, '')
     try:
-        remaining_seconds = float(text) / MILLISECONDS
+        remaining_seconds = float(text) / MILLISECONDS_PER_SECOND
     except ValueError:
         return route.timeout_seconds
     return min(remaining_seconds, route.timeout_seconds)
--- a/wasabistream/platform/server_clients.py
+++ b/wasabistream/platform/server_clients.py
@@ -17,6 +17,7 @@
 )
 from wasabistream.forwarding.requests import ForwardRequest, Headers
 from wasabistream.platform import header_names as names
+from wasabistream.units import MILLISECONDS_PER_SECOND
 
 # A machine without power does not answer; a connection within a region takes
 # a few milliseconds, and its first packet is sent again only after a second.
@@ -28,7 +29,6 @@
 UNACKNOWLEDGED_LIMIT_MS = 2000
 KEEPALIVE_SECONDS = 1
 KEEPALIVE_COUNT = 3
-MILLISECONDS = 1000
 LOWEST_URGENCY = 9
 
 SOCKET_OPTIONS: list[tuple[int, int, int | bytes]] = [
@@ -178,7 +178,7 @@
 ) -> Mapping[str, str]:
     """Return the headers of one attempt."""
     remaining_ms = max(
-        int(request.deadline.remaining_seconds * MILLISECONDS), 1
+        int(request.deadline.remaining_seconds * MILLISECONDS_PER_SECOND), 1
     )
     headers = dict(request.headers)
     headers.setdefault('user-agent', SKIP_HEADER)
--- a/wasabistream/platform/store_clients.py
+++ b/wasabistream/platform/store_clients.py
@@ -13,12 +13,12 @@
 from wasabistream.forwarding.mirrors import MirrorChange, MirrorItem, Removal
 from wasabistream.metrics import STORE_CALLS
 from wasabistream.platform.server_clients import SOCKET_OPTIONS
+from wasabistream.units import MILLISECONDS_PER_SECOND
 
 # The store answers in milliseconds; a slow one takes some hundred.
 READ_TIMEOUT_SECONDS = 2.0
 # Added to the time that a watch waits.
 WATCH_GRACE_SECONDS = 1.5
-MILLISECONDS = 1000
 OK = 200
 GONE = 410
 MAX_PAGE_COUNT = 200
@@ -85,7 +85,7 @@
             {
                 'prefix': prefix,
                 'after': str(after_revision),
-                'wait_ms': str(int(wait_seconds * MILLISECONDS)),
+                'wait_ms': str(int(wait_seconds * MILLISECONDS_PER_SECOND)),
             },
             wait_seconds + WATCH_GRACE_SECONDS,
         )
--- a/wasabistream/platform/store_decoders.py
+++ b/wasabistream/platform/store_decoders.py
@@ -18,6 +18,7 @@
 from wasabistream.forwarding.routes import Destination, Route, RouteKind
 from wasabistream.forwarding.services import EngineProfile, Service
 from wasabistream.platform.decode_errors import DECODE_ERRORS
+from wasabistream.units import MILLISECONDS_PER_SECOND
 
 logger = logging.getLogger(__name__)
 
@@ -25,7 +26,6 @@
 EVACUATION_PREFIX = 'op/evacuate/'
 SERVER_PREFIX = 'servers/'
 SERVER_STATES = frozenset(('ready', 'draining'))
-MILLISECONDS = 1000
 
 
 class FleetDecoder:
@@ -37,7 +37,8 @@
     def __init__(self) -> None:
         self._configuration: RoutingConfiguration | None = None
         self._configuration_revision = 0
-        self._unreadable: set[tuple[str, int]] = set()
+        # Revisions of entries that cannot be read, logged once each.
+        self._unreadable: dict[str, int] = {}
 
     def decode(self, items: Mapping[str, MirrorItem]) -> Fleet:
         """Return the view; what cannot be read is logged and left out."""
@@ -45,6 +46,8 @@
         configuration = self._configuration
         known = configuration.services if configuration else {}
         servers = {}
+        for gone in self._unreadable.keys() - items.keys():
+            self._unreadable.pop(gone)
         for listed in items.values():
             if listed.key.startswith(SERVER_PREFIX):
                 server = self._decode_server(listed)
@@ -79,8 +82,8 @@
         try:
             return decode_server(server_id, json.loads(listed.content))
         except DECODE_ERRORS as error:
-            if (listed.key, listed.revision) not in self._unreadable:
-                self._unreadable.add((listed.key, listed.revision))
+            if self._unreadable.get(listed.key) != listed.revision:
+                self._unreadable[listed.key] = listed.revision
                 logger.warning(
                     'platform: server entry is left out: %r',
                     error,
@@ -141,7 +144,7 @@
         slot_count=_whole(entry['slots']),
         draining=entry['state'] == 'draining',
         cold_remaining_seconds=(
-            _whole(entry.get('cold_remaining_ms', 0)) / MILLISECONDS
+            _whole(entry.get('cold_remaining_ms', 0)) / MILLISECONDS_PER_SECOND
         ),
         started_unix_ms=_whole(entry.get('born', 0)),
     )
@@ -160,7 +163,7 @@
 ) -> float:
     if name not in limits:
         return default_seconds
-    return float(limits[name]) / MILLISECONDS
+    return float(limits[name]) / MILLISECONDS_PER_SECOND
 
 
 def _decode_route(row: Any) -> Route:
@@ -177,8 +180,10 @@
         host=str(row['host']).lower(),
         prefix=str(row['prefix']),
         kind=RouteKind(row['kind']),
-        timeout_seconds=float(row['timeout_ms']) / MILLISECONDS,
-        target_latency_seconds=(float(row['target_latency_ms']) / MILLISECONDS),
+        timeout_seconds=float(row['timeout_ms']) / MILLISECONDS_PER_SECOND,
+        target_latency_seconds=(
+            float(row['target_latency_ms']) / MILLISECONDS_PER_SECOND
+        ),
         priority=int(row.get('priority', 0)),
         destinations=destinations,
         max_attempt_count=int(row.get('max_attempts', 1)),
