Refuse request lines and headers with control characters

Cause: a path with such a byte passed the decoder, and the client library refused it with an error that nothing handled; the caller got a bare 500 and the connection to the server stayed open. Found by fuzzing requests. Ruled out: catching it at the client alone, as header values with a bare CR are read differently by different servers. Conclusion: both are refused with 400 before a server is chosen; the client handles the library's error as well. An entry that knows no configuration now has a test: 503 with Retry-After, not ready.

--- /dev/null
+++ b/tests/test_platform_fuzz.py
@@ -0,0 +1,155 @@
+"""Tests of the wire with bytes that no proper caller or server sends.
+
+Patterns: cut, doubled, changed and random pieces of requests and answers.
+"""
+
+import logging
+import re
+import socket
+import unittest
+from functools import partial
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from tests.platform_builders import NODE
+from tests.platform_paths import (
+    HEAD,
+    BackendHandler,
+    PlatformPathCase,
+    answer,
+)
+from wasabistream.platform.entry_applications import PlatformEntry
+from wasabistream.platform.node_applications import ProcessOptions
+from wasabistream.platform.node_files import decode_node
+
+FUZZ = settings(
+    max_examples=60,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+REQUEST = HEAD % b'f1' + b'Content-Length: 5\r\nConnection: close\r\n\r\nhello'
+BODY = b'{"booked": true}'
+ANSWER = (
+    b'HTTP/1.1 200 OK\r\nWasabistream-Request-Attempt-Id: f2\r\n'
+    b'Wasabistream-Response-Seal: s\r\nContent-Length: 16\r\n\r\n' + BODY
+)
+STATUS_LINE = re.compile(rb'HTTP/1\.1 (\d{3}) ')
+PROPER_LINE = 'GET /chat/desk/%2Fa?b=%20 HTTP/1.1'
+
+
+@st.composite
+def spoiled(draw: st.DrawFn, proper: bytes) -> bytes:
+    """Return proper bytes with one piece replaced."""
+    first = draw(st.integers(0, len(proper)))
+    last = draw(st.integers(first, len(proper)))
+    piece = draw(
+        st.one_of(
+            st.binary(max_size=40),
+            st.sampled_from(
+                (
+                    b'\r\n',
+                    b'\n',
+                    b'\r\n\r\n',
+                    b'\x00',
+                    b'Content-Length: 9999999\r\n',
+                    b'Transfer-Encoding: chunked\r\n',
+                    b'0\r\n\r\n',
+                    proper,
+                )
+            ),
+        )
+    )
+    return proper[:first] + piece + proper[last:]
+
+
+def send_raw(raw: bytes, handler: BackendHandler) -> None:
+    """Answer with these bytes and close the connection."""
+    handler.wfile.write(raw)
+    handler.close_connection = True
+
+
+class PlatformFuzzTest(PlatformPathCase):
+    """Guard against bytes that end a process or pass as something else."""
+
+    def push(self, raw: bytes) -> bytes:
+        """Send bytes, end the sending side and return what comes back."""
+        with socket.create_connection(
+            ('127.0.0.1', self.entry.front_port), timeout=10
+        ) as sock:
+            pieces = []
+            try:
+                sock.sendall(raw)
+                sock.shutdown(socket.SHUT_WR)
+                while piece := sock.recv(65536):
+                    pieces.append(piece)
+            except ConnectionError:
+                # Unread bytes reset a connection that the entry closes.
+                return b''.join(pieces)
+            return b''.join(pieces)
+
+    @FUZZ
+    @given(raw=st.one_of(st.binary(max_size=200), spoiled(REQUEST)))
+    def test_requests(self, raw: bytes) -> None:
+        """Guard against requests that get through though they should not."""
+        self.backend.seen.clear()
+        # An error that no code expects is logged by the server as an error.
+        with self.assertNoLogs(level=logging.ERROR):
+            back = self.push(raw)
+        if back:
+            self.assertRegex(back, STATUS_LINE)
+        for line, headers in self.backend.seen:
+            names = {name.lower(): text for name, text in headers.items()}
+            self.assertIn(line.encode('latin-1'), raw)
+            sent_id = names['wasabistream-request-attempt-id']
+            self.assertIn(sent_id.encode('latin-1'), raw)
+        self.backend.seen.clear()
+        self.assertIn(b' 200 OK', self.get(b'f3'))
+        self.assertEqual(self.backend.seen[0][0], PROPER_LINE)
+
+    @FUZZ
+    @given(raw=st.one_of(st.binary(max_size=200), spoiled(ANSWER)))
+    def test_answers(self, raw: bytes) -> None:
+        """Guard against spoiled answers that reach a caller as a success."""
+        self.backend.act = partial(send_raw, raw)
+        with self.assertNoLogs(level=logging.ERROR):
+            back = self.get(b'f2')
+        status_line = STATUS_LINE.match(back)
+        if status_line is not None and status_line[1] == b'200':
+            head, _, body = back.partition(b'\r\n\r\n')
+            self.assertIn(b'wasabistream-response-seal', head.lower())
+            self.assertIn(body, raw)
+        self.backend.act = answer
+        self.assertIn(b' 200 OK', self.get(b'f4'))
+
+
+class UnknownConfigurationTest(unittest.TestCase):
+    """Guard against 401 and 404 from an entry that knows no configuration."""
+
+    def test_entry_without_store_refuses(self) -> None:
+        """Guard against refusals that callers do not repeat."""
+        # Nothing listens at the store's address.
+        with socket.create_server(('127.0.0.1', 0)) as free:
+            port = free.getsockname()[1]
+        node = {
+            **NODE,
+            'seeds': [],
+            'platform': {'address': f'127.0.0.1:{port}'},
+        }
+        entry = PlatformEntry(decode_node(node), ProcessOptions('', 0))
+        entry.on_start()
+        self.addCleanup(entry.on_stop)
+        head = HEAD % b'u1' + b'Connection: close\r\n\r\n'
+        for raw in (head, head.replace(b'host.example', b'none.example')):
+            self.assertIn(b' 503 ', self.ask(entry.front_port, raw))
+        back = self.ask(entry.front_port, head)
+        self.assertIn(b'retry-after: ', back.lower())
+        ready = b'GET /-/readiness HTTP/1.1\r\nHost: a\r\n\r\n'
+        self.assertNotIn(b' 200 ', self.ask(entry.ready_port, ready))
+
+    def ask(self, port: int, raw: bytes) -> bytes:
+        """Send one request and return the start of the answer."""
+        with socket.create_connection(('127.0.0.1', port), timeout=10) as sock:
+            sock.sendall(raw)
+            return sock.recv(65536)
--- a/wasabistream/platform/ingress_servers.py
+++ b/wasabistream/platform/ingress_servers.py
@@ -26,6 +26,8 @@
 logger = logging.getLogger(__name__)
 
 FIELD_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+# Control characters end a field for some parsers and not for others.
+FIELD_TEXT = re.compile(rb'[\t\x20-\x7e\x80-\xff]*')
 DIGITS = re.compile(rb'[0-9]+')
 # Fields that must not be repeated, as parsers differ in which one they take.
 SINGLE_FIELDS = frozenset((b'Content-Length', b'Host', b'Transfer-Encoding'))
@@ -57,7 +59,10 @@
         name, colon, text = line.partition(b':')
         if not colon or not FIELD_NAME.fullmatch(name):
             raise ValueError('Illegal header line.')
-        return name.title(), text.strip()
+        text = text.strip()
+        if not FIELD_TEXT.fullmatch(text):
+            raise ValueError('Illegal character in a header.')
+        return name.title(), text
 
 
 def _join(earlier: bytes | None, text: bytes) -> bytes:
--- a/wasabistream/platform/request_decoders.py
+++ b/wasabistream/platform/request_decoders.py
@@ -1,5 +1,7 @@
 """Decode callers' requests with the configuration in force."""
 
+import re
+
 from cheroot.server import HTTPRequest
 
 from wasabistream.digests import hash64
@@ -17,6 +19,7 @@
 from wasabistream.units import MILLISECONDS_PER_SECOND
 
 BEARER = 'bearer'
+VISIBLE_ASCII = re.compile(rb'[\x21-\x7e]+')
 # Headers that go on only in the form that the adapter writes.
 REWRITTEN = frozenset(
     (
@@ -35,10 +38,7 @@
 ) -> ForwardRequest:
     """Return a request with its route; raises RequestError."""
     headers = _decode_headers(request)
-    try:
-        target = request.uri.decode('ascii')
-    except UnicodeDecodeError as error:
-        raise RequestError('path is not ASCII', 400, 'path') from error
+    target = _decode_target(request)
     route = _find_route(configuration, headers, target)
     holder = _find_holder(configuration, route, headers)
     request_id = headers.get(names.REQUEST_ID, '')
@@ -71,6 +71,13 @@
     return text.decode('latin-1')
 
 
+def _decode_target(request: HTTPRequest) -> str:
+    # Other bytes are read differently by different servers.
+    if not VISIBLE_ASCII.fullmatch(request.uri):
+        raise RequestError('path is not visible ASCII', 400, 'path')
+    return str(request.uri, 'ascii')
+
+
 def _decode_headers(request: HTTPRequest) -> dict[str, str]:
     return {
         name.decode('latin-1').lower(): text.decode('latin-1')
--- a/wasabistream/platform/server_clients.py
+++ b/wasabistream/platform/server_clients.py
@@ -163,7 +163,7 @@
             body=request.body or None,
             headers=encode_headers(server, request, sending),
         )
-    except ValueError as error:
+    except (ValueError, http.client.InvalidURL) as error:
         raise NotSentError(str(error), 'encode', server.endpoint) from error
     except (OSError, HTTPError) as error:
         # A backend server may answer before it has read a long body; that
