Do not pass on a refusal that does not state that nothing has run

Cause: a server's 503, 429, 421 or 408 without its statement went to the caller as it was, who takes it for a promise; only the statement makes it one. Ruled out: keeping it for calls that may be repeated; those are sent again by the caller after any failure. Conclusion: such an answer becomes 502 and is logged.

--- a/tests/test_plain_forwarders.py
+++ b/tests/test_plain_forwarders.py
@@ -73,6 +73,13 @@
         self.assertEqual(reply.status, 500)
         self.assertEqual(len(self.client.sent), LOOKUP.max_attempt_count)
 
+    def test_refusal_without_a_statement(self) -> None:
+        """Guard against a "not run" that the server has not stated."""
+        for status in (408, 421, 429, 503):
+            for route in (LOOKUP, BOOKING):
+                reply = self.forward(route, whole(status), whole(status))
+                self.assertEqual(reply.status, 502)
+
     def test_booking_with_a_lost_answer(self) -> None:
         """Guard against a second run and against a false "not run"."""
         for lost in (no_answer(), torn()):
--- a/wasabistream/forwarding/reply_readers.py
+++ b/wasabistream/forwarding/reply_readers.py
@@ -1,15 +1,26 @@
 """Reader of answers that go to their caller as a whole."""
 
+import logging
+
 from wasabistream.exceptions import BackendError
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.interfaces import ServerExchange
+from wasabistream.forwarding.replies import bad_gateway
 from wasabistream.forwarding.requests import Reply
 
+logger = logging.getLogger(__name__)
+
+# Callers take these as a promise that a request has not run. An answer that is
+# read here bears no statement of its server to that effect.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
 
 def read_reply(server: BackendServer, exchange: ServerExchange) -> Reply:
     """Read an answer to its end.
 
-    Raises BackendError when it breaks off or is a success without a seal.
+    A refusal that does not state that the request has not run becomes a bad
+    gateway. Raises BackendError when the answer breaks off or is a success
+    without a seal.
     """
     pieces = []
     while piece := exchange.read():
@@ -17,4 +28,11 @@
     answer = exchange.answer
     if answer.succeeded and not answer.sealed:
         raise BackendError('answer is not signed', 'head', server.endpoint)
+    if answer.status in NOT_RUN_STATUSES:
+        logger.warning(
+            'attempt: %s of %s does not state that nothing has run',
+            answer.status,
+            server.endpoint,
+        )
+        return bad_gateway()
     return Reply(answer.status, answer.headers, b''.join(pieces))
