--- a/wasabistream/forwarding/plain_forwarders.py
+++ b/wasabistream/forwarding/plain_forwarders.py
@@ -74,7 +74,7 @@
         self._limit_patience(watch, history)
         try:
             with self._sender.open(server, watch, history) as exchange:
-                reply = self._read(server, exchange)
+                reply = self._read(server, exchange, watch)
                 self._crashes.answered(watch.request)
                 return reply
         except NotSentError as error:
@@ -95,8 +95,10 @@
             patience_seconds = route.target_latency_seconds * PATIENCE_RATIO
             watch.attempt_end_seconds = time.monotonic() + patience_seconds
 
-    def _read(self, server: BackendServer, exchange: ServerExchange) -> Reply:
-        reply = read_reply(server, exchange)
+    def _read(
+        self, server: BackendServer, exchange: ServerExchange, watch: Watch
+    ) -> Reply:
+        reply = read_reply(server, exchange, watch.request.request_id)
         failed = reply.status >= SERVER_ERROR
         self._rates.record(server.endpoint, failed=failed)
         return reply
--- a/wasabistream/forwarding/reply_readers.py
+++ b/wasabistream/forwarding/reply_readers.py
@@ -15,7 +15,9 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
-def read_reply(server: BackendServer, exchange: ServerExchange) -> Reply:
+def read_reply(
+    server: BackendServer, exchange: ServerExchange, request_id: str
+) -> Reply:
     """Read an answer to its end.
 
     A refusal that does not state that the request has not run becomes a bad
@@ -33,6 +35,7 @@
             'attempt: %s of %s does not state that nothing has run',
             answer.status,
             server.endpoint,
+            extra={'request_id': request_id},
         )
         return bad_gateway()
     return Reply(answer.status, answer.headers, b''.join(pieces))
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -139,7 +139,7 @@
     ) -> Reply | None:
         answer = exchange.answer
         if not answer.succeeded or not answer.event_stream:
-            return read_reply(server, exchange)
+            return read_reply(server, exchange, watch.request.request_id)
         if not answer.sealed:
             raise BackendError('answer is not signed', 'head', server.endpoint)
         if not progress.begun:
--- a/wasabistream/units.py
+++ b/wasabistream/units.py
@@ -1,3 +1,3 @@
-"""Units that outside formats use and this code does not."""
+"""Factors between the units of wire formats and those of this code."""
 
 MILLISECONDS_PER_SECOND = 1000
