Continue a moved stream at an engine that the list does not show yet

Ruled out: keeping announced engines for longer; the list may lag behind an agent at any time, and new work should follow the list. Figures: the new test loses the draft before and delivers six events after. Conclusion: the agent's notice names the engine and the handle; the list is needed for new work only.

--- a/tests/test_stream_forwarders.py
+++ b/tests/test_stream_forwarders.py
@@ -106,6 +106,19 @@
             self.assertEqual(continuation.last_event_id, '3')
         self.assertEqual(self.client.endpoints[1], HOLDER)
 
+    def test_move_to_an_engine_that_is_not_listed(self) -> None:
+        """Guard against a cut while the list lags behind the agents.
+
+        Recorded day inc-c31c: a draft was moved to an engine that had started
+        while the store was away, 0.1 s after the store's return.
+        """
+        self.moves.moved(moved('10.0.0.9:8000'))
+        self.forward(
+            DRAFT, stream(events(1, 3), cut=True), stream(events(4, 6))
+        )
+        self.assertEqual(self.caller.body, events(1, 6))
+        self.assertEqual(self.client.endpoints[1], '10.0.0.9:8000')
+
     def test_draft_that_moves_twice(self) -> None:
         """Guard against a limit of attempts that counts moves."""
         self.moves.moved(moved())
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -1,6 +1,7 @@
 """Forward streams of events that outlive their backend server."""
 
 import logging
+from dataclasses import replace
 
 from wasabistream.exceptions import BackendError, NotSentError
 from wasabistream.forwarding.attempts import AttemptHistory, AttemptSender
@@ -121,7 +122,7 @@
                 if watch.reason is None and not progress.event_count:
                     self._crashes.lost(server, watch.request)
                 return bad_gateway()
-            server_found = self._server_at(moved.endpoint)
+            server_found = self._server_at(moved, server)
             if server_found is None:
                 return bad_gateway()
             server = server_found
@@ -170,11 +171,32 @@
             watch.request.request_id, notice_seconds, copy_seconds
         )
 
-    def _server_at(self, endpoint: str) -> BackendServer | None:
+    def _server_at(
+        self, moved: RunMoved, source: BackendServer
+    ) -> BackendServer | None:
+        endpoint = moved.endpoint
         for server in self._fleet.current.servers.values():
             if server.endpoint == endpoint:
                 return server
-        return None
+        # An engine that started while the store was away is not listed yet;
+        # the copy's handle tells it from any other server.
+        logger.info(
+            'stream: moved to %s, which is not listed',
+            endpoint,
+            extra={'request_id': moved.run_id, 'from': source.endpoint},
+        )
+        address, _, port = endpoint.rpartition(':')
+        if not port.isdecimal():
+            return None
+        return replace(
+            source,
+            server_id='',
+            address=address,
+            port=int(port),
+            draining=False,
+            cold_remaining_seconds=0,
+            started_unix_ms=0,
+        )
 
     def _log(
         self,
