--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,10 +2,10 @@
 
 import itertools
 import socket
-import time
 from collections.abc import Callable
 from typing import Any
 
+from tests.waits import wait_for
 from wasabistream.buffers import StreamBuffer
 from wasabistream.jobs import GenerationJob
 from wasabistream.requests import Generate
@@ -124,11 +124,8 @@
 
 def wait_until(condition: Callable[[], Any]) -> None:
     """Wait for a condition; raises TimeoutError after a bounded time."""
-    deadline = time.monotonic() + WAIT_LIMIT_SECONDS
-    while not condition():
-        if time.monotonic() > deadline:
-            raise TimeoutError('condition did not become true')
-        time.sleep(0.01)
+    if not wait_for(condition, WAIT_LIMIT_SECONDS):
+        raise TimeoutError('condition did not become true')
 
 
 def build_vm(name: str, **changes: Any) -> Vm:
--- a/tests/forwarding_builders.py
+++ b/tests/forwarding_builders.py
@@ -1,7 +1,9 @@
 """Builders of test data for forwarding."""
 
+from dataclasses import dataclass
 from unittest.mock import Mock
 
+from wasabistream.forwarding.attempts import AttemptSender
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.budgets import RepeatBudgets, RepeatLimit
 from wasabistream.forwarding.cold_limiters import ColdLimit, ColdLimiter
@@ -10,13 +12,17 @@
     group_routes,
 )
 from wasabistream.forwarding.crash_blames import CrashBlame
+from wasabistream.forwarding.failure_rates import FailureRates
 from wasabistream.forwarding.fleets import Fleet, FleetHolder
+from wasabistream.forwarding.interfaces import ServerClient
+from wasabistream.forwarding.load_books import LoadBook
 from wasabistream.forwarding.mirrors import MirrorItem
 from wasabistream.forwarding.requests import (
     ForwardRequest,
     GenerationDemand,
 )
 from wasabistream.forwarding.routes import Destination, Route, RouteKind
+from wasabistream.forwarding.server_choosers import ServerChooser
 from wasabistream.forwarding.services import EngineProfile, Service
 from wasabistream.notices import LoadReport
 from wasabistream.retries import Deadline
@@ -180,3 +186,29 @@
     def advance(self, seconds: float) -> None:
         """Move the time forward."""
         self.now_seconds += seconds
+
+
+@dataclass(frozen=True)
+class ForwardingParts:
+    """Hold what forwarders share."""
+
+    holder: FleetHolder
+    rates: FailureRates
+    chooser: ServerChooser
+    sender: AttemptSender
+
+
+def build_parts(
+    client: ServerClient, *servers: BackendServer
+) -> ForwardingParts:
+    """Return the parts of an entry that lists these servers."""
+    holder = build_holder(*servers)
+    book = LoadBook()
+    rates = FailureRates()
+    cold = build_cold_limiter()
+    return ForwardingParts(
+        holder,
+        rates,
+        ServerChooser(holder, book, rates, cold, OWN_DATA_CENTRE),
+        AttemptSender(client, book, rates, build_budgets(), cold),
+    )
--- a/tests/platform_paths.py
+++ b/tests/platform_paths.py
@@ -2,12 +2,12 @@
 
 import socket
 import threading
-import time
 import unittest
 from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any, ClassVar
 
+from tests.builders import wait_until
 from tests.platform_builders import CONFIGURATION, NODE, SERVER, build_row
 from tests.platform_stores import StandInStore
 from wasabistream.platform.entry_applications import PlatformEntry
@@ -20,6 +20,7 @@
     b'Wasabistream-Request-Attempt-Id: %s\r\n'
     b'Wasabistream-Deadline-Remaining: 800\r\n'
 )
+READINESS = b'GET /-/readiness HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
 
 
 class BackendHandler(BaseHTTPRequestHandler):
@@ -70,6 +71,28 @@
     handler.close_connection = True
 
 
+def build_entry(store_port: int) -> PlatformEntry:
+    """Return an entry that reads a store on this machine."""
+    node = {
+        **NODE,
+        'seeds': [],
+        'platform': {'address': f'127.0.0.1:{store_port}'},
+    }
+    return PlatformEntry(decode_node(node), ProcessOptions('', 0))
+
+
+def exchange(port: int, raw: bytes) -> bytes:
+    """Send bytes and return all that comes back."""
+    with socket.create_connection(
+        ('127.0.0.1', port), timeout=WAIT_SECONDS
+    ) as sock:
+        sock.sendall(raw)
+        pieces = []
+        while piece := sock.recv(65536):
+            pieces.append(piece)
+        return b''.join(pieces)
+
+
 class PlatformPathCase(unittest.TestCase):
     """Run an entry between a store and a backend server."""
 
@@ -86,18 +109,9 @@
         server = {**SERVER, 'service': 'desk', 'address': f'127.0.0.1:{port}'}
         cls.store.put(build_row('op/config', 2, CONFIGURATION))
         cls.store.put(build_row('servers/s1', 3, server))
-        node = {
-            **NODE,
-            'seeds': [],
-            'platform': {'address': f'127.0.0.1:{cls.store.port}'},
-        }
-        cls.entry = PlatformEntry(decode_node(node), ProcessOptions('', 0))
+        cls.entry = build_entry(cls.store.port)
         cls.entry.on_start()
-        deadline = time.monotonic() + WAIT_SECONDS
-        while not cls.entry.fleet.current.servers:
-            if time.monotonic() > deadline:
-                raise TimeoutError('entry has no servers')
-            time.sleep(0.02)
+        wait_until(lambda: cls.entry.fleet.current.servers)
 
     @classmethod
     def tearDownClass(cls) -> None:
@@ -114,14 +128,7 @@
 
     def exchange(self, raw: bytes) -> bytes:
         """Send bytes and return all that comes back."""
-        with socket.create_connection(
-            ('127.0.0.1', self.entry.front_port), timeout=WAIT_SECONDS
-        ) as sock:
-            sock.sendall(raw)
-            pieces = []
-            while piece := sock.recv(65536):
-                pieces.append(piece)
-            return b''.join(pieces)
+        return exchange(self.entry.front_port, raw)
 
     def get(self, request_id: bytes, extra: bytes = b'') -> bytes:
         """Send one request and return the answer."""
--- a/tests/test_distributors.py
+++ b/tests/test_distributors.py
@@ -1,7 +1,6 @@
 """Tests of the way of a document through entries and agents."""
 
 import json
-import time
 import unittest
 from collections.abc import Callable
 from typing import Any
@@ -9,6 +8,7 @@
 import urllib3
 
 from tests.builders import build_full_document
+from tests.waits import wait_for
 from wasabistream.configurations import ConfigurationStore
 from wasabistream.distributors import ConfigurationDistributor
 from wasabistream.notices import Hello
@@ -22,13 +22,10 @@
 WAIT_LIMIT_SECONDS = 30.0
 
 
-def wait_for(condition: Callable[[], object], text: str) -> None:
+def require(condition: Callable[[], object], text: str) -> None:
     """Wait until a condition holds; raises AssertionError."""
-    deadline = time.monotonic() + WAIT_LIMIT_SECONDS
-    while not condition():
-        if time.monotonic() > deadline:
-            raise AssertionError(f'not in time: {text}')
-        time.sleep(0.02)
+    if not wait_for(condition, WAIT_LIMIT_SECONDS):
+        raise AssertionError(f'not in time: {text}')
 
 
 def encode(raw: Any) -> bytes:
@@ -95,8 +92,8 @@
         self.publish_vms()
         for node in self.nodes:
             node.distributor.start()
-        wait_for(lambda: self.in_force(1), 'first document')
-        wait_for(lambda: len(self.readers()) == 2, 'two readers')
+        require(lambda: self.in_force(1), 'first document')
+        require(lambda: len(self.readers()) == 2, 'two readers')
 
     def make_node(
         self, name: str, url: str = '', data_centre: str = 'dc-a'
@@ -130,8 +127,8 @@
             node.distributor.stop()
             self.nodes.remove(node)
         self.publish(2)
-        wait_for(lambda: self.in_force(2), 'document after take-over')
-        wait_for(lambda: len(self.readers()) == 2, 'two new readers')
+        require(lambda: self.in_force(2), 'document after take-over')
+        require(lambda: len(self.readers()) == 2, 'two new readers')
 
     def test_data_centre_without_service(self) -> None:
         """Guard a data centre that is cut off from the service."""
@@ -140,19 +137,19 @@
         self.nodes.append(node)
         self.publish_vms()
         node.distributor.start()
-        wait_for(lambda: self.in_force(1), 'document by another data centre')
+        require(lambda: self.in_force(1), 'document by another data centre')
         self.publish(2)
-        wait_for(lambda: self.in_force(2), 'change by another data centre')
+        require(lambda: self.in_force(2), 'change by another data centre')
 
     def test_refused_document_is_known_everywhere(self) -> None:
         """Guard against a refusal that only the readers report."""
         self.publish('two')
-        wait_for(
+        require(
             lambda: all(node.store.refusal for node in self.nodes), 'refusal'
         )
         self.assertTrue(self.in_force(1))
         self.publish(2)
-        wait_for(lambda: self.in_force(2), 'document after refusal')
+        require(lambda: self.in_force(2), 'document after refusal')
         self.assertFalse(any(node.store.refusal for node in self.nodes))
 
     def test_restart_does_not_believe_stale_read(self) -> None:
@@ -167,7 +164,7 @@
         """Restart an entry that reads revision 1, with or without VMs."""
         self.service.inject(Faults())
         self.publish(2)
-        wait_for(lambda: self.in_force(2), 'second document')
+        require(lambda: self.in_force(2), 'second document')
         old = self.nodes[0]
         old.distributor.stop()
         # Every reader of the service gets revision 1 from now on.
@@ -182,8 +179,8 @@
                 1000 - stale_index,
                 0,
             )
-        wait_for(lambda: new.revision, 'a document after the restart')
-        wait_for(lambda: new.revision == 2, 'the current document')
+        require(lambda: new.revision, 'a document after the restart')
+        require(lambda: new.revision == 2, 'the current document')
         self.assertEqual(new.forced, [2])
 
 
@@ -196,12 +193,12 @@
             self.start_entry_and_agent(fleet)
             fleet.publish_document(build_full_document(revision=2))
             agent = fleet.processes['agent-1']
-            wait_for(lambda: held_revision(agent.link_port) == 2, 'agent')
+            require(lambda: held_revision(agent.link_port) == 2, 'agent')
             url = f'{fleet.configuration.url}/stand-in/faults?stale_index=2'
             fleet.http.request('GET', url)
             fleet.processes['entry-1'].process.kill()
             fleet.restart('entry-1')
-            wait_for(lambda: self.report(fleet).get('ready'), 'restart')
+            require(lambda: self.report(fleet).get('ready'), 'restart')
             self.assertEqual(self.report(fleet)['revision'], 2)
             self.assertEqual(self.report(fleet)['document_confirmed_by'], 1)
 
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -15,12 +15,12 @@
 from tests.waits import wait_for
 from wasabistream.forwarding.mirrors import StoreMirror
 from wasabistream.forwarding.observed_engines import (
-    ALIVE_SECONDS,
     EngineAnnouncement,
     ObservedEngines,
     add_observed,
 )
 from wasabistream.forwarding.peer_links import PeerLinks
+from wasabistream.forwarding.recently_heard import ALIVE_SECONDS
 from wasabistream.listeners import LinkListener
 from wasabistream.messages import PROTOCOL_VERSION_MAX, PROTOCOL_VERSION_MIN
 from wasabistream.notices import Hello
--- a/tests/test_plain_forwarders.py
+++ b/tests/test_plain_forwarders.py
@@ -7,11 +7,8 @@
 import unittest
 
 from tests.forwarding_builders import (
-    OWN_DATA_CENTRE,
-    build_budgets,
-    build_cold_limiter,
     build_crash_blame,
-    build_holder,
+    build_parts,
     build_request,
     build_route,
     build_server,
@@ -27,13 +24,10 @@
     whole,
 )
 from wasabistream.exceptions import BackendError
-from wasabistream.forwarding.attempts import AttemptHistory, AttemptSender
-from wasabistream.forwarding.failure_rates import FailureRates
-from wasabistream.forwarding.load_books import LoadBook
+from wasabistream.forwarding.attempts import AttemptHistory
 from wasabistream.forwarding.plain_forwarders import PlainForwarder
 from wasabistream.forwarding.requests import Reply
 from wasabistream.forwarding.routes import Route, RouteKind
-from wasabistream.forwarding.server_choosers import ServerChooser
 from wasabistream.forwarding.supervisors import Watch
 
 LOOKUP = build_route(RouteKind.idempotent)
@@ -48,16 +42,12 @@
     ) -> Reply:
         """Forward one request to servers that act by a script."""
         self.client = FakeClient(*script)
-        holder = build_holder(*(build_server(number) for number in (1, 2, 3)))
-        book = LoadBook()
-        rates = FailureRates()
-        chooser = ServerChooser(
-            holder, book, rates, build_cold_limiter(), OWN_DATA_CENTRE
+        parts = build_parts(
+            self.client, *(build_server(number) for number in (1, 2, 3))
         )
-        sender = AttemptSender(
-            self.client, book, rates, build_budgets(), build_cold_limiter()
+        forwarder = PlainForwarder(
+            parts.chooser, parts.sender, parts.rates, build_crash_blame()
         )
-        forwarder = PlainForwarder(chooser, sender, rates, build_crash_blame())
         watch = Watch(build_request(route), FakeCaller())
         return forwarder.forward(watch, AttemptHistory())
 
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -12,16 +12,15 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from tests.platform_builders import NODE
 from tests.platform_paths import (
     HEAD,
+    READINESS,
     BackendHandler,
     PlatformPathCase,
     answer,
+    build_entry,
+    exchange,
 )
-from wasabistream.platform.entry_applications import PlatformEntry
-from wasabistream.platform.node_applications import ProcessOptions
-from wasabistream.platform.node_files import decode_node
 
 FUZZ = settings(
     max_examples=60,
@@ -132,24 +131,12 @@
         # Nothing listens at the store's address.
         with socket.create_server(('127.0.0.1', 0)) as free:
             port = free.getsockname()[1]
-        node = {
-            **NODE,
-            'seeds': [],
-            'platform': {'address': f'127.0.0.1:{port}'},
-        }
-        entry = PlatformEntry(decode_node(node), ProcessOptions('', 0))
+        entry = build_entry(port)
         entry.on_start()
         self.addCleanup(entry.on_stop)
         head = HEAD % b'u1' + b'Connection: close\r\n\r\n'
         for raw in (head, head.replace(b'host.example', b'none.example')):
-            self.assertIn(b' 503 ', self.ask(entry.front_port, raw))
-        back = self.ask(entry.front_port, head)
+            self.assertIn(b' 503 ', exchange(entry.front_port, raw))
+        back = exchange(entry.front_port, head)
         self.assertIn(b'retry-after: ', back.lower())
-        ready = b'GET /-/readiness HTTP/1.1\r\nHost: a\r\n\r\n'
-        self.assertNotIn(b' 200 ', self.ask(entry.ready_port, ready))
-
-    def ask(self, port: int, raw: bytes) -> bytes:
-        """Send one request and return the start of the answer."""
-        with socket.create_connection(('127.0.0.1', port), timeout=10) as sock:
-            sock.sendall(raw)
-            return sock.recv(65536)
+        self.assertNotIn(b' 200 ', exchange(entry.ready_port, READINESS))
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -6,15 +6,15 @@
 
 import json
 import logging
-import socket
 import time
 
 from tests.platform_paths import (
     HEAD,
-    WAIT_SECONDS,
+    READINESS,
     BackendHandler,
     PlatformPathCase,
     answer,
+    exchange,
 )
 
 
@@ -138,14 +138,8 @@
 
     def test_readiness(self) -> None:
         """Guard against an entry that is ready without a configuration."""
-        with socket.create_connection(
-            ('127.0.0.1', self.entry.ready_port), timeout=WAIT_SECONDS
-        ) as sock:
-            sock.sendall(
-                b'GET /-/readiness HTTP/1.1\r\nHost: a\r\n'
-                b'Connection: close\r\n\r\n'
-            )
-            self.assertIn(b'200', sock.recv(65536))
+        raw = exchange(self.entry.ready_port, READINESS)
+        self.assertIn(b'200', raw)
 
     def test_bodies_are_json(self) -> None:
         """Guard against a body that is changed on the way back."""
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -10,6 +10,7 @@
 from tests.platform_stores import StandInStore
 from tests.waits import wait_for
 from wasabistream.exceptions import HistoryLostError, StoreError
+from wasabistream.forwarding.endpoints import Endpoint
 from wasabistream.forwarding.fleets import Fleet
 from wasabistream.forwarding.mirrors import StoreMirror
 from wasabistream.platform.store_clients import StoreClient
@@ -36,7 +37,7 @@
         self.store.put(build_row('op/config', 2, CONFIGURATION))
         for number in range(3):
             self.store.put(build_row(f'servers/s{number}', 3 + number, SERVER))
-        self.client = StoreClient('127.0.0.1', self.store.port)
+        self.client = StoreClient(Endpoint('127.0.0.1', self.store.port))
 
     def follow(self) -> tuple[StoreFollower, StoreMirror]:
         """Follow the store."""
--- a/tests/test_stream_forwarders.py
+++ b/tests/test_stream_forwarders.py
@@ -8,11 +8,8 @@
 
 from tests.forwarding_builders import (
     ENGINE_SERVICE,
-    OWN_DATA_CENTRE,
-    build_budgets,
-    build_cold_limiter,
     build_crash_blame,
-    build_holder,
+    build_parts,
     build_request,
     build_route,
     build_server,
@@ -29,14 +26,11 @@
     whole,
 )
 from wasabistream.exceptions import BackendError
-from wasabistream.forwarding.attempts import AttemptHistory, AttemptSender
-from wasabistream.forwarding.failure_rates import FailureRates
-from wasabistream.forwarding.load_books import LoadBook
+from wasabistream.forwarding.attempts import AttemptHistory
 from wasabistream.forwarding.move_books import MoveBook
 from wasabistream.forwarding.move_messages import RunMoved
 from wasabistream.forwarding.requests import Reply
 from wasabistream.forwarding.routes import Route, RouteKind
-from wasabistream.forwarding.server_choosers import ServerChooser
 from wasabistream.forwarding.stream_forwarders import StreamForwarder
 from wasabistream.forwarding.stream_progress import StreamProgress
 from wasabistream.forwarding.supervisors import CutReason, Watch
@@ -66,19 +60,17 @@
     ) -> Reply | None:
         """Forward one stream from engines that act by a script."""
         self.client = FakeClient(*script)
-        holder = build_holder(
-            *(build_server(one, service=ENGINE_SERVICE) for one in (1, 2, 3))
-        )
-        book = LoadBook()
-        rates = FailureRates()
-        chooser = ServerChooser(
-            holder, book, rates, build_cold_limiter(), OWN_DATA_CENTRE
-        )
-        sender = AttemptSender(
-            self.client, book, rates, build_budgets(), build_cold_limiter()
+        parts = build_parts(
+            self.client,
+            *(build_server(one, service=ENGINE_SERVICE) for one in (1, 2, 3)),
         )
         forwarder = StreamForwarder(
-            holder, chooser, sender, rates, self.moves, build_crash_blame()
+            parts.holder,
+            parts.chooser,
+            parts.sender,
+            parts.rates,
+            self.moves,
+            build_crash_blame(),
         )
         self.watch = Watch(build_request(route), self.caller)
         return forwarder.forward(self.watch, AttemptHistory(), self.progress)
--- a/tests/waits.py
+++ b/tests/waits.py
@@ -4,12 +4,14 @@
 from collections.abc import Callable
 
 WAIT_SECONDS = 10
-POLL_SECONDS = 0.02
+POLL_SECONDS = 0.01
 
 
-def wait_for(condition: Callable[[], bool]) -> bool:
+def wait_for(
+    condition: Callable[[], object], limit_seconds: float = WAIT_SECONDS
+) -> bool:
     """Wait until a condition holds; tell whether it did."""
-    deadline = time.monotonic() + WAIT_SECONDS
+    deadline = time.monotonic() + limit_seconds
     while time.monotonic() < deadline:
         if condition():
             return True
--- a/wasabistream/agents.py
+++ b/wasabistream/agents.py
@@ -19,13 +19,14 @@
 from wasabistream.calls import CallRunner
 from wasabistream.configurations import ConfigurationStore
 from wasabistream.crashes import CrashDetector
-from wasabistream.document_relays import DocumentRelay, send_to
+from wasabistream.document_relays import DocumentRelay
 from wasabistream.engines import EngineState, make_engine_client
 from wasabistream.exceptions import BackendError, LinkError
 from wasabistream.gate_builders import build_gate
 from wasabistream.gates import Gate
 from wasabistream.generations import GenerationRunner
 from wasabistream.hold_peers import HoldPeers
+from wasabistream.link_senders import send_quietly, send_to
 from wasabistream.links import Link
 from wasabistream.listeners import LinkListener, finish_links
 from wasabistream.load_reporters import LoadReporter
@@ -286,7 +287,4 @@
 
     def _broadcast(self, notice: Message) -> None:
         for link in list(self._links):
-            try:
-                link.send(notice)
-            except LinkError as error:
-                logger.debug('agent: notice lost: %s', error)
+            send_quietly(link, notice, 'agent: notice', logging.DEBUG)
--- a/wasabistream/distributors.py
+++ b/wasabistream/distributors.py
@@ -7,8 +7,9 @@
 
 from wasabistream.configuration_notices import ReaderStatus
 from wasabistream.configurations import ConfigurationStore
-from wasabistream.document_relays import DocumentRelay, send_to
+from wasabistream.document_relays import DocumentRelay
 from wasabistream.entry_peers import EntryPeers
+from wasabistream.link_senders import send_to
 from wasabistream.links import Link
 from wasabistream.list_relays import ListRelay
 from wasabistream.listeners import LinkListener
--- a/wasabistream/document_relays.py
+++ b/wasabistream/document_relays.py
@@ -2,7 +2,6 @@
 
 import logging
 import threading
-from collections.abc import Sequence
 
 from wasabistream.configuration_notices import (
     DocumentPatch,
@@ -14,8 +13,8 @@
     RefusedDocument,
 )
 from wasabistream.documents import DocumentVersion, digest_of
-from wasabistream.exceptions import LinkError
 from wasabistream.fetchers import Fetcher
+from wasabistream.link_senders import send_quietly, send_to
 from wasabistream.links import Link
 from wasabistream.messages import Message
 from wasabistream.notices import DocumentBody, DocumentDigest, DocumentFetch
@@ -167,17 +166,3 @@
     return DocumentRefused(
         refusal.digest, refusal.cause, list(refusal.problems)
     )
-
-
-def send_to(links: Sequence[Link], notice: Message) -> None:
-    """Send a notice to several peers."""
-    for link in links:
-        send_quietly(link, notice)
-
-
-def send_quietly(link: Link, message: Message) -> None:
-    """Send a message that the peer gets again after a new link."""
-    try:
-        link.send(message)
-    except LinkError as error:
-        logger.info('relay: notice lost: %s', error)
--- a/wasabistream/entry_quarantines.py
+++ b/wasabistream/entry_quarantines.py
@@ -5,15 +5,14 @@
 from collections.abc import Callable, Iterable
 
 from wasabistream.crash_notices import ClearNotice, CrashNotice
-from wasabistream.exceptions import LinkError, RefusedError
+from wasabistream.exceptions import RefusedError
+from wasabistream.link_senders import send_quietly
 from wasabistream.links import Link
 from wasabistream.messages import Message
 from wasabistream.outcomes import Outcome
 from wasabistream.quarantines import Quarantine, Verdict
 from wasabistream.requests import Generate
 
-logger = logging.getLogger(__name__)
-
 
 class EntryQuarantine:
     """Keep contents that crashed engines away from other engines."""
@@ -56,8 +55,5 @@
         for link in self._links():
             if link is source:
                 continue
-            try:
-                link.send(notice)
-            except LinkError as error:
-                # The agent hears of it with the next attempt.
-                logger.debug('entry: crash notice lost: %s', error)
+            # The agent hears of it with the next attempt.
+            send_quietly(link, notice, 'entry: crash notice', logging.DEBUG)
--- a/wasabistream/forwarding/agent_links.py
+++ b/wasabistream/forwarding/agent_links.py
@@ -4,11 +4,10 @@
 import threading
 import time
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 from wasabistream.dialers import PeerDialer
-from wasabistream.exceptions import LinkError
 from wasabistream.forwarding.backend_servers import BackendServer
+from wasabistream.forwarding.endpoints import Endpoint
 from wasabistream.forwarding.fleets import Fleet
 from wasabistream.forwarding.load_books import LoadBook
 from wasabistream.forwarding.move_books import MoveBook
@@ -19,6 +18,7 @@
     RunMoving,
 )
 from wasabistream.forwarding.rooms import list_rooms
+from wasabistream.link_senders import send_quietly
 from wasabistream.links import Link
 from wasabistream.messages import Message
 from wasabistream.notices import Hello, LoadReport
@@ -30,19 +30,6 @@
 LINGER_SECONDS = 20.0
 
 
-@dataclass(frozen=True, slots=True)
-class AgentAddress:
-    """Hold where the agent of one backend server listens."""
-
-    address: str
-    backend_port: int
-
-    @property
-    def endpoint(self) -> str:
-        """Return the endpoint of the backend server."""
-        return f'{self.address}:{self.backend_port}'
-
-
 class AgentLinks:
     """Keep one link to the agent of each engine."""
 
@@ -54,15 +41,15 @@
         self._book = book
         self._moves = moves
         self._lock = threading.Lock()
-        self._dialers: dict[AgentAddress, PeerDialer] = {}
+        self._dialers: dict[Endpoint, PeerDialer] = {}
         # When backend servers left the list.
-        self._unlisted_seconds: dict[AgentAddress, float] = {}
+        self._unlisted_seconds: dict[Endpoint, float] = {}
         self._fleet = Fleet()
 
     def follow(self, fleet: Fleet) -> None:
         """Open links to new engines and close those of engines that left."""
         wanted = {
-            AgentAddress(server.address, server.port)
+            Endpoint(server.address, server.port)
             for server in fleet.servers.values()
             if _has_engine(fleet, server)
         }
@@ -74,7 +61,7 @@
                     address.address,
                     self._link_port,
                     self._hello,
-                    _AgentLink(self, address.endpoint),
+                    _AgentLink(self, str(address)),
                 )
                 self._dialers[address] = dialer
                 dialer.start()
@@ -98,7 +85,7 @@
             case RoomQuery():
                 self._tell_rooms(endpoint, link, notice)
 
-    def _drop_unlisted(self, wanted: set[AgentAddress]) -> None:
+    def _drop_unlisted(self, wanted: set[Endpoint]) -> None:
         now = time.monotonic()
         for address in list(self._dialers):
             if address in wanted:
@@ -111,11 +98,8 @@
 
     def _tell_rooms(self, endpoint: str, link: Link, query: RoomQuery) -> None:
         rows = list_rooms(self._fleet, self._book, query.service, endpoint)
-        try:
-            link.send(RoomReport(rows))
-        except LinkError as error:
-            # The agent asks all entries and again while it leaves.
-            logger.info('agent link: room report lost: %s', error)
+        # The agent asks all entries and again while it leaves.
+        send_quietly(link, RoomReport(rows), 'agent link: room report')
 
 
 class _AgentLink:
@@ -140,8 +124,5 @@
 
 
 def _has_engine(fleet: Fleet, server: BackendServer) -> bool:
-    configuration = fleet.configuration
-    if configuration is None:
-        return False
-    service = configuration.services.get(server.service)
+    service = fleet.find_service(server.service)
     return service is not None and service.engine is not None
--- a/wasabistream/forwarding/announcers.py
+++ b/wasabistream/forwarding/announcers.py
@@ -5,17 +5,16 @@
 from collections.abc import Callable, Sequence
 
 from wasabistream.dialers import PeerDialer
-from wasabistream.exceptions import LinkError
+from wasabistream.forwarding.endpoints import Endpoint
 from wasabistream.forwarding.observed_engines import (
     ANNOUNCE_SECONDS,
     EngineAnnouncement,
 )
+from wasabistream.link_senders import send_quietly
 from wasabistream.links import Link
 from wasabistream.messages import Message
 from wasabistream.notices import Hello
 
-logger = logging.getLogger(__name__)
-
 
 class EngineAnnouncer:
     """Tell the seeds regularly that the engine serves.
@@ -27,7 +26,7 @@
     def __init__(
         self,
         hello: Hello,
-        seeds: Sequence[tuple[str, int]],
+        seeds: Sequence[Endpoint],
         announcement: EngineAnnouncement,
         is_serving: Callable[[], bool],
     ) -> None:
@@ -37,7 +36,7 @@
         self._lock = threading.Lock()
         self._stopped = threading.Event()
         self._dialers = [
-            PeerDialer(address, port, hello, self) for address, port in seeds
+            PeerDialer(seed.address, seed.port, hello, self) for seed in seeds
         ]
 
     def start(self) -> None:
@@ -72,7 +71,9 @@
             with self._lock:
                 links = list(self._links)
             for link in links:
-                try:
-                    link.send(self._announcement)
-                except LinkError as error:
-                    logger.debug('announcer: message lost: %s', error)
+                send_quietly(
+                    link,
+                    self._announcement,
+                    'announcer: message',
+                    logging.DEBUG,
+                )
--- a/wasabistream/forwarding/attempts.py
+++ b/wasabistream/forwarding/attempts.py
@@ -1,6 +1,5 @@
 """One attempt of a request at one backend server."""
 
-import logging
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -19,10 +18,9 @@
 )
 from wasabistream.forwarding.load_books import LoadBook
 from wasabistream.forwarding.requests import Continuation, ForwardRequest
+from wasabistream.forwarding.routes import Route
 from wasabistream.forwarding.supervisors import Watch
 
-logger = logging.getLogger(__name__)
-
 # Attempts that backend servers turned away without running them do not count
 # against the route's limit; this many end the search.
 MAX_TURNED_AWAY_COUNT = 3
@@ -72,9 +70,7 @@
         route = request.route
         if history.turned_away_count >= MAX_TURNED_AWAY_COUNT:
             return False
-        if history.run_count and not route.repeatable:
-            return False
-        if history.run_count >= route.max_attempt_count:
+        if not _may_run(route, history.run_count):
             return False
         return self._budgets.take(request.service)
 
@@ -82,12 +78,9 @@
         self, request: ForwardRequest, history: AttemptHistory
     ) -> bool:
         """Tell whether one run more than the next is allowed now."""
-        route = request.route
-        if not route.repeatable:
-            return False
-        if history.run_count + 1 >= route.max_attempt_count:
-            return False
-        return self._budgets.allows(request.service)
+        return _may_run(
+            request.route, history.run_count + 1
+        ) and self._budgets.allows(request.service)
 
     @contextmanager
     def open(
@@ -159,3 +152,9 @@
             )
         history.run_count += counted
         return exchange
+
+
+def _may_run(route: Route, run_count: int) -> bool:
+    if run_count and not route.repeatable:
+        return False
+    return run_count < route.max_attempt_count
--- a/wasabistream/forwarding/budgets.py
+++ b/wasabistream/forwarding/budgets.py
@@ -41,7 +41,7 @@
         """Count one request of a caller."""
         with self._lock:
             self._requests.add()
-            self._requests.count(self._limit.window_seconds)
+            self._requests.trim(self._limit.window_seconds)
 
     def take(self, entry_count: int) -> bool:
         """Take one repeat; tell whether the budget allows it."""
--- a/wasabistream/forwarding/fleets.py
+++ b/wasabistream/forwarding/fleets.py
@@ -5,6 +5,7 @@
 
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.configurations import RoutingConfiguration
+from wasabistream.forwarding.services import Service
 
 
 @dataclass(frozen=True)
@@ -19,6 +20,12 @@
     servers: Mapping[str, BackendServer] = field(default_factory=dict)
     data_centres_out: frozenset[str] = frozenset()
 
+    def find_service(self, name: str) -> Service | None:
+        """Return a service, or None when it is not configured."""
+        if self.configuration is None:
+            return None
+        return self.configuration.services.get(name)
+
     def usable_servers(self, service: str) -> list[BackendServer]:
         """Return the backend servers of a service that may get new work."""
         return [
--- a/wasabistream/forwarding/peer_links.py
+++ b/wasabistream/forwarding/peer_links.py
@@ -6,7 +6,7 @@
 
 from wasabistream.crash_notices import ClearNotice, CrashNotice
 from wasabistream.dialers import PeerDialer
-from wasabistream.exceptions import LinkError
+from wasabistream.forwarding.endpoints import parse_endpoint
 from wasabistream.forwarding.heard_entries import HeardEntries
 from wasabistream.forwarding.mirror_exchanges import MirrorExchange
 from wasabistream.forwarding.mirrors import StoreMirror
@@ -19,6 +19,7 @@
     MirrorQuery,
     PeerNotice,
 )
+from wasabistream.link_senders import send_quietly
 from wasabistream.links import Link
 from wasabistream.messages import Message
 from wasabistream.metrics import KNOWN_ENTRIES
@@ -104,7 +105,7 @@
         with self._lock:
             links = list(self._links)
         for link in links:
-            self._send(link, notice)
+            _send(link, notice)
 
     def notify(self) -> None:
         """Tell the peers at once that there is news."""
@@ -129,7 +130,7 @@
         if link.peer.role == self._hello.role:
             with self._lock:
                 self._links[link] = None
-            self._send(link, self._notice())
+            _send(link, self._notice())
 
     def on_messages(self, link: Link, received: Sequence[Message]) -> None:
         """Handle the messages of a peer."""
@@ -144,7 +145,7 @@
                     self._on_crash_notice(notice)
                 case MirrorQuery():
                     for part in self._exchange.parts_after(notice.revision):
-                        self._send(link, part)
+                        _send(link, part)
                 case MirrorPart():
                     self._take_over(link, notice)
 
@@ -175,8 +176,10 @@
             for endpoint in sorted(wanted - set(self._dialers)):
                 if len(self._dialers) >= MAX_DIALER_COUNT:
                     break
-                address, _, port = endpoint.rpartition(':')
-                dialer = PeerDialer(address, int(port), self._hello, self)
+                found = parse_endpoint(endpoint)
+                dialer = PeerDialer(
+                    found.address, found.port, self._hello, self
+                )
                 self._dialers[endpoint] = dialer
                 dialer.start()
 
@@ -204,7 +207,7 @@
         self._learn_engines(notice)
         newer = notice.revision > self._mirror.revision
         if newer and self._is_store_lost():
-            self._send(link, MirrorQuery(self._mirror.revision))
+            _send(link, MirrorQuery(self._mirror.revision))
 
     def _learn_engines(self, notice: PeerNotice) -> None:
         try:
@@ -227,11 +230,9 @@
             extra={'revision': part.revision, 'taken': taken},
         )
 
-    def _send(self, link: Link, notice: Message) -> None:
-        try:
-            link.send(notice)
-        except LinkError as error:
-            logger.debug('peer: message lost: %s', error)
+
+def _send(link: Link, notice: Message) -> None:
+    send_quietly(link, notice, 'peer: message', logging.DEBUG)
 
 
 def _ignore(notice: Message) -> None:
--- a/wasabistream/forwarding/rooms.py
+++ b/wasabistream/forwarding/rooms.py
@@ -6,9 +6,6 @@
 from wasabistream.forwarding.fleets import Fleet
 from wasabistream.forwarding.load_books import LoadBook
 
-# Part of an engine's memory that stays free for the growth of its own
-# generations.
-RESERVE_RATIO = 0.0
 # A far engine is chosen when it has this much less load, depending on whether
 # the time of the notice allows the longer copy.
 EASY_DISTANCE_RATIO = 1.5
@@ -38,12 +35,11 @@
         usable = estimate.responsive and not estimate.leaving
         if server.endpoint == asking_endpoint or not usable:
             continue
-        capacity = estimate.memory_capacity_tokens * (1 - RESERVE_RATIO)
         rows.append(
             [
                 server.endpoint,
                 server.data_centre,
-                int(capacity) - estimate.memory_tokens,
+                estimate.memory_capacity_tokens - estimate.memory_tokens,
                 estimate.request_count,
             ]
         )
--- a/wasabistream/forwarding/server_choosers.py
+++ b/wasabistream/forwarding/server_choosers.py
@@ -7,7 +7,7 @@
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.cold_limiters import ColdLimiter
 from wasabistream.forwarding.failure_rates import FailureRates
-from wasabistream.forwarding.fleets import Fleet, FleetHolder
+from wasabistream.forwarding.fleets import FleetHolder
 from wasabistream.forwarding.load_books import LoadBook, LoadEstimate
 from wasabistream.forwarding.requests import ForwardRequest
 
@@ -55,11 +55,13 @@
     ) -> BackendServer | None:
         """Return the best backend server, or None when there is none."""
         fleet = self._fleet.current
+        service = fleet.find_service(request.service)
+        cold_rate = service.cold_requests_per_second if service else 0
         servers = [
             server
             for server in fleet.usable_servers(request.service)
             if server.endpoint not in excluded
-            and self._cold.admits(server, _cold_rate(fleet, request))
+            and self._cold.admits(server, cold_rate)
         ]
         reachable = [
             server
@@ -77,22 +79,33 @@
         return min(
             candidates,
             key=lambda server: self._cost(
-                server, request, lonely=data_centres[server.data_centre] == 1
+                server,
+                candidates[server],
+                request,
+                lonely=data_centres[server.data_centre] == 1,
             ),
         )
 
-    def _staying(self, servers: list[BackendServer]) -> list[BackendServer]:
-        staying = []
-        for server in servers:
-            estimate = self._book.estimate(server.endpoint)
-            if not estimate.leaving and estimate.responsive:
-                staying.append(server)
-        return staying
+    def _staying(
+        self, servers: list[BackendServer]
+    ) -> dict[BackendServer, LoadEstimate]:
+        estimates = {
+            server: self._book.estimate(server.endpoint) for server in servers
+        }
+        return {
+            server: estimate
+            for server, estimate in estimates.items()
+            if not estimate.leaving and estimate.responsive
+        }
 
     def _cost(
-        self, server: BackendServer, request: ForwardRequest, *, lonely: bool
+        self,
+        server: BackendServer,
+        estimate: LoadEstimate,
+        request: ForwardRequest,
+        *,
+        lonely: bool,
     ) -> tuple[float, float]:
-        estimate = self._book.estimate(server.endpoint)
         remote = server.data_centre != self._data_centre
         failures = FAILURE_COST * self._rates.rate(server.endpoint)
         if request.demand is None:
@@ -110,13 +123,6 @@
         return cost, random.random()
 
 
-def _cold_rate(fleet: Fleet, request: ForwardRequest) -> float:
-    if fleet.configuration is None:
-        return 0
-    service = fleet.configuration.services.get(request.service)
-    return service.cold_requests_per_second if service else 0
-
-
 def _engine_cost(
     estimate: LoadEstimate, server: BackendServer, tokens: int
 ) -> float:
--- a/wasabistream/forwarding/sliding_windows.py
+++ b/wasabistream/forwarding/sliding_windows.py
@@ -17,7 +17,11 @@
 
     def count(self, window_seconds: float) -> int:
         """Return the events within a window and forget the older ones."""
+        self.trim(window_seconds)
+        return len(self._times)
+
+    def trim(self, window_seconds: float) -> None:
+        """Forget the events before a window."""
         oldest = self._clock() - window_seconds
         while self._times and self._times[0] < oldest:
             self._times.popleft()
-        return len(self._times)
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -1,12 +1,15 @@
 """Forward streams of events that outlive their backend server."""
 
 import logging
-from dataclasses import replace
 
 from wasabistream.exceptions import BackendError, NotSentError
 from wasabistream.forwarding.attempts import AttemptHistory, AttemptSender
-from wasabistream.forwarding.backend_servers import BackendServer
+from wasabistream.forwarding.backend_servers import (
+    BackendServer,
+    build_unlisted_server,
+)
 from wasabistream.forwarding.crash_blames import CrashBlame
+from wasabistream.forwarding.endpoints import parse_endpoint
 from wasabistream.forwarding.event_splitters import EventSplitter
 from wasabistream.forwarding.failure_rates import FailureRates
 from wasabistream.forwarding.fleets import FleetHolder
@@ -163,12 +166,11 @@
     def _find_move(self, watch: Watch) -> RunMoved | None:
         if watch.ended:
             return None
-        notice_seconds = MOVE_NOTICE_SECONDS
         copy_seconds = min(
             MOVE_COPY_SECONDS, watch.request.deadline.remaining_seconds
         )
         return self._moves.take(
-            watch.request.request_id, notice_seconds, copy_seconds
+            watch.request.request_id, MOVE_NOTICE_SECONDS, copy_seconds
         )
 
     def _server_at(
@@ -185,17 +187,13 @@
             endpoint,
             extra={'request_id': moved.run_id, 'from': source.endpoint},
         )
-        address, _, port = endpoint.rpartition(':')
-        if not port.isdecimal():
+        try:
+            found = parse_endpoint(endpoint)
+        except ValueError as error:
+            logger.warning('stream: move is malformed: %s', error)
             return None
-        return replace(
-            source,
-            server_id='',
-            address=address,
-            port=int(port),
-            draining=False,
-            cold_remaining_seconds=0,
-            started_unix_ms=0,
+        return build_unlisted_server(
+            found, source.service, source.data_centre, source.slot_count
         )
 
     def _log(
--- a/wasabistream/hold_peers.py
+++ b/wasabistream/hold_peers.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable, Sequence
 
 from wasabistream.dialers import PeerDialer
-from wasabistream.document_relays import send_quietly
 from wasabistream.holds import HoldBook, HoldRequests
+from wasabistream.link_senders import send_quietly
 from wasabistream.links import Link
 from wasabistream.messages import Message
 from wasabistream.notices import Hello, HoldGrant, HoldRequest
--- /dev/null
+++ b/wasabistream/link_senders.py
@@ -0,0 +1,29 @@
+"""Sends whose loss is only logged."""
+
+import logging
+from collections.abc import Sequence
+
+from wasabistream.exceptions import LinkError
+from wasabistream.links import Link
+from wasabistream.messages import Message
+
+logger = logging.getLogger(__name__)
+
+
+def send_to(links: Sequence[Link], notice: Message) -> None:
+    """Send a notice to several peers."""
+    for link in links:
+        send_quietly(link, notice)
+
+
+def send_quietly(
+    link: Link,
+    message: Message,
+    label: str = 'relay: notice',
+    level: int = logging.INFO,
+) -> None:
+    """Send a message that the peer gets again after a new link."""
+    try:
+        link.send(message)
+    except LinkError as error:
+        logger.log(level, '%s lost: %s', label, error)
--- a/wasabistream/list_relays.py
+++ b/wasabistream/list_relays.py
@@ -9,9 +9,9 @@
     VmListPatch,
 )
 from wasabistream.configurations import Order
-from wasabistream.document_relays import send_quietly, send_to
 from wasabistream.documents import digest_of
 from wasabistream.fetchers import Fetcher
+from wasabistream.link_senders import send_quietly, send_to
 from wasabistream.links import Link
 from wasabistream.messages import Message
 from wasabistream.notices import VmListBody
--- a/wasabistream/load_reporters.py
+++ b/wasabistream/load_reporters.py
@@ -6,12 +6,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from wasabistream.exceptions import LinkError
+from wasabistream.link_senders import send_quietly
 from wasabistream.links import Link
 from wasabistream.notices import LoadReport
 
-logger = logging.getLogger(__name__)
-
 # Changes below these are not reported, to keep control traffic small.
 MEMORY_CHANGE_RATIO = 0.02
 COUNT_CHANGE_RATIO = 0.05
@@ -111,7 +109,4 @@
 
 
 def _send(link: Link, report: LoadReport) -> None:
-    try:
-        link.send(report)
-    except LinkError as error:
-        logger.debug('agent: report lost: %s', error)
+    send_quietly(link, report, 'agent: report', logging.DEBUG)
--- a/wasabistream/part_relays.py
+++ b/wasabistream/part_relays.py
@@ -5,8 +5,8 @@
 from dataclasses import asdict
 
 from wasabistream.configuration_notices import VmListDigest, VmListFetch
-from wasabistream.document_relays import send_quietly
 from wasabistream.documents import canonical_json, digest_of
+from wasabistream.link_senders import send_quietly
 from wasabistream.links import Link
 from wasabistream.messages import Message
 from wasabistream.notices import VmListBody
--- a/wasabistream/peers.py
+++ b/wasabistream/peers.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable, Sequence
 
 from wasabistream.dialers import PeerDialer
-from wasabistream.exceptions import LinkError
 from wasabistream.grants import GrantReply, LeaseClaim
 from wasabistream.leases import LeaseRound, OwnerLease
+from wasabistream.link_senders import send_quietly
 from wasabistream.links import Link
 from wasabistream.messages import Message
 from wasabistream.metrics import LEASE_HELD
@@ -164,7 +164,4 @@
 
 
 def _send(link: Link, message: Message) -> None:
-    try:
-        link.send(message)
-    except LinkError as error:
-        logger.debug('agent: lease message lost: %s', error)
+    send_quietly(link, message, 'agent: lease message', logging.DEBUG)
--- a/wasabistream/platform/__main__.py
+++ b/wasabistream/platform/__main__.py
@@ -43,13 +43,16 @@
 
 
 def _options(metrics_port: int) -> ProcessOptions:
-    path = os.environ.get(NODE_FILE_VARIABLE, DEFAULT_NODE_FILE)
-    return ProcessOptions(path, metrics_port)
+    return ProcessOptions(_settings_path(), metrics_port)
+
+
+def _settings_path() -> str:
+    return os.environ.get(NODE_FILE_VARIABLE, DEFAULT_NODE_FILE)
 
 
 def _read_settings(log_level: str) -> NodeSettings:
     try:
-        node = read_node_file(_options(0).settings_path)
+        node = read_node_file(_settings_path())
     except SettingsError as error:
         for problem in error.problems:
             sys.stderr.write(f'{problem}\n')
--- a/wasabistream/platform/agent_applications.py
+++ b/wasabistream/platform/agent_applications.py
@@ -4,13 +4,13 @@
 import threading
 from collections.abc import Sequence
 
-from wasabistream.exceptions import LinkError
 from wasabistream.forwarding.announcers import EngineAnnouncer
 from wasabistream.forwarding.engine_watchers import EngineWatcher
 from wasabistream.forwarding.move_messages import RoomReport
 from wasabistream.forwarding.observed_engines import EngineAnnouncement
 from wasabistream.forwarding.room_finders import RoomFinder
 from wasabistream.forwarding.run_movers import RunMover
+from wasabistream.link_senders import send_quietly
 from wasabistream.links import Link
 from wasabistream.listeners import LinkListener
 from wasabistream.messages import Message
@@ -37,20 +37,18 @@
             raise ValueError('the settings name no backend server')
         self._links: set[Link] = set()
         self._links_lock = threading.Lock()
-        engine = EngineClient(backend.address, backend.port)
+        engine = EngineClient(backend)
         endpoint = str(backend)
         self._rooms = RoomFinder(
             node.service, node.data_centre, self._broadcast
         )
         self._mover = RunMover(engine, endpoint, self._rooms, self._broadcast)
         self._watcher = EngineWatcher(
-            EngineClient(backend.address, backend.port),
-            self._broadcast,
-            self._start_moves,
+            engine, self._broadcast, self._start_moves
         )
         self._announcer = EngineAnnouncer(
             self.hello,
-            [(seed.address, seed.port) for seed in node.seeds],
+            node.seeds,
             EngineAnnouncement(endpoint, node.service, node.data_centre),
             self._is_serving,
         )
@@ -111,10 +109,5 @@
 
 
 def _send(link: Link, notice: Message) -> None:
-    try:
-        link.send(notice)
-    except LinkError as error:
-        level = (
-            logging.DEBUG if isinstance(notice, LoadReport) else logging.INFO
-        )
-        logger.log(level, 'agent: message lost: %s', error)
+    level = logging.DEBUG if isinstance(notice, LoadReport) else logging.INFO
+    send_quietly(link, notice, 'agent: message', level)
--- a/wasabistream/platform/engine_clients.py
+++ b/wasabistream/platform/engine_clients.py
@@ -8,6 +8,7 @@
 from urllib3.exceptions import HTTPError
 
 from wasabistream.exceptions import BackendError
+from wasabistream.forwarding.endpoints import Endpoint
 from wasabistream.forwarding.engine_states import EngineRun, EngineState
 from wasabistream.forwarding.move_outcomes import MoveOutcome
 from wasabistream.platform.decode_errors import DECODE_ERRORS
@@ -32,11 +33,11 @@
 class EngineClient:
     """Ask the engine of this machine for its state and for copies."""
 
-    def __init__(self, address: str, port: int) -> None:
-        self._peer = f'{address}:{port}'
+    def __init__(self, endpoint: Endpoint) -> None:
+        self._peer = str(endpoint)
         self._pool = urllib3.HTTPConnectionPool(
-            address,
-            port,
+            endpoint.address,
+            endpoint.port,
             maxsize=CONNECTION_COUNT,
             retries=False,
             socket_options=SOCKET_OPTIONS,
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -64,7 +64,7 @@
             self.fleet, FleetDecoder().decode, observed, self._is_store_lost
         )
         self.follower = StoreFollower(
-            StoreClient(node.store.address, node.store.port),
+            StoreClient(node.store),
             self.mirror,
             self._keeper.refresh,
         )
--- a/wasabistream/platform/node_files.py
+++ b/wasabistream/platform/node_files.py
@@ -10,21 +10,10 @@
 from wasabistream.exceptions import SettingsError
 from wasabistream.forwarding.budgets import RepeatLimit
 from wasabistream.forwarding.cold_limiters import ColdLimit
+from wasabistream.forwarding.endpoints import Endpoint, parse_endpoint
 from wasabistream.platform.decode_errors import DECODE_ERRORS
 
 
-@dataclass(frozen=True, slots=True)
-class Endpoint:
-    """Hold an address and a port."""
-
-    address: str
-    port: int
-
-    def __str__(self) -> str:
-        """Return both as one text."""
-        return f'{self.address}:{self.port}'
-
-
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Hold the platform's limits for this deployment."""
@@ -73,26 +62,18 @@
         address=str(fields['ip']),
         data_centre=str(fields['zone']),
         listen={
-            name: decode_endpoint(text)
+            name: parse_endpoint(text)
             for name, text in (fields.get('listen') or {}).items()
         },
         link_port=int(fields['internal_ports'][0]),
-        seeds=tuple(
-            decode_endpoint(text) for text in fields.get('seeds') or ()
-        ),
-        store=decode_endpoint(fields['platform']['address']),
-        backend=decode_endpoint(app) if app else None,
+        seeds=tuple(parse_endpoint(text) for text in fields.get('seeds') or ()),
+        store=parse_endpoint(fields['platform']['address']),
+        backend=parse_endpoint(app) if app else None,
         service=str(fields.get('service') or ''),
         bounds=_decode_bounds(fields['bounds']),
     )
 
 
-def decode_endpoint(text: str) -> Endpoint:
-    """Return address and port; raises ValueError."""
-    address, _, port = text.rpartition(':')
-    return Endpoint(address, int(port))
-
-
 def _decode_bounds(bounds: Mapping[str, Any]) -> Bounds:
     return Bounds(
         repeat_limit=RepeatLimit(
--- a/wasabistream/platform/store_clients.py
+++ b/wasabistream/platform/store_clients.py
@@ -10,6 +10,7 @@
 from urllib3.exceptions import HTTPError
 
 from wasabistream.exceptions import HistoryLostError, StoreError
+from wasabistream.forwarding.endpoints import Endpoint
 from wasabistream.forwarding.mirrors import MirrorChange, MirrorItem, Removal
 from wasabistream.metrics import STORE_CALLS
 from wasabistream.platform.server_clients import SOCKET_OPTIONS
@@ -43,10 +44,9 @@
 class StoreClient:
     """Read the store and wait for changes; never reads stale values."""
 
-    def __init__(self, address: str, port: int) -> None:
-        self._address = address
-        self._port = port
-        self._peer = f'{address}:{port}'
+    def __init__(self, endpoint: Endpoint) -> None:
+        self._endpoint = endpoint
+        self._peer = str(endpoint)
         self._pool = self._make_pool()
 
     def read_all(self, prefix: str) -> Listing:
@@ -100,8 +100,8 @@
 
     def _make_pool(self) -> urllib3.HTTPConnectionPool:
         return urllib3.HTTPConnectionPool(
-            self._address,
-            self._port,
+            self._endpoint.address,
+            self._endpoint.port,
             maxsize=1,
             retries=False,
             socket_options=SOCKET_OPTIONS,
--- a/wasabistream/platform/store_decoders.py
+++ b/wasabistream/platform/store_decoders.py
@@ -12,6 +12,7 @@
     RoutingConfiguration,
     group_routes,
 )
+from wasabistream.forwarding.endpoints import parse_endpoint
 from wasabistream.forwarding.fleets import Fleet
 from wasabistream.forwarding.mirrors import MirrorItem
 from wasabistream.forwarding.organisations import KeyHolder
@@ -130,16 +131,16 @@
         raise TypeError('service is not a text')
     if entry['state'] not in SERVER_STATES:
         raise ValueError(f'state {entry["state"]!r} is unknown')
-    address, _, port = entry['address'].rpartition(':')
-    if not address or not 0 < int(port) < 65536:
+    endpoint = parse_endpoint(entry['address'])
+    if not endpoint.address or not 0 < endpoint.port < 65536:
         raise ValueError(f'address {entry["address"]!r} is not valid')
     if not isinstance(entry['zone'], str):
         raise TypeError('zone is not a text')
     return BackendServer(
         server_id=server_id,
         service=entry['service'],
-        address=address,
-        port=int(port),
+        address=endpoint.address,
+        port=endpoint.port,
         data_centre=entry['zone'],
         slot_count=_whole(entry['slots']),
         draining=entry['state'] == 'draining',
