Count a gate's refusal 'overloaded' as overload

Cause: the gate refuses work that would wait past its deadline with 'overloaded', while OVERLOAD_REASONS held 'overload' and 'expected_wait', which nothing sends. Two such refusals did not make an entry turn to another data centre, as docs/routing.md says. Ruled out: a second name for the reason on the wire; the gate builds all its refusals in one place.

The new assertion in test_job_that_would_start_late_is_refused_at_once failed before and passes now.

--- a/tests/test_gates.py
+++ b/tests/test_gates.py
@@ -12,6 +12,7 @@
 from wasabistream.jobs import GenerationJob
 from wasabistream.outcomes import Outcome
 from wasabistream.ramps import OpenRamp
+from wasabistream.retries import OVERLOAD_REASONS
 from wasabistream.token_gaps import TokenGapMeter
 
 WAIT_SECONDS = 5.0
@@ -134,6 +135,8 @@
         refusal = submit_refused(gate, late)
         self.assertEqual(refusal.outcome, Outcome.not_run)
         self.assertEqual(refusal.reason, 'overloaded')
+        # Otherwise an entry never turns to another data centre for it.
+        self.assertIn(refusal.reason, OVERLOAD_REASONS)
         self.assertGreater(refusal.retry_after_seconds, 0)
 
     def test_suspect_runs_alone(self) -> None:
--- a/wasabistream/retries.py
+++ b/wasabistream/retries.py
@@ -20,9 +20,8 @@
 LEAVING_REASONS = frozenset(
     ('draining', 'leaving', 'data_centre_out', 'backend_out', 'no_document')
 )
-OVERLOAD_REASONS = frozenset(
-    ('queue_full', 'overload', 'busy', 'expected_wait')
-)
+# Refusals after which an entry prefers servers of other data centres.
+OVERLOAD_REASONS = frozenset(('queue_full', 'overloaded', 'busy'))
 
 _SEVERITY = {Outcome.not_run: 0, Outcome.unknown: 1, Outcome.run: 2}
 
