Limit and check the answers that clients of engines, services and store read

Cause: urllib3 and http.client read heads, interim responses, trailers and bodies for as long as a server sends them, take the end of a connection for the end of a head, and return a body that is shorter than its length as complete when a size is asked for. Seen with the new tests on the code before (each test failed there): - a call's answer cut in its body, its last chunk or its head reached the caller as a complete success (own interface, bookings included); - a repeatable call got the answer to the call before it, which a service had sent a second time on a kept connection; - a late copy of an engine's report passed for the answer to a move, and the moved stream was lost; - a page of the store that came twice hid the items of the page due; - reports, pages and calls without an end filled the memory; a dripping report never ended; deeply nested JSON ended the thread that read it; an event of an unexpected shape ended the thread of its generation.

Change: LimitedResponse bounds bytes and, for whole answers, duration; it refuses cut heads and unclear lengths.

Ruled out: checking the request id on kept connections, as plain services of the own interface echo none.

--- a/wasabistream/call_runners.py
+++ b/wasabistream/call_runners.py
@@ -4,19 +4,20 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 
-import urllib3
-
 from wasabistream.exceptions import LinkError
-from wasabistream.headers import filter_response_headers
 from wasabistream.keyed_calls import KeyedCallRunner
 from wasabistream.links import Link
 from wasabistream.messages import Message
 from wasabistream.outcomes import Outcome
-from wasabistream.requests import Call, Failed, Refused, ServiceAnswer
+from wasabistream.requests import Call, Failed, Refused
+from wasabistream.service_clients import (
+    CallNotSentError,
+    NoAnswerError,
+    ServiceClient,
+)
 
 logger = logging.getLogger(__name__)
 
-CONNECT_TIMEOUT_SECONDS = 1.0
 RETRY_AFTER_SECONDS = 0.5
 
 
@@ -26,12 +27,9 @@
     def __init__(
         self, url: str, concurrency_count: int, keyed_runner: KeyedCallRunner
     ) -> None:
-        self._url = url
         self._concurrency_count = concurrency_count
         self._pool = ThreadPoolExecutor(concurrency_count, 'call')
-        self._http = urllib3.PoolManager(
-            maxsize=concurrency_count, retries=False
-        )
+        self._client = ServiceClient(url)
         self._keyed_runner = keyed_runner
         self._in_progress: dict[str, Call] = {}
 
@@ -82,27 +80,13 @@
         return self._send_to_service(call, deadline)
 
     def _send_to_service(self, call: Call, deadline: float) -> Message:
-        remaining_seconds = max(deadline - time.monotonic(), 0.001)
         try:
-            response = self._http.request(
-                call.method,
-                self._url + call.path,
-                headers=call.headers,
-                body=call.body,
-                timeout=urllib3.Timeout(
-                    connect=CONNECT_TIMEOUT_SECONDS, read=remaining_seconds
-                ),
-                redirect=False,
-            )
-        except urllib3.exceptions.NewConnectionError:
-            return build_refusal(call, 'service_down')
-        except urllib3.exceptions.HTTPError as error:
+            return self._client.send(call, deadline, _allow)
+        except CallNotSentError as error:
+            return build_refusal(call, str(error))
+        except NoAnswerError as error:
             logger.warning('agent: call failed: %s', error)
             return Failed(call.request_id, Outcome.unknown, 'service_failed')
-        headers = filter_response_headers(response.headers)
-        return ServiceAnswer(
-            call.request_id, response.status, headers, response.data
-        )
 
 
 def build_refusal(call: Call, reason: str) -> Refused:
@@ -112,6 +96,11 @@
     )
 
 
+def _allow() -> str:
+    # A repeatable call may always run.
+    return ''
+
+
 def _send(link: Link, reply: Message) -> None:
     try:
         link.send(reply)
--- a/wasabistream/engines.py
+++ b/wasabistream/engines.py
@@ -1,6 +1,7 @@
 """Clients of model engines, by engine kind."""
 
 import json
+import time
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -8,14 +9,30 @@
 import urllib3
 
 from wasabistream.exceptions import BackendError
+from wasabistream.limited_pools import build_pool_manager
 from wasabistream.requests import Generate
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 CONTROL_TIMEOUT_SECONDS = 2.0
 # Longest time without data on a stream before the engine counts as failed.
 STREAM_READ_TIMEOUT_SECONDS = 30.0
+STATE_LIMIT_BYTES = 4 * 1024 * 1024
+# A stream of 100,000 tokens has some 20 MB.
+STREAM_LIMIT_BYTES = 64 * 1024 * 1024
+MAX_READ_BYTES = 64 * 1024
+MAX_EVENT_BYTES = 256 * 1024
 EVENT_PREFIX = b'data: '
 DONE_EVENT = b'[DONE]'
+# Errors of the connection and of events of an unexpected shape.
+STREAM_ERRORS = (
+    urllib3.exceptions.HTTPError,
+    OSError,
+    ValueError,
+    LookupError,
+    TypeError,
+    AttributeError,
+    RecursionError,
+)
 ENGINE_PRIORITIES = {'urgent': 0, 'normal': 1, 'patient': 2}
 
 
@@ -91,7 +108,12 @@
 
     def __init__(self, url: str) -> None:
         self._url = url
-        self._http = urllib3.PoolManager(maxsize=256, retries=False)
+        # A late answer on a kept connection could pass for that of an order.
+        self._http = build_pool_manager(STATE_LIMIT_BYTES, reuses=False)
+        self._stream_http = build_pool_manager(
+            STREAM_LIMIT_BYTES, reuses=False, limits_duration=False
+        )
+        self._state_http = build_pool_manager(STATE_LIMIT_BYTES, reuses=True)
 
     def generate(
         self, stream_id: str, request: Generate
@@ -120,7 +142,7 @@
 
     def state(self) -> EngineState:
         """Read load, models and boot id; raises BackendError."""
-        report = self._request_json('GET', '/state')
+        report = self._request_json('GET', '/state', pool=self._state_http)
         try:
             return EngineState(
                 memory_used_tokens=report['memory_used_tokens'],
@@ -144,17 +166,25 @@
         self._request_json('POST', '/orders', {'fencing': fencing, **order})
 
     def _request_json(
-        self, method: str, path: str, body: dict[str, Any] | None = None
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None = None,
+        pool: urllib3.PoolManager | None = None,
     ) -> Any:
         try:
-            response = self._http.request(
+            response = (pool or self._http).request(
                 method,
                 self._url + path,
                 json=body,
                 timeout=CONTROL_TIMEOUT_SECONDS,
             )
             report = response.json()
-        except (urllib3.exceptions.HTTPError, ValueError) as error:
+        except (
+            urllib3.exceptions.HTTPError,
+            ValueError,
+            RecursionError,
+        ) as error:
             raise BackendError(str(error), path, self._url) from error
         if response.status >= 400:
             raise BackendError(f'status {response.status}', path, self._url)
@@ -167,7 +197,7 @@
             connect=CONNECT_TIMEOUT_SECONDS, read=STREAM_READ_TIMEOUT_SECONDS
         )
         try:
-            response = self._http.request(
+            response = self._stream_http.request(
                 method,
                 self._url + path,
                 json=body,
@@ -177,7 +207,7 @@
         except urllib3.exceptions.HTTPError as error:
             raise BackendError(str(error), 'open stream', self._url) from error
         if response.status != 200:
-            response.drain_conn()
+            response.close()
             raise BackendError(
                 f'status {response.status}', 'open stream', self._url
             )
@@ -186,16 +216,20 @@
     def _read_events(
         self, response: urllib3.BaseHTTPResponse
     ) -> Iterator[EngineToken]:
+        last_event_seconds = time.monotonic()
         try:
             for line in _split_lines(response):
-                if not line.startswith(EVENT_PREFIX):
-                    continue
-                payload = line[len(EVENT_PREFIX) :]
-                if payload == DONE_EVENT:
-                    return
-                yield _parse_event(payload)
-        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
-            raise BackendError(str(error), 'read stream', self._url) from error
+                if line.startswith(EVENT_PREFIX):
+                    payload = line[len(EVENT_PREFIX) :]
+                    if payload == DONE_EVENT:
+                        return
+                    yield _parse_event(payload)
+                    last_event_seconds = time.monotonic()
+                # Comments do not count, as a stalled engine may send them.
+                elif _is_stalled(last_event_seconds):
+                    raise TimeoutError('no event in time')
+        except STREAM_ERRORS as error:
+            raise BackendError(repr(error), 'read stream', self._url) from error
         finally:
             response.close()
         raise BackendError(
@@ -204,12 +238,24 @@
 
 
 def _split_lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
-    pending = b''
-    for chunk in response.stream(amt=None):
-        pending += chunk
+    """Yield whole lines, and b'' for each piece without one."""
+    pending = bytearray()
+    while piece := response.read1(MAX_READ_BYTES):
+        pending += piece
+        # Bytes that were searched before are not searched again.
+        if b'\n' not in piece:
+            if len(pending) > MAX_EVENT_BYTES:
+                raise ValueError('event is too long')
+            yield b''
+            continue
         *complete, pending = pending.split(b'\n')
         for line in complete:
-            yield line.rstrip(b'\r')
+            yield bytes(line.rstrip(b'\r'))
+
+
+def _is_stalled(last_event_seconds: float) -> bool:
+    silent_seconds = time.monotonic() - last_event_seconds
+    return silent_seconds > STREAM_READ_TIMEOUT_SECONDS
 
 
 def _parse_event(payload: bytes) -> EngineToken:
--- /dev/null
+++ b/wasabistream/limited_responses.py
@@ -0,0 +1,153 @@
+"""HTTP responses whose bytes and duration are limited.
+
+`http.client` skips interim responses and reads headers and trailers for as
+long as the peer sends them.
+"""
+
+import http.client
+import io
+import socket
+import time
+from typing import Any
+
+# Status line, headers and interim responses together.
+HEAD_LIMIT_BYTES = 64 * 1024
+FINAL_STATUS_MIN = 200
+
+
+class ResponseLimitError(http.client.HTTPException):
+    """Report a response that exceeds its limit of bytes."""
+
+
+class FramingError(http.client.HTTPException):
+    """Report a response whose head is cut off or whose length is unclear."""
+
+
+class LimitedReader(io.RawIOBase):
+    """Read from a socket up to a number of bytes and a deadline."""
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        limit_bytes: int,
+        deadline_seconds: float | None = None,
+    ) -> None:
+        super().__init__()
+        self._socket = sock
+        # Keeps the descriptor open after the connection object is closed.
+        self._file = sock.makefile('rb', buffering=0)
+        self._remaining_bytes = limit_bytes
+        self._deadline_seconds = deadline_seconds
+        # True once the peer has closed its side of the connection.
+        self.ended = False
+
+    def readable(self) -> bool:
+        """Return True, as `io.BufferedReader` requires."""
+        return True
+
+    def limit(self, limit_bytes: int) -> None:
+        """Set how many bytes may be read from now on."""
+        self._remaining_bytes = limit_bytes
+
+    def readinto(self, buffer: Any) -> int:
+        """Read into a buffer and return the number of bytes.
+
+        Raises ResponseLimitError or TimeoutError when a limit is reached.
+        """
+        if self._remaining_bytes <= 0:
+            raise ResponseLimitError('response is too long')
+        self._apply_deadline()
+        size_bytes = min(len(buffer), self._remaining_bytes)
+        count = self._file.readinto(memoryview(buffer)[:size_bytes]) or 0
+        self._remaining_bytes -= count
+        self.ended = not count
+        return count
+
+    def close(self) -> None:
+        """Release the socket."""
+        self._file.close()
+        super().close()
+
+    def _apply_deadline(self) -> None:
+        if self._deadline_seconds is None:
+            return
+        remaining_seconds = self._deadline_seconds - time.monotonic()
+        if remaining_seconds <= 0:
+            raise TimeoutError('response is not complete in time')
+        self._socket.settimeout(remaining_seconds)
+
+
+class LimitedResponse(http.client.HTTPResponse):
+    """Read a response whose peer may send without end.
+
+    With `limits_duration`, the socket's timeout applies to the response as a
+    whole, not to each read. With `closes`, its connection is not used again.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        debuglevel: int = 0,
+        method: str | None = None,
+        url: str | None = None,
+        *,
+        limit_bytes: int = HEAD_LIMIT_BYTES,
+        limits_duration: bool = False,
+        closes: bool = False,
+    ) -> None:
+        timeout_seconds = sock.gettimeout()
+        deadline_seconds = None
+        if limits_duration and timeout_seconds is not None:
+            deadline_seconds = time.monotonic() + timeout_seconds
+        self._closes = closes
+        self.reader = LimitedReader(sock, limit_bytes, deadline_seconds)
+        super().__init__(
+            _ReaderFile(self.reader),  # type: ignore[arg-type]
+            debuglevel,
+            method,
+            url,
+        )
+
+    def begin(self) -> None:
+        """Read the head; raises FramingError if it is cut or ambiguous."""
+        super().begin()
+        # http.client takes the end of the connection for the end of the head.
+        if self.reader.ended:
+            raise FramingError('head is cut off')
+        if self.status < FINAL_STATUS_MIN:
+            raise FramingError(f'interim status {self.status}')
+        lengths = self.headers.get_all('content-length') or []
+        codings = self.headers.get_all('transfer-encoding') or []
+        if codings and (lengths or not self.chunked or len(codings) > 1):
+            raise FramingError('transfer coding is not only chunked')
+        if len(set(lengths)) > 1 or not all(map(_is_length, lengths)):
+            raise FramingError('content length is invalid')
+        # Makes http.client and urllib3 give the connection up.
+        self.will_close = self.will_close or self._closes
+
+    def read_whole(self) -> bytes:
+        """Return the whole body; raises IncompleteRead if it is cut off."""
+        body: bytes = self.read()
+        if self.chunked and self.reader.ended:
+            raise http.client.IncompleteRead(body)
+        return body
+
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether only the end of the connection ends the body."""
+        return not self.chunked and self.length is None
+
+
+class _ReaderFile:
+    """Stand in for the socket from which `http.client` makes a file."""
+
+    def __init__(self, reader: LimitedReader) -> None:
+        self._reader = reader
+
+    def makefile(self, mode: str) -> io.BufferedReader:
+        """Return a buffered file that reads through the limits."""
+        return io.BufferedReader(self._reader)
+
+
+def _is_length(text: str) -> bool:
+    return text.isascii() and text.isdecimal()
--- a/wasabistream/platform/decode_errors.py
+++ b/wasabistream/platform/decode_errors.py
@@ -1,4 +1,6 @@
-"""Errors raised while a value of an unexpected shape is decoded."""
+"""Errors raised by HTTP calls and by values of an unexpected shape."""
+
+from urllib3.exceptions import HTTPError
 
 DECODE_ERRORS = (
     AttributeError,
@@ -7,4 +9,9 @@
     TypeError,
     ValueError,
     OverflowError,
+    # JSON that nests too deeply.
+    RecursionError,
 )
+
+# Errors of a call whose answer is JSON.
+CALL_ERRORS = (HTTPError, OSError, ValueError, RecursionError)
--- a/wasabistream/platform/engine_clients.py
+++ b/wasabistream/platform/engine_clients.py
@@ -4,14 +4,12 @@
 from dataclasses import dataclass
 from typing import Any
 
-import urllib3
-from urllib3.exceptions import HTTPError
-
 from wasabistream.exceptions import BackendError
 from wasabistream.forwarding.endpoints import Endpoint
 from wasabistream.forwarding.engine_states import EngineRun, EngineState
 from wasabistream.forwarding.move_outcomes import MoveOutcome
-from wasabistream.platform.decode_errors import DECODE_ERRORS
+from wasabistream.limited_pools import LimitedPool
+from wasabistream.platform.decode_errors import CALL_ERRORS, DECODE_ERRORS
 from wasabistream.platform.server_clients import SOCKET_OPTIONS
 from wasabistream.units import MILLISECONDS_PER_SECOND
 
@@ -20,6 +18,8 @@
 # server has left anyway.
 MOVE_TIMEOUT_SECONDS = 5.0
 KEPT_CONNECTION_COUNT = 4
+# A report lists a hundred bytes for each generation in progress.
+ANSWER_LIMIT_BYTES = 1024 * 1024
 OK_STATUS = 200
 TARGET_FULL_STATUS = 503
 
@@ -35,17 +35,16 @@
 
     def __init__(self, endpoint: Endpoint) -> None:
         self._peer = str(endpoint)
-        self._pool = urllib3.HTTPConnectionPool(
-            endpoint.address,
-            endpoint.port,
-            maxsize=KEPT_CONNECTION_COUNT,
-            retries=False,
-            socket_options=SOCKET_OPTIONS,
-        )
+        self._state_pool = _build_pool(endpoint, reuses=True)
+        # A late copy of a report on a kept connection could pass for the
+        # answer to an order.
+        self._order_pool = _build_pool(endpoint, reuses=False)
 
     def state(self) -> EngineState:
         """Return the engine's state; raises BackendError."""
-        answer = self._call('GET', '/-/report', None, REPORT_TIMEOUT_SECONDS)
+        answer = self._call(
+            self._state_pool, 'GET', '/-/report', None, REPORT_TIMEOUT_SECONDS
+        )
         if answer.status != OK_STATUS:
             raise BackendError(f'status {answer.status}', 'state', self._peer)
         return decode_state(answer.body, self._peer)
@@ -61,23 +60,32 @@
         body: dict[str, object] = {'id': run_id, 'to': target_endpoint}
         if final:
             body['last'] = True
-        answer = self._call('POST', '/-/kv-move', body, MOVE_TIMEOUT_SECONDS)
+        answer = self._call(
+            self._order_pool, 'POST', '/-/kv-move', body, MOVE_TIMEOUT_SECONDS
+        )
         fields = answer.body if isinstance(answer.body, dict) else {}
+        handle = str(fields.get('handle') or '')
         return MoveOutcome(
-            copied=answer.status == OK_STATUS,
-            handle=str(fields.get('handle', '')),
+            # Without a handle the copy cannot be used.
+            copied=answer.status == OK_STATUS and handle != '',
+            handle=handle,
             target_full=answer.status == TARGET_FULL_STATUS,
             status=answer.status,
         )
 
     def _call(
-        self, method: str, path: str, body: object, timeout_seconds: float
+        self,
+        pool: LimitedPool,
+        method: str,
+        path: str,
+        body: object,
+        timeout_seconds: float,
     ) -> _Answer:
         headers = {}
         if body is not None:
             headers['Content-Type'] = 'application/json'
         try:
-            response = self._pool.request(
+            response = pool.request(
                 method,
                 path,
                 body=None if body is None else json.dumps(body).encode(),
@@ -85,11 +93,23 @@
                 timeout=timeout_seconds,
             )
             decoded = json.loads(response.data) if response.data else None
-        except (HTTPError, OSError, ValueError) as error:
+        except CALL_ERRORS as error:
             raise BackendError(str(error), path, self._peer) from error
         return _Answer(response.status, decoded)
 
 
+def _build_pool(endpoint: Endpoint, *, reuses: bool) -> LimitedPool:
+    return LimitedPool(
+        endpoint.address,
+        endpoint.port,
+        maxsize=KEPT_CONNECTION_COUNT,
+        retries=False,
+        socket_options=SOCKET_OPTIONS,
+        limit_bytes=ANSWER_LIMIT_BYTES,
+        reuses=reuses,
+    )
+
+
 def decode_state(body: Any, peer: str) -> EngineState:
     """Decode the state from a report; raises BackendError."""
     try:
--- a/wasabistream/platform/store_clients.py
+++ b/wasabistream/platform/store_clients.py
@@ -6,13 +6,12 @@
 from dataclasses import dataclass
 from typing import Any
 
-import urllib3
-from urllib3.exceptions import HTTPError
-
 from wasabistream.exceptions import HistoryLostError, StoreError
 from wasabistream.forwarding.endpoints import Endpoint
 from wasabistream.forwarding.mirrors import MirrorChange, MirrorItem, Removal
+from wasabistream.limited_pools import LimitedPool
 from wasabistream.metrics import STORE_CALLS
+from wasabistream.platform.decode_errors import CALL_ERRORS
 from wasabistream.platform.server_clients import SOCKET_OPTIONS
 from wasabistream.units import MILLISECONDS_PER_SECOND
 
@@ -23,6 +22,8 @@
 OK_STATUS = 200
 GONE_STATUS = 410
 MAX_PAGE_COUNT = 200
+# A page has about 1 MB of values, in base64, or one value of 1 MiB more.
+ANSWER_LIMIT_BYTES = 8 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +68,7 @@
             listed = [
                 _decode_item(row) for row in _require_field(page, 'items')
             ]
+            _require_keys_after(after, listed)
             items.extend(listed)
             revision = revision or int(_require_field(page, 'current_rev'))
             if not page.get('has_more') or not listed:
@@ -100,13 +102,15 @@
         self._pool.close()
         self._pool = self._build_pool()
 
-    def _build_pool(self) -> urllib3.HTTPConnectionPool:
-        return urllib3.HTTPConnectionPool(
+    def _build_pool(self) -> LimitedPool:
+        return LimitedPool(
             self._endpoint.address,
             self._endpoint.port,
             maxsize=1,
             retries=False,
             socket_options=SOCKET_OPTIONS,
+            limit_bytes=ANSWER_LIMIT_BYTES,
+            reuses=True,
         )
 
     def _get(
@@ -126,7 +130,7 @@
             page = json.loads(response.data)
             if not isinstance(page, dict):
                 raise ValueError('answer is not an object')
-        except (HTTPError, OSError, ValueError) as error:
+        except CALL_ERRORS as error:
             STORE_CALLS.labels('no_answer').inc()
             raise StoreError(str(error), path, self._peer) from error
         return page
@@ -138,6 +142,12 @@
     return page[name]
 
 
+def _require_keys_after(after: str, listed: list[MirrorItem]) -> None:
+    # A late copy of an earlier page would hide the items of this one.
+    if after and any(item.key <= after for item in listed):
+        raise StoreError('page repeats earlier keys', 'decode')
+
+
 def _decode_item(row: Any) -> MirrorItem:
     try:
         return MirrorItem(
--- a/wasabistream/service_clients.py
+++ b/wasabistream/service_clients.py
@@ -1,12 +1,15 @@
-"""HTTP client of a plain service for calls that may not be repeated."""
+"""HTTP client of a plain service."""
 
 import http.client
 import logging
 import time
 import urllib.parse
 from collections.abc import Callable
+from functools import partial
+from typing import Any
 
 from wasabistream.headers import filter_response_headers
+from wasabistream.limited_responses import HEAD_LIMIT_BYTES, LimitedResponse
 from wasabistream.metrics import CALL_WINDOW_SECONDS
 from wasabistream.requests import Call, ServiceAnswer
 
@@ -16,6 +19,11 @@
 # Largest answer body that fits into one frame with its other fields.
 MAX_ANSWER_BYTES = 1024 * 1024
 MIN_TIMEOUT_SECONDS = 0.001
+LIMITED_RESPONSE = partial(
+    LimitedResponse,
+    limit_bytes=HEAD_LIMIT_BYTES + MAX_ANSWER_BYTES,
+    limits_duration=True,
+)
 
 
 class CallNotSentError(Exception):
@@ -51,6 +59,7 @@
         connection = http.client.HTTPConnection(
             self._host, self._port, timeout=CONNECT_TIMEOUT_SECONDS
         )
+        connection.response_class = LIMITED_RESPONSE  # type: ignore[assignment]
         try:
             return self._exchange(connection, call, deadline, check)
         finally:
@@ -80,8 +89,8 @@
                 call.method, self._path + call.path, call.body, call.headers
             )
             CALL_WINDOW_SECONDS.observe(time.monotonic() - checked_at_seconds)
-            response = connection.getresponse()
-            body = response.read(MAX_ANSWER_BYTES + 1)
+            response: Any = connection.getresponse()
+            body = response.read_whole()
         except (OSError, http.client.HTTPException, ValueError) as error:
             logger.warning('agent: call has no answer: %s', error)
             raise NoAnswerError(str(error)) from error
--- a/wasabistream/watchers.py
+++ b/wasabistream/watchers.py
@@ -13,6 +13,7 @@
 import urllib3
 
 from wasabistream.exceptions import ConfigurationError
+from wasabistream.limited_pools import build_pool_manager
 from wasabistream.metrics import CONFIGURATION_READS
 
 logger = logging.getLogger(__name__)
@@ -25,6 +26,8 @@
 # wait keeps 380 entries with two values below 100 reads/s.
 RETRY_MIN_SECONDS = 1.0
 RETRY_MAX_SECONDS = 8.0
+# The service holds values of up to 1 MiB.
+ANSWER_LIMIT_BYTES = 2 * 1024 * 1024
 INDEX_HEADER = 'X-Consul-Index'
 
 
@@ -36,7 +39,7 @@
     ) -> None:
         self._url = f'{url}/v1/kv/{key}'
         self._receive = receive
-        self._http = urllib3.PoolManager(maxsize=2, retries=False)
+        self._http = build_pool_manager(ANSWER_LIMIT_BYTES, reuses=False)
         self._stopped = threading.Event()
         self._stopped.set()
         self._index = 0
