Bound what one answer of a backend server may take, and detect its cuts

Cause, each shown by a test that failed before: a chunked body, a body without a length and trailers without end filled the memory (812 MB and 1,909 MB in 1.6 s) or the processor; http.client skips interim responses for ever and takes 103 for an answer; a cut head, cut trailers and a supervisor's shutdown of an answer without a length passed for complete; ambiguous lengths were guessed; an event in small pieces was searched quadratically; a comment erased the id of the last event, so that a moved stream started again; an id like a superscript two ended the thread of a request; a stream without ids would have been started again after a cut.

Change: 64 KiB for head, interim responses and trailers; a fifth of the machine's memory for all answers that are read whole and a quarter of that for one, the longest is given up first; 8,192 reads without an event; 256 KiB for one event. The memory limit comes from the platform's settings file.

Ruled out: a limit on processor time of a thread, which depends on the machine and would cut sound streams beside load.

--- a/tests/forwarding_builders.py
+++ b/tests/forwarding_builders.py
@@ -3,6 +3,11 @@
 from dataclasses import dataclass
 from unittest.mock import Mock
 
+from wasabistream.forwarding.answer_buffers import AnswerBuffers
+from wasabistream.forwarding.answer_limits import (
+    DEFAULT_MEMORY_LIMIT_BYTES,
+    build_answer_limits,
+)
 from wasabistream.forwarding.attempts import AttemptSender
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.budgets import RepeatBudgets, RepeatLimit
@@ -163,6 +168,11 @@
     return ColdLimiter(ColdLimit(1.5, 5), lambda: 1)
 
 
+def build_answer_buffers() -> AnswerBuffers:
+    """Return buffers with the limits of a small machine."""
+    return AnswerBuffers(build_answer_limits(DEFAULT_MEMORY_LIMIT_BYTES))
+
+
 def build_poison_request_guard() -> PoisonRequestGuard:
     """Return a guard whose probe finds all servers reachable."""
     return PoisonRequestGuard(Mock(), Mock())
--- a/tests/test_event_splitters.py
+++ b/tests/test_event_splitters.py
@@ -1,5 +1,6 @@
 """Tests of splitting byte streams into events."""
 
+import time
 import unittest
 
 from hypothesis import given
@@ -46,6 +47,20 @@
         with self.assertRaises(BackendError):
             list(splitter.feed(b'x' * (MAX_EVENT_BYTES + 1)))
 
+    def test_event_in_small_pieces(self) -> None:
+        """Guard against searching the whole buffer again at each piece."""
+        splitter = EventSplitter()
+        started_seconds = time.process_time()
+        for _ in range(MAX_EVENT_BYTES):
+            self.assertEqual(list(splitter.feed(b'x')), [])
+        self.assertLess(time.process_time() - started_seconds, 4)
+
+    def test_comments(self) -> None:
+        """Guard against taking a comment for progress of a stream."""
+        raw = b': ping\n\n' + events(1, 1)
+        found = list(EventSplitter().feed(raw))
+        self.assertEqual([event.is_comment for event in found], [True, False])
+
     def test_version_line_before_the_id(self) -> None:
         """Guard against missing an id that follows another field."""
         raw = b'wasabistream-weight-versions: 2\r\nid: 7\r\ndata: x\r\n\r\n'
--- a/tests/test_plain_forwarders.py
+++ b/tests/test_plain_forwarders.py
@@ -7,6 +7,7 @@
 import unittest
 
 from tests.forwarding_builders import (
+    build_answer_buffers,
     build_parts,
     build_poison_request_guard,
     build_request,
@@ -50,6 +51,7 @@
             parts.sender,
             parts.failure_rates,
             build_poison_request_guard(),
+            build_answer_buffers(),
         )
         watch = RequestWatch(build_request(route), FakeCaller())
         return forwarder.forward(watch, AttemptHistory())
--- a/tests/test_stream_forwarders.py
+++ b/tests/test_stream_forwarders.py
@@ -8,6 +8,7 @@
 
 from tests.forwarding_builders import (
     ENGINE_SERVICE,
+    build_answer_buffers,
     build_parts,
     build_poison_request_guard,
     build_request,
@@ -29,6 +30,7 @@
 from wasabistream.forwarding.attempts import AttemptHistory
 from wasabistream.forwarding.move_messages import RunMoved
 from wasabistream.forwarding.move_trackers import MoveTracker
+from wasabistream.forwarding.piece_allowances import MAX_PIECE_COUNT
 from wasabistream.forwarding.requests import Reply
 from wasabistream.forwarding.routes import Route, RouteKind
 from wasabistream.forwarding.stream_forwarders import StreamForwarder
@@ -74,6 +76,7 @@
             parts.failure_rates,
             self.moves,
             build_poison_request_guard(),
+            build_answer_buffers(),
         )
         self.watch = RequestWatch(build_request(route), self.caller)
         return forwarder.forward(self.watch, AttemptHistory(), self.progress)
@@ -114,6 +117,49 @@
         self.assertEqual(self.caller.body, events(1, 6))
         self.assertEqual(self.client.endpoints[1], '10.0.0.9:8000')
 
+    def test_comment_keeps_the_last_id(self) -> None:
+        """Guard against a second start of a stream after a comment.
+
+        A comment replaced the id of the last event by an empty one, so that
+        the next engine began the stream again.
+        """
+        self.moves.record_move(build_move())
+        self.forward(
+            STREAM_ROUTE,
+            stream(events(1, 3), b': ping\n\n', cut=True),
+            stream(events(4, 6)),
+        )
+        continuation = self.client.sent[1].options.continuation
+        self.assertEqual(
+            continuation.last_event_id if continuation else '', '3'
+        )
+
+    def test_events_without_ids_are_not_resumed(self) -> None:
+        """Guard against starting a stream again that cannot be continued."""
+        self.forward(RESUMABLE_ROUTE, stream(b'data: a\n\n', cut=True))
+        self.assertEqual(len(self.client.sent), 1)
+        self.assertTrue(self.caller.aborted)
+
+    def test_ids_that_are_not_numbers(self) -> None:
+        """Guard against an unhandled error for an id like a superscript two."""
+        raw = b'id: \xb2\ndata: a\n\n' + events(1, 1)
+        self.forward(STREAM_ROUTE, stream(raw))
+        self.assertEqual(self.caller.body, raw)
+
+    def test_comments_without_end(self) -> None:
+        """Guard against an engine that keeps the processor busy."""
+        comments = [b': ping\n\n' for _ in range(2 * MAX_PIECE_COUNT)]
+        endless = stream(events(1, 1), *comments)
+        self.forward(STREAM_ROUTE, endless)
+        self.assertTrue(self.caller.aborted)
+        self.assertTrue(endless.pieces)
+
+    def test_long_stream_in_small_pieces(self) -> None:
+        """Guard against cutting a sound stream that comes byte by byte."""
+        pieces = [bytes((byte,)) for byte in events(1, 1500)]
+        self.forward(STREAM_ROUTE, stream(*pieces))
+        self.assertTrue(self.progress.complete)
+
     def test_generation_that_moves_twice(self) -> None:
         """Guard against counting moves as attempts."""
         self.moves.record_move(build_move())
--- a/wasabistream/forwarding/reply_readers.py
+++ b/wasabistream/forwarding/reply_readers.py
@@ -3,8 +3,10 @@
 import logging
 
 from wasabistream.exceptions import BackendError
+from wasabistream.forwarding.answer_buffers import AnswerBuffers
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.interfaces import ServerExchange
+from wasabistream.forwarding.piece_allowances import PieceAllowance
 from wasabistream.forwarding.replies import build_bad_gateway
 from wasabistream.forwarding.requests import Reply
 
@@ -17,17 +19,23 @@
 
 
 def read_reply(
-    server: BackendServer, exchange: ServerExchange, request_id: str
+    server: BackendServer,
+    exchange: ServerExchange,
+    request_id: str,
+    buffers: AnswerBuffers,
 ) -> Reply:
     """Read a complete answer.
 
     A refusal without the server's statement that the request has not run
-    becomes a 502. Raises BackendError when the answer breaks off, or when it
-    is a success without the seal of a backend server.
+    becomes a 502. Raises BackendError when the answer breaks off or is too
+    long, or when it is a success without the seal of a backend server.
     """
-    pieces = []
-    while piece := exchange.read():
-        pieces.append(piece)
+    allowance = PieceAllowance()
+    with buffers.open() as buffer:
+        while piece := exchange.read():
+            allowance.take()
+            buffer.add(piece)
+        body = buffer.join()
     head = exchange.head
     if head.succeeded and not head.sealed:
         raise BackendError('answer has no seal', 'head', server.endpoint)
@@ -39,4 +47,4 @@
             extra={'request_id': request_id},
         )
         return build_bad_gateway()
-    return Reply(head.status, head.headers, b''.join(pieces))
+    return Reply(head.status, head.headers, body)
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -1,20 +1,26 @@
 """Forwarding of event streams that survive their backend server."""
 
 import logging
+import re
 
 from wasabistream.exceptions import BackendError, NotRunError
+from wasabistream.forwarding.answer_buffers import AnswerBuffers
 from wasabistream.forwarding.attempts import AttemptHistory, AttemptSender
 from wasabistream.forwarding.backend_servers import (
     BackendServer,
     build_unlisted_server,
 )
 from wasabistream.forwarding.endpoints import parse_endpoint
-from wasabistream.forwarding.event_splitters import EventSplitter
+from wasabistream.forwarding.event_splitters import (
+    EventSplitter,
+    StreamEvent,
+)
 from wasabistream.forwarding.failure_rates import FailureRates
 from wasabistream.forwarding.fleets import FleetHolder
 from wasabistream.forwarding.interfaces import ServerExchange
 from wasabistream.forwarding.move_messages import RunMoved
 from wasabistream.forwarding.move_trackers import MoveTracker
+from wasabistream.forwarding.piece_allowances import PieceAllowance
 from wasabistream.forwarding.poison_request_guards import PoisonRequestGuard
 from wasabistream.forwarding.replies import (
     BAD_GATEWAY,
@@ -32,6 +38,8 @@
 
 logger = logging.getLogger(__name__)
 
+# Ids with more digits are passed on without being compared.
+EVENT_NUMBER = re.compile('[0-9]{1,18}')
 # Time to wait for the notice of a move. The agent sends it before it stops the
 # generation, so it arrives at most one network trip after the stream's end.
 MOVE_NOTICE_SECONDS = 0.1
@@ -54,6 +62,7 @@
         failure_rates: FailureRates,
         moves: MoveTracker,
         poison_guard: PoisonRequestGuard,
+        buffers: AnswerBuffers,
     ) -> None:
         self._fleet = fleet
         self._chooser = chooser
@@ -61,6 +70,7 @@
         self._failure_rates = failure_rates
         self._moves = moves
         self._poison_guard = poison_guard
+        self._buffers = buffers
 
     def forward(
         self,
@@ -70,7 +80,7 @@
     ) -> Reply | None:
         """Forward a stream; return a reply if no stream has begun."""
         failure: Reply | None = None
-        while not watch.is_ended:
+        while not watch.is_ended and progress.is_continuable:
             server = self._chooser.choose(watch.request, history.endpoints[-1:])
             if server is None or not self._sender.may_send(watch, history):
                 break
@@ -127,7 +137,7 @@
             except BackendError as error:
                 self._log('cut', watch, error, progress)
             moved = self._find_move(watch)
-            if moved is None:
+            if moved is None or not progress.is_continuable:
                 if watch.reason is None and not progress.event_count:
                     self._poison_guard.record_lost_answer(server, watch.request)
                 return build_bad_gateway()
@@ -149,26 +159,45 @@
     ) -> Reply | None:
         head = exchange.head
         if not head.succeeded or not head.event_stream:
-            return read_reply(server, exchange, watch.request.request_id)
+            return read_reply(
+                server, exchange, watch.request.request_id, self._buffers
+            )
         if not head.sealed:
             raise BackendError('answer has no seal', 'head', server.endpoint)
         if not progress.has_begun:
             progress.has_begun = True
             watch.caller.begin(head.status, head.headers)
         splitter = EventSplitter()
+        allowance = PieceAllowance()
         while piece := exchange.read():
+            allowance.take()
             for event in splitter.feed(piece):
-                if _is_new_event(event.event_id, progress.last_event_id):
-                    watch.caller.write(event.raw)
-                    if not progress.event_count:
-                        self._poison_guard.record_answer(watch.request)
-                    progress.count_event(event.event_id)
+                if self._pass_on(event, watch, progress):
+                    allowance.add_event()
         if splitter.has_partial_event or watch.reason is not None:
             raise BackendError('stream was cut', 'events', server.endpoint)
         self._failure_rates.record(server.endpoint, failed=False)
         progress.complete = True
         return None
 
+    def _pass_on(
+        self,
+        event: StreamEvent,
+        watch: RequestWatch,
+        progress: StreamProgress,
+    ) -> bool:
+        """Send an event to the caller; return whether it is progress."""
+        if event.is_comment:
+            watch.caller.write(event.raw)
+            return False
+        if not _is_new_event(event.event_id, progress.last_event_id):
+            return False
+        watch.caller.write(event.raw)
+        if not progress.event_count:
+            self._poison_guard.record_answer(watch.request)
+        progress.count_event(event.event_id)
+        return True
+
     def _find_move(self, watch: RequestWatch) -> RunMoved | None:
         if watch.is_ended:
             return None
@@ -234,6 +263,10 @@
 
 
 def _is_new_event(event_id: str, last_event_id: str) -> bool:
-    if not event_id.isdigit() or not last_event_id:
+    if not _is_number(event_id) or not _is_number(last_event_id):
         return True
     return int(event_id) > int(last_event_id)
+
+
+def _is_number(event_id: str) -> bool:
+    return EVENT_NUMBER.fullmatch(event_id) is not None
--- a/wasabistream/forwarding/stream_progress.py
+++ b/wasabistream/forwarding/stream_progress.py
@@ -21,7 +21,10 @@
     longest_gap_seconds: float = 0
 
     def count_event(self, event_id: str) -> None:
-        """Record an event that was sent to the caller."""
+        """Record an event that was sent to the caller.
+
+        The id of the last event stays in force after one without an id.
+        """
         now = time.monotonic()
         if self.event_count:
             gap_seconds = now - self.last_event_at_seconds
@@ -32,9 +35,17 @@
             self.first_event_seconds = now - self.started_seconds
             FIRST_TOKEN_SECONDS.observe(self.first_event_seconds)
         self.last_event_at_seconds = now
-        self.last_event_id = event_id
+        self.last_event_id = event_id or self.last_event_id
         self.event_count += 1
 
+    @property
+    def is_continuable(self) -> bool:
+        """Return whether another generation may continue the stream.
+
+        Without the id of the last event it would start again from the first.
+        """
+        return not self.event_count or bool(self.last_event_id)
+
     @property
     def outcome(self) -> str:
         """Return how the stream ended, as a value for logs and metrics."""
--- a/wasabistream/forwarding/unary_forwarders.py
+++ b/wasabistream/forwarding/unary_forwarders.py
@@ -4,6 +4,7 @@
 import time
 
 from wasabistream.exceptions import BackendError, NotRunError
+from wasabistream.forwarding.answer_buffers import AnswerBuffers
 from wasabistream.forwarding.attempts import AttemptHistory, AttemptSender
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.failure_rates import FailureRates
@@ -42,11 +43,13 @@
         sender: AttemptSender,
         failure_rates: FailureRates,
         poison_guard: PoisonRequestGuard,
+        buffers: AnswerBuffers,
     ) -> None:
         self._chooser = chooser
         self._sender = sender
         self._failure_rates = failure_rates
         self._poison_guard = poison_guard
+        self._buffers = buffers
 
     def forward(self, watch: RequestWatch, history: AttemptHistory) -> Reply:
         """Return the answer to a request, or an error reply without one."""
@@ -120,7 +123,9 @@
         exchange: ServerExchange,
         watch: RequestWatch,
     ) -> Reply:
-        reply = read_reply(server, exchange, watch.request.request_id)
+        reply = read_reply(
+            server, exchange, watch.request.request_id, self._buffers
+        )
         failed = reply.status >= SERVER_ERROR
         self._failure_rates.record(server.endpoint, failed=failed)
         return reply
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -4,6 +4,8 @@
 
 from wasabistream.forwarding.agent_links import AgentLinks
 from wasabistream.forwarding.announced_engines import AnnouncedEngines
+from wasabistream.forwarding.answer_buffers import AnswerBuffers
+from wasabistream.forwarding.answer_limits import build_answer_limits
 from wasabistream.forwarding.attempts import AttemptSender
 from wasabistream.forwarding.budgets import RepeatBudgets
 from wasabistream.forwarding.cold_limiters import ColdLimiter
@@ -189,9 +191,14 @@
             ),
             self._cold_limiter,
         )
+        buffers = AnswerBuffers(
+            build_answer_limits(self.node_settings.memory_limit_bytes)
+        )
         return Forwarder(
             self._request_supervisor,
-            UnaryForwarder(chooser, sender, self._failure_rates, poison_guard),
+            UnaryForwarder(
+                chooser, sender, self._failure_rates, poison_guard, buffers
+            ),
             StreamForwarder(
                 self.fleet,
                 chooser,
@@ -199,6 +206,7 @@
                 self._failure_rates,
                 move_tracker,
                 poison_guard,
+                buffers,
             ),
             poison_guard,
         )
--- a/wasabistream/platform/node_files.py
+++ b/wasabistream/platform/node_files.py
@@ -8,10 +8,12 @@
 import yaml
 
 from wasabistream.exceptions import SettingsError
+from wasabistream.forwarding.answer_limits import DEFAULT_MEMORY_LIMIT_BYTES
 from wasabistream.forwarding.budgets import RepeatLimit
 from wasabistream.forwarding.cold_limiters import ColdLimit
 from wasabistream.forwarding.endpoints import Endpoint, parse_endpoint
 from wasabistream.platform.decode_errors import DECODE_ERRORS
+from wasabistream.units import BYTES_PER_MEGABYTE
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +45,8 @@
     backend: Endpoint | None
     service: str
     bounds: Bounds
+    # Memory of the process at which the platform ends it.
+    memory_limit_bytes: int
 
 
 def read_node_file(path: str) -> NodeSettings:
@@ -73,9 +77,16 @@
         backend=parse_endpoint(app) if app else None,
         service=str(fields.get('service') or ''),
         bounds=_decode_bounds(fields['bounds']),
+        memory_limit_bytes=_decode_memory_limit(fields.get('limits') or {}),
     )
 
 
+def _decode_memory_limit(limits: Mapping[str, Any]) -> int:
+    if 'memory_mb' not in limits:
+        return DEFAULT_MEMORY_LIMIT_BYTES
+    return int(float(limits['memory_mb']) * BYTES_PER_MEGABYTE)
+
+
 def _decode_bounds(bounds: Mapping[str, Any]) -> Bounds:
     return Bounds(
         repeat_limit=RepeatLimit(
--- a/wasabistream/platform/server_clients.py
+++ b/wasabistream/platform/server_clients.py
@@ -16,6 +16,7 @@
     Cancellable,
 )
 from wasabistream.forwarding.requests import ForwardRequest, Headers
+from wasabistream.limited_responses import LimitedResponse
 from wasabistream.platform import header_names as names
 from wasabistream.units import MILLISECONDS_PER_SECOND
 
@@ -27,6 +28,8 @@
 # timeout raises ValueError.
 MIN_TIMEOUT_SECONDS = 0.001
 MAX_READ_BYTES = 64 * 1024
+# Chunk headers and trailers that one read of a body may take besides.
+MAX_FRAMING_BYTES = 16 * 1024
 # A connection whose bytes stay unacknowledged for longer counts as broken.
 UNACKNOWLEDGED_LIMIT_MS = 2000
 KEEPALIVE_SECONDS = 1
@@ -49,9 +52,12 @@
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
+        # Distinguishes this end of the connection from that of the server.
+        self.closed = False
 
     def close(self) -> None:
         """Shut the socket down, which wakes the thread that reads from it."""
+        self.closed = True
         shut_down_socket(self._sock)
 
 
@@ -59,14 +65,17 @@
     """Read one answer of a backend server; raises BackendError."""
 
     def __init__(
-        self, connection: HTTPConnection, request: ForwardRequest, peer: str
+        self,
+        connection: HTTPConnection,
+        request: ForwardRequest,
+        peer: str,
+        closer: SocketCloser,
     ) -> None:
         self._connection = connection
         self._peer = peer
+        self._closer = closer
         self._sock = connection.sock
-        self._response = http.client.HTTPResponse(
-            self._sock, method=request.method
-        )
+        self._response = LimitedResponse(self._sock, method=request.method)
         try:
             self._response.begin()
         except (OSError, http.client.HTTPException, ValueError) as error:
@@ -78,12 +87,13 @@
 
         Raises BackendError when the answer breaks off.
         """
+        self._response.reader.limit(MAX_READ_BYTES + MAX_FRAMING_BYTES)
         try:
             piece = self._response.read1(MAX_READ_BYTES)
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise BackendError(repr(error), 'body', self._peer) from error
-        if not piece and self._response.length:
-            raise BackendError('body is too short', 'body', self._peer)
+        if not piece:
+            self._check_end()
         return piece
 
     def close(self) -> None:
@@ -91,6 +101,16 @@
         shut_down_socket(self._sock)
         self._connection.close()
 
+    def _check_end(self) -> None:
+        response = self._response
+        if response.length:
+            raise BackendError('body is too short', 'body', self._peer)
+        if response.chunked and response.reader.ended:
+            raise BackendError('last chunk is cut off', 'body', self._peer)
+        # A shutdown by the supervisor reads like the end of the connection.
+        if response.ends_with_connection and self._closer.closed:
+            raise BackendError('answer was cut', 'body', self._peer)
+
 
 class HttpServerClient:
     """Send each request over a new connection.
@@ -113,9 +133,11 @@
         it may have.
         """
         connection = connect(server.address, server.port, server.endpoint)
-        on_connected(SocketCloser(connection.sock))
+        closer = SocketCloser(connection.sock)
+        on_connected(closer)
         try:
-            return _send(connection, server, request, options)
+            _send(connection, server, request, options)
+            return HttpExchange(connection, request, server.endpoint, closer)
         except BackendError:
             connection.close()
             raise
@@ -159,7 +181,7 @@
     server: BackendServer,
     request: ForwardRequest,
     options: AttemptOptions,
-) -> HttpExchange:
+) -> None:
     # Applies to each read from here on, that of the head included.
     connection.timeout = max(options.timeout_seconds, MIN_TIMEOUT_SECONDS)
     connection.sock.settimeout(connection.timeout)
@@ -177,7 +199,6 @@
         # body; that answer can still be read.
         if not request.body:
             raise BackendError(str(error), 'send', server.endpoint) from error
-    return HttpExchange(connection, request, server.endpoint)
 
 
 def encode_headers(
