Cut streams by their events, not by their engine's reports

Cause: an engine whose report failed twice (0.8 s) had all its streams cut, although it went on with them and most of them cannot run elsewhere; a stream that sent comments or a byte now and then never ended before its deadline.

Change: a silent engine's request moves on only if it may run elsewhere and has been silent for a second itself. A stream without an event is moved on after twice the route's target latency (2 s at least), and ended after eight times (10 s at least) where it cannot move. Crashes still end streams at once by the reset, dark machines by keep-alive.

--- a/wasabistream/forwarding/attempts.py
+++ b/wasabistream/forwarding/attempts.py
@@ -34,6 +34,8 @@
     turned_away_count: int = 0
     # Attempts that ran or may have run; only these count against the limit.
     run_count: int = 0
+    # Attempts whose answers have not begun; they will count as runs.
+    unanswered_count: int = 0
     endpoints: list[str] = field(default_factory=list)
 
     @property
@@ -74,6 +76,14 @@
             return False
         return self._budgets.try_take(request.service)
 
+    def may_repeat(
+        self, request: ForwardRequest, history: AttemptHistory
+    ) -> bool:
+        """Return whether the request may run again if its attempt fails."""
+        return _may_run(
+            request.route, history.run_count + history.unanswered_count
+        ) and self._budgets.allows(request.service)
+
     def may_repeat_after_next(
         self, request: ForwardRequest, history: AttemptHistory
     ) -> bool:
@@ -128,6 +138,7 @@
         started = time.monotonic()
         # A moved generation that continues here is not a further run.
         counts_as_run = continuation is None or not continuation.handle
+        history.unanswered_count = int(counts_as_run)
         try:
             exchange = self._client.open(
                 server,
@@ -146,6 +157,8 @@
             if not watch.is_ended:
                 self._failure_rates.record(server.endpoint, failed=True)
             raise
+        finally:
+            history.unanswered_count = 0
         if exchange.head.not_run:
             history.turned_away_count += 1
             exchange.close()
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -2,6 +2,7 @@
 
 import logging
 import re
+from functools import partial
 
 from wasabistream.exceptions import BackendError, NotRunError
 from wasabistream.forwarding.answer_buffers import AnswerBuffers
@@ -32,9 +33,10 @@
 )
 from wasabistream.forwarding.reply_readers import read_reply
 from wasabistream.forwarding.requests import Continuation, Reply
+from wasabistream.forwarding.routes import Route
 from wasabistream.forwarding.server_choosers import ServerChooser
 from wasabistream.forwarding.stream_progress import StreamProgress
-from wasabistream.forwarding.supervisors import RequestWatch
+from wasabistream.forwarding.supervisors import RequestWatch, StallLimits
 
 logger = logging.getLogger(__name__)
 
@@ -45,6 +47,13 @@
 MOVE_NOTICE_SECONDS = 0.1
 # Maximum time to wait for the final copy of a generation.
 MOVE_COPY_SECONDS = 2.0
+# Time between events after which a stream counts as stalled, as a multiple of
+# the route's target latency. Engines pause generations for seconds when their
+# memory is full. Callers leave after four times the target latency.
+MOVE_ON_RATIO = 2.0
+MOVE_ON_MIN_SECONDS = 2.0
+STALL_RATIO = 8.0
+STALL_MIN_SECONDS = 10.0
 
 
 class StreamForwarder:
@@ -80,6 +89,7 @@
     ) -> Reply | None:
         """Forward a stream; return a reply if no stream has begun."""
         failure: Reply | None = None
+        watch.may_move_on = partial(self._may_move_on, watch, history)
         while not watch.is_ended and progress.is_continuable:
             server = self._chooser.choose(watch.request, history.endpoints[-1:])
             if server is None or not self._sender.may_send(watch, history):
@@ -196,8 +206,18 @@
         if not progress.event_count:
             self._poison_guard.record_answer(watch.request)
         progress.count_event(event.event_id)
+        watch.record_progress()
+        watch.stall_limits = _build_stall_limits(watch.request.route)
         return True
 
+    def _may_move_on(
+        self, watch: RequestWatch, history: AttemptHistory
+    ) -> bool:
+        request = watch.request
+        if not self._sender.may_repeat(request, history):
+            return False
+        return self._chooser.choose(request, history.endpoints[-1:]) is not None
+
     def _find_move(self, watch: RequestWatch) -> RunMoved | None:
         if watch.is_ended:
             return None
@@ -270,3 +290,13 @@
 
 def _is_number(event_id: str) -> bool:
     return EVENT_NUMBER.fullmatch(event_id) is not None
+
+
+def _build_stall_limits(route: Route) -> StallLimits:
+    target_seconds = route.target_latency_seconds
+    return StallLimits(
+        move_on_seconds=max(
+            MOVE_ON_MIN_SECONDS, target_seconds * MOVE_ON_RATIO
+        ),
+        end_seconds=max(STALL_MIN_SECONDS, target_seconds * STALL_RATIO),
+    )
--- a/wasabistream/forwarding/supervisors.py
+++ b/wasabistream/forwarding/supervisors.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import StrEnum
 
 from wasabistream.exceptions import WasabiError
@@ -13,6 +14,9 @@
 logger = logging.getLogger(__name__)
 
 POLL_INTERVAL_SECONDS = 0.1
+# An engine whose agent gets no reports may still produce events; only a stream
+# that is silent as well is moved on.
+UNRESPONSIVE_SILENCE_SECONDS = 1.0
 
 
 class CutReason(StrEnum):
@@ -22,6 +26,17 @@
     timeout = 'timeout'
     unresponsive = 'unresponsive'
     slow = 'slow'
+    stalled = 'stalled'
+
+
+@dataclass(frozen=True, slots=True)
+class StallLimits:
+    """Limit the time between two events of a stream."""
+
+    # If the stream can go on at another backend server.
+    move_on_seconds: float
+    # Otherwise.
+    end_seconds: float
 
 
 class RequestWatch:
@@ -36,6 +51,12 @@
         # Monotonic time at which the current attempt is cut as slow. The
         # request's deadline takes precedence.
         self.attempt_deadline_seconds: float | None = None
+        # When to cut the stream as stalled; None before its first event.
+        self.stall_limits: StallLimits | None = None
+        # Returns whether the request could run at another backend server if
+        # this attempt was cut now.
+        self.may_move_on: Callable[[], bool] = _never
+        self._progressed_at_seconds = time.monotonic()
         self._exchange: Cancellable | None = None
         self._lock = threading.Lock()
 
@@ -44,11 +65,22 @@
         """Return whether the request itself was cut, not just an attempt."""
         return self.reason in {CutReason.caller_left, CutReason.timeout}
 
+    @property
+    def silent_seconds(self) -> float:
+        """Return the time since the attempt began or its last event."""
+        return time.monotonic() - self._progressed_at_seconds
+
+    def record_progress(self) -> None:
+        """Record that the attempt has just begun or produced an event."""
+        self._progressed_at_seconds = time.monotonic()
+
     def attach(self, endpoint: str, exchange: Cancellable | None) -> None:
         """Set the exchange to close on a cut; close it if the request ended."""
         with self._lock:
             self.endpoint = endpoint
             self._exchange = exchange
+            self.record_progress()
+            self.stall_limits = None
             if exchange is None:
                 return
             if self.is_ended:
@@ -117,14 +149,42 @@
                     )
 
     def _check(self, watch: RequestWatch) -> None:
-        attempt_deadline = watch.attempt_deadline_seconds
+        reason = self._find_cut_reason(watch)
+        if reason is not None:
+            watch.cut(reason)
+
+    def _find_cut_reason(self, watch: RequestWatch) -> CutReason | None:
         if watch.caller.has_left():
-            watch.cut(CutReason.caller_left)
-        elif watch.request.deadline.expired:
-            watch.cut(CutReason.timeout)
-        elif (
-            attempt_deadline is not None and time.monotonic() > attempt_deadline
-        ):
-            watch.cut(CutReason.slow)
-        elif watch.endpoint and not self._is_responsive(watch.endpoint):
-            watch.cut(CutReason.unresponsive)
+            return CutReason.caller_left
+        if watch.request.deadline.expired:
+            return CutReason.timeout
+        attempt_deadline = watch.attempt_deadline_seconds
+        if attempt_deadline is not None and time.monotonic() > attempt_deadline:
+            return CutReason.slow
+        if _is_stalled(watch):
+            return CutReason.stalled
+        return CutReason.unresponsive if self._is_lost(watch) else None
+
+    def _is_lost(self, watch: RequestWatch) -> bool:
+        # A request that cannot run elsewhere keeps its chance to be answered:
+        # its server may only be slow to report.
+        return (
+            watch.endpoint != ''
+            and watch.silent_seconds > UNRESPONSIVE_SILENCE_SECONDS
+            and not self._is_responsive(watch.endpoint)
+            and watch.may_move_on()
+        )
+
+
+def _is_stalled(watch: RequestWatch) -> bool:
+    limits = watch.stall_limits
+    if limits is None:
+        return False
+    silent_seconds = watch.silent_seconds
+    if silent_seconds > limits.end_seconds:
+        return True
+    return silent_seconds > limits.move_on_seconds and watch.may_move_on()
+
+
+def _never() -> bool:
+    return False
--- a/wasabistream/forwarding/unary_forwarders.py
+++ b/wasabistream/forwarding/unary_forwarders.py
@@ -2,6 +2,7 @@
 
 import logging
 import time
+from functools import partial
 
 from wasabistream.exceptions import BackendError, NotRunError
 from wasabistream.forwarding.answer_buffers import AnswerBuffers
@@ -105,6 +106,7 @@
     ) -> None:
         request = watch.request
         watch.attempt_deadline_seconds = None
+        watch.may_move_on = partial(self._may_move_on, watch, history)
         tried = [*history.endpoints, server.endpoint]
         # A late answer is better than none: an attempt is given up early only
         # if the request can be repeated at another backend server.
@@ -117,6 +119,14 @@
         )
         watch.attempt_deadline_seconds = time.monotonic() + limit_seconds
 
+    def _may_move_on(
+        self, watch: RequestWatch, history: AttemptHistory
+    ) -> bool:
+        request = watch.request
+        if not self._sender.may_repeat(request, history):
+            return False
+        return self._chooser.choose(request, history.endpoints) is not None
+
     def _read(
         self,
         server: BackendServer,
