--- a/wasabistream/platform/node_applications.py
+++ b/wasabistream/platform/node_applications.py
@@ -13,7 +13,7 @@
 from wasabistream.exceptions import SettingsError
 from wasabistream.messages import PROTOCOL_VERSION_MAX, PROTOCOL_VERSION_MIN
 from wasabistream.notices import Hello
-from wasabistream.platform.node_files import NodeSettings, read_node_file
+from wasabistream.platform.node_files import NodeFile, NodeSettings
 from wasabistream.settings import ProcessSettings
 
 logger = logging.getLogger(__name__)
@@ -51,7 +51,7 @@
         )
         self.node_settings = node_settings
         self._options = process
-        self._settings_path = process.settings_path
+        self._node_file = NodeFile(process.settings_path)
         self._reload_requested = threading.Event()
         self.hello = Hello(
             PROTOCOL_VERSION_MIN,
@@ -86,7 +86,7 @@
             signalled = self._reload_requested.wait(SETTINGS_POLL_SECONDS)
             self._reload_requested.clear()
             try:
-                node_settings = read_node_file(self._settings_path)
+                node_settings = self._node_file.read()
             except SettingsError as error:
                 logger.error('settings: change is refused: %s', error)
                 continue
--- a/wasabistream/platform/node_files.py
+++ b/wasabistream/platform/node_files.py
@@ -49,15 +49,37 @@
     memory_limit_bytes: int
 
 
+class NodeFile:
+    """Read a settings file again only when its contents have changed."""
+
+    def __init__(self, path: str) -> None:
+        self._path = path
+        self._text = ''
+        self._settings: NodeSettings | None = None
+
+    def read(self) -> NodeSettings:
+        """Return the settings; raises SettingsError."""
+        try:
+            text = Path(self._path).read_text()
+        except (OSError, ValueError) as error:
+            raise SettingsError((f'{self._path}: {error}',)) from error
+        if self._settings is None or text != self._text:
+            self._settings = self._decode(text)
+            self._text = text
+        return self._settings
+
+    def _decode(self, text: str) -> NodeSettings:
+        try:
+            return decode_node(yaml.safe_load(text))
+        except yaml.YAMLError as error:
+            raise SettingsError((f'{self._path}: {error}',)) from error
+        except DECODE_ERRORS as error:
+            raise SettingsError((f'{self._path}: {error!r}',)) from error
+
+
 def read_node_file(path: str) -> NodeSettings:
     """Return the settings in a file; raises SettingsError."""
-    try:
-        fields = yaml.safe_load(Path(path).read_text())
-        return decode_node(fields)
-    except (OSError, yaml.YAMLError) as error:
-        raise SettingsError((f'{path}: {error}',)) from error
-    except DECODE_ERRORS as error:
-        raise SettingsError((f'{path}: {error!r}',)) from error
+    return NodeFile(path).read()
 
 
 def decode_node(fields: Any) -> NodeSettings:
