Answer what has arrived when an HTTP server stops; refuse cut bodies

Cause: cheroot closes its listener and its kept connections without looking for requests that have arrived, so a planned stop under load reset them (tests: a kept connection with a request, connections in the listen queue). The own interface took the end of a caller's connection for the end of its body, so that a call ran with half a body.

Change: a connection manager that hands such connections to the workers first, a stop that lasts until the drain's limit at most and comes before the links and the store are given up, and one reader of bodies for both interfaces, which refuses a cut body with 400 and reads trailers.

Ruled out: a longer fixed drain, which only makes the window smaller.

--- /dev/null
+++ b/tests/test_stops.py
@@ -0,0 +1,121 @@
+"""Tests of HTTP servers that stop while requests arrive.
+
+Failure pattern: a planned stop under load that resets connections whose
+requests have just been accepted.
+"""
+
+import socket
+import time
+import unittest
+from collections.abc import Iterator
+from contextlib import contextmanager
+from http.client import HTTPException, HTTPResponse
+
+from cheroot.connections import ConnectionManager
+
+from tests.builders import wait_until
+from tests.platform_builders import CONFIGURATION, SERVER, build_row
+from tests.platform_paths import (
+    HEAD,
+    StandInBackend,
+    build_entry,
+)
+from tests.platform_stores import StandInStore
+from wasabistream.http_servers import (
+    ApiServer,
+    HttpAnswer,
+    HttpRequest,
+    TakeSocket,
+)
+
+WAIT_SECONDS = 5
+KEPT_REQUEST = HEAD % b'k1' + b'\r\n'
+ARRIVAL_SECONDS = 0.05
+# Served, or refused as not run because the entry stops.
+ANSWERED = frozenset((200, 503))
+CUT_REQUEST = b'POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf'
+
+
+def read_status(sock: socket.socket) -> int:
+    """Read one answer and return its status; 0 if there is none."""
+    sock.settimeout(WAIT_SECONDS)
+    response = HTTPResponse(sock)
+    try:
+        response.begin()
+    except (ConnectionError, HTTPException):
+        return 0
+    response.read()
+    return response.status
+
+
+class EntryStopTest(unittest.TestCase):
+    """Guard against requests that a stopping entry has taken and not answered."""
+
+    def setUp(self) -> None:
+        """Start an entry before a backend server."""
+        self.store = StandInStore()
+        self.addCleanup(self.store.stop)
+        self.backend = StandInBackend()
+        self.addCleanup(self.backend.server_close)
+        self.addCleanup(self.backend.shutdown)
+        address = f'127.0.0.1:{self.backend.server_address[1]}'
+        server = {**SERVER, 'service': 'desk', 'address': address}
+        self.store.put(build_row('op/config', 2, CONFIGURATION))
+        self.store.put(build_row('servers/s1', 3, server))
+        self.entry = build_entry(self.store.port)
+        self.entry.on_start()
+        wait_until(lambda: self.entry.fleet.current.servers)
+
+    def stop_between(self, *socks: socket.socket) -> list[int]:
+        """Send requests when the entry no longer waits for any; then stop."""
+        self.entry.on_drain()
+        manager = self.entry._front_server._connections
+        ConnectionManager.stop(manager)
+        for waiting in socks:
+            waiting.sendall(KEPT_REQUEST)
+        # The request reaches the socket of the entry before it looks.
+        time.sleep(ARRIVAL_SECONDS)
+        self.entry.on_stop()
+        return [read_status(answered) for answered in socks]
+
+    def test_kept_connection(self) -> None:
+        """Guard against a reset of a kept connection with a request."""
+        with self.connect() as sock:
+            sock.sendall(KEPT_REQUEST)
+            self.assertEqual(read_status(sock), 200)
+            self.assertIn(self.stop_between(sock)[0], ANSWERED)
+
+    def test_connection_that_waits_to_be_accepted(self) -> None:
+        """Guard against a reset of connections in the listen queue."""
+        with self.connect() as first, self.connect() as second:
+            statuses = self.stop_between(first, second)
+        self.assertLessEqual(set(statuses), ANSWERED)
+
+    @contextmanager
+    def connect(self) -> Iterator[socket.socket]:
+        """Open a connection to the entry."""
+        with socket.create_connection(
+            ('127.0.0.1', self.entry.front_port), timeout=WAIT_SECONDS
+        ) as sock:
+            yield sock
+
+
+class CutBodyTest(unittest.TestCase):
+    """Guard against a call that runs with a part of its body."""
+
+    def test_body_is_cut_off(self) -> None:
+        """Guard against taking the end of the connection for the body's end."""
+        bodies: list[bytes] = []
+
+        def record(request: HttpRequest, take: TakeSocket) -> HttpAnswer:
+            bodies.append(request.body)
+            return HttpAnswer(200)
+
+        server = ApiServer('127.0.0.1', 0, record, 2)
+        server.run_in_thread()
+        self.addCleanup(server.stop)
+        with socket.create_connection(('127.0.0.1', server.port)) as sock:
+            sock.sendall(CUT_REQUEST)
+            sock.shutdown(socket.SHUT_WR)
+            self.assertEqual(read_status(sock), 400)
+        self.assertEqual(bodies, [])
--- a/wasabistream/http_servers.py
+++ b/wasabistream/http_servers.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from cheroot.errors import MaxSizeExceeded
 from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
 
 from wasabistream.answers import (
@@ -16,6 +15,8 @@
     http_head,
     reason_phrase,
 )
+from wasabistream.body_readers import read_body
+from wasabistream.draining_connections import DrainingConnectionManager
 from wasabistream.exceptions import RequestError
 from wasabistream.outcomes import Outcome
 
@@ -63,6 +64,8 @@
         try:
             request = self._read_request()
         except RequestError as error:
+            # The rest of the body would be parsed as the next request.
+            self.req.close_connection = True
             body = error_body(error.reason, error.code, Outcome.not_run)
             self._write_answer(HttpAnswer(error.status, body))
             return
@@ -71,14 +74,7 @@
             self._write_answer(answer)
 
     def _read_request(self) -> HttpRequest:
-        try:
-            body = self.req.rfile.read()
-        except MaxSizeExceeded as error:
-            raise RequestError('body is too long', 413, 'too_long') from error
-        except TimeoutError as error:
-            raise RequestError('body came too slowly', 408, 'slow') from error
-        except (OSError, ValueError) as error:
-            raise RequestError(str(error), 400, 'bad_body') from error
+        body = read_body(self.req)
         return HttpRequest(
             method=self.req.method.decode('latin-1'),
             path=self.req.path.decode('latin-1'),
@@ -167,6 +163,7 @@
         self.timeout = REQUEST_TIMEOUT_SECONDS
         self.request_queue_size = LISTEN_BACKLOG_COUNT
         self.prepare()
+        self._connections = DrainingConnectionManager(self)
 
     @property
     def port(self) -> int:
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -1,5 +1,7 @@
 """Entry daemon, to which callers send their requests."""
 
+import time
+
 from cheroot.server import HTTPRequest
 
 from wasabistream.forwarding.agent_links import AgentLinks
@@ -46,6 +48,8 @@
 # An entry may count as isolated once the store has been unreachable for this
 # long. Peers and agents send at least one message in this time.
 ISOLATION_TIMEOUT_SECONDS = 3.0
+# Time for the answers in progress when the front server stops.
+MIN_STOP_SECONDS = 0.3
 READY_STATUS = 200
 NOT_READY_STATUS = 503
 
@@ -109,6 +113,8 @@
         handler = RequestHandler(
             self.fleet, self._drain_gate, self._build_forwarder(move_tracker)
         )
+        # Set when the drain begins.
+        self._stop_at_seconds = 0.0
         front = node_settings.listen['front']
         ready = node_settings.listen['ready']
         self._front_server = IngressServer(
@@ -144,6 +150,9 @@
 
     def on_drain(self) -> None:
         """Refuse requests that may not end in time, if others can serve."""
+        self._stop_at_seconds = (
+            time.monotonic() + self.settings.drain_limit_seconds
+        )
         self._peer_links.draining = True
         self._peer_links.send_peer_notice()
         self._drain_gate.close(self.settings.drain_limit_seconds)
@@ -154,11 +163,12 @@
 
     def on_stop(self) -> None:
         """Close the servers and the links."""
+        remaining_seconds = self._stop_at_seconds - time.monotonic()
+        self._front_server.stop_within(max(remaining_seconds, MIN_STOP_SECONDS))
+        self._readiness_server.stop_within(MIN_STOP_SECONDS)
         self.follower.stop()
         self._listener.stop()
         self._peer_links.stop()
-        self._front_server.stop()
-        self._readiness_server.stop()
         self._request_supervisor.stop()
         self._agent_links.stop()
 
--- a/wasabistream/platform/ingress_servers.py
+++ b/wasabistream/platform/ingress_servers.py
@@ -8,9 +8,7 @@
 import threading
 from collections.abc import Callable
 
-from cheroot.errors import MaxSizeExceeded
 from cheroot.server import (
-    ChunkedRFile,
     Gateway,
     HeaderReader,
     HTTPConnection,
@@ -19,6 +17,8 @@
 )
 
 from wasabistream.answers import reason_phrase
+from wasabistream.body_readers import read_body
+from wasabistream.draining_connections import DrainingConnectionManager
 from wasabistream.exceptions import RequestError
 from wasabistream.forwarding.requests import Headers, Reply
 from wasabistream.platform import header_names as names
@@ -180,32 +180,13 @@
     def respond(self) -> None:
         """Answer one request."""
         try:
-            body = self._read_body()
+            body = read_body(self.req)
         except RequestError as error:
             self.req.close_connection = True
             HttpCaller(self.req, '').reply(Reply(error.status))
             return
         self.req.server.handler(self.req, body)
 
-    def _read_body(self) -> bytes:
-        request = self.req
-        try:
-            body: bytes = request.rfile.read()
-            if isinstance(request.rfile, ChunkedRFile):
-                # Unread trailers would be parsed as the next request.
-                list(request.rfile.read_trailer_lines())  # type: ignore
-                return body
-        except MaxSizeExceeded as error:
-            raise RequestError('body is too long', 413, 'long') from error
-        except TimeoutError as error:
-            raise RequestError('body came too slowly', 408, 'slow') from error
-        except (OSError, ValueError) as error:
-            raise RequestError(str(error), 400, 'body') from error
-        content_length = int(request.inheaders.get(b'Content-Length', 0))
-        if len(body) < content_length:
-            raise RequestError('body is cut off', 400, 'body')
-        return body
-
 
 class IngressServer(HTTPServer):
     """Serve callers with one thread for each request."""
@@ -230,6 +211,7 @@
         self.request_queue_size = BACKLOG_COUNT
         self.keep_alive_conn_limit = MAX_KEEP_ALIVE_CONNECTION_COUNT
         self.prepare()
+        self._connections = DrainingConnectionManager(self)
 
     @property
     def port(self) -> int:
@@ -249,6 +231,11 @@
         """Start a thread that serves until `stop`."""
         threading.Thread(target=self.serve, name=name, daemon=True).start()
 
+    def stop_within(self, seconds: float) -> None:
+        """Answer the requests that have arrived, then stop."""
+        self.shutdown_timeout = seconds  # type: ignore[assignment]
+        self.stop()
+
     def error_log(
         self, msg: str = '', level: int = logging.INFO, traceback: bool = False
     ) -> None:
