Keep a restarted entry from copying a peer that has lost the store

Cause: a process that starts has 'lost' the store until its first read, and copied the items of the first peer whose revision was higher, also of one that had been cut from the store for long: servers that had left and withdrawn keys were in use again until the store or another peer answered. A process that was paused reported its store as read, although its items were old.

Change: a process without data waits 1.5 s for the store or a peer that reads it, then takes what there is; a store counts as lost when its last answer is older than 8 s. The new test fails without the rule.

Ruled out: never copying such a peer, as an entry that starts in an outage of the store would refuse everything.

--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -20,7 +20,10 @@
 )
 from wasabistream.forwarding.liveness_trackers import LIVENESS_TIMEOUT_SECONDS
 from wasabistream.forwarding.mirrors import StoreMirror
-from wasabistream.forwarding.peer_links import PeerLinks
+from wasabistream.forwarding.peer_links import (
+    STALE_PEER_DELAY_SECONDS,
+    PeerLinks,
+)
 from wasabistream.listeners import LinkListener
 from wasabistream.messages import PROTOCOL_VERSION_MAX, PROTOCOL_VERSION_MIN
 from wasabistream.notices import Hello
@@ -32,10 +35,12 @@
 class Entry:
     """Run the links of one entry on loopback."""
 
-    def __init__(self, name: str, seeds: list[str]) -> None:
+    def __init__(
+        self, name: str, seeds: list[str], *, store_lost: bool = False
+    ) -> None:
         self.mirror = StoreMirror()
         self.announced_engines = AnnouncedEngines()
-        self.store_lost = False
+        self.store_lost = store_lost
         hello = Hello(
             PROTOCOL_VERSION_MIN, PROTOCOL_VERSION_MAX, 'entry', name, 'i', 'dc'
         )
@@ -97,6 +102,37 @@
         self.assertTrue(wait_for(lambda: cut_off.mirror.revision == 60))
         self.assertEqual(len(cut_off.mirror.items()), 60)
 
+    def test_restart_beside_a_peer_without_the_store(self) -> None:
+        """Guard against a withdrawn key that is in use again after a restart.
+
+        A peer that lost the store long ago holds an old configuration; one
+        that reads the store informs the new process a moment later.
+        """
+        stale = self.start('a', [])
+        stale.mirror.replace([build_item('op/config', 3, b'old')], 3)
+        stale.store_lost = True
+        reader = self.start('b', [])
+        reader.mirror.replace([build_item('op/config', 9, b'new')], 9)
+        restarted = Entry('c', [stale.endpoint], store_lost=True)
+        self.addCleanup(restarted.stop)
+        self.assertTrue(wait_for(lambda: restarted.links.entry_count() == 2))
+        self.assertFalse(
+            wait_for(
+                lambda: restarted.mirror.revision, STALE_PEER_DELAY_SECONDS / 2
+            )
+        )
+        restarted.links.replace_seeds([stale.endpoint, reader.endpoint])
+        self.assertTrue(wait_for(lambda: restarted.mirror.revision == 9))
+
+    def test_restart_while_no_peer_reads_the_store(self) -> None:
+        """Guard against a new process that never serves in a store outage."""
+        stale = self.start('a', [])
+        stale.mirror.replace([build_item('op/config', 3, b'old')], 3)
+        stale.store_lost = True
+        restarted = self.start('b', [stale.endpoint])
+        restarted.store_lost = True
+        self.assertTrue(wait_for(lambda: restarted.mirror.revision == 3))
+
     def test_older_peer_listing_is_ignored(self) -> None:
         """Guard against replacing a configuration with an older one."""
         behind = self.start('a', [])
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -3,8 +3,10 @@
 Failures: the store is down, loses its history or holds malformed items.
 """
 
+import time
 import unittest
 from typing import Any
+from unittest.mock import patch
 
 from tests.platform_builders import CONFIGURATION, SERVER, build_row
 from tests.platform_stores import StandInStore
@@ -15,7 +17,10 @@
 from wasabistream.forwarding.mirrors import StoreMirror
 from wasabistream.platform.store_clients import StoreClient
 from wasabistream.platform.store_decoders import FleetDecoder
-from wasabistream.platform.store_followers import StoreFollower
+from wasabistream.platform.store_followers import (
+    ANSWER_AGE_LIMIT_SECONDS,
+    StoreFollower,
+)
 
 MALFORMED_SERVERS: tuple[Any, ...] = (
     {**SERVER, 'state': 'odd'},
@@ -89,6 +94,14 @@
         self.store.failing_status = 0
         self.assertTrue(wait_for(lambda: follower.lost_at_seconds is None))
 
+    def test_pause_makes_the_mirror_outdated(self) -> None:
+        """Guard against a paused process whose peers copy its old items."""
+        follower, _ = self.follow()
+        self.assertFalse(follower.is_lost)
+        later_seconds = time.monotonic() + 2 * ANSWER_AGE_LIMIT_SECONDS
+        with patch.object(time, 'monotonic', return_value=later_seconds):
+            self.assertTrue(follower.is_lost)
+
     def decode(self) -> Fleet:
         """Return the fleet decoded from the store's items."""
         mirror = StoreMirror()
--- a/wasabistream/forwarding/peer_links.py
+++ b/wasabistream/forwarding/peer_links.py
@@ -2,6 +2,7 @@
 
 import logging
 import threading
+import time
 from collections.abc import Callable, Sequence
 
 from wasabistream.crash_notices import ClearNotice, CrashNotice
@@ -28,6 +29,10 @@
 logger = logging.getLogger(__name__)
 
 NOTICE_INTERVAL_SECONDS = 1.0
+# A process that starts without data waits this long for the store, or for a
+# peer that reads it, before it copies a peer that has lost the store: that one
+# may still list servers that have left and keys that were withdrawn.
+STALE_PEER_DELAY_SECONDS = 1.5
 # Maximum number of links that an entry opens; further live entries are counted
 # but not dialled.
 MAX_DIALER_COUNT = 40
@@ -71,6 +76,7 @@
         )
         # True once this entry shuts down.
         self.draining = False
+        self._created_at_seconds = time.monotonic()
         self._stopped = threading.Event()
         self._wake = threading.Event()
 
@@ -211,10 +217,20 @@
             self._links[link] = notice
         self._live_entries.record_contact(notice.endpoint, notice.direct_peers)
         self._record_engines(notice)
-        newer = notice.revision > self._mirror.revision
-        if newer and self._is_store_lost():
+        if self._wants_items(notice):
             _send(link, MirrorQuery(self._mirror.revision))
 
+    def _wants_items(self, notice: PeerNotice) -> bool:
+        own_revision = self._mirror.revision
+        if notice.revision <= own_revision or not self._is_store_lost():
+            return False
+        uptime_seconds = time.monotonic() - self._created_at_seconds
+        return (
+            own_revision > 0
+            or not notice.store_lost
+            or uptime_seconds > STALE_PEER_DELAY_SECONDS
+        )
+
     def _record_engines(self, notice: PeerNotice) -> None:
         try:
             for endpoint, service, data_centre in notice.engines:
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -251,7 +251,7 @@
         self._peer_links.send_peer_notice()
 
     def _is_store_lost(self) -> bool:
-        return self.follower.lost_at_seconds is not None
+        return self.follower.is_lost
 
     def _is_isolated(self) -> bool:
         """Return whether the store, all peers and all agents are silent."""
--- a/wasabistream/platform/store_followers.py
+++ b/wasabistream/platform/store_followers.py
@@ -18,6 +18,9 @@
 WATCH_SECONDS = 5.0
 # Shorter watches while removals are held back, to apply them when due.
 GUARDED_WATCH_SECONDS = 0.5
+# Without an answer for longer, this process was paused or its call hangs, and
+# the mirror may be outdated.
+ANSWER_AGE_LIMIT_SECONDS = 8.0
 RETRY_MIN_SECONDS = 0.1
 RETRY_MAX_SECONDS = 0.5
 
@@ -44,6 +47,15 @@
         # Monotonic time since which the store has not answered; None while it
         # answers.
         self.lost_at_seconds: float | None = time.monotonic()
+        self._answered_at_seconds = time.monotonic()
+
+    @property
+    def is_lost(self) -> bool:
+        """Return whether the store does not answer, or has not for long."""
+        if self.lost_at_seconds is not None:
+            return True
+        age_seconds = time.monotonic() - self._answered_at_seconds
+        return age_seconds > ANSWER_AGE_LIMIT_SECONDS
 
     @property
     def away_seconds(self) -> float:
@@ -102,6 +114,7 @@
             self._on_reachability_change()
 
     def _record_recovery(self) -> None:
+        self._answered_at_seconds = time.monotonic()
         if self.lost_at_seconds is not None:
             # Also logged at the first answer after the start.
             logger.info(
