Name the cause of each lost request from the log lines

'wasabistream explain ID FILE...' prints one request's story with the state changes of its processes and servers, 'wasabistream losses FILE...' a table of route by cause with shares and whether any system could have served. Both read lines one at a time, report torn ones with their number and go on.

New in the logs: 'stream: sent' with the load that the choice rests on and the report's age, the targets in 'request: ended', the endpoint in 'engine: state changed'. A line for each sent stream stands for one that its entry lost.

--- a/tests/test_run_movers.py
+++ b/tests/test_run_movers.py
@@ -159,7 +159,7 @@
             if getattr(notice, 'responsive', True) is False:
                 done.set()
 
-        watcher = EngineWatcher(engine, report, done.set)
+        watcher = EngineWatcher(engine, '10.0.0.1:8000', report, done.set)
         watcher.start()
         self.addCleanup(watcher.stop)
         self.assertTrue(done.wait(WAIT_SECONDS))
--- a/wasabistream/commands.py
+++ b/wasabistream/commands.py
@@ -9,6 +9,7 @@
 from wasabistream.applications import EXIT_BAD_SETTINGS, EXIT_DONE, Application
 from wasabistream.entries import EntryApplication
 from wasabistream.exceptions import SettingsError
+from wasabistream.inspection import log_commands
 from wasabistream.logs import configure_logs
 from wasabistream.measure_commands import MeasureCommands
 from wasabistream.settings import (
@@ -66,6 +67,25 @@
         """
         document_commands.plan(before, after, vms, as_json=json)
 
+    def explain(self, request_id: str, *files: str, json: bool = False) -> None:
+        """Print what the log files of all processes say about one request."""
+        sys.exit(
+            log_commands.explain(
+                str(request_id), tuple(map(str, files)), as_json=json
+            )
+        )
+
+    def losses(self, *files: str, worths: str = '', json: bool = False) -> None:
+        """Print the requests in log files that were not in time, by cause.
+
+        `worths` weights routes, for example `drafts=170,chats=18`.
+        """
+        sys.exit(
+            log_commands.losses(
+                tuple(map(str, files)), str(worths), as_json=json
+            )
+        )
+
 
 def _format_settings_help(settings_type: type) -> str:
     rows = describe_settings(settings_type)
--- a/wasabistream/exceptions.py
+++ b/wasabistream/exceptions.py
@@ -42,6 +42,10 @@
     """Report a link that cannot be opened, was closed or timed out."""
 
 
+class InspectionError(WasabiError):
+    """Report log files that cannot be read or options that are not valid."""
+
+
 class BackendError(WasabiError):
     """Report a backend server that failed during a request."""
 
--- a/wasabistream/forwarding/engine_watchers.py
+++ b/wasabistream/forwarding/engine_watchers.py
@@ -28,10 +28,12 @@
     def __init__(
         self,
         engine: AgentEngine,
+        endpoint: str,
         report: Callable[[LoadReport], None],
         on_leaving: Callable[[], None],
     ) -> None:
         self._engine = engine
+        self._endpoint = endpoint
         self._report = report
         self._on_leaving = on_leaving
         self._stopped = threading.Event()
@@ -100,6 +102,7 @@
             logger.info(
                 'engine: state changed',
                 extra={
+                    'endpoint': self._endpoint,
                     'leaving': report.leaving,
                     'responsive': report.responsive,
                     'running_count': report.running_count,
--- a/wasabistream/forwarding/forwarders.py
+++ b/wasabistream/forwarding/forwarders.py
@@ -87,6 +87,9 @@
             extra={
                 'request_id': request.request_id,
                 'route': request.route.name,
+                'kind': kind,
+                'target_seconds': request.route.target_latency_seconds,
+                'target_gap_seconds': request.route.target_gap_seconds,
                 'service': request.service,
                 'organisation': request.organisation,
                 'priority': request.priority,
--- a/wasabistream/forwarding/load_trackers.py
+++ b/wasabistream/forwarding/load_trackers.py
@@ -42,6 +42,8 @@
     memory_capacity_tokens: int
     leaving: bool
     responsive: bool
+    # None if the agent has not reported recently.
+    report_age_seconds: float | None = None
 
 
 class LoadTracker:
@@ -102,7 +104,7 @@
                 or now - load.received_at_seconds > REPORT_AGE_LIMIT_SECONDS
             ):
                 return _without_report(load)
-            return _with_report(load, report)
+            return _with_report(load, report, now)
 
 
 def _without_report(load: ServerLoad) -> LoadEstimate:
@@ -116,7 +118,9 @@
     )
 
 
-def _with_report(load: ServerLoad, report: LoadReport) -> LoadEstimate:
+def _with_report(
+    load: ServerLoad, report: LoadReport, now: float
+) -> LoadEstimate:
     unreported_after = load.received_at_seconds - REPORT_DELAY_SECONDS
     unreported = [
         request
@@ -132,4 +136,5 @@
         memory_capacity_tokens=report.memory_capacity_tokens,
         leaving=report.leaving,
         responsive=report.responsive,
+        report_age_seconds=now - load.received_at_seconds,
     )
--- a/wasabistream/forwarding/routes.py
+++ b/wasabistream/forwarding/routes.py
@@ -39,6 +39,8 @@
     public: bool
     # Whether a new generation may continue a stream after its last event.
     resumable: bool
+    # Longest pause between events of a stream in time; 0 if not given.
+    target_gap_seconds: float = 0
 
     @property
     def repeatable(self) -> bool:
--- a/wasabistream/forwarding/server_choosers.py
+++ b/wasabistream/forwarding/server_choosers.py
@@ -87,6 +87,19 @@
             ),
         )
 
+    def describe(self, server: BackendServer) -> dict[str, object]:
+        """Return what a choice of a server rests on, as log fields."""
+        estimate = self._load_tracker.estimate(server.endpoint)
+        age_seconds = estimate.report_age_seconds
+        return {
+            'server_running_count': estimate.request_count,
+            'server_waiting_count': estimate.waiting_count,
+            'server_memory_tokens': estimate.memory_tokens,
+            'report_age_seconds': (
+                None if age_seconds is None else round(age_seconds, 3)
+            ),
+        }
+
     def _find_available(
         self, servers: list[BackendServer]
     ) -> dict[BackendServer, LoadEstimate]:
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -94,6 +94,7 @@
             server = self._chooser.choose(watch.request, history.endpoints[-1:])
             if server is None or not self._sender.may_send(watch, history):
                 break
+            self._log_sent(server, watch, progress)
             continuation = _build_resumption(progress)
             reply = self._follow_generation(
                 server, watch, history, progress, continuation
@@ -251,6 +252,25 @@
             parsed, source.service, source.data_centre, source.slot_count
         )
 
+    def _log_sent(
+        self,
+        server: BackendServer,
+        watch: RequestWatch,
+        progress: StreamProgress,
+    ) -> None:
+        request = watch.request
+        logger.info(
+            'stream: sent',
+            extra={
+                'request_id': request.request_id,
+                'route': request.route.name,
+                'kind': request.route.kind.value,
+                'servers': [server.endpoint],
+                'event_count': progress.event_count,
+                **self._chooser.describe(server),
+            },
+        )
+
     def _log(
         self,
         outcome: str,
--- /dev/null
+++ b/wasabistream/inspection/__init__.py
@@ -0,0 +1,1 @@
+"""Inspection of requests from the log lines of all processes."""
--- /dev/null
+++ b/wasabistream/inspection/loss_causes.py
@@ -0,0 +1,141 @@
+"""Causes of requests that were not served in time, in order of precedence."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from wasabistream.inspection.request_records import RequestRecord
+
+# An engine that has announced its end is gone within this time.
+NOTICE_SECONDS = 10.0
+
+
+@dataclass
+class LossContext:
+    """Hold what other log lines say about engines and moves."""
+
+    # Times at which the agent of an engine reported that it leaves.
+    leave_times_seconds: dict[str, list[float]] = field(default_factory=dict)
+    # Last message of an agent about the move of a request.
+    move_messages: dict[str, str] = field(default_factory=dict)
+
+    def had_notice(self, record: RequestRecord) -> bool:
+        """Return whether a server of the request left shortly before."""
+        return any(
+            0 <= record.ended_at_seconds - left_at <= NOTICE_SECONDS
+            for server in record.servers
+            for left_at in self.leave_times_seconds.get(server, ())
+        )
+
+
+Condition = Callable[[RequestRecord, LossContext], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class LossCause:
+    """Name one cause and tell which requests it applies to."""
+
+    name: str
+    # False if no system could have served the request.
+    avoidable: bool
+    applies: Condition
+
+
+_causes: list[LossCause] = []
+
+
+def loss_cause(
+    name: str, *, avoidable: bool = True
+) -> Callable[[Condition], Condition]:
+    """Return a decorator that registers a cause after the earlier ones."""
+
+    def register(condition: Condition) -> Condition:
+        _causes.append(LossCause(name, avoidable, condition))
+        return condition
+
+    return register
+
+
+def find_cause(record: RequestRecord, context: LossContext) -> LossCause:
+    """Return the first cause that applies; the last one always does."""
+    return next(cause for cause in _causes if cause.applies(record, context))
+
+
+@loss_cause('entry ended with the request', avoidable=False)
+def _entry_ended(record: RequestRecord, context: LossContext) -> bool:
+    return record.outcome == 'lost'
+
+
+@loss_cause('caller left')
+def _caller_left(record: RequestRecord, context: LossContext) -> bool:
+    return record.cut_reason == 'caller_left'
+
+
+@loss_cause('stalled at the engine')
+def _stalled(record: RequestRecord, context: LossContext) -> bool:
+    return record.outcome == 'cut' and record.cut_reason == 'stalled'
+
+
+@loss_cause('deadline passed')
+def _deadline(record: RequestRecord, context: LossContext) -> bool:
+    return record.cut_reason == 'timeout' or record.status == 504
+
+
+@loss_cause('refused, not run')
+def _refused(record: RequestRecord, context: LossContext) -> bool:
+    return record.status in {429, 503}
+
+
+@loss_cause('failed at each server that ran it', avoidable=False)
+def _failed(record: RequestRecord, context: LossContext) -> bool:
+    return record.status >= 500 and record.status != 502
+
+
+@loss_cause('engine left with notice, move came late')
+def _moved_late(record: RequestRecord, context: LossContext) -> bool:
+    moved = context.move_messages.get(record.request_id) == 'mover: moved'
+    return _is_broken(record) and moved
+
+
+@loss_cause('engine left with notice, no room for a move')
+def _no_room(record: RequestRecord, context: LossContext) -> bool:
+    has_tried = record.request_id in context.move_messages
+    return _is_broken(record) and has_tried
+
+
+@loss_cause('engine left with notice, not moved')
+def _not_moved(record: RequestRecord, context: LossContext) -> bool:
+    return _is_broken(record) and context.had_notice(record)
+
+
+@loss_cause('server ended without notice', avoidable=False)
+def _crashed(record: RequestRecord, context: LossContext) -> bool:
+    return _is_broken(record)
+
+
+@loss_cause('waited for the first event')
+def _waited(record: RequestRecord, context: LossContext) -> bool:
+    return record.is_stream and record.is_late
+
+
+@loss_cause('pause at a move')
+def _paused_at_move(record: RequestRecord, context: LossContext) -> bool:
+    return record.has_long_gap and record.move_count > 0
+
+
+@loss_cause('pause at the engine')
+def _paused(record: RequestRecord, context: LossContext) -> bool:
+    return record.has_long_gap
+
+
+@loss_cause('answered late')
+def _late(record: RequestRecord, context: LossContext) -> bool:
+    return record.is_late
+
+
+@loss_cause('other')
+def _other(record: RequestRecord, context: LossContext) -> bool:
+    return True
+
+
+def _is_broken(record: RequestRecord) -> bool:
+    return record.outcome == 'cut' or record.status == 502
--- /dev/null
+++ b/wasabistream/inspection/loss_tables.py
@@ -0,0 +1,130 @@
+"""Table of the requests that were not served in time, by cause."""
+
+from collections import Counter, OrderedDict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from wasabistream.inspection.log_lines import LogLine
+from wasabistream.inspection.loss_causes import (
+    LossCause,
+    LossContext,
+    find_cause,
+)
+from wasabistream.inspection.request_records import RequestRecord, build_record
+
+MOVE_PREFIX = 'mover: '
+# Bounds the memory for requests that have no last line or were lost.
+MAX_RECORD_COUNT = 200_000
+
+
+@dataclass(frozen=True, slots=True)
+class LossRow:
+    """Count the requests of a route that were lost for one cause."""
+
+    route: str
+    cause: str
+    avoidable: bool
+    count: int
+    # Of all requests of the route that were owed.
+    route_percent: float
+    # Of the worth of all requests that were owed.
+    worth_percent: float
+
+
+class LossCounter:
+    """Collect log lines in any order, then count the losses."""
+
+    def __init__(self, worths: Mapping[str, float]) -> None:
+        # Worth of one request by route; 1 for all others.
+        self._worths = worths
+        self._context = LossContext()
+        self._owed_counts: Counter[str] = Counter()
+        self._lost: list[RequestRecord] = []
+        # Streams that were sent and have not ended yet; an ended one whose
+        # last line came first stays marked by None.
+        self._open: OrderedDict[str, RequestRecord | None] = OrderedDict()
+        self.skipped_count = 0
+
+    def add(self, lines: Iterable[LogLine]) -> None:
+        """Add log lines."""
+        for line in lines:
+            match line.message:
+                case 'request: ended':
+                    self._add_ended(line)
+                case 'stream: sent':
+                    self._add_sent(line)
+                case 'engine: state changed':
+                    self._add_engine_state(line)
+                case message if message.startswith(MOVE_PREFIX):
+                    self._add_move(line)
+
+    def rows(self) -> list[LossRow]:
+        """Return the losses, those that cost most first."""
+        lost = [
+            *self._lost,
+            *(record for record in self._open.values() if record is not None),
+        ]
+        owed_counts = self._owed_counts + Counter(
+            record.route for record in lost if record.outcome == 'lost'
+        )
+        total_worth = sum(
+            count * self._worth(route) for route, count in owed_counts.items()
+        )
+        counts: Counter[tuple[str, LossCause]] = Counter(
+            (record.route, find_cause(record, self._context)) for record in lost
+        )
+        rows = [
+            LossRow(
+                route=route,
+                cause=cause.name,
+                avoidable=cause.avoidable,
+                count=count,
+                route_percent=_percent(count, owed_counts[route]),
+                worth_percent=_percent(count * self._worth(route), total_worth),
+            )
+            for (route, cause), count in counts.items()
+        ]
+        return sorted(rows, key=lambda row: row.worth_percent, reverse=True)
+
+    def _add_ended(self, line: LogLine) -> None:
+        record = build_record(line)
+        if record.is_stream:
+            self._remember(record.request_id, None)
+        if not record.is_owed:
+            return
+        self._owed_counts[record.route] += 1
+        if record.is_in_time:
+            return
+        if len(self._lost) >= MAX_RECORD_COUNT:
+            self.skipped_count += 1
+            return
+        self._lost.append(record)
+
+    def _add_sent(self, line: LogLine) -> None:
+        if line.request_id not in self._open:
+            self._remember(line.request_id, build_record(line, 'lost'))
+
+    def _add_engine_state(self, line: LogLine) -> None:
+        if line.fields.get('leaving'):
+            endpoint = str(line.fields.get('endpoint', ''))
+            times = self._context.leave_times_seconds.setdefault(endpoint, [])
+            times.append(line.time_seconds)
+
+    def _add_move(self, line: LogLine) -> None:
+        messages = self._context.move_messages
+        if len(messages) < MAX_RECORD_COUNT or line.request_id in messages:
+            messages[line.request_id] = line.message
+
+    def _remember(self, request_id: str, record: RequestRecord | None) -> None:
+        self._open[request_id] = record
+        self._open.move_to_end(request_id)
+        if len(self._open) > MAX_RECORD_COUNT:
+            _, oldest = self._open.popitem(last=False)
+            self.skipped_count += oldest is not None
+
+    def _worth(self, route: str) -> float:
+        return self._worths.get(route, 1)
+
+
+def _percent(part: float, whole: float) -> float:
+    return round(100 * part / whole, 2) if whole else 0
--- a/wasabistream/platform/agent_applications.py
+++ b/wasabistream/platform/agent_applications.py
@@ -48,7 +48,7 @@
             engine, endpoint, self._target_finder, self._broadcast
         )
         self._watcher = EngineWatcher(
-            engine, self._broadcast, self._start_moves
+            engine, endpoint, self._broadcast, self._start_moves
         )
         self._announcer = EngineAnnouncer(
             self.hello,
--- a/wasabistream/platform/store_decoders.py
+++ b/wasabistream/platform/store_decoders.py
@@ -199,6 +199,7 @@
         max_attempt_count=int(row.get('max_attempts', 1)),
         public=bool(row.get('public', False)),
         resumable=bool(row.get('resumable', False)),
+        target_gap_seconds=_decode_seconds(row, 'gap_aim_ms', 0),
     )
 
 
