Run all links of a process on one loop

Change: one thread runs a task (a generator) for each link, dialled peer and listener and sends all frames without blocking; heartbeats and silence are checked twice a second. Handlers run on that thread, as before on the readers, and do not block. An error in a handler ends its own link only; a peer that does not read keeps its frames queued and delays no other.

Ruled out: asyncio, whose import alone takes 29 modules and 2.5 MB in each process.

--- a/wasabistream/dialers.py
+++ b/wasabistream/dialers.py
@@ -2,9 +2,11 @@
 
 import logging
 import random
-import threading
+from collections.abc import Generator
 
 from wasabistream.exceptions import LinkError
+from wasabistream.link_loops import link_loop
+from wasabistream.link_waits import Pause, Task, Wait
 from wasabistream.links import Link, LinkHandler, connect
 from wasabistream.notices import Hello
 
@@ -31,46 +33,41 @@
         self._handler = handler
         # Guards against a new VM that has taken over the peer's address.
         self._expected_peer_id = expected_peer_id
-        self._stopped = threading.Event()
+        self._stopped = False
         self._link: Link | None = None
 
     def start(self) -> None:
-        """Start the thread that connects and reads."""
-        threading.Thread(
-            target=self._run,
-            name=f'dial-{self.address}:{self.port}',
-            daemon=True,
-        ).start()
+        """Start the task that connects and reads."""
+        link_loop.spawn(self._run())
 
     def stop(self) -> None:
         """Close the link and stop reconnecting."""
-        self._stopped.set()
+        self._stopped = True
         if self._link is not None:
             self._link.close()
 
-    def _run(self) -> None:
+    def _run(self) -> Task:
         wait_seconds = RETRY_MIN_SECONDS
-        while not self._stopped.is_set():
-            if self._run_link():
+        while not self._stopped:
+            if (yield from self._run_link()):
                 wait_seconds = RETRY_MIN_SECONDS
+            if self._stopped:
+                return
             # Jitter keeps the entries from reconnecting at the same moment.
-            self._stopped.wait(wait_seconds * random.uniform(0.5, 1.5))
+            yield Pause(wait_seconds * random.uniform(0.5, 1.5))
             wait_seconds = min(wait_seconds * 2, RETRY_MAX_SECONDS)
 
-    def _run_link(self) -> bool:
+    def _run_link(self) -> Generator[Wait, None, bool]:
         try:
-            link = Link(
-                connect(self.address, self.port),
-                self._hello,
-                self._handler,
-                self._expected_peer_id,
+            sock = yield from connect(self.address, self.port)
+            link = Link.build(
+                sock, self._hello, self._handler, self._expected_peer_id
             )
-        except (LinkError, OSError) as error:
+        except LinkError as error:
             logger.debug('dialer: %s', error)
             return False
         self._link = link
-        if self._stopped.is_set():
+        if self._stopped:
             # `stop` may have closed only the previous link.
             link.close()
-            return False
-        return link.run()
+        return (yield from link.run())
--- a/wasabistream/links.py
+++ b/wasabistream/links.py
@@ -1,17 +1,19 @@
 """Links, which carry messages between two processes over TCP."""
 
+import errno
 import logging
+import os
 import queue
-import select
 import socket
 import threading
 import time
-from collections.abc import Sequence
+from collections.abc import Generator, Sequence
 from typing import Protocol
 
 from wasabistream.exceptions import FrameError, LinkError
 from wasabistream.frames import FrameReader, encode_frame
-from wasabistream.heartbeats import HEARTBEAT_INTERVAL_SECONDS, heartbeat_sender
+from wasabistream.link_loops import link_loop
+from wasabistream.link_waits import Connected, Readable, Wait
 from wasabistream.messages import (
     PROTOCOL_VERSION_MAX,
     PROTOCOL_VERSION_MIN,
@@ -19,11 +21,12 @@
 )
 from wasabistream.metrics import FRAME_ERRORS, LINK_BYTES
 from wasabistream.notices import Heartbeat, Hello
-from wasabistream.send_queues import Expiry, FrameBatch, SendQueue
+from wasabistream.send_queues import Expiry, SendQueue
 
 logger = logging.getLogger(__name__)
 
 HEARTBEAT_FRAME = encode_frame(Heartbeat())
+HEARTBEAT_INTERVAL_SECONDS = 2.0
 # Three missed heartbeats.
 SILENCE_LIMIT_SECONDS = 6.0
 CONNECT_TIMEOUT_SECONDS = 2.0
@@ -35,7 +38,7 @@
 
 
 class LinkHandler(Protocol):
-    """Handle the events of a link; called on its reader thread."""
+    """Handle the events of a link; called on the loop's thread."""
 
     def on_opened(self, link: 'Link') -> None:
         """Handle a link whose handshake is complete."""
@@ -48,7 +51,7 @@
 
 
 class Link:
-    """Exchange messages with one peer; the thread in `run` reads."""
+    """Exchange messages with one peer; `start` runs its task on the loop."""
 
     def __init__(
         self,
@@ -57,27 +60,49 @@
         handler: LinkHandler,
         expected_peer_id: str = '',
     ) -> None:
-        self._socket = sock
+        self.sock = sock
         self._hello = hello
         self._handler = handler
         self._expected_peer_id = expected_peer_id
         self._send_queue = SendQueue()
         self._closed = threading.Event()
         self._closing = threading.Event()
-        # Held while bytes go to the socket, so that frames stay whole.
-        self._send_lock = threading.Lock()
+        # Bytes of the last batch that the socket has not taken yet.
+        self._unsent = b''
+        self._is_handshake_sent = False
+        self._has_ended_sending = False
         self._last_sent_seconds = time.monotonic()
         self.peer = Hello(1, 1, '', str(sock.getpeername()), '', '')
         self.sent_bytes = 0
         self.received_bytes = 0
-        sock.settimeout(SILENCE_LIMIT_SECONDS)
+        sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    @classmethod
+    def build(
+        cls,
+        sock: socket.socket,
+        hello: Hello,
+        handler: LinkHandler,
+        expected_peer_id: str = '',
+    ) -> 'Link':
+        """Return a link; closes the socket and raises LinkError on failure."""
+        try:
+            return cls(sock, hello, handler, expected_peer_id)
+        except OSError as error:
+            link_loop.forget(sock)
+            sock.close()
+            raise LinkError(str(error), 'handshake') from error
+
     @property
     def closed(self) -> bool:
         """Tell whether the link has ended."""
         return self._closed.is_set()
 
+    def start(self) -> None:
+        """Run the link until it ends."""
+        link_loop.spawn(self.run())
+
     def send(self, message: Message, expiry: Expiry | None = None) -> None:
         """Queue a message.
 
@@ -92,60 +117,70 @@
             raise LinkError(
                 'send queue is full', 'send', self.peer.peer_id
             ) from None
+        link_loop.flush_soon(self)
 
-    def run(self) -> bool:
-        """Read until the link ends; tell whether its handshake succeeded."""
+    def run(self) -> Generator[Wait, None, bool]:
+        """Read until the link ends; return whether its handshake succeeded."""
         reason = 'closed by peer'
         opened = False
         try:
             reader = FrameReader(self.peer.peer_id)
-            received = self._exchange_hellos(reader)
-            writer = threading.Thread(
-                target=self._write_batches, name=f'write-{self.peer.peer_id}'
-            )
-            writer.daemon = True
-            writer.start()
+            received = yield from self._exchange_hellos(reader)
             opened = True
-            heartbeat_sender.add(self)
+            link_loop.add_link(self)
             self._handler.on_opened(self)
-            self._read_messages(reader, received)
+            yield from self._read_messages(reader, received)
         except FrameError as error:
             FRAME_ERRORS.inc()
             reason = str(error)
         except (OSError, LinkError) as error:
             reason = str(error)
         finally:
-            self.close()
+            self._release()
             if opened:
                 self._handler.on_closed(self, reason)
         return opened
 
-    def send_heartbeat_if_due(self, now: float) -> None:
-        """Send a heartbeat when it is due, without blocking."""
-        if now - self._last_sent_seconds < HEARTBEAT_INTERVAL_SECONDS:
-            return
-        if not self._send_lock.acquire(blocking=False):
-            # The writer thread is sending, which serves as a heartbeat.
-            return
+    def flush(self) -> bool:
+        """Send queued frames without blocking; return whether any is left.
+
+        Called on the loop's thread.
+        """
+        if self.closed or not self._is_handshake_sent:
+            return False
         try:
-            if self._is_writable():
-                self._socket.send(HEARTBEAT_FRAME)
-                self._last_sent_seconds = now
-        except (OSError, ValueError) as error:
-            logger.info('link: %s lost: %s', self.peer.peer_id, error)
+            while self._take_batch():
+                sent_bytes = self.sock.send(self._unsent)
+                self._unsent = self._unsent[sent_bytes:]
+                self.sent_bytes += sent_bytes
+                LINK_BYTES.labels('sent').inc(sent_bytes)
+                self._last_sent_seconds = time.monotonic()
+            if self._has_ended_sending:
+                self._has_ended_sending = False
+                self.sock.shutdown(socket.SHUT_WR)
+        except BlockingIOError:
+            return True
+        except OSError as error:
+            logger.info('link: send to %s failed: %s', self.peer.peer_id, error)
             self.close()
+        return False
+
+    def send_heartbeat_if_due(self, now: float) -> None:
+        """Send a heartbeat when it is due, without blocking."""
+        if self._unsent or now - self._last_sent_seconds < (
+            HEARTBEAT_INTERVAL_SECONDS
+        ):
             return
-        finally:
-            self._send_lock.release()
-        self.sent_bytes += len(HEARTBEAT_FRAME)
-        LINK_BYTES.labels('sent').inc(len(HEARTBEAT_FRAME))
+        self._unsent = HEARTBEAT_FRAME
+        link_loop.flush_soon(self)
 
     def close_gracefully(self) -> None:
         """Send what is queued, then close; blocks for a bounded time.
 
         Closing a socket with unread input resets the connection, and the
         peer would lose frames that it has not read yet. So only the sending
-        side is shut down, and the reader goes on until the peer closes.
+        side is shut down, and the reader goes on until the peer closes. Must
+        not be called on the loop's thread.
         """
         if self.closed:
             return
@@ -154,37 +189,50 @@
             self._send_queue.end(GRACEFUL_CLOSE_LIMIT_SECONDS)
         except queue.Full:
             logger.info('link: queue to %s is full', self.peer.peer_id)
+        link_loop.flush_soon(self)
         self._closed.wait(GRACEFUL_CLOSE_LIMIT_SECONDS)
         self.close()
 
     def close(self) -> None:
-        """Close the socket and let both threads end."""
+        """Shut the socket down, which ends the task of the link."""
         if self.closed:
             return
         self._closed.set()
-        heartbeat_sender.remove(self)
         try:
-            self._send_queue.end()
-        except queue.Full:
-            logger.debug(
-                'link: queue to %s is full at close', self.peer.peer_id
-            )
-        try:
-            self._socket.shutdown(socket.SHUT_RDWR)
+            self.sock.shutdown(socket.SHUT_RDWR)
         except OSError:
             logger.debug('link: %s was closed already', self.peer.peer_id)
-        self._socket.close()
 
-    def _is_writable(self) -> bool:
-        poll = select.poll()
-        poll.register(self._socket, select.POLLOUT)
-        return bool(poll.poll(0))
+    def _release(self) -> None:
+        self.close()
+        link_loop.remove_link(self)
+        link_loop.forget(self.sock)
+        self.sock.close()
+
+    def _take_batch(self) -> bool:
+        """Return whether there are bytes to send, from a new batch if due."""
+        if self._unsent:
+            return True
+        batch = self._send_queue.take()
+        if batch is None:
+            return False
+        for expiry in batch.expired:
+            expiry.on_expired()
+        self._has_ended_sending = batch.ended
+        self._unsent = batch.joined
+        return bool(self._unsent) or (
+            not self._has_ended_sending and self._take_batch()
+        )
 
-    def _exchange_hellos(self, reader: FrameReader) -> list[Message]:
-        self._socket.sendall(encode_frame(self._hello))
+    def _exchange_hellos(
+        self, reader: FrameReader
+    ) -> Generator[Wait, None, list[Message]]:
+        self._unsent = encode_frame(self._hello)
+        self._is_handshake_sent = True
+        link_loop.flush_soon(self)
         received: list[Message] = []
         while not received:
-            received = reader.feed(self._receive())
+            received = reader.feed((yield from self._receive()))
         peer = received[0]
         if not isinstance(peer, Hello):
             raise LinkError('first message is not hello', 'handshake')
@@ -202,53 +250,47 @@
         self.peer = peer
         return received[1:]
 
-    def _receive(self) -> bytes:
-        try:
-            received = self._socket.recv(RECEIVE_BYTES)
-        except TimeoutError:
-            raise LinkError(
-                'peer is silent', 'receive', self.peer.peer_id
-            ) from None
-        if not received:
-            raise LinkError('closed by peer', 'receive', self.peer.peer_id)
+    def _receive(self) -> Generator[Wait, None, bytes]:
+        received = b''
+        while not received:
+            try:
+                yield Readable(self.sock, SILENCE_LIMIT_SECONDS)
+                received = self.sock.recv(RECEIVE_BYTES)
+            except TimeoutError:
+                raise LinkError(
+                    'peer is silent', 'receive', self.peer.peer_id
+                ) from None
+            except BlockingIOError:
+                continue
+            if not received:
+                raise LinkError('closed by peer', 'receive', self.peer.peer_id)
         self.received_bytes += len(received)
         LINK_BYTES.labels('received').inc(len(received))
         return received
 
     def _read_messages(
         self, reader: FrameReader, received: list[Message]
-    ) -> None:
+    ) -> Generator[Wait, None, None]:
         while True:
             if received:
                 self._handler.on_messages(self, received)
-            received = reader.feed(self._receive())
-
-    def _write_batches(self) -> None:
-        while self._send_batch(self._send_queue.take()):
-            self._last_sent_seconds = time.monotonic()
-
-    def _send_batch(self, batch: FrameBatch) -> bool:
-        try:
-            with self._send_lock:
-                self._socket.sendall(batch.joined)
-            if batch.ended and not self.closed:
-                self._socket.shutdown(socket.SHUT_WR)
-        except OSError as error:
-            logger.info('link: send to %s failed: %s', self.peer.peer_id, error)
-            self.close()
-            return False
-        self.sent_bytes += len(batch.joined)
-        LINK_BYTES.labels('sent').inc(len(batch.joined))
-        for expiry in batch.expired:
-            expiry.on_expired()
-        return not batch.ended
+            received = reader.feed((yield from self._receive()))
 
 
-def connect(address: str, port: int) -> socket.socket:
+def connect(address: str, port: int) -> Generator[Wait, None, socket.socket]:
     """Open a socket to a peer; raises LinkError."""
+    peer = f'{address}:{port}'
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
     try:
-        return socket.create_connection(
-            (address, port), timeout=CONNECT_TIMEOUT_SECONDS
-        )
+        error_number = sock.connect_ex((address, port))
+        if error_number == errno.EINPROGRESS:
+            yield Connected(sock, CONNECT_TIMEOUT_SECONDS)
+            error_number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error_number:
+            raise OSError(error_number, os.strerror(error_number))
     except OSError as error:
-        raise LinkError(str(error), 'connect', f'{address}:{port}') from error
+        link_loop.forget(sock)
+        sock.close()
+        raise LinkError(str(error), 'connect', peer) from error
+    return sock
--- a/wasabistream/send_queues.py
+++ b/wasabistream/send_queues.py
@@ -1,4 +1,4 @@
-"""Send queue of a link, emptied by its writer thread."""
+"""Send queue of a link, emptied by the loop of all links."""
 
 import queue
 import time
@@ -16,7 +16,7 @@
 class Expiry:
     """Give the time after which a queued frame is dropped, not sent.
 
-    `on_expired` is called on the writer thread when the frame was dropped,
+    `on_expired` is called on the loop's thread when the frame was dropped,
     so that it is certain that the peer never gets it.
     """
 
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _QueuedFrame:
-    """Hold one encoded frame until the writer thread takes it."""
+    """Hold one encoded frame until the loop takes it."""
 
     frame: bytes
     expiry: Expiry | None = None
@@ -55,18 +55,21 @@
         self._queue.put_nowait(_QueuedFrame(frame, expiry))
 
     def end(self, timeout_seconds: float = 0) -> None:
-        """End the writer thread once the queued frames have been sent.
+        """End the sending side once the queued frames have been sent.
 
         Waits up to the timeout for a place in the queue; raises queue.Full.
         """
         self._queue.put(None, timeout_seconds > 0, timeout_seconds or None)
 
-    def take(self) -> FrameBatch:
-        """Wait for a frame or the end and return the next batch.
+    def take(self) -> FrameBatch | None:
+        """Return the next batch, or None if nothing is queued.
 
         The batch has no bytes if it is only the end or if all frames expired.
         """
-        queued = self._queue.get()
+        try:
+            queued = self._queue.get_nowait()
+        except queue.Empty:
+            return None
         queued_frames: list[_QueuedFrame] = []
         while queued is not None:
             queued_frames.append(queued)
--- a/wasabistream/withdrawals.py
+++ b/wasabistream/withdrawals.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Sequence
 
 from wasabistream.exceptions import LinkError
+from wasabistream.link_loops import link_loop
+from wasabistream.link_waits import Task
 from wasabistream.links import Link, connect
 from wasabistream.messages import Message
 from wasabistream.notices import Hello
@@ -31,22 +33,16 @@
         self._incarnation = incarnation
         self._settled = threading.Event()
         self._outcome = Outcome.unknown
+        self._link: Link | None = None
+        self._ended = False
 
     def run(self, vm: Vm, hello: Hello) -> Outcome:
         """Return the outcome from the agent, or unknown without a reply."""
-        try:
-            link = Link(connect(vm.address, vm.link_port), hello, self, vm.id)
-        except (LinkError, OSError) as error:
-            logger.info(
-                'entry: second link not opened to withdraw an attempt: %s',
-                error,
-            )
-            return Outcome.unknown
-        threading.Thread(
-            target=link.run, name=f'withdraw-{vm.id}', daemon=True
-        ).start()
+        link_loop.spawn(self._run_link(vm, hello))
         self._settled.wait(SECOND_LINK_TIMEOUT_SECONDS)
-        link.close()
+        self._ended = True
+        if self._link is not None:
+            self._link.close()
         return self._outcome
 
     def on_opened(self, link: Link) -> None:
@@ -72,5 +68,23 @@
         """End the wait; without a reply so far the outcome is unknown."""
         self._settled.set()
 
+    def _run_link(self, vm: Vm, hello: Hello) -> Task:
+        try:
+            sock = yield from connect(vm.address, vm.link_port)
+            link = Link.build(sock, hello, self, vm.id)
+        except LinkError as error:
+            logger.info(
+                'entry: second link not opened to withdraw an attempt: %s',
+                error,
+            )
+            self._settled.set()
+            return
+        self._link = link
+        if self._ended:
+            link.close()
+        yield from link.run()
+        # The handshake may have failed.
+        self._settled.set()
+
 
 MakeHello = Callable[[], Hello]
