Let drafts outlive a cut of the network of several seconds

Such drafts cannot run elsewhere, so giving them up gains nothing.

Change: ten seconds for requests that cannot run elsewhere, two as before for all others. As the end of a moved stream's source may now be lost for longer, a stream whose move is known is cut half a second after its last event and goes on at the target.

Ruled out: more patience for streams that may be resumed, whose callers leave after six seconds.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -21,12 +21,14 @@
 from tests.forwarding_builders import (
     build_answer_buffers,
     build_request,
+    build_route,
     build_server,
 )
 from wasabistream.exceptions import BackendError
 from wasabistream.forwarding.interfaces import AttemptOptions, Cancellable
 from wasabistream.forwarding.reply_readers import read_reply
 from wasabistream.forwarding.requests import Reply
+from wasabistream.forwarding.routes import Route, RouteKind
 from wasabistream.platform.server_clients import HttpExchange, HttpServerClient
 
 REQUEST_ID = 'r1'
@@ -51,6 +53,7 @@
         self,
         server: ByteServer,
         on_connected: Callable[[Cancellable], None] = _ignore,
+        route: Route | None = None,
     ) -> HttpExchange:
         """Send one request to a stand-in server and read the head."""
         backend = build_server(1)
@@ -58,7 +61,7 @@
         object.__setattr__(backend, 'port', server.port)
         return HttpServerClient().open(
             backend,
-            build_request(request_id=REQUEST_ID),
+            build_request(route, request_id=REQUEST_ID),
             AttemptOptions(ANSWER_SECONDS),
             on_connected,
         )
@@ -202,6 +205,24 @@
             exchange.close()
             server.cut.set()
 
+    def test_silent_networks(self) -> None:
+        """Guard against giving up a draft that its engine goes on with.
+
+        Drafts that cannot run elsewhere were cut after two seconds without
+        acknowledgements, in a cut of the network of three.
+        """
+        limits_ms = {}
+        for resumable in (True, False):
+            route = build_route(RouteKind.streaming, resumable=resumable)
+            with serve_bytes(send_once(frame_answer(b'a', 'length'))) as server:
+                exchange = self.open(server, route=route)
+                limits_ms[resumable] = exchange._sock.getsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+                )
+                exchange.close()
+        self.assertLessEqual(limits_ms[True], 2000)
+        self.assertGreaterEqual(limits_ms[False], 8000)
+
     def test_end_of_the_connection_ends_a_body(self) -> None:
         """Guard against refusing a sound answer without a length."""
         with serve_bytes(send_once(ANSWER_HEAD + b'\r\nwhole')) as server:
--- a/tests/test_link_loops.py
+++ b/tests/test_link_loops.py
@@ -111,7 +111,7 @@
         self.assertTrue(wait_for(lambda: len(self.server.received) == 5000))
         self.assertEqual(
             self.server.received,
-            [ClearNotice(number) for number in range(5000)],
+            [ClearNotice(sent) for sent in range(5000)],
         )
 
     def test_peer_that_does_not_read(self) -> None:
--- a/tests/test_supervisors.py
+++ b/tests/test_supervisors.py
@@ -31,6 +31,7 @@
         """Create a request with an open exchange."""
         self.responsive = threading.Event()
         self.responsive.set()
+        self.has_moved = False
         self.caller = FakeCaller()
         self.exchange = whole()
         self.watch = RequestWatch(build_request(), self.caller)
@@ -39,7 +40,8 @@
     def supervise(self) -> None:
         """Start the supervisor with the request."""
         supervisor = RequestSupervisor(
-            lambda endpoint: self.responsive.is_set()
+            lambda endpoint: self.responsive.is_set(),
+            lambda run_id: self.has_moved,
         )
         supervisor.add(self.watch)
         supervisor.start()
@@ -100,6 +102,18 @@
             time.sleep(POLL_INTERVAL_SECONDS / 2)
         self.assertFalse(self.exchange.closed)
 
+    def test_moved_generation(self) -> None:
+        """Guard against waiting for the lost end of a moved stream.
+
+        A cut network loses the end of the source's answer, so that the
+        connection looks open for seconds.
+        """
+        self.has_moved = True
+        self.supervise()
+        self.assertTrue(self.is_cut())
+        self.assertEqual(self.watch.reason, CutReason.moved)
+        self.assertFalse(self.watch.is_ended)
+
     def test_stalled_stream(self) -> None:
         """Guard against a stream without events that never ends."""
         self.watch.stall_limits = StallLimits(0.2, 0.4)
--- a/wasabistream/forwarding/move_trackers.py
+++ b/wasabistream/forwarding/move_trackers.py
@@ -34,6 +34,10 @@
             _trim(self._moved)
             self._changed.notify_all()
 
+    def has_moved(self, run_id: str) -> bool:
+        """Return whether a generation can continue elsewhere."""
+        return run_id in self._moved
+
     def wait_for_move(
         self, run_id: str, notice_seconds: float, copy_seconds: float
     ) -> RunMoved | None:
--- a/wasabistream/forwarding/supervisors.py
+++ b/wasabistream/forwarding/supervisors.py
@@ -17,6 +17,9 @@
 # An engine whose agent gets no reports may still produce events; only a stream
 # that is silent as well is moved on.
 UNRESPONSIVE_SILENCE_SECONDS = 1.0
+# Events that were made before a move may still arrive for this long; the end of
+# the source's answer may be lost with the connection.
+MOVED_SILENCE_SECONDS = 0.5
 
 
 class CutReason(StrEnum):
@@ -27,6 +30,7 @@
     unresponsive = 'unresponsive'
     slow = 'slow'
     stalled = 'stalled'
+    moved = 'moved'
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,8 +109,13 @@
     left, so one separate thread checks all requests.
     """
 
-    def __init__(self, is_responsive: Callable[[str], bool]) -> None:
+    def __init__(
+        self,
+        is_responsive: Callable[[str], bool],
+        has_moved: Callable[[str], bool],
+    ) -> None:
         self._is_responsive = is_responsive
+        self._has_moved = has_moved
         self._lock = threading.Lock()
         self._watches: set[RequestWatch] = set()
         self._stopped = threading.Event()
@@ -161,6 +170,12 @@
         attempt_deadline = watch.attempt_deadline_seconds
         if attempt_deadline is not None and time.monotonic() > attempt_deadline:
             return CutReason.slow
+        if (
+            watch.endpoint
+            and watch.silent_seconds > MOVED_SILENCE_SECONDS
+            and self._has_moved(watch.request.request_id)
+        ):
+            return CutReason.moved
         if _is_stalled(watch):
             return CutReason.stalled
         return CutReason.unresponsive if self._is_lost(watch) else None
--- a/wasabistream/limited_pools.py
+++ b/wasabistream/limited_pools.py
@@ -8,6 +8,9 @@
 
 from wasabistream.limited_responses import LimitedResponse
 
+# Connections to one peer that are kept for reuse.
+MAX_IDLE_COUNT = 256
+
 
 class _LimitedConnection(HTTPConnection):
     """Limit each response.
@@ -57,7 +60,7 @@
     limit_bytes: int, *, reuses: bool, limits_duration: bool = True
 ) -> urllib3.PoolManager:
     """Return a manager that limits each response to a number of bytes."""
-    manager = urllib3.PoolManager(retries=False)
+    manager = urllib3.PoolManager(maxsize=MAX_IDLE_COUNT, retries=False)
     options: dict[str, Any] = {
         'limit_bytes': limit_bytes,
         'reuses': reuses,
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -109,7 +109,9 @@
             node_settings.bounds.cold_limit, self._peer_links.entry_count
         )
         self._drain_gate = DrainGate(self._peer_links.is_majority_serving)
-        self._request_supervisor = RequestSupervisor(self._is_responsive)
+        self._request_supervisor = RequestSupervisor(
+            self._is_responsive, move_tracker.has_moved
+        )
         handler = RequestHandler(
             self.fleet, self._drain_gate, self._build_forwarder(move_tracker)
         )
--- a/wasabistream/platform/server_clients.py
+++ b/wasabistream/platform/server_clients.py
@@ -32,19 +32,35 @@
 MAX_FRAMING_BYTES = 16 * 1024
 # A connection whose bytes stay unacknowledged for longer counts as broken.
 UNACKNOWLEDGED_LIMIT_MS = 2000
+# The same for a request that cannot run elsewhere: the network may be cut for
+# seconds while the backend server goes on with it.
+LAST_ATTEMPT_UNACKNOWLEDGED_LIMIT_MS = 10_000
 KEEPALIVE_SECONDS = 1
-KEEPALIVE_COUNT = 3
 # 0 is the most urgent.
 LOWEST_URGENCY = 9
 
-SOCKET_OPTIONS: list[tuple[int, int, int | bytes]] = [
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS),
-]
+SocketOptions = list[tuple[int, int, int | bytes]]
+
+
+def build_socket_options(unacknowledged_limit_ms: int) -> SocketOptions:
+    """Return options with which a silent peer is noticed after this time."""
+    probe_count = unacknowledged_limit_ms // (
+        KEEPALIVE_SECONDS * MILLISECONDS_PER_SECOND
+    )
+    return [
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probe_count + 1),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_limit_ms),
+    ]
+
+
+SOCKET_OPTIONS = build_socket_options(UNACKNOWLEDGED_LIMIT_MS)
+LAST_ATTEMPT_SOCKET_OPTIONS = build_socket_options(
+    LAST_ATTEMPT_UNACKNOWLEDGED_LIMIT_MS
+)
 
 
 class SocketCloser:
@@ -132,7 +148,14 @@
         NotRunError when the request cannot have run, and BackendError when
         it may have.
         """
-        connection = connect(server.address, server.port, server.endpoint)
+        socket_options = (
+            SOCKET_OPTIONS
+            if request.route.repeatable
+            else LAST_ATTEMPT_SOCKET_OPTIONS
+        )
+        connection = connect(
+            server.address, server.port, server.endpoint, socket_options
+        )
         closer = SocketCloser(connection.sock)
         on_connected(closer)
         try:
@@ -147,13 +170,18 @@
         connect(server.address, server.port, server.endpoint).close()
 
 
-def connect(address: str, port: int, peer: str) -> HTTPConnection:
+def connect(
+    address: str,
+    port: int,
+    peer: str,
+    socket_options: SocketOptions = SOCKET_OPTIONS,
+) -> HTTPConnection:
     """Open a connection to a backend server; raises NotRunError."""
     connection = HTTPConnection(
         address,
         port,
         timeout=CONNECT_TIMEOUT_SECONDS,
-        socket_options=SOCKET_OPTIONS,
+        socket_options=socket_options,
     )
     try:
         connection.connect()
