Leave unchanged lists out of the notices between entries

Change: a peer of protocol version 2 gets a list again only when one differs from the notice before on the same link; older peers get all lists.

Ruled out: a longer interval, which would delay the count of live entries.

--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -5,6 +5,9 @@
 """
 
 import unittest
+from dataclasses import astuple, replace
+from typing import Any
+from unittest.mock import patch
 
 from tests.forwarding_builders import (
     Clock,
@@ -25,7 +28,11 @@
     PeerLinks,
 )
 from wasabistream.listeners import LinkListener
-from wasabistream.messages import PROTOCOL_VERSION_MAX, PROTOCOL_VERSION_MIN
+from wasabistream.messages import (
+    PROTOCOL_VERSION_MAX,
+    PROTOCOL_VERSION_MIN,
+    Message,
+)
 from wasabistream.notices import Hello
 
 ADDRESS = '127.0.0.1'
@@ -143,6 +150,45 @@
         self.assertTrue(wait_for(lambda: cut_off.links.entry_count() == 2))
         self.assertEqual(cut_off.mirror.items()[0].content, b'new')
 
+    def test_unchanged_lists_are_left_out(self) -> None:
+        """Guard against notices that list all peers and engines each second.
+
+        With 33 entries they were most of the bytes between data centres.
+        """
+        seed = self.start('a', [])
+        peer = self.start('b', [seed.endpoint])
+        seed.links.on_messages(next(iter(_links(seed))), [ENGINE])
+        self.assertTrue(
+            wait_for(lambda: peer.announced_engines.list_live() == [ENGINE])
+        )
+        link = next(iter(_links(seed)))
+        sent: list[Message] = []
+        with patch.object(link, 'send', sent.append):
+            for _ in range(3):
+                seed.links._broadcast_notice()
+        self.assertTrue(all(map(_leaves_lists_out, sent)))
+        # The receiver goes on with the lists that it has.
+        own_link = next(iter(_links(peer)))
+        peer.links.on_messages(own_link, sent)
+        last = peer.links._links[own_link]
+        self.assertEqual(last and last.engines, [list(astuple(ENGINE))])
+
+    def test_older_peers_get_all_lists(self) -> None:
+        """Guard against a peer of an earlier version without lists."""
+        seed = self.start('a', [])
+        self.start('b', [seed.endpoint])
+        self.assertTrue(wait_for(lambda: _links(seed)))
+        link = next(iter(_links(seed)))
+        older = replace(link.peer, version_max=1)
+        sent: list[Message] = []
+        with (
+            patch.object(link, 'send', sent.append),
+            patch.object(link, 'peer', older),
+        ):
+            for _ in range(2):
+                seed.links._broadcast_notice()
+        self.assertFalse(any(map(_leaves_lists_out, sent)))
+
     def test_announced_engines_are_relayed(self) -> None:
         """Guard against an announced engine that only one entry uses."""
         seed = self.start('a', [])
@@ -188,6 +234,10 @@
         )
 
 
+def _leaves_lists_out(notice: Any) -> bool:
+    return bool(notice.lists_unchanged) and not notice.engines
+
+
 def _links(entry: Entry) -> list:
     wait_for(lambda: entry.links.entry_count() == 2)
     return list(entry.links._links)  # noqa: SLF001
--- a/wasabistream/forwarding/peer_links.py
+++ b/wasabistream/forwarding/peer_links.py
@@ -1,5 +1,6 @@
 """Links between entries: discovery, notices and store contents."""
 
+import dataclasses
 import logging
 import threading
 import time
@@ -35,7 +36,9 @@
 STALE_PEER_DELAY_SECONDS = 1.5
 # Maximum number of links that an entry opens; further live entries are counted
 # but not dialled.
-MAX_DIALER_COUNT = 40
+MAX_DIALER_COUNT = 512
+# First protocol version whose notices may leave unchanged lists out.
+UNCHANGED_LISTS_VERSION = 2
 
 
 class PeerLinks:
@@ -68,7 +71,10 @@
         self._directly_announced_engines = AnnouncedEngines()
         self._lock = threading.Lock()
         self._dialers: dict[str, PeerDialer] = {}
+        # The last notice of each peer, with its lists.
         self._links: dict[Link, PeerNotice | None] = {}
+        # The last notice sent over each link, with its lists.
+        self._sent_notices: dict[Link, PeerNotice] = {}
         self._live_entries = LiveEntries(endpoint)
         self._exchange = MirrorExchange(mirror)
         self._on_crash_notice: Callable[[CrashNotice | ClearNotice], None] = (
@@ -137,7 +143,7 @@
         if link.peer.role == self._hello.role:
             with self._lock:
                 self._links[link] = None
-            _send(link, self._build_notice())
+            self._send_notice(link, self._build_notice())
 
     def on_messages(self, link: Link, received: Sequence[Message]) -> None:
         """Handle messages from a peer or an agent."""
@@ -160,13 +166,14 @@
         """Remove a closed link."""
         with self._lock:
             self._links.pop(link, None)
+            self._sent_notices.pop(link, None)
             self._exchange.discard_parts(link)
         logger.info('peer: link to %s ended: %s', link.peer.peer_id, reason)
 
     def _run(self) -> None:
         while not self._stopped.is_set():
             self._dial()
-            self.broadcast(self._build_notice())
+            self._broadcast_notice()
             KNOWN_ENTRIES.set(self.entry_count())
             if self._is_store_lost():
                 self._refresh_fleet()
@@ -195,6 +202,31 @@
                 self._dialers[endpoint] = dialer
                 dialer.start()
 
+    def _broadcast_notice(self) -> None:
+        notice = self._build_notice()
+        with self._lock:
+            links = list(self._links)
+        for link in links:
+            self._send_notice(link, notice)
+
+    def _send_notice(self, link: Link, notice: PeerNotice) -> None:
+        # The lists are the largest part of a notice and rarely change.
+        with self._lock:
+            before = self._sent_notices.get(link)
+            self._sent_notices[link] = notice
+            sent = notice
+            if (
+                before is not None
+                and link.peer.version_max >= UNCHANGED_LISTS_VERSION
+                and before.direct_peers == notice.direct_peers
+                and before.engines == notice.engines
+            ):
+                sent = dataclasses.replace(
+                    notice, direct_peers=[], engines=[], lists_unchanged=True
+                )
+            # Under the lock, so that notices stay in order.
+            _send(link, sent)
+
     def _build_notice(self) -> PeerNotice:
         with self._lock:
             direct_peers = [
@@ -214,6 +246,13 @@
 
     def _on_peer_notice(self, link: Link, notice: PeerNotice) -> None:
         with self._lock:
+            before = self._links.get(link)
+            if notice.lists_unchanged and before is not None:
+                notice = dataclasses.replace(
+                    notice,
+                    direct_peers=before.direct_peers,
+                    engines=before.engines,
+                )
             self._links[link] = notice
         self._live_entries.record_contact(notice.endpoint, notice.direct_peers)
         self._record_engines(notice)
--- a/wasabistream/forwarding/peer_messages.py
+++ b/wasabistream/forwarding/peer_messages.py
@@ -24,6 +24,9 @@
     engines: list
     # Whether the entry is shutting down.
     draining: bool = False
+    # Whether both lists are those of the notice before on the same link; they
+    # are empty then. Only for peers of protocol version 2 or higher.
+    lists_unchanged: bool = False
 
 
 @message(86)
--- a/wasabistream/messages.py
+++ b/wasabistream/messages.py
@@ -13,7 +13,8 @@
 from wasabistream.exceptions import FrameError
 
 PROTOCOL_VERSION_MIN = 1
-PROTOCOL_VERSION_MAX = 1
+# From version 2 on, a peer notice may leave unchanged lists out.
+PROTOCOL_VERSION_MAX = 2
 
 
 @dataclass(frozen=True, slots=True)
