Watch the store in two entries of each data centre

Change: the two live entries of a data centre that come first by rendezvous hashing watch; they pass differences of their mirrors on to the others there, which rest their watch. Nothing is elected: different views give more relays for a while. An entry reads the store itself when no relay reads it, when no notice came for 2.5 s, or when any entry of any data centre has had a later revision for a second, so that relays that are cut off without knowing it delay a change by a second. A difference never brings back a key that was removed since, and a removal that a relay held back after an outage is passed on when it is due. After a time with relays the store is listed anew. Older entries watch as before.

Ruled out: longer watches, which a lost answer would stretch past the bounds.

--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -150,6 +150,40 @@
         self.assertTrue(wait_for(lambda: cut_off.links.entry_count() == 2))
         self.assertEqual(cut_off.mirror.items()[0].content, b'new')
 
+    def test_relay_passes_changes_on(self) -> None:
+        """Guard against an entry that rests its watch and misses changes."""
+        entries = [self.start('a', [])]
+        entries.extend(
+            self.start(name, [entries[0].endpoint]) for name in ('b', 'c', 'd')
+        )
+        self.assertTrue(
+            wait_for(
+                lambda: {entry.links.entry_count() for entry in entries} == {4}
+            )
+        )
+
+        def relayed() -> list[Entry]:
+            return [
+                entry
+                for entry in entries
+                if entry.links.relays.is_updated_by_relays()
+            ]
+
+        self.assertTrue(wait_for(lambda: len(relayed()) == 2))
+        relay = next(
+            entry for entry in entries if entry.links.relays.is_relay()
+        )
+        relay.mirror.replace([build_item('op/config', 5, b'new')], 5)
+        relay.mirror.apply([build_item('servers/a', 6)], 6)
+        self.assertTrue(
+            wait_for(
+                lambda: {entry.mirror.revision for entry in relayed()} == {6}
+            )
+        )
+        self.assertEqual(
+            {len(entry.mirror.items()) for entry in relayed()}, {2}
+        )
+
     def test_unchanged_lists_are_left_out(self) -> None:
         """Guard against notices that list all peers and engines each second.
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -37,6 +37,7 @@
 
     def setUp(self) -> None:
         """Start a store with a configuration and three servers."""
+        self.relayed = False
         self.store = StandInStore()
         self.addCleanup(self.store.stop)
         self.store.put(build_row('op/config', 2, CONFIGURATION))
@@ -47,7 +48,9 @@
     def follow(self) -> tuple[StoreFollower, StoreMirror]:
         """Start a follower and wait until its mirror holds all items."""
         mirror = StoreMirror()
-        follower = StoreFollower(self.client, mirror, lambda: None)
+        follower = StoreFollower(
+            self.client, mirror, lambda: None, lambda: self.relayed
+        )
         follower.start()
         self.addCleanup(follower.stop)
         self.assertTrue(wait_for(lambda: len(mirror.items()) == 4))
@@ -94,6 +97,21 @@
         self.store.failing_status = 0
         self.assertTrue(wait_for(lambda: follower.lost_at_seconds is None))
 
+    def test_relays_replace_the_watch(self) -> None:
+        """Guard against a watch of each entry, which costs a call a change."""
+        follower, mirror = self.follow()
+        self.relayed = True
+        self.assertTrue(wait_for(lambda: follower._was_relayed))
+        call_count = len(self.store.calls)
+        self.store.remove('servers/s1')
+        self.assertFalse(
+            wait_for(lambda: len(self.store.calls) > call_count, 0.5)
+        )
+        self.assertEqual(len(mirror.items()), 4)
+        self.assertFalse(follower.is_lost)
+        self.relayed = False
+        self.assertTrue(wait_for(lambda: len(mirror.items()) == 3))
+
     def test_pause_makes_the_mirror_outdated(self) -> None:
         """Guard against a paused process whose peers copy its old items."""
         follower, _ = self.follow()
--- a/tests/test_store_mirrors.py
+++ b/tests/test_store_mirrors.py
@@ -7,7 +7,11 @@
     REREGISTRATION_SECONDS,
     ExpiryGuard,
 )
-from wasabistream.forwarding.mirrors import Removal, StoreMirror
+from wasabistream.forwarding.mirrors import (
+    MirrorDifference,
+    Removal,
+    StoreMirror,
+)
 
 
 def keys(mirror: StoreMirror) -> set[str]:
@@ -50,6 +54,37 @@
         mirror.apply([Removal('servers/a', 3)], 3)
         self.assertEqual(seen, [{'servers/a'}, set()])
 
+    def test_differences_lead_to_the_same_items(self) -> None:
+        """Guard against a mirror that differs from that of its relay."""
+        relay, other = StoreMirror(), StoreMirror()
+        relay.subscribe_differences(other.apply_difference)
+        relay.replace(
+            [build_item('servers/a', 1), build_item('servers/b', 2)], 2
+        )
+        relay.apply([Removal('servers/a', 3), build_item('servers/c', 4)], 4)
+        # A removal that the relay has held back.
+        relay.apply([Removal('servers/b', 3)], 4)
+        relay.replace([build_item('servers/d', 6)], 6)
+        self.assertEqual(keys(other), {'servers/d'})
+        self.assertEqual(other.revision, 6)
+
+    def test_old_difference(self) -> None:
+        """Guard against a paused relay that brings back a server that left."""
+        mirror = StoreMirror()
+        mirror.replace([], 9)
+        stale = MirrorDifference(3, 5, (build_item('servers/a', 5),))
+        self.assertTrue(mirror.apply_difference(stale))
+        self.assertEqual(keys(mirror), set())
+        self.assertEqual(mirror.revision, 9)
+
+    def test_difference_with_a_gap(self) -> None:
+        """Guard against changes that were missed for ever."""
+        mirror = StoreMirror()
+        mirror.replace([], 3)
+        later = MirrorDifference(5, 6, (build_item('servers/a', 6),))
+        self.assertFalse(mirror.apply_difference(later))
+        self.assertEqual(mirror.revision, 3)
+
 
 class ExpiryGuardTest(unittest.TestCase):
     """Guard against an empty fleet after a store outage."""
--- a/wasabistream/forwarding/mirror_exchanges.py
+++ b/wasabistream/forwarding/mirror_exchanges.py
@@ -3,8 +3,13 @@
 import logging
 from collections.abc import Iterator
 
-from wasabistream.forwarding.mirrors import MirrorItem, StoreMirror
-from wasabistream.forwarding.peer_messages import MirrorPart
+from wasabistream.forwarding.mirrors import (
+    MirrorDifference,
+    MirrorItem,
+    Removal,
+    StoreMirror,
+)
+from wasabistream.forwarding.peer_messages import MirrorPart, MirrorUpdate
 from wasabistream.links import Link
 
 logger = logging.getLogger(__name__)
@@ -35,6 +40,37 @@
             rows.append([item.key, item.content, item.revision])
         yield MirrorPart(own_revision, rows, last=True)
 
+    def build_update(self, difference: MirrorDifference) -> MirrorUpdate:
+        """Return the message of a difference."""
+        return MirrorUpdate(
+            difference.before_revision,
+            difference.revision,
+            [
+                [
+                    change.key,
+                    change.content if isinstance(change, MirrorItem) else None,
+                    change.revision,
+                ]
+                for change in difference.changes
+            ],
+        )
+
+    def apply_update(self, update: MirrorUpdate) -> bool:
+        """Apply a peer's update; return whether the mirror has a gap."""
+        try:
+            changes = tuple(
+                Removal(str(key), int(revision))
+                if content is None
+                else MirrorItem(str(key), bytes(content), int(revision))
+                for key, content, revision in update.rows
+            )
+        except (TypeError, ValueError) as error:
+            logger.warning('peer: update is malformed: %r', error)
+            return True
+        return not self._mirror.apply_difference(
+            MirrorDifference(update.before_revision, update.revision, changes)
+        )
+
     def collect(self, link: Link, part: MirrorPart) -> list[MirrorItem] | None:
         """Add a part; return all items once the last part has arrived."""
         items = self._collected.setdefault(link, [])
--- a/wasabistream/forwarding/peer_links.py
+++ b/wasabistream/forwarding/peer_links.py
@@ -15,12 +15,14 @@
 from wasabistream.forwarding.endpoints import parse_endpoint
 from wasabistream.forwarding.live_entries import LiveEntries
 from wasabistream.forwarding.mirror_exchanges import MirrorExchange
-from wasabistream.forwarding.mirrors import StoreMirror
+from wasabistream.forwarding.mirrors import MirrorDifference, StoreMirror
 from wasabistream.forwarding.peer_messages import (
     MirrorPart,
     MirrorQuery,
+    MirrorUpdate,
     PeerNotice,
 )
+from wasabistream.forwarding.store_relays import StoreRelays
 from wasabistream.link_senders import send_or_log
 from wasabistream.links import Link
 from wasabistream.messages import Message
@@ -39,6 +41,8 @@
 MAX_DIALER_COUNT = 512
 # First protocol version whose notices may leave unchanged lists out.
 UNCHANGED_LISTS_VERSION = 2
+# First protocol version with updates of mirrors.
+RELAY_VERSION = 2
 
 
 class PeerLinks:
@@ -77,6 +81,10 @@
         self._sent_notices: dict[Link, PeerNotice] = {}
         self._live_entries = LiveEntries(endpoint)
         self._exchange = MirrorExchange(mirror)
+        self.relays = StoreRelays(
+            endpoint, hello.data_centre, lambda: mirror.revision
+        )
+        mirror.subscribe_differences(self._pass_on)
         self._on_crash_notice: Callable[[CrashNotice | ClearNotice], None] = (
             _ignore
         )
@@ -161,12 +169,16 @@
                         _send(link, part)
                 case MirrorPart():
                     self._on_mirror_part(link, notice)
+                case MirrorUpdate():
+                    if self._exchange.apply_update(notice):
+                        _send(link, MirrorQuery(self._mirror.revision))
 
     def on_closed(self, link: Link, reason: str) -> None:
         """Remove a closed link."""
         with self._lock:
             self._links.pop(link, None)
             self._sent_notices.pop(link, None)
+            self.relays.remove(link)
             self._exchange.discard_parts(link)
         logger.info('peer: link to %s ended: %s', link.peer.peer_id, reason)
 
@@ -202,6 +214,21 @@
                 self._dialers[endpoint] = dialer
                 dialer.start()
 
+    def _pass_on(self, difference: MirrorDifference) -> None:
+        # Entries that watch the store themselves apply it without effect.
+        if not self.relays.is_relay():
+            return
+        update = self._exchange.build_update(difference)
+        with self._lock:
+            links = [
+                link
+                for link in self._links
+                if link.peer.data_centre == self._hello.data_centre
+                and link.peer.version_max >= RELAY_VERSION
+            ]
+        for link in links:
+            _send(link, update)
+
     def _broadcast_notice(self) -> None:
         notice = self._build_notice()
         with self._lock:
@@ -254,6 +281,12 @@
                     engines=before.engines,
                 )
             self._links[link] = notice
+        self.relays.record_notice(
+            link,
+            notice,
+            link.peer.data_centre,
+            is_capable=link.peer.version_max >= RELAY_VERSION,
+        )
         self._live_entries.record_contact(notice.endpoint, notice.direct_peers)
         self._record_engines(notice)
         if self._wants_items(notice):
@@ -281,8 +314,10 @@
 
     def _on_mirror_part(self, link: Link, part: MirrorPart) -> None:
         items = self._exchange.collect(link, part)
-        # The store takes precedence over peers as soon as it can be read.
-        if items is None or not self._is_store_lost():
+        # The store takes precedence over peers for those that read it.
+        if items is None or not (
+            self._is_store_lost() or self.relays.is_updated_by_relays()
+        ):
             return
         taken = self._mirror.replace(items, part.revision)
         logger.info(
--- a/wasabistream/forwarding/peer_messages.py
+++ b/wasabistream/forwarding/peer_messages.py
@@ -40,6 +40,17 @@
     revision: int
 
 
+@message(89)
+@dataclass(frozen=True, slots=True)
+class MirrorUpdate(Message):
+    """Send the changes of a mirror between two of its revisions."""
+
+    before_revision: int
+    revision: int
+    # Rows of key, content and revision; content is None for a removal.
+    rows: list
+
+
 @message(87)
 @dataclass(frozen=True, slots=True)
 class MirrorPart(Message):
--- /dev/null
+++ b/wasabistream/forwarding/store_relays.py
@@ -0,0 +1,122 @@
+"""Choice of the entries of a data centre that watch the store for the others.
+
+The choice needs no agreement: entries with different views only have more
+relays for a while, and each one that is behind reads the store itself.
+"""
+
+import threading
+import time
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+
+from wasabistream.forwarding.peer_messages import PeerNotice
+from wasabistream.owners import rendezvous_hash
+
+# Relays of each data centre; one more than needed, as one may be lost.
+RELAY_COUNT = 2
+# A peer without a notice for longer is no relay.
+NOTICE_AGE_LIMIT_SECONDS = 2.5
+# An entry that has missed a revision for longer reads the store itself.
+BEHIND_LIMIT_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class PeerState:
+    """Hold the last notice of a linked entry."""
+
+    notice: PeerNotice
+    data_centre: str
+    # Whether it takes and passes on differences.
+    is_capable: bool
+    received_at_seconds: float
+
+
+class StoreRelays:
+    """Decide whether this entry watches the store or is updated by relays."""
+
+    def __init__(
+        self,
+        own_endpoint: str,
+        data_centre: str,
+        own_revision: Callable[[], int],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._own_endpoint = own_endpoint
+        self._data_centre = data_centre
+        self._own_revision = own_revision
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._peers: dict[object, PeerState] = {}
+        # Since when a peer has had a later revision; None while none has.
+        self._behind_since_seconds: float | None = None
+
+    def record_notice(
+        self,
+        link: object,
+        notice: PeerNotice,
+        data_centre: str,
+        *,
+        is_capable: bool,
+    ) -> None:
+        """Record the notice of a linked entry."""
+        state = PeerState(notice, data_centre, is_capable, self._clock())
+        with self._lock:
+            self._peers[link] = state
+
+    def remove(self, link: object) -> None:
+        """Remove the entry at a closed link."""
+        with self._lock:
+            self._peers.pop(link, None)
+
+    def is_relay(self) -> bool:
+        """Return whether this entry is a relay of its data centre."""
+        with self._lock:
+            return self._own_endpoint in self._find_relays()
+
+    def is_updated_by_relays(self) -> bool:
+        """Return whether a relay that reads the store keeps this entry current."""
+        with self._lock:
+            relays = self._find_relays()
+            if self._own_endpoint in relays:
+                return False
+            has_reader = any(
+                not peer.notice.store_lost
+                for peer in self._live_peers()
+                if peer.notice.endpoint in relays
+            )
+            return has_reader and not self._is_behind()
+
+    def _find_relays(self) -> Collection[str]:
+        endpoints = {self._own_endpoint} | {
+            peer.notice.endpoint
+            for peer in self._live_peers()
+            if peer.data_centre == self._data_centre
+            and peer.is_capable
+            and not peer.notice.draining
+        }
+        return sorted(endpoints, key=self._hash)[:RELAY_COUNT]
+
+    def _hash(self, endpoint: str) -> int:
+        return rendezvous_hash(self._data_centre, endpoint)
+
+    def _live_peers(self) -> list[PeerState]:
+        oldest_seconds = self._clock() - NOTICE_AGE_LIMIT_SECONDS
+        return [
+            peer
+            for peer in self._peers.values()
+            if peer.received_at_seconds > oldest_seconds
+        ]
+
+    def _is_behind(self) -> bool:
+        # Relays that are cut off from the store may not know it yet, so the
+        # entries of all data centres count.
+        latest = max(
+            (peer.notice.revision for peer in self._live_peers()), default=0
+        )
+        if latest <= self._own_revision():
+            self._behind_since_seconds = None
+            return False
+        now = self._clock()
+        if self._behind_since_seconds is None:
+            self._behind_since_seconds = now
+        return now - self._behind_since_seconds > BEHIND_LIMIT_SECONDS
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -87,11 +87,6 @@
             announced_engines,
             self._is_store_lost,
         )
-        self.follower = StoreFollower(
-            StoreClient(node_settings.store),
-            self.mirror,
-            self._fleet_updater.refresh,
-        )
         control = node_settings.listen['control']
         self._peer_links = PeerLinks(
             self.hello,
@@ -102,6 +97,12 @@
             self._is_store_lost,
             self._fleet_updater.refresh,
         )
+        self.follower = StoreFollower(
+            StoreClient(node_settings.store),
+            self.mirror,
+            self._fleet_updater.refresh,
+            self._peer_links.relays.is_updated_by_relays,
+        )
         self._listener = LinkListener(
             control.address, control.port, self.hello, self._peer_links
         )
--- a/wasabistream/platform/store_followers.py
+++ b/wasabistream/platform/store_followers.py
@@ -21,6 +21,8 @@
 # Without an answer for longer, this process was paused or its call hangs, and
 # the mirror may be outdated.
 ANSWER_AGE_LIMIT_SECONDS = 8.0
+# Interval at which an entry checks that relays still keep it current.
+RELAYED_POLL_SECONDS = 0.25
 RETRY_MIN_SECONDS = 0.1
 RETRY_MAX_SECONDS = 0.5
 
@@ -28,6 +30,7 @@
 class StoreFollower:
     """Read the whole store once, then watch it for changes.
 
+    The watch rests while relays keep the mirror current.
     `on_reachability_change` is called when the store stops or starts answering.
     """
 
@@ -36,11 +39,15 @@
         client: StoreClient,
         mirror: StoreMirror,
         on_reachability_change: Callable[[], None],
+        is_updated_by_relays: Callable[[], bool],
     ) -> None:
         self._client = client
         self._mirror = mirror
         self._guard = ExpiryGuard(mirror)
         self._on_reachability_change = on_reachability_change
+        self._is_updated_by_relays = is_updated_by_relays
+        # Whether relays have kept the mirror current since the last own read.
+        self._was_relayed = False
         self._stopped = threading.Event()
         self._has_listing = False
         self._revision = 0
@@ -90,6 +97,14 @@
                 wait_seconds = RETRY_MIN_SECONDS
 
     def _read_or_watch(self) -> None:
+        if self._has_listing and self._is_updated_by_relays():
+            self._was_relayed = True
+            self._stopped.wait(RELAYED_POLL_SECONDS)
+            return
+        if self._was_relayed:
+            # A relay that was lost may have held removals back.
+            self._was_relayed = False
+            self._has_listing = False
         if not self._has_listing:
             listing = self._client.read_all('')
             self._guard.on_store_regained(self.away_seconds)
