Start the entry's request threads when they are needed

An entry that starts after a loss of power serves later.

Change: 16 threads at the start and 16 more whenever fewer than four are idle, up to 128 as before. The new test holds 48 requests at the same time. No thread is added once the server stops.

--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -5,13 +5,15 @@
 """
 
 import socket
+import threading
 import time
 import unittest
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 from http.client import HTTPException, HTTPResponse
 
 from cheroot.connections import ConnectionManager
+from cheroot.server import HTTPRequest
 
 from tests.builders import wait_until
 from tests.platform_builders import CONFIGURATION, SERVER, build_row
@@ -21,12 +23,18 @@
     build_entry,
 )
 from tests.platform_stores import StandInStore
+from wasabistream.forwarding.requests import Reply
 from wasabistream.http_servers import (
     ApiServer,
     HttpAnswer,
     HttpRequest,
     TakeSocket,
 )
+from wasabistream.platform.ingress_servers import (
+    INITIAL_THREAD_COUNT,
+    HttpCaller,
+    IngressServer,
+)
 
 WAIT_SECONDS = 5
 KEPT_REQUEST = HEAD % b'k1' + b'\r\n'
@@ -100,6 +108,32 @@
             yield sock
 
 
+class ThreadGrowthTest(unittest.TestCase):
+    """Guard against an entry with too few threads for its callers."""
+
+    def test_threads_are_added(self) -> None:
+        """Guard against requests that wait for those in progress."""
+        released = threading.Event()
+        started = threading.Semaphore(0)
+
+        def hold(request: HTTPRequest, body: bytes) -> None:
+            started.release()
+            released.wait(WAIT_SECONDS)
+            HttpCaller(request, '').reply(Reply(200))
+
+        server = IngressServer('127.0.0.1', 0, hold, 64)
+        server.run_in_thread('front')
+        self.addCleanup(server.stop_within, 1)
+        self.addCleanup(released.set)
+        with ExitStack() as stack:
+            for _ in range(3 * INITIAL_THREAD_COUNT):
+                sock = socket.create_connection(('127.0.0.1', server.port))
+                stack.enter_context(sock)
+                sock.sendall(KEPT_REQUEST)
+            for _ in range(3 * INITIAL_THREAD_COUNT):
+                self.assertTrue(started.acquire(timeout=WAIT_SECONDS))
+
+
 class CutBodyTest(unittest.TestCase):
     """Guard against a call that runs with a part of its body."""
 
--- a/wasabistream/platform/ingress_servers.py
+++ b/wasabistream/platform/ingress_servers.py
@@ -33,6 +33,10 @@
 SINGLE_FIELDS = frozenset((b'Content-Length', b'Host', b'Transfer-Encoding'))
 BACKLOG_COUNT = 1024
 MAX_KEEP_ALIVE_CONNECTION_COUNT = 3000
+# Threads that a server starts with, and adds when too few are idle.
+INITIAL_THREAD_COUNT = 16
+ADDED_THREAD_COUNT = 16
+MIN_IDLE_THREAD_COUNT = 4
 # Added to the configured idle timeout, which callers may use up to its end.
 IDLE_GRACE_SECONDS = 3.0
 
@@ -189,7 +193,7 @@
 
 
 class IngressServer(HTTPServer):
-    """Serve callers with one thread for each request."""
+    """Serve callers with one thread for each request, added when needed."""
 
     # cheroot reads this attribute.
     ConnectionClass = IngressConnection  # noqa: WPS115
@@ -204,9 +208,11 @@
         super().__init__(
             (address, port),
             IngressGateway,
-            minthreads=thread_count,
+            minthreads=min(thread_count, INITIAL_THREAD_COUNT),
             maxthreads=thread_count,
         )
+        # Held while threads are added, and for good once the server stops.
+        self._growth_lock = threading.Lock()
         self.handler = handler
         self.request_queue_size = BACKLOG_COUNT
         self.keep_alive_conn_limit = MAX_KEEP_ALIVE_CONNECTION_COUNT
@@ -231,8 +237,21 @@
         """Start a thread that serves until `stop`."""
         threading.Thread(target=self.serve, name=name, daemon=True).start()
 
+    def process_conn(self, conn: HTTPConnection) -> None:
+        """Queue a connection; add threads if too few are idle."""
+        super().process_conn(conn)
+        pool = self.requests
+        if len(pool._threads) >= pool.max:
+            return
+        if pool.idle - pool.qsize >= MIN_IDLE_THREAD_COUNT:
+            return
+        if self._growth_lock.acquire(blocking=False):
+            # The pool waits for its new threads, which would delay others.
+            threading.Thread(target=self._grow, name='grow').start()
+
     def stop_within(self, seconds: float) -> None:
         """Answer the requests that have arrived, then stop."""
+        self._growth_lock.acquire()
         self.shutdown_timeout = seconds  # type: ignore[assignment]
         self.stop()
 
@@ -241,3 +260,9 @@
     ) -> None:
         """Write a message of cheroot to the log."""
         logger.log(level, 'ingress: %s', msg, exc_info=traceback)
+
+    def _grow(self) -> None:
+        try:
+            self.requests.grow(ADDED_THREAD_COUNT)
+        finally:
+            self._growth_lock.release()
