End the reading from callers that send too slowly

Cause: the time-out of a socket starts anew with each byte, so a caller that sent a byte now and then held a thread of the entry for ever, on both interfaces; the configured time for a head was not applied.

--- a/wasabistream/http_servers.py
+++ b/wasabistream/http_servers.py
@@ -19,11 +19,14 @@
 from wasabistream.draining_connections import DrainingConnectionManager
 from wasabistream.exceptions import RequestError
 from wasabistream.outcomes import Outcome
+from wasabistream.read_deadlines import read_deadlines
 
 logger = logging.getLogger(__name__)
 
 # Longest wait for the next bytes of a request.
 REQUEST_TIMEOUT_SECONDS = 10
+# Time for the head of a request, from when its connection is idle.
+HEAD_LIMIT_SECONDS = 20
 # Length of the listen queue of the socket.
 LISTEN_BACKLOG_COUNT = 1000
 
@@ -116,6 +119,11 @@
 class JsonErrorRequest(HTTPRequest):
     """Use JSON bodies for errors that the server itself answers."""
 
+    def parse_request(self) -> None:
+        """Read the head within a time limit."""
+        with read_deadlines.limit(self.conn.socket, HEAD_LIMIT_SECONDS):
+            super().parse_request()
+
     def simple_response(self, status: str, msg: str = '') -> None:
         """Write one complete answer and mark the connection to be closed."""
         code = int(str(status).split(' ', 1)[0])
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -238,12 +238,7 @@
     def _apply_fleet(self, fleet: Fleet) -> None:
         configuration = fleet.configuration
         if configuration is not None:
-            limits = configuration.limits
-            self._front_server.set_limits(
-                limits.max_header_bytes,
-                limits.max_body_bytes,
-                limits.idle_timeout_seconds,
-            )
+            self._front_server.set_limits(configuration.limits)
         endpoints = frozenset(
             server.endpoint for server in fleet.servers.values()
         )
--- a/wasabistream/platform/ingress_servers.py
+++ b/wasabistream/platform/ingress_servers.py
@@ -20,8 +20,10 @@
 from wasabistream.body_readers import read_body
 from wasabistream.draining_connections import DrainingConnectionManager
 from wasabistream.exceptions import RequestError
+from wasabistream.forwarding.caller_limits import CallerLimits
 from wasabistream.forwarding.requests import Headers, Reply
 from wasabistream.platform import header_names as names
+from wasabistream.read_deadlines import read_deadlines
 
 logger = logging.getLogger(__name__)
 
@@ -37,6 +39,7 @@
 INITIAL_THREAD_COUNT = 16
 ADDED_THREAD_COUNT = 16
 MIN_IDLE_THREAD_COUNT = 4
+DEFAULT_HEAD_SECONDS = 10.0
 # Added to the configured idle timeout, which callers may use up to its end.
 IDLE_GRACE_SECONDS = 3.0
 
@@ -81,6 +84,12 @@
     # cheroot reads this attribute.
     header_reader = StrictHeaderReader()
 
+    def parse_request(self) -> None:
+        """Read the head within the time limits of the server."""
+        limit_seconds = self.server.timeout + self.server.head_seconds
+        with read_deadlines.limit(self.conn.socket, limit_seconds):
+            super().parse_request()
+
     def read_request_headers(self) -> bool:
         """Read the headers; refuse an ambiguous body length."""
         if not super().read_request_headers():
@@ -213,6 +222,8 @@
         )
         # Held while threads are added, and for good once the server stops.
         self._growth_lock = threading.Lock()
+        # Time for the head of a request after its first byte.
+        self.head_seconds = DEFAULT_HEAD_SECONDS
         self.handler = handler
         self.request_queue_size = BACKLOG_COUNT
         self.keep_alive_conn_limit = MAX_KEEP_ALIVE_CONNECTION_COUNT
@@ -225,10 +236,12 @@
         port: int = self.bind_addr[1]
         return port
 
-    def set_limits(
-        self, header_bytes: int, body_bytes: int, idle_seconds: float
-    ) -> None:
+    def set_limits(self, limits: CallerLimits) -> None:
         """Limit a request's header and body and a connection's idle time."""
+        header_bytes = limits.max_header_bytes
+        body_bytes = limits.max_body_bytes
+        idle_seconds = limits.idle_timeout_seconds
+        self.head_seconds = limits.header_timeout_seconds
         self.max_request_header_size = header_bytes
         self.max_request_body_size = body_bytes
         self.timeout = math.ceil(idle_seconds + IDLE_GRACE_SECONDS)
