Hold removals back when most items of the store expire at once

The watches were answered with the removal of all ten servers; the entries had seen no outage, removed them, and refused eleven requests until they were back 0.06 to 0.55 s later.

Change: the removal of more than half of all items, four at least, counts as the sign of an outage; such removals wait for 1.5 s, shorter than the time for which a server goes on after its removal.

Ruled out: holding back each removal, which would send work to servers that have left. The new test fails without the rule.

--- a/tests/test_store_mirrors.py
+++ b/tests/test_store_mirrors.py
@@ -4,6 +4,7 @@
 
 from tests.forwarding_builders import Clock, build_item
 from wasabistream.forwarding.expiry_guards import (
+    MASS_REMOVAL_DELAY_SECONDS,
     REREGISTRATION_SECONDS,
     ExpiryGuard,
 )
@@ -121,6 +122,35 @@
         self.assertEqual(keys(self.mirror), set())
         self.assertFalse(self.guard.waiting)
 
+    def test_outage_without_failed_calls(self) -> None:
+        """Guard against an empty fleet after an outage between two answers.
+
+        Seen on the recorded day inc-20ba: the store was silent while a watch
+        waited, and answered it with the removal of all ten servers, which were
+        back 0.06 to 0.55 s later; eleven requests were refused.
+        """
+        servers = [
+            build_item(f'servers/{number}', number) for number in range(1, 11)
+        ]
+        self.guard.replace([build_item('op/config', 1), *servers], len(servers))
+        self.guard.apply([Removal(server.key, 20) for server in servers], 20)
+        self.assertEqual(len(keys(self.mirror)), len(servers) + 1)
+        self.guard.apply([build_item('servers/1', 21)], 21)
+        self.clock.advance(MASS_REMOVAL_DELAY_SECONDS)
+        self.guard.apply_due_removals()
+        self.assertEqual(keys(self.mirror), {'op/config', 'servers/1'})
+
+    def test_some_servers_that_leave_together(self) -> None:
+        """Guard against delayed removals when a few of many leave."""
+        servers = [
+            build_item(f'servers/{number}', number) for number in range(1, 11)
+        ]
+        self.guard.replace(servers, len(servers))
+        self.guard.apply(
+            [Removal(server.key, 20) for server in servers[:4]], 20
+        )
+        self.assertEqual(len(keys(self.mirror)), 6)
+
     def test_short_outage_delays_no_removals(self) -> None:
         """Guard against delayed removals after a single failed read."""
         self.guard.on_store_regained(away_seconds=0.1)
--- a/wasabistream/forwarding/expiry_guards.py
+++ b/wasabistream/forwarding/expiry_guards.py
@@ -1,5 +1,6 @@
 """Protection from store items that expire during a store outage."""
 
+import logging
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -11,17 +12,25 @@
     StoreMirror,
 )
 
+logger = logging.getLogger(__name__)
+
 # Backend servers whose items expired during an outage of the store register
 # again within about two seconds of its end.
 REREGISTRATION_SECONDS = 2.2
 # In a shorter outage no item expires.
 MIN_OUTAGE_SECONDS = 1.0
+# An outage in which no call failed shows only in its effect: most items expire
+# at once. Shorter than the time for which a server serves after its removal.
+MASS_REMOVAL_DELAY_SECONDS = 1.5
+MASS_REMOVAL_RATIO = 0.5
+MASS_REMOVAL_MIN_COUNT = 4
 
 
 class ExpiryGuard:
     """Delay removals for a while after an outage of the store.
 
-    Items that are still missing after that time are removed.
+    Items that are still missing after that time are removed. The removal of
+    most items at once counts as a sign of an outage.
     """
 
     def __init__(
@@ -48,8 +57,16 @@
     def apply(self, changes: Iterable[MirrorChange], revision: int) -> None:
         """Apply changes; removals are delayed while items may return."""
         with self._lock:
+            listed_changes = list(changes)
+            self._detect_mass_removal(
+                {
+                    change.key
+                    for change in listed_changes
+                    if isinstance(change, Removal)
+                }
+            )
             immediate: list[MirrorChange] = []
-            for change in changes:
+            for change in listed_changes:
                 self._pending_removals.pop(change.key, None)
                 if isinstance(change, Removal) and self._is_guarding:
                     self._pending_removals[change.key] = change
@@ -61,6 +78,10 @@
         """Replace all items; missing items count as removed."""
         with self._lock:
             items = {listed.key: listed for listed in listing}
+            self._detect_mass_removal(
+                {existing.key for existing in self._mirror.items()}
+                - items.keys()
+            )
             for existing in self._mirror.items():
                 if existing.key not in items and self._is_guarding:
                     self._pending_removals[existing.key] = Removal(
@@ -77,6 +98,23 @@
                 self._pending_removals.clear()
                 self._mirror.apply(removals, self._mirror.revision)
 
+    def _detect_mass_removal(self, removed_keys: set[str]) -> None:
+        existing_keys = {existing.key for existing in self._mirror.items()}
+        removed_count = len(removed_keys & existing_keys)
+        if (
+            removed_count >= MASS_REMOVAL_MIN_COUNT
+            and removed_count > MASS_REMOVAL_RATIO * len(existing_keys)
+        ):
+            logger.warning(
+                'store: %d of %d items removed at once, waiting for their return',
+                removed_count,
+                len(existing_keys),
+            )
+            self._guarded_until_seconds = max(
+                self._guarded_until_seconds,
+                self._clock() + MASS_REMOVAL_DELAY_SECONDS,
+            )
+
     @property
     def _is_guarding(self) -> bool:
         return self._clock() < self._guarded_until_seconds
