Split updates of mirrors that do not fit into one frame

Cause: a relay put all changes into one message; a listing with several large values exceeded the limit of a frame, and the error ended the thread that follows the store. The test of the relay now passes 2 MB on and failed before.

Change: updates of 256 KiB, of which only the last raises the revision, so that the rest is not taken for known.

--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -173,7 +173,12 @@
         relay = next(
             entry for entry in entries if entry.links.relays.is_relay()
         )
-        relay.mirror.replace([build_item('op/config', 5, b'new')], 5)
+        # More than fits into one frame.
+        large = [
+            build_item(f'op/{number}', number, b'x' * 500_000)
+            for number in range(2, 6)
+        ]
+        relay.mirror.replace(large, 5)
         relay.mirror.apply([build_item('servers/a', 6)], 6)
         self.assertTrue(
             wait_for(
@@ -181,7 +186,7 @@
             )
         )
         self.assertEqual(
-            {len(entry.mirror.items()) for entry in relayed()}, {2}
+            {len(entry.mirror.items()) for entry in relayed()}, {5}
         )
 
     def test_unchanged_lists_are_left_out(self) -> None:
--- a/wasabistream/forwarding/mirror_exchanges.py
+++ b/wasabistream/forwarding/mirror_exchanges.py
@@ -40,20 +40,21 @@
             rows.append([item.key, item.content, item.revision])
         yield MirrorPart(own_revision, rows, last=True)
 
-    def build_update(self, difference: MirrorDifference) -> MirrorUpdate:
-        """Return the message of a difference."""
-        return MirrorUpdate(
-            difference.before_revision,
-            difference.revision,
-            [
-                [
-                    change.key,
-                    change.content if isinstance(change, MirrorItem) else None,
-                    change.revision,
-                ]
-                for change in difference.changes
-            ],
-        )
+    def split_difference(
+        self, difference: MirrorDifference
+    ) -> Iterator[MirrorUpdate]:
+        """Yield the updates of a difference; only the last raises the revision."""
+        before_revision = difference.before_revision
+        rows: list[list[object]] = []
+        size_bytes = 0
+        for change in difference.changes:
+            content = change.content if isinstance(change, MirrorItem) else None
+            size_bytes += len(content or b'')
+            if rows and size_bytes > PART_BYTES:
+                yield MirrorUpdate(before_revision, before_revision, rows)
+                rows, size_bytes = [], len(content or b'')
+            rows.append([change.key, content, change.revision])
+        yield MirrorUpdate(before_revision, difference.revision, rows)
 
     def apply_update(self, update: MirrorUpdate) -> bool:
         """Apply a peer's update; return whether the mirror has a gap."""
--- a/wasabistream/forwarding/peer_links.py
+++ b/wasabistream/forwarding/peer_links.py
@@ -218,7 +218,7 @@
         # Entries that watch the store themselves apply it without effect.
         if not self.relays.is_relay():
             return
-        update = self._exchange.build_update(difference)
+        updates = list(self._exchange.split_difference(difference))
         with self._lock:
             links = [
                 link
@@ -227,7 +227,8 @@
                 and link.peer.version_max >= RELAY_VERSION
             ]
         for link in links:
-            _send(link, update)
+            for update in updates:
+                _send(link, update)
 
     def _broadcast_notice(self) -> None:
         notice = self._build_notice()
