Ask one peer at a time for the items of the store

Change: one query at a time, another peer after 2 s or when the link ends. The new test counts one query with three peers and fails without the rule.

Ruled out: queries to relays only, which may be the ones that lost the store.

--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -5,6 +5,7 @@
 """
 
 import unittest
+from collections.abc import Sequence
 from dataclasses import astuple, replace
 from typing import Any
 from unittest.mock import patch
@@ -27,6 +28,8 @@
     STALE_PEER_DELAY_SECONDS,
     PeerLinks,
 )
+from wasabistream.forwarding.peer_messages import MirrorQuery
+from wasabistream.links import Link
 from wasabistream.listeners import LinkListener
 from wasabistream.messages import (
     PROTOCOL_VERSION_MAX,
@@ -63,11 +66,16 @@
             lambda: None,
         )
         self.on_opened = self.links.on_opened
-        self.on_messages = self.links.on_messages
+        self.received: list[Message] = []
         self.on_closed = self.links.on_closed
         self.listener.start()
         self.links.start()
 
+    def on_messages(self, link: Link, received: Sequence[Message]) -> None:
+        """Record messages from peers that dialled this entry."""
+        self.received.extend(received)
+        self.links.on_messages(link, received)
+
     def stop(self) -> None:
         """Close all links."""
         self.links.stop()
@@ -109,6 +117,31 @@
         self.assertTrue(wait_for(lambda: cut_off.mirror.revision == 60))
         self.assertEqual(len(cut_off.mirror.items()), 60)
 
+    def test_one_peer_at_a_time_is_queried(self) -> None:
+        """Guard against an entry that is busy with the items of all peers.
+
+        Pattern: the store turned some entries of a fleet of 27 away. Each of
+        them asked all others for their items at each change and decoded them
+        for a second, while requests waited.
+        """
+        readers = [self.start(name, []) for name in ('a', 'b', 'c')]
+        listing = [build_item('op/config', 60, b'x' * 900_000)]
+        for reader in readers:
+            reader.mirror.replace(listing, 60)
+        cut_off = Entry(
+            'd', [seed.endpoint for seed in readers], store_lost=True
+        )
+        self.addCleanup(cut_off.stop)
+        self.assertTrue(wait_for(lambda: cut_off.mirror.revision == 60))
+        self.assertTrue(wait_for(lambda: cut_off.links.entry_count() == 4))
+        queries = [
+            message
+            for queried in readers
+            for message in queried.received
+            if isinstance(message, MirrorQuery)
+        ]
+        self.assertEqual(len(queries), 1)
+
     def test_restart_beside_a_peer_without_the_store(self) -> None:
         """Guard against a withdrawn key that is in use again after a restart.
 
--- a/wasabistream/forwarding/peer_links.py
+++ b/wasabistream/forwarding/peer_links.py
@@ -36,6 +36,8 @@
 # peer that reads it, before it copies a peer that has lost the store: that one
 # may still list servers that have left and keys that were withdrawn.
 STALE_PEER_DELAY_SECONDS = 1.5
+# Time for a peer to send all its items, before another one is asked.
+QUERY_TIMEOUT_SECONDS = 2.0
 # Maximum number of links that an entry opens; further live entries are counted
 # but not dialled.
 MAX_DIALER_COUNT = 512
@@ -91,6 +93,10 @@
         # True once this entry shuts down.
         self.draining = False
         self._created_at_seconds = time.monotonic()
+        # The peer that was asked for its items last, and until when no other
+        # one is asked.
+        self._queried_link: Link | None = None
+        self._queried_until_seconds = 0.0
         self._stopped = threading.Event()
         self._wake = threading.Event()
 
@@ -171,10 +177,11 @@
                     self._on_mirror_part(link, notice)
                 case MirrorUpdate():
                     if self._exchange.apply_update(notice):
-                        _send(link, MirrorQuery(self._mirror.revision))
+                        self._query(link)
 
     def on_closed(self, link: Link, reason: str) -> None:
         """Remove a closed link."""
+        self._end_query(link)
         with self._lock:
             self._links.pop(link, None)
             self._sent_notices.pop(link, None)
@@ -291,7 +298,24 @@
         self._live_entries.record_contact(notice.endpoint, notice.direct_peers)
         self._record_engines(notice)
         if self._wants_items(notice):
-            _send(link, MirrorQuery(self._mirror.revision))
+            self._query(link)
+
+    def _query(self, link: Link) -> None:
+        # All items of each of many peers would keep this entry busy for
+        # seconds, so one peer at a time is asked.
+        now = time.monotonic()
+        with self._lock:
+            if now < self._queried_until_seconds:
+                return
+            self._queried_link = link
+            self._queried_until_seconds = now + QUERY_TIMEOUT_SECONDS
+        _send(link, MirrorQuery(self._mirror.revision))
+
+    def _end_query(self, link: Link) -> None:
+        with self._lock:
+            if self._queried_link is link:
+                self._queried_link = None
+                self._queried_until_seconds = 0
 
     def _wants_items(self, notice: PeerNotice) -> bool:
         own_revision = self._mirror.revision
@@ -320,6 +344,7 @@
             self._is_store_lost() or self.relays.is_updated_by_relays()
         ):
             return
+        self._end_query(link)
         taken = self._mirror.replace(items, part.revision)
         logger.info(
             'peer: read the store through %s',
