--- a/wasabistream/forwarding/server_choosers.py
+++ b/wasabistream/forwarding/server_choosers.py
@@ -87,6 +87,12 @@
             ),
         )
 
+    def has_other(
+        self, request: ForwardRequest, excluded: Collection[str]
+    ) -> bool:
+        """Return whether a server outside the excluded ones is available."""
+        return self.choose(request, excluded) is not None
+
     def describe(self, server: BackendServer) -> dict[str, object]:
         """Return what a choice of a server rests on, as log fields."""
         estimate = self._load_tracker.estimate(server.endpoint)
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -2,7 +2,6 @@
 
 import logging
 import re
-from functools import partial
 
 from wasabistream.exceptions import BackendError, NotRunError
 from wasabistream.forwarding.answer_buffers import AnswerBuffers
@@ -89,7 +88,10 @@
     ) -> Reply | None:
         """Forward a stream; return a reply if no stream has begun."""
         failure: Reply | None = None
-        watch.may_move_on = partial(self._may_move_on, watch, history)
+        watch.may_move_on = lambda: (
+            self._sender.may_repeat(watch.request, history)
+            and self._chooser.has_other(watch.request, history.endpoints[-1:])
+        )
         while not watch.is_ended and progress.is_continuable:
             server = self._chooser.choose(watch.request, history.endpoints[-1:])
             if server is None or not self._sender.may_send(watch, history):
@@ -211,14 +213,6 @@
         watch.stall_limits = _build_stall_limits(watch.request.route)
         return True
 
-    def _may_move_on(
-        self, watch: RequestWatch, history: AttemptHistory
-    ) -> bool:
-        request = watch.request
-        if not self._sender.may_repeat(request, history):
-            return False
-        return self._chooser.choose(request, history.endpoints[-1:]) is not None
-
     def _find_move(self, watch: RequestWatch) -> RunMoved | None:
         if watch.is_ended:
             return None
--- a/wasabistream/forwarding/unary_forwarders.py
+++ b/wasabistream/forwarding/unary_forwarders.py
@@ -2,7 +2,6 @@
 
 import logging
 import time
-from functools import partial
 
 from wasabistream.exceptions import BackendError, NotRunError
 from wasabistream.forwarding.answer_buffers import AnswerBuffers
@@ -106,27 +105,22 @@
     ) -> None:
         request = watch.request
         watch.attempt_deadline_seconds = None
-        watch.may_move_on = partial(self._may_move_on, watch, history)
+        watch.may_move_on = lambda: (
+            self._sender.may_repeat(request, history)
+            and self._chooser.has_other(request, history.endpoints)
+        )
         tried = [*history.endpoints, server.endpoint]
         # A late answer is better than none: an attempt is given up early only
         # if the request can be repeated at another backend server.
         if not self._sender.may_repeat_after_next(request, history):
             return
-        if self._chooser.choose(request, tried) is None:
+        if not self._chooser.has_other(request, tried):
             return
         limit_seconds = (
             request.route.target_latency_seconds * LATE_ATTEMPT_RATIO
         )
         watch.attempt_deadline_seconds = time.monotonic() + limit_seconds
 
-    def _may_move_on(
-        self, watch: RequestWatch, history: AttemptHistory
-    ) -> bool:
-        request = watch.request
-        if not self._sender.may_repeat(request, history):
-            return False
-        return self._chooser.choose(request, history.endpoints) is not None
-
     def _read(
         self,
         server: BackendServer,
