Weigh failures of engines against their load

Error answers of engines to streams were not recorded as failures at all.

Change: a failure rate of 1 costs as much as three full engines; error answers count. Both new checks failed before.

Ruled out: notices of failures between entries, by which one entry with a bad link would turn all away from sound engines.

--- a/tests/test_server_choosers.py
+++ b/tests/test_server_choosers.py
@@ -57,6 +57,21 @@
         chosen = {self.choose_engine() for _ in range(20)}
         self.assertEqual(chosen, {'server-2'})
 
+    def test_engine_that_resets_its_requests(self) -> None:
+        """Guard against sending most work to the engine that fails it.
+
+        Pattern: two of 50 engines reset each generation and so looked idle;
+        seventeen drafts were lost to them within six seconds.
+        """
+        self.load_tracker.report('10.0.0.1:8000', build_report())
+        self.load_tracker.report(
+            '10.0.0.2:8000',
+            build_report(used_tokens=MEMORY_TOKENS // 2, running_count=8),
+        )
+        self.assertEqual(self.choose_engine(), 'server-1')
+        self.failure_rates.record('10.0.0.1:8000', failed=True)
+        self.assertEqual(self.choose_engine(), 'server-2')
+
     def test_all_leaving(self) -> None:
         """Guard against a request at an engine that will not serve it."""
         for engine in self.engines:
--- a/tests/test_stream_forwarders.py
+++ b/tests/test_stream_forwarders.py
@@ -69,6 +69,7 @@
                 for number in (1, 2, 3)
             ),
         )
+        self.failure_rates = parts.failure_rates
         forwarder = StreamForwarder(
             parts.holder,
             parts.chooser,
@@ -256,9 +257,11 @@
         self.assertEqual(reply.status if reply else 0, 500)
 
     def test_failure_of_an_engine_is_returned(self) -> None:
-        """Guard against hiding the engine's error answer."""
+        """Guard against hiding the engine's error answer, or forgetting it."""
         reply = self.forward(STREAM_ROUTE, whole(500, b'no'))
         self.assertEqual(reply.status if reply else 0, 500)
+        endpoint = self.client.endpoints[0]
+        self.assertGreater(self.failure_rates.rate(endpoint), 0)
 
     def test_cut_by_the_supervisor_is_not_complete(self) -> None:
         """Guard against treating a cut stream as complete."""
--- a/wasabistream/forwarding/server_choosers.py
+++ b/wasabistream/forwarding/server_choosers.py
@@ -13,6 +13,9 @@
 
 # Cost of a failure rate of 1, in requests in progress.
 FAILURE_COST = 12.0
+# The same for engines, whose full memory and full slots cost 1 each. An engine
+# that resets its requests looks idle, so a few failures outweigh its low load.
+ENGINE_FAILURE_COST = 6.0
 # Cost of another data centre, in requests in progress.
 REMOTE_COST = 0.4
 # Costs of full memory and of full slots. A generation whose memory does not fit
@@ -128,16 +131,16 @@
         is_sole_server: bool,
     ) -> tuple[float, float]:
         remote = server.data_centre != self._data_centre
-        failures = FAILURE_COST * self._failure_rates.rate(server.endpoint)
+        failure_rate = self._failure_rates.rate(server.endpoint)
         if request.demand is None:
-            cost = estimate.request_count + failures
+            cost = estimate.request_count + FAILURE_COST * failure_rate
             cost += REMOTE_COST * remote
         else:
             cost = _engine_cost(
                 estimate, server, request.demand.expected_tokens
             )
             cost += COLD_COST * self._cold.is_cold(server)
-            cost += failures / max(server.slot_count, 1)
+            cost += ENGINE_FAILURE_COST * failure_rate
             cost += REMOTE_ENGINE_COST * remote
             if is_sole_server:
                 cost += SOLE_SERVER_COST * estimate.request_count
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -172,9 +172,13 @@
     ) -> Reply | None:
         head = exchange.head
         if not head.succeeded or not head.event_stream:
-            return read_reply(
+            reply = read_reply(
                 server, exchange, watch.request.request_id, self._buffers
             )
+            self._failure_rates.record(
+                server.endpoint, failed=reply.status >= SERVER_ERROR
+            )
+            return reply
         if not head.sealed:
             raise BackendError('answer has no seal', 'head', server.endpoint)
         if not progress.has_begun:
