Keep the loop of the links idle while a task pauses beside a ready socket

A notice that crossed the end of its link was kept for ever.

Change: a socket that nothing waits for is taken out of the selector; no notice is sent over, or kept for, a link that has ended.

--- a/tests/test_link_loops.py
+++ b/tests/test_link_loops.py
@@ -15,6 +15,8 @@
 from wasabistream.crash_notices import ClearNotice
 from wasabistream.dialers import PeerDialer
 from wasabistream.frames import encode_frame
+from wasabistream.link_loops import LinkLoop
+from wasabistream.link_waits import Pause, Readable, Task
 from wasabistream.links import Link
 from wasabistream.listeners import LinkListener, close_links_gracefully
 from wasabistream.messages import (
@@ -30,6 +32,7 @@
 # The loop and the threads of the test runner itself.
 MAX_ADDED_THREAD_COUNT = 1
 LARGE_FINGERPRINT = 7
+MAX_ROUND_COUNT = 20
 
 
 def build_hello(name: str) -> Hello:
@@ -175,6 +178,32 @@
         self.assertTrue(expired.is_set())
         self.assertEqual(self.server.received, [ClearNotice(2)])
 
+    def test_pause_while_a_socket_is_ready(self) -> None:
+        """Guard against a loop that is busy while a task pauses.
+
+        A listener that has no descriptors left pauses beside connections that
+        wait to be accepted.
+        """
+        loop = LinkLoop()
+        ready, other = socket.socketpair()
+        self.addCleanup(ready.close)
+        self.addCleanup(other.close)
+        other.sendall(b'x')
+        done = threading.Event()
+
+        def wait_and_pause() -> Task:
+            yield Readable(ready, 1)
+            yield Pause(0.3)
+            yield Readable(ready, 1)
+            done.set()
+
+        with patch.object(
+            loop, '_timeout_seconds', wraps=loop._timeout_seconds
+        ) as rounds:
+            loop.spawn(wait_and_pause())
+            self.assertTrue(done.wait(5))
+            self.assertLess(rounds.call_count, MAX_ROUND_COUNT)
+
     def test_stopped_listener(self) -> None:
         """Guard against a port that stays in use after the stop."""
         port = self.listener.port
--- a/wasabistream/forwarding/peer_links.py
+++ b/wasabistream/forwarding/peer_links.py
@@ -247,6 +247,9 @@
     def _send_notice(self, link: Link, notice: PeerNotice) -> None:
         # The lists are the largest part of a notice and rarely change.
         with self._lock:
+            if link not in self._links:
+                # It has just been closed.
+                return
             before = self._sent_notices.get(link)
             self._sent_notices[link] = notice
             sent = notice
--- a/wasabistream/link_loops.py
+++ b/wasabistream/link_loops.py
@@ -206,14 +206,13 @@
         task = registration.task
         if task is None:
             return
-        events_before = registration.events
         registration.task = None
         registration.task_events = 0
         registration.deadline_seconds = None
         self._resume(task, timed_out=timed_out)
         # Most tasks wait for the same socket again.
         if self._registrations.get(sock) is registration:
-            self._apply(sock, registration, events_before)
+            self._apply(sock, registration)
 
     def _resume(self, task: Task, *, timed_out: bool = False) -> None:
         try:
@@ -239,7 +238,6 @@
         if registration is None:
             registration = _Registration()
             self._registrations[wait.sock] = registration
-        events_before = registration.events
         registration.task = task
         registration.task_events = (
             selectors.EVENT_WRITE
@@ -251,22 +249,21 @@
         if is_new:
             self._selector.register(wait.sock, registration.events, wait.sock)
         else:
-            self._apply(wait.sock, registration, events_before)
+            self._apply(wait.sock, registration)
 
-    def _apply(
-        self, sock: socket.socket, registration: _Registration, before: int
-    ) -> None:
-        key = self._selector.get_map().get(sock)
-        if key is not None and key.events != registration.events:
-            if registration.events:
-                self._selector.modify(sock, registration.events, sock)
+    def _apply(self, sock: socket.socket, registration: _Registration) -> None:
+        if not registration.events:
+            # A ready socket that nothing waits for would keep the loop busy.
+            self.forget(sock)
+        elif self._selector.get_key(sock).events != registration.events:
+            self._selector.modify(sock, registration.events, sock)
 
     def _flush(self, link: LoopLink) -> None:
         is_blocked = link.flush()
         registration = self._registrations.get(link.sock)
         if registration is not None:
             registration.blocked_link = link if is_blocked else None
-            self._apply(link.sock, registration, 0)
+            self._apply(link.sock, registration)
 
 
 link_loop = LinkLoop()
