--- a/wasabistream/attempts.py
+++ b/wasabistream/attempts.py
@@ -13,7 +13,7 @@
 
 
 class ReplyHandler(Protocol):
-    """Receive the messages of one attempt, on the link's reader thread."""
+    """Receive the messages of one attempt, on the thread of the links."""
 
     def on_message(self, message: Message) -> None:
         """Handle one message of the attempt."""
--- a/wasabistream/generations.py
+++ b/wasabistream/generations.py
@@ -268,7 +268,7 @@
             self._jobs.end(job)
             return
         if not job.ended:
-            # The call to the engine must not block the link's reader thread.
+            # The call to the engine must not block the thread of the links.
             self._cancel_pool.submit(self._cancel_in_engine, job)
 
     def _cancel_in_engine(self, job: GenerationJob) -> None:
--- a/wasabistream/reply_handlers.py
+++ b/wasabistream/reply_handlers.py
@@ -30,8 +30,8 @@
 class GenerationReplyHandler:
     """Write the tokens of one attempt to its caller, each once and in order.
 
-    Messages arrive on the reader thread of a link. At the same time the
-    sending thread may withdraw the attempt, and the writer thread of the link
+    Messages arrive on the thread of the links. At the same time the
+    sending thread may withdraw the attempt, and the thread of the links
     may drop it because its deadline has passed. Under the lock only the first
     end counts, and no token is written after it.
     """
