Log failed calls to the store and the age of a refusing configuration

Cause: of a lost store only the first failed call wrote a line, and a refusal named its version alone. A refusal by an outdated configuration could not be told from one by the newest, nor a long call from many short ones.

Change: 'store: lost' and 'store: still lost' carry the duration of the call, the age of the last answer and the revision; 'request: refused' carries the ages of the configuration and of the last answer; wasabi_store_answer_age_seconds. Decisions are unchanged.

--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -22,6 +22,7 @@
     StoreFollower,
 )
 
+FOLLOWER_LOGGER = 'wasabistream.platform.store_followers'
 MALFORMED_SERVERS: tuple[Any, ...] = (
     {**SERVER, 'state': 'odd'},
     {**SERVER, 'address': 'nowhere'},
@@ -94,6 +95,12 @@
         self.store.failing_status = 503
         self.assertTrue(wait_for(lambda: follower.lost_at_seconds is not None))
         self.assertEqual(len(mirror.items()), 4)
+        with self.assertLogs(FOLLOWER_LOGGER, 'INFO') as logs:
+            self.assertTrue(
+                wait_for(lambda: 'store: still lost' in str(logs.output))
+            )
+            fields = logs.records[0].__dict__
+        self.assertGreater(fields['answer_age_seconds'], 0)
         self.store.failing_status = 0
         self.assertTrue(wait_for(lambda: follower.lost_at_seconds is None))
 
--- a/wasabistream/forwarding/fleet_updaters.py
+++ b/wasabistream/forwarding/fleet_updaters.py
@@ -2,6 +2,7 @@
 
 import logging
 import threading
+import time
 from collections.abc import Callable, Mapping
 
 from wasabistream.forwarding.announced_engines import (
@@ -58,6 +59,8 @@
             before = self._holder.current
             if fleet == before:
                 return
+            if fleet.configuration is not before.configuration:
+                self._holder.configured_at_seconds = time.monotonic()
             self._holder.current = fleet
             for handler in self._handlers:
                 handler(fleet)
--- a/wasabistream/forwarding/fleets.py
+++ b/wasabistream/forwarding/fleets.py
@@ -1,5 +1,6 @@
 """View of the fleet: configuration and backend servers."""
 
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -42,3 +43,10 @@
 
     def __init__(self) -> None:
         self.current = Fleet()
+        # Monotonic time at which its configuration came into force.
+        self.configured_at_seconds = time.monotonic()
+
+    @property
+    def configuration_age_seconds(self) -> float:
+        """Return for how long the configuration has been in force here."""
+        return time.monotonic() - self.configured_at_seconds
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -114,7 +114,10 @@
             self._is_responsive, move_tracker.has_moved
         )
         handler = RequestHandler(
-            self.fleet, self._drain_gate, self._build_forwarder(move_tracker)
+            self.fleet,
+            self._drain_gate,
+            self._build_forwarder(move_tracker),
+            lambda: self.follower.answer_age_seconds,
         )
         # Set when the drain begins.
         self._stop_at_seconds = 0.0
--- a/wasabistream/platform/request_handlers.py
+++ b/wasabistream/platform/request_handlers.py
@@ -1,6 +1,7 @@
 """Handler of callers' requests at an entry."""
 
 import logging
+from collections.abc import Callable
 
 from cheroot.server import HTTPRequest
 
@@ -30,11 +31,16 @@
     """Decode requests with the configuration in force and forward them."""
 
     def __init__(
-        self, fleet: FleetHolder, gate: DrainGate, forwarder: Forwarder
+        self,
+        fleet: FleetHolder,
+        gate: DrainGate,
+        forwarder: Forwarder,
+        store_answer_age_seconds: Callable[[], float],
     ) -> None:
         self._fleet = fleet
         self._gate = gate
         self._forwarder = forwarder
+        self._store_answer_age_seconds = store_answer_age_seconds
 
     def handle(self, request: HTTPRequest, body: bytes) -> None:
         """Answer one request; `body` is its whole body."""
@@ -55,6 +61,12 @@
                     'request_id': read_request_id(request),
                     'status': error.status,
                     'version': configuration.version,
+                    'version_age_seconds': round(
+                        self._fleet.configuration_age_seconds, 3
+                    ),
+                    'store_answer_age_seconds': round(
+                        self._store_answer_age_seconds(), 3
+                    ),
                 },
             )
             caller.reply(Reply(error.status))
--- a/wasabistream/platform/store_followers.py
+++ b/wasabistream/platform/store_followers.py
@@ -9,7 +9,7 @@
 from wasabistream.exceptions import HistoryLostError, StoreError
 from wasabistream.forwarding.expiry_guards import ExpiryGuard
 from wasabistream.forwarding.mirrors import StoreMirror
-from wasabistream.metrics import STORE_LOST
+from wasabistream.metrics import STORE_ANSWER_AGE, STORE_LOST
 from wasabistream.platform.store_clients import StoreClient
 
 logger = logging.getLogger(__name__)
@@ -61,8 +61,12 @@
         """Return whether the store does not answer, or has not for long."""
         if self.lost_at_seconds is not None:
             return True
-        age_seconds = time.monotonic() - self._answered_at_seconds
-        return age_seconds > ANSWER_AGE_LIMIT_SECONDS
+        return self.answer_age_seconds > ANSWER_AGE_LIMIT_SECONDS
+
+    @property
+    def answer_age_seconds(self) -> float:
+        """Return the time since the store, or a relay for it, was heard."""
+        return time.monotonic() - self._answered_at_seconds
 
     @property
     def away_seconds(self) -> float:
@@ -73,6 +77,7 @@
 
     def start(self) -> None:
         """Start the thread that reads and watches."""
+        STORE_ANSWER_AGE.set_function(lambda: self.answer_age_seconds)
         threading.Thread(target=self._run, name='store', daemon=True).start()
 
     def stop(self) -> None:
@@ -82,13 +87,14 @@
     def _run(self) -> None:
         wait_seconds = RETRY_MIN_SECONDS
         while not self._stopped.is_set():
+            started = time.monotonic()
             try:
                 self._read_or_watch()
             except HistoryLostError as error:
                 logger.info('store: reading the whole list again: %s', error)
                 self._has_listing = False
             except StoreError as error:
-                self._record_loss(error)
+                self._record_loss(error, time.monotonic() - started)
                 self._client.reset()
                 self._stopped.wait(wait_seconds * random.uniform(0.5, 1.5))
                 wait_seconds = min(wait_seconds * 2, RETRY_MAX_SECONDS)
@@ -121,12 +127,19 @@
         self._revision = changes.revision
         self._guard.apply_due_removals()
 
-    def _record_loss(self, error: StoreError) -> None:
+    def _record_loss(self, error: StoreError, call_seconds: float) -> None:
+        fields = {
+            'call_seconds': round(call_seconds, 3),
+            'answer_age_seconds': round(self.answer_age_seconds, 3),
+            'revision': self._revision,
+        }
         if self.lost_at_seconds is None:
             self.lost_at_seconds = time.monotonic()
             STORE_LOST.set(1)
-            logger.warning('store: lost: %s', error)
+            logger.warning('store: lost: %s', error, extra=fields)
             self._on_reachability_change()
+        else:
+            logger.info('store: still lost: %s', error, extra=fields)
 
     def _record_recovery(self) -> None:
         self._answered_at_seconds = time.monotonic()
