Show that an entry notices a lost watch too late

What callers saw: 401 and 404 as an older configuration demands, up to 13 s after a newer one was confirmed.

--- a/tests/platform_stores.py
+++ b/tests/platform_stores.py
@@ -51,6 +51,9 @@
         self.forgotten_revision = 0
         # Status of all answers; with 0 the store answers normally.
         self.failing_status = 0
+        # While true, calls are dropped: they get no answer, also later.
+        self.silent = False
+        self._stopped = threading.Event()
         self.calls: list[str] = []
         self._server = _StoreServer(self)
         self.port: int = self._server.server_address[1]
@@ -58,6 +61,7 @@
 
     def stop(self) -> None:
         """Stop answering."""
+        self._stopped.set()
         self._server.shutdown()
         self._server.server_close()
 
@@ -80,6 +84,8 @@
     ) -> tuple[int, dict[str, Any]]:
         """Return status and body of one call."""
         self.calls.append(path)
+        if self.silent:
+            return self._drop_call()
         if self.failing_status:
             return self.failing_status, {}
         if path == '/-/kv-range':
@@ -95,12 +101,18 @@
             'current_rev': self.revision,
         }
 
+    def _drop_call(self) -> tuple[int, dict[str, Any]]:
+        self._stopped.wait()
+        return 503, {}
+
     def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         after = int(query['after'])
         if after < self.forgotten_revision:
             return 410, {}
         deadline = time.monotonic() + int(query['wait_ms']) / 1000
         while time.monotonic() < deadline:
+            if self.silent:
+                return self._drop_call()
             if after < self.forgotten_revision:
                 return 410, {}
             events = [row for row in self.changes if row['revision'] > after]
--- /dev/null
+++ b/tests/test_lost_watches.py
@@ -0,0 +1,67 @@
+"""Tests of watches whose answers are lost.
+
+Failure pattern: a store drops the calls that wait while it is silent. To their
+callers they look like calls that wait for a change.
+"""
+
+import time
+import unittest
+
+from tests.platform_builders import CONFIGURATION, build_row
+from tests.platform_stores import StandInStore
+from tests.waits import wait_for
+from wasabistream.forwarding.endpoints import Endpoint
+from wasabistream.forwarding.mirrors import StoreMirror
+from wasabistream.platform.store_clients import StoreClient
+from wasabistream.platform.store_followers import StoreFollower
+
+# Time after a disruption in which an entry must hold the newest configuration
+# again; `stable_window_ms` of the platform.
+STABLE_WINDOW_SECONDS = 3.0
+SHORT_SILENCE_SECONDS = 0.3
+
+
+class StoreSilenceTest(unittest.TestCase):
+    """Guard against entries that answer as an outdated configuration says."""
+
+    def setUp(self) -> None:
+        """Follow a store that holds a configuration."""
+        self.store = StandInStore()
+        self.addCleanup(self.store.stop)
+        self.store.put(build_row('op/config', 2, CONFIGURATION))
+        self.mirror = StoreMirror()
+        self.follower = StoreFollower(
+            StoreClient(Endpoint('127.0.0.1', self.store.port)),
+            self.mirror,
+            lambda: None,
+            bool,
+        )
+        self.follower.start()
+        self.addCleanup(self.follower.stop)
+        self.assertTrue(wait_for(self.is_current))
+
+    def is_current(self) -> bool:
+        """Return whether the mirror has the newest revision of the store."""
+        return self.mirror.revision == self.store.revision
+
+    def change_during_silence(self) -> None:
+        """Change the configuration unseen, then let the store answer again."""
+        self.store.put(build_row('op/config', 9, CONFIGURATION))
+        self.store.silent = False
+
+    def test_watch_lost_in_a_short_silence(self) -> None:
+        """Guard against waiting for a lost watch longer than the bound."""
+        self.store.silent = True
+        time.sleep(SHORT_SILENCE_SECONDS)
+        self.change_during_silence()
+        self.assertTrue(wait_for(self.is_current, STABLE_WINDOW_SECONDS))
+
+    def test_watch_lost_after_a_failed_call(self) -> None:
+        """Guard against a long watch as the first call after a failed one."""
+        self.store.silent = True
+        self.assertTrue(
+            wait_for(lambda: self.follower.lost_at_seconds is not None)
+        )
+        time.sleep(SHORT_SILENCE_SECONDS)
+        self.change_during_silence()
+        self.assertTrue(wait_for(self.is_current, STABLE_WINDOW_SECONDS))
