End watches of the store within the stable window

What callers saw: for up to 13 s after a change was confirmed, 401 and 404 as the older configuration says (CONFIG, DENIED).

Cause: a watch whose answer is lost looks like one that waits for a change. It was given up after 6.5 s (5 s wait, 1.5 s for the answer), and the call after it was a watch of 6.5 s again, while `stable_window_ms` is 3 s. Any silence of the store that drops waiting calls leaves all entries with the older version; class: a long poll whose time-out is not derived from the bound on outdated contents.

Change: `long_polls` derives wait and time-out from the bound: a poll waits a third of it and ends after two thirds, connecting included; the first poll after a failure waits 0.1 s. Pauses after failures are at most 0.4 s before jitter.

--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -34,6 +34,7 @@
 NESTED = b'[' * 100000
 MAX_TAKEN_BYTES = 24 * 1024 * 1024
 LATE_COPY_SECONDS = 0.1
+STORE_TIMEOUT_SECONDS = 2.0
 
 
 def frame(body: bytes) -> bytes:
@@ -80,7 +81,9 @@
 
     def read_store(self, port: int) -> object:
         """Read all items of a store."""
-        return StoreClient(Endpoint('127.0.0.1', port)).read_all('')
+        return StoreClient(
+            Endpoint('127.0.0.1', port), STORE_TIMEOUT_SECONDS
+        ).read_all('')
 
     def test_reports(self) -> None:
         """Guard against an engine's report without an end."""
--- a/tests/test_lost_watches.py
+++ b/tests/test_lost_watches.py
@@ -12,6 +12,7 @@
 from tests.waits import wait_for
 from wasabistream.forwarding.endpoints import Endpoint
 from wasabistream.forwarding.mirrors import StoreMirror
+from wasabistream.long_polls import build_long_poll_limits
 from wasabistream.platform.store_clients import StoreClient
 from wasabistream.platform.store_followers import StoreFollower
 
@@ -30,9 +31,13 @@
         self.addCleanup(self.store.stop)
         self.store.put(build_row('op/config', 2, CONFIGURATION))
         self.mirror = StoreMirror()
+        limits = build_long_poll_limits(STABLE_WINDOW_SECONDS)
         self.follower = StoreFollower(
-            StoreClient(Endpoint('127.0.0.1', self.store.port)),
+            StoreClient(
+                Endpoint('127.0.0.1', self.store.port), limits.timeout_seconds
+            ),
             self.mirror,
+            limits,
             lambda: None,
             bool,
         )
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -15,12 +15,10 @@
 from wasabistream.forwarding.endpoints import Endpoint
 from wasabistream.forwarding.fleets import Fleet
 from wasabistream.forwarding.mirrors import StoreMirror
+from wasabistream.long_polls import build_long_poll_limits
 from wasabistream.platform.store_clients import StoreClient
 from wasabistream.platform.store_decoders import FleetDecoder
-from wasabistream.platform.store_followers import (
-    ANSWER_AGE_LIMIT_SECONDS,
-    StoreFollower,
-)
+from wasabistream.platform.store_followers import StoreFollower
 
 FOLLOWER_LOGGER = 'wasabistream.platform.store_followers'
 MALFORMED_SERVERS: tuple[Any, ...] = (
@@ -44,13 +42,20 @@
         self.store.put(build_row('op/config', 2, CONFIGURATION))
         for number in range(3):
             self.store.put(build_row(f'servers/s{number}', 3 + number, SERVER))
-        self.client = StoreClient(Endpoint('127.0.0.1', self.store.port))
+        self.limits = build_long_poll_limits(3.0)
+        self.client = StoreClient(
+            Endpoint('127.0.0.1', self.store.port), self.limits.timeout_seconds
+        )
 
     def follow(self) -> tuple[StoreFollower, StoreMirror]:
         """Start a follower and wait until its mirror holds all items."""
         mirror = StoreMirror()
         follower = StoreFollower(
-            self.client, mirror, lambda: None, lambda: self.relayed
+            self.client,
+            mirror,
+            self.limits,
+            lambda: None,
+            lambda: self.relayed,
         )
         follower.start()
         self.addCleanup(follower.stop)
@@ -123,7 +128,8 @@
         """Guard against a paused process whose peers copy its old items."""
         follower, _ = self.follow()
         self.assertFalse(follower.is_lost)
-        later_seconds = time.monotonic() + 2 * ANSWER_AGE_LIMIT_SECONDS
+        limit_seconds = self.limits.max_answer_age_seconds
+        later_seconds = time.monotonic() + 2 * limit_seconds
         with patch.object(time, 'monotonic', return_value=later_seconds):
             self.assertTrue(follower.is_lost)
 
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -27,6 +27,7 @@
 from wasabistream.forwarding.supervisors import RequestSupervisor
 from wasabistream.forwarding.unary_forwarders import UnaryForwarder
 from wasabistream.listeners import LinkListener
+from wasabistream.long_polls import build_long_poll_limits
 from wasabistream.platform.ingress_servers import HttpCaller, IngressServer
 from wasabistream.platform.node_applications import (
     NodeApplication,
@@ -97,9 +98,13 @@
             self._is_store_lost,
             self._fleet_updater.refresh,
         )
+        poll_limits = build_long_poll_limits(
+            node_settings.bounds.recovery_seconds
+        )
         self.follower = StoreFollower(
-            StoreClient(node_settings.store),
+            StoreClient(node_settings.store, poll_limits.timeout_seconds),
             self.mirror,
+            poll_limits,
             self._fleet_updater.refresh,
             self._peer_links.relays.is_updated_by_relays,
         )
--- a/wasabistream/platform/node_files.py
+++ b/wasabistream/platform/node_files.py
@@ -13,7 +13,10 @@
 from wasabistream.forwarding.cold_limiters import ColdLimit
 from wasabistream.forwarding.endpoints import Endpoint, parse_endpoint
 from wasabistream.platform.decode_errors import DECODE_ERRORS
-from wasabistream.units import BYTES_PER_MEGABYTE
+from wasabistream.units import BYTES_PER_MEGABYTE, MILLISECONDS_PER_SECOND
+
+# `stable_window_ms` of settings files that lack it.
+DEFAULT_RECOVERY_MS = 3000
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +28,8 @@
     grace_seconds: float
     # Limit on requests to each backend server that is listed as cold.
     cold_limit: ColdLimit
+    # Time after a disruption in which a process must be up to date again.
+    recovery_seconds: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,4 +126,8 @@
             ratio=float(bounds['cold_over']),
             extra_count=float(bounds['cold_slack']),
         ),
+        recovery_seconds=(
+            float(bounds.get('stable_window_ms', DEFAULT_RECOVERY_MS))
+            / MILLISECONDS_PER_SECOND
+        ),
     )
--- a/wasabistream/platform/store_clients.py
+++ b/wasabistream/platform/store_clients.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+import urllib3
+
 from wasabistream.exceptions import HistoryLostError, StoreError
 from wasabistream.forwarding.endpoints import Endpoint
 from wasabistream.forwarding.mirrors import MirrorChange, MirrorItem, Removal
@@ -15,10 +17,6 @@
 from wasabistream.platform.server_clients import SOCKET_OPTIONS
 from wasabistream.units import MILLISECONDS_PER_SECOND
 
-# The store answers within milliseconds; a slow store takes some hundred.
-READ_TIMEOUT_SECONDS = 2.0
-# Time for the answer of a watch, added to the time that the store waits.
-WATCH_GRACE_SECONDS = 1.5
 OK_STATUS = 200
 GONE_STATUS = 410
 MAX_PAGE_COUNT = 200
@@ -45,8 +43,10 @@
 class StoreClient:
     """Read the store and watch it for changes; reads are never stale."""
 
-    def __init__(self, endpoint: Endpoint) -> None:
+    def __init__(self, endpoint: Endpoint, timeout_seconds: float) -> None:
         self._endpoint = endpoint
+        # The time to connect counts as well.
+        self._timeout = urllib3.Timeout(total=timeout_seconds)
         self._peer = str(endpoint)
         self._pool = self._build_pool()
 
@@ -64,7 +64,7 @@
             query = {'prefix': prefix}
             if after:
                 query['after'] = after
-            page = self._get('/-/kv-range', query, READ_TIMEOUT_SECONDS)
+            page = self._get('/-/kv-range', query)
             listed = [
                 _decode_item(row) for row in _require_field(page, 'items')
             ]
@@ -91,7 +91,6 @@
                 'after': str(after_revision),
                 'wait_ms': str(int(wait_seconds * MILLISECONDS_PER_SECOND)),
             },
-            wait_seconds + WATCH_GRACE_SECONDS,
         )
         rows = _require_field(page, 'events')
         changes = tuple(_decode_change(row) for row in rows)
@@ -113,12 +112,10 @@
             reuses=True,
         )
 
-    def _get(
-        self, path: str, query: Mapping[str, str], timeout_seconds: float
-    ) -> Any:
+    def _get(self, path: str, query: Mapping[str, str]) -> Any:
         try:
             response = self._pool.request(
-                'GET', path, fields=query, timeout=timeout_seconds
+                'GET', path, fields=query, timeout=self._timeout
             )
             STORE_CALLS.labels(str(response.status)).inc()
             if response.status == GONE_STATUS:
--- a/wasabistream/platform/store_followers.py
+++ b/wasabistream/platform/store_followers.py
@@ -1,7 +1,6 @@
 """Follower that keeps the local mirror of the store up to date."""
 
 import logging
-import random
 import threading
 import time
 from collections.abc import Callable
@@ -9,22 +8,18 @@
 from wasabistream.exceptions import HistoryLostError, StoreError
 from wasabistream.forwarding.expiry_guards import ExpiryGuard
 from wasabistream.forwarding.mirrors import StoreMirror
+from wasabistream.long_polls import LongPollLimits, LongPollPacer
 from wasabistream.metrics import STORE_ANSWER_AGE, STORE_LOST
 from wasabistream.platform.store_clients import StoreClient
 
 logger = logging.getLogger(__name__)
 
-# A watch without changes ends after this time and is repeated.
-WATCH_SECONDS = 5.0
 # Shorter watches while removals are held back, to apply them when due.
 GUARDED_WATCH_SECONDS = 0.5
-# Without an answer for longer, this process was paused or its call hangs, and
-# the mirror may be outdated.
-ANSWER_AGE_LIMIT_SECONDS = 8.0
 # Interval at which an entry checks that relays still keep it current.
 RELAYED_POLL_SECONDS = 0.25
 RETRY_MIN_SECONDS = 0.1
-RETRY_MAX_SECONDS = 0.5
+RETRY_MAX_SECONDS = 0.4
 
 
 class StoreFollower:
@@ -38,12 +33,16 @@
         self,
         client: StoreClient,
         mirror: StoreMirror,
+        limits: LongPollLimits,
         on_reachability_change: Callable[[], None],
         is_updated_by_relays: Callable[[], bool],
     ) -> None:
         self._client = client
         self._mirror = mirror
         self._guard = ExpiryGuard(mirror)
+        self._pacer = LongPollPacer(
+            limits, RETRY_MIN_SECONDS, RETRY_MAX_SECONDS
+        )
         self._on_reachability_change = on_reachability_change
         self._is_updated_by_relays = is_updated_by_relays
         # Whether relays have kept the mirror current since the last own read.
@@ -61,7 +60,9 @@
         """Return whether the store does not answer, or has not for long."""
         if self.lost_at_seconds is not None:
             return True
-        return self.answer_age_seconds > ANSWER_AGE_LIMIT_SECONDS
+        # This process may have been paused, or its call may hang.
+        limit_seconds = self._pacer.limits.max_answer_age_seconds
+        return self.answer_age_seconds > limit_seconds
 
     @property
     def answer_age_seconds(self) -> float:
@@ -85,7 +86,6 @@
         self._stopped.set()
 
     def _run(self) -> None:
-        wait_seconds = RETRY_MIN_SECONDS
         while not self._stopped.is_set():
             started = time.monotonic()
             try:
@@ -96,11 +96,10 @@
             except StoreError as error:
                 self._record_loss(error, time.monotonic() - started)
                 self._client.reset()
-                self._stopped.wait(wait_seconds * random.uniform(0.5, 1.5))
-                wait_seconds = min(wait_seconds * 2, RETRY_MAX_SECONDS)
+                self._stopped.wait(self._pacer.record_failure())
             else:
+                self._pacer.record_answer()
                 self._record_recovery()
-                wait_seconds = RETRY_MIN_SECONDS
 
     def _read_or_watch(self) -> None:
         if self._has_listing and self._is_updated_by_relays():
@@ -118,9 +117,9 @@
             self._revision = listing.revision
             self._has_listing = True
             return
-        wait_seconds = GUARDED_WATCH_SECONDS
-        if not self._guard.waiting:
-            wait_seconds = WATCH_SECONDS
+        wait_seconds = self._pacer.choose_wait_seconds()
+        if self._guard.waiting:
+            wait_seconds = min(wait_seconds, GUARDED_WATCH_SECONDS)
         changes = self._client.watch('', self._revision, wait_seconds)
         self._guard.on_store_regained(self.away_seconds)
         self._guard.apply(changes.changes, changes.revision)
