Log the parts of a prompt under which a server goes down

Change: the adapter decodes the shared parts of a prompt, the crash line names them. Decisions are unchanged.

--- a/wasabistream/forwarding/poison_request_guards.py
+++ b/wasabistream/forwarding/poison_request_guards.py
@@ -82,6 +82,7 @@
                 extra={
                     'request_id': request.request_id,
                     'peer': server.endpoint,
+                    'prompt_parts': list(request.prompt_parts),
                     'crash_count': self._quarantine.crash_count(fingerprint),
                 },
             )
--- a/wasabistream/forwarding/requests.py
+++ b/wasabistream/forwarding/requests.py
@@ -46,6 +46,8 @@
     demand: GenerationDemand | None
     # Hash of caller, target and body; the same when a request is sent again.
     fingerprint: int
+    # Ids of the parts of its prompt that other requests may share, in order.
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/wasabistream/platform/header_names.py
+++ b/wasabistream/platform/header_names.py
@@ -11,6 +11,8 @@
 ORGANISATION = 'wasabistream-tenant'
 # Number of prompt tokens and maximum number of output tokens.
 TOKENS = 'wasabistream-token-usage'
+# Parts of the prompt in order, as ID:TOKENS entries.
+PROMPT_PARTS = 'wasabistream-prompt-prefix'
 LENGTH_HINT = 'wasabistream-length-hint'
 # 0 is the most urgent.
 URGENCY = 'wasabistream-request-urgency'
--- a/wasabistream/platform/request_decoders.py
+++ b/wasabistream/platform/request_decoders.py
@@ -15,6 +15,7 @@
 )
 from wasabistream.forwarding.routes import Route
 from wasabistream.platform import header_names as names
+from wasabistream.prompt_parts import limit_parts
 from wasabistream.retries import Deadline
 from wasabistream.units import MILLISECONDS_PER_SECOND
 
@@ -63,6 +64,7 @@
         priority=priority,
         demand=_decode_demand(headers),
         fingerprint=hash64(api_key, target, body.hex()),
+        prompt_parts=_decode_shared_parts(headers),
     )
 
 
@@ -135,6 +137,14 @@
     )
 
 
+def _decode_shared_parts(headers: dict[str, str]) -> tuple[str, ...]:
+    # The last part belongs to the request or its session.
+    entries = headers.get(names.PROMPT_PARTS, '').split(',')[:-1]
+    return limit_parts(
+        entry.partition(':')[0].strip().lower() for entry in entries
+    )
+
+
 def _select_forwarded_headers(headers: dict[str, str]) -> Headers:
     connection_field = headers.get('connection', '')
     connection_only = {
