Ban parts of prompts that crash the servers that answer them

Cause: the ban knew a request by caller, target and whole body. No two of these requests are alike, so each cost an engine, and the only request banned was a sound one that had waited in two crashed engines. Class: a decision keyed by the whole of something whose parts are what repeats.

Ruled out: entries that miss each other's crashes (all five crashes were known to all entries within a second); waiting requests that hide the cause (the head of the answer had come for the culprit of all ten crashes, for no other request).

Change: crashes are recorded with the parts of the requests whose answer had begun; an answer clears the parts of its request; the fewest parts that explain the crashes are banned, from the third crash on. All entries decide from the same messages; an entry that is linked later gets them at once. Trials end a ban on a part that is sound. A repeat with a banned part goes to no further server.

--- a/tests/forwarding_builders.py
+++ b/tests/forwarding_builders.py
@@ -30,6 +30,7 @@
 from wasabistream.forwarding.server_choosers import ServerChooser
 from wasabistream.forwarding.services import EngineProfile, Service
 from wasabistream.notices import LoadReport
+from wasabistream.poison_parts import PoisonPartDetector
 from wasabistream.retries import Deadline
 
 ENGINE_SERVICE = 'writer'
@@ -64,7 +65,9 @@
 
 
 def build_request(
-    route: Route | None = None, request_id: str = 'request-1'
+    route: Route | None = None,
+    request_id: str = 'request-1',
+    prompt_parts: tuple[str, ...] = (),
 ) -> ForwardRequest:
     """Return a request of a caller."""
     chosen = route or build_route()
@@ -83,6 +86,7 @@
         priority=1,
         demand=GenerationDemand(3000, 1000, 0) if streaming else None,
         fingerprint=1,
+        prompt_parts=prompt_parts,
     )
 
 
@@ -173,11 +177,6 @@
     return AnswerBuffers(build_answer_limits(DEFAULT_MEMORY_LIMIT_BYTES))
 
 
-def build_poison_request_guard() -> PoisonRequestGuard:
-    """Return a guard whose probe finds all servers reachable."""
-    return PoisonRequestGuard(Mock(), Mock())
-
-
 def build_item(key: str, revision: int, content: bytes = b'{}') -> MirrorItem:
     """Return one item of the store."""
     return MirrorItem(key, content, revision)
@@ -206,6 +205,8 @@
     failure_rates: FailureRates
     chooser: ServerChooser
     sender: AttemptSender
+    poison_guard: PoisonRequestGuard
+    poison_parts: PoisonPartDetector
 
 
 def build_parts(
@@ -216,6 +217,8 @@
     load_tracker = LoadTracker()
     failure_rates = FailureRates()
     cold = build_cold_limiter()
+    poison_parts = PoisonPartDetector()
+    poison_guard = PoisonRequestGuard(Mock(), Mock(), poison_parts)
     return ForwardingParts(
         holder,
         failure_rates,
@@ -223,6 +226,13 @@
             holder, load_tracker, failure_rates, cold, OWN_DATA_CENTRE
         ),
         AttemptSender(
-            client, load_tracker, failure_rates, build_budgets(), cold
+            client,
+            load_tracker,
+            failure_rates,
+            build_budgets(),
+            cold,
+            poison_guard,
         ),
+        poison_guard,
+        poison_parts,
     )
--- a/tests/test_crash_blames.py
+++ b/tests/test_crash_blames.py
@@ -12,6 +12,7 @@
 from wasabistream.exceptions import NotRunError
 from wasabistream.forwarding.poison_request_guards import PoisonRequestGuard
 from wasabistream.messages import Message
+from wasabistream.poison_parts import PoisonPartDetector
 
 POISON = build_request()
 GONE = NotRunError('refused', 'connect', 'server')
@@ -24,7 +25,9 @@
         """Create a guard whose notices are recorded."""
         self.probe = Mock()
         self.sent_notices: list[Message] = []
-        self.guard = PoisonRequestGuard(self.probe, self.sent_notices.append)
+        self.guard = PoisonRequestGuard(
+            self.probe, self.sent_notices.append, PoisonPartDetector()
+        )
         clock = patch('wasabistream.forwarding.poison_request_guards.time')
         self.time = clock.start().time
         self.addCleanup(clock.stop)
@@ -36,41 +39,45 @@
         # Longer than CRASH_WINDOW_SECONDS: crashes of a server under one
         # request within a window count as one.
         self.time.return_value += 10
-        self.guard.record_lost_answer(build_server(number), POISON)
+        self.guard.record_lost_answer(
+            build_server(number), POISON, has_begun=True
+        )
 
     def test_second_crash_bans(self) -> None:
         """A request is banned at its second crash, not at its first."""
         self.crash(1)
-        self.assertFalse(self.guard.is_banned(POISON))
+        self.assertFalse(self.guard.find_refusal_reason(POISON))
         self.crash(2)
-        self.assertTrue(self.guard.is_banned(POISON))
+        self.assertTrue(self.guard.find_refusal_reason(POISON))
 
     def test_new_id_is_recognised(self) -> None:
         """A banned request stays banned when it is sent under a new id."""
         self.crash(1)
         self.crash(2)
         again = dataclasses.replace(POISON, request_id='request-2')
-        self.assertTrue(self.guard.is_banned(again))
+        self.assertTrue(self.guard.find_refusal_reason(again))
 
     def test_other_entries_apply_the_ban(self) -> None:
         """A ban that one entry imposes applies at the other entries."""
         self.crash(1)
         self.crash(2)
-        other_guard = PoisonRequestGuard(Mock(), Mock())
+        other_guard = PoisonRequestGuard(Mock(), Mock(), PoisonPartDetector())
         for notice in self.sent_notices:
             other_guard.on_crash_notice(notice)  # type: ignore[arg-type]
-        self.assertTrue(other_guard.is_banned(POISON))
+        self.assertTrue(other_guard.find_refusal_reason(POISON))
 
     def test_lost_answer_is_no_crash(self) -> None:
         """A request whose answers are lost while servers run is not banned."""
         self.probe.probe.side_effect = None
         for number in range(5):
-            self.guard.record_lost_answer(build_server(number), POISON)
-        self.assertFalse(self.guard.is_banned(POISON))
+            self.guard.record_lost_answer(
+                build_server(number), POISON, has_begun=True
+            )
+        self.assertFalse(self.guard.find_refusal_reason(POISON))
 
     def test_answered_request_is_cleared(self) -> None:
         """An answer clears the crash before it, which had another cause."""
         self.crash(1)
-        self.guard.record_answer(POISON)
+        self.guard.record_answer(POISON, 0)
         self.crash(2)
-        self.assertFalse(self.guard.is_banned(POISON))
+        self.assertFalse(self.guard.find_refusal_reason(POISON))
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -37,6 +37,7 @@
     Message,
 )
 from wasabistream.notices import Hello
+from wasabistream.part_notices import PartBanNotice
 
 ADDRESS = '127.0.0.1'
 ENGINE = EngineAnnouncement('10.0.0.9:8000', 'writer', 'dc-b')
@@ -102,6 +103,18 @@
             )
         )
 
+    def test_new_peer_is_told_of_crashes(self) -> None:
+        """Guard against a restarted entry that crashes further servers."""
+        ban = PartBanNotice('part', 5, 0)
+        informed = self.start('a', [])
+        informed.links.subscribe_crashes(print, lambda: [ban])
+        told: list[Message] = []
+        started = Entry('b', [])
+        self.addCleanup(started.stop)
+        started.links.subscribe_crashes(told.append, list)
+        started.links.replace_seeds([informed.endpoint])
+        self.assertTrue(wait_for(lambda: told == [ban]))
+
     def test_store_is_read_through_a_peer(self) -> None:
         """Guard against an entry with an outdated configuration."""
         reader = self.start('a', [])
--- a/tests/test_plain_forwarders.py
+++ b/tests/test_plain_forwarders.py
@@ -9,7 +9,6 @@
 from tests.forwarding_builders import (
     build_answer_buffers,
     build_parts,
-    build_poison_request_guard,
     build_request,
     build_route,
     build_server,
@@ -31,6 +30,7 @@
 from wasabistream.forwarding.supervisors import RequestWatch
 from wasabistream.forwarding.unary_forwarders import UnaryForwarder
 
+PROMPT_PARTS = ('common', 'deadly')
 LOOKUP = build_route(RouteKind.idempotent)
 BOOKING = build_route(RouteKind.non_idempotent)
 
@@ -38,6 +38,10 @@
 class UnaryForwarderTest(unittest.TestCase):
     """Guard against repeating bookings and against failing lookups."""
 
+    def setUp(self) -> None:
+        """Start without banned parts."""
+        self.banned_parts: tuple[str, ...] = ()
+
     def forward(
         self, route: Route, *script: FakeExchange | BackendError
     ) -> Reply:
@@ -50,10 +54,13 @@
             parts.chooser,
             parts.sender,
             parts.failure_rates,
-            build_poison_request_guard(),
+            parts.poison_guard,
             build_answer_buffers(),
         )
-        watch = RequestWatch(build_request(route), FakeCaller())
+        for part in self.banned_parts:
+            parts.poison_parts.adopt_ban(part, 0, 0)
+        request = build_request(route, prompt_parts=PROMPT_PARTS)
+        watch = RequestWatch(request, FakeCaller())
         return forwarder.forward(watch, AttemptHistory())
 
     def test_lookup_is_repeated_elsewhere(self) -> None:
@@ -62,6 +69,13 @@
         self.assertEqual(reply.status, 200)
         self.assertEqual(len(set(self.client.endpoints)), 2)
 
+    def test_request_with_a_banned_part_is_not_repeated(self) -> None:
+        """Guard against repeats that crash one server after the other."""
+        self.banned_parts = PROMPT_PARTS[-1:]
+        reply = self.forward(LOOKUP, no_answer(), whole())
+        self.assertEqual(reply.status, 502)
+        self.assertEqual(len(self.client.sent), 1)
+
     def test_attempts_are_limited(self) -> None:
         """Guard against more runs than the route allows."""
         reply = self.forward(LOOKUP, whole(500), whole(500))
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -137,6 +137,16 @@
         self.assertEqual(raw.count(b'HTTP/1.1'), 1)
         self.assertIn(b'200 OK', raw)
 
+    def test_banned_part_of_a_prompt(self) -> None:
+        """Guard against parts that are decoded wrongly and never refused."""
+        self.entry.poison_parts.adopt_ban('5c1e07a2', 0, 0)
+        self.addCleanup(self.entry.poison_parts.record_answer, ['5c1e07a2'], -1)
+        parts = b'Wasabistream-Prompt-Prefix: 91bd:9,5C1E07A2:800,e440:250\r\n'
+        self.assertIn(b' 503 ', self.get(b'r12', parts))
+        self.assertEqual(self.backend.received_requests, [])
+        own_part = b'Wasabistream-Prompt-Prefix: 91bd:9,5c1e07a2:250\r\n'
+        self.assertIn(b' 200 ', self.get(b'r13', own_part))
+
     def test_readiness(self) -> None:
         """Guard against an entry that never becomes ready."""
         raw = exchange(self.entry.ready_port, READINESS_PROBE)
--- a/tests/test_stream_forwarders.py
+++ b/tests/test_stream_forwarders.py
@@ -10,7 +10,6 @@
     ENGINE_SERVICE,
     build_answer_buffers,
     build_parts,
-    build_poison_request_guard,
     build_request,
     build_route,
     build_server,
@@ -40,6 +39,7 @@
 STREAM_ROUTE = build_route(RouteKind.streaming, max_attempt_count=1)
 RESUMABLE_ROUTE = build_route(RouteKind.streaming, resumable=True)
 REQUEST_ID = 'request-1'
+PROMPT_PARTS = ('common', 'deadly')
 DESTINATION = '10.0.0.2:8000'
 
 
@@ -56,6 +56,7 @@
         self.moves = MoveTracker()
         self.caller = FakeCaller()
         self.progress = StreamProgress()
+        self.banned_parts: tuple[str, ...] = ()
 
     def forward(
         self, route: Route, *script: FakeExchange | BackendError
@@ -76,12 +77,21 @@
             parts.sender,
             parts.failure_rates,
             self.moves,
-            build_poison_request_guard(),
+            parts.poison_guard,
             build_answer_buffers(),
         )
-        self.watch = RequestWatch(build_request(route), self.caller)
+        for part in self.banned_parts:
+            parts.poison_parts.adopt_ban(part, 0, 0)
+        request = build_request(route, prompt_parts=PROMPT_PARTS)
+        self.watch = RequestWatch(request, self.caller)
         return forwarder.forward(self.watch, AttemptHistory(), self.progress)
 
+    def test_request_with_a_banned_part_is_not_repeated(self) -> None:
+        """Guard against repeats that crash one engine after the other."""
+        self.banned_parts = PROMPT_PARTS[-1:]
+        self.forward(RESUMABLE_ROUTE, no_answer(), stream(events(1, 3)))
+        self.assertEqual(len(self.client.sent), 1)
+
     def test_whole_stream(self) -> None:
         """Guard against modifying events."""
         self.forward(STREAM_ROUTE, stream(events(1, 3)))
--- a/wasabistream/forwarding/attempts.py
+++ b/wasabistream/forwarding/attempts.py
@@ -17,8 +17,8 @@
     ServerExchange,
 )
 from wasabistream.forwarding.load_trackers import LoadTracker
+from wasabistream.forwarding.poison_request_guards import PoisonRequestGuard
 from wasabistream.forwarding.requests import Continuation, ForwardRequest
-from wasabistream.forwarding.routes import Route
 from wasabistream.forwarding.supervisors import RequestWatch
 
 # Attempts that backend servers turn away without running them do not count
@@ -37,6 +37,8 @@
     # Attempts whose answers have not begun; they will count as runs.
     unanswered_count: int = 0
     endpoints: list[str] = field(default_factory=list)
+    # Whether the head of the answer to the last attempt has arrived.
+    has_begun: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -54,12 +56,14 @@
         failure_rates: FailureRates,
         budgets: RepeatBudgets,
         cold: ColdLimiter,
+        poison_guard: PoisonRequestGuard,
     ) -> None:
         self._client = client
         self._load_tracker = load_tracker
         self._failure_rates = failure_rates
         self._budgets = budgets
         self._cold = cold
+        self._poison_guard = poison_guard
 
     def may_send(self, watch: RequestWatch, history: AttemptHistory) -> bool:
         """Return whether to send an attempt; a further one uses the budget."""
@@ -69,10 +73,9 @@
         if not history.sent_count:
             self._budgets.request(request.service)
             return True
-        route = request.route
         if history.turned_away_count >= MAX_TURNED_AWAY_COUNT:
             return False
-        if not _may_run(route, history.run_count):
+        if not self._may_run_again(request, history.run_count):
             return False
         return self._budgets.try_take(request.service)
 
@@ -80,16 +83,16 @@
         self, request: ForwardRequest, history: AttemptHistory
     ) -> bool:
         """Return whether the request may run again if its attempt fails."""
-        return _may_run(
-            request.route, history.run_count + history.unanswered_count
+        return self._may_run_again(
+            request, history.run_count + history.unanswered_count
         ) and self._budgets.allows(request.service)
 
     def may_repeat_after_next(
         self, request: ForwardRequest, history: AttemptHistory
     ) -> bool:
         """Return whether a repeat after the next run would be allowed."""
-        return _may_run(
-            request.route, history.run_count + 1
+        return self._may_run_again(
+            request, history.run_count + 1
         ) and self._budgets.allows(request.service)
 
     @contextmanager
@@ -107,6 +110,7 @@
         """
         history.sent_count += 1
         history.endpoints.append(server.endpoint)
+        history.has_begun = False
         self._cold.add_sent_request(server)
         with self._track_load(server.endpoint, watch):
             exchange = self._open(server, watch, history, continuation)
@@ -168,10 +172,13 @@
                 server.endpoint,
             )
         history.run_count += counts_as_run
+        history.has_begun = True
         return exchange
 
-
-def _may_run(route: Route, run_count: int) -> bool:
-    if run_count and not route.repeatable:
-        return False
-    return run_count < route.max_attempt_count
+    def _may_run_again(self, request: ForwardRequest, run_count: int) -> bool:
+        route = request.route
+        if run_count and not route.repeatable:
+            return False
+        if self._poison_guard.refuses_repeat(request):
+            return False
+        return run_count < route.max_attempt_count
--- a/wasabistream/forwarding/forwarders.py
+++ b/wasabistream/forwarding/forwarders.py
@@ -39,10 +39,15 @@
         watch = RequestWatch(request, caller)
         history = AttemptHistory()
         progress = StreamProgress()
-        if self._poison_guard.is_banned(request):
+        reason = self._poison_guard.find_refusal_reason(request)
+        if reason:
             logger.warning(
-                'request: refused: it repeatedly crashed servers',
-                extra={'request_id': request.request_id},
+                'request: refused: %s',
+                reason,
+                extra={
+                    'request_id': request.request_id,
+                    'prompt_parts': list(request.prompt_parts),
+                },
             )
             caller.reply(build_refusal(request.deadline.remaining_seconds))
             return
--- a/wasabistream/forwarding/peer_links.py
+++ b/wasabistream/forwarding/peer_links.py
@@ -28,9 +28,22 @@
 from wasabistream.messages import Message
 from wasabistream.metrics import KNOWN_ENTRIES
 from wasabistream.notices import Hello
+from wasabistream.part_notices import (
+    PartAnswerNotice,
+    PartBanNotice,
+    PartCrashNotice,
+)
 
 logger = logging.getLogger(__name__)
 
+CrashMessage = (
+    CrashNotice
+    | ClearNotice
+    | PartCrashNotice
+    | PartAnswerNotice
+    | PartBanNotice
+)
+
 NOTICE_INTERVAL_SECONDS = 1.0
 # A process that starts without data waits this long for the store, or for a
 # peer that reads it, before it copies a peer that has lost the store: that one
@@ -87,9 +100,8 @@
             endpoint, hello.data_centre, lambda: mirror.revision
         )
         mirror.subscribe_differences(self._pass_on)
-        self._on_crash_notice: Callable[[CrashNotice | ClearNotice], None] = (
-            _ignore
-        )
+        self._on_crash_notice: Callable[[CrashMessage], None] = _ignore
+        self._describe_crashes: Callable[[], Sequence[Message]] = tuple
         # True once this entry shuts down.
         self.draining = False
         self._created_at_seconds = time.monotonic()
@@ -122,10 +134,16 @@
             link.close()
 
     def subscribe_crashes(
-        self, handler: Callable[[CrashNotice | ClearNotice], None]
+        self,
+        handler: Callable[[CrashMessage], None],
+        describe: Callable[[], Sequence[Message]],
     ) -> None:
-        """Call the handler with crash notices from other entries."""
+        """Call the handler with the notices of other entries about crashes.
+
+        `describe` returns the notices for an entry that is linked anew.
+        """
         self._on_crash_notice = handler
+        self._describe_crashes = describe
 
     def broadcast(self, notice: Message) -> None:
         """Send a message to all linked entries."""
@@ -158,6 +176,8 @@
             with self._lock:
                 self._links[link] = None
             self._send_notice(link, self._build_notice())
+            for notice in self._describe_crashes():
+                _send(link, notice)
 
     def on_messages(self, link: Link, received: Sequence[Message]) -> None:
         """Handle messages from a peer or an agent."""
@@ -168,7 +188,13 @@
                 case EngineAnnouncement():
                     self._directly_announced_engines.record_contact(notice)
                     self._announced_engines.record_contact(notice)
-                case CrashNotice() | ClearNotice():
+                case (
+                    CrashNotice()
+                    | ClearNotice()
+                    | PartCrashNotice()
+                    | PartAnswerNotice()
+                    | PartBanNotice()
+                ):
                     self._on_crash_notice(notice)
                 case MirrorQuery():
                     for part in self._exchange.parts_after(notice.revision):
--- /dev/null
+++ b/wasabistream/forwarding/poison_part_guards.py
@@ -0,0 +1,143 @@
+"""Ban on parts of prompts that crash servers, shared by all entries."""
+
+import logging
+from collections.abc import Callable, Iterable
+
+from wasabistream.crash_records import CrashedRequest
+from wasabistream.forwarding.requests import ForwardRequest
+from wasabistream.messages import Message
+from wasabistream.metrics import REFUSALS
+from wasabistream.part_notices import (
+    PartAnswerNotice,
+    PartBanNotice,
+    PartCrashNotice,
+)
+from wasabistream.poison_parts import PoisonPartDetector
+from wasabistream.prompt_parts import limit_parts
+
+logger = logging.getLogger(__name__)
+
+PartNotice = PartCrashNotice | PartAnswerNotice | PartBanNotice
+
+
+class PoisonPartGuard:
+    """Refuse requests with banned parts and share crashes and answers.
+
+    All entries decide from the same crashes and answers. An entry that links
+    later, or again, gets them and the bans at once.
+    """
+
+    def __init__(
+        self,
+        broadcast: Callable[[Message], None],
+        detector: PoisonPartDetector,
+    ) -> None:
+        self._broadcast = broadcast
+        self._detector = detector
+
+    def refuses(self, request: ForwardRequest) -> bool:
+        """Return whether to refuse a new request; else it may be a trial."""
+        parts = request.prompt_parts
+        if not self._detector.is_banned(parts):
+            return False
+        trial = self._detector.start_trial(parts)
+        if trial is None:
+            REFUSALS.labels('poison_part').inc()
+            return True
+        logger.info(
+            'poison part: trial',
+            extra={
+                'request_id': request.request_id,
+                'part': trial.part,
+                'trial_count': trial.trial_count,
+            },
+        )
+        self._broadcast(PartBanNotice(trial.part, 0, trial.trial_count))
+        return False
+
+    def refuses_repeat(self, request: ForwardRequest) -> bool:
+        """Return whether a request must not be sent to a further server."""
+        return self._detector.is_banned(request.prompt_parts)
+
+    def record_crash(
+        self, endpoint: str, request: ForwardRequest, *, has_begun: bool
+    ) -> None:
+        """Record and share that a server crashed while it held a request."""
+        parts = request.prompt_parts
+        # First, so that the entries decide with the same answers.
+        self._share_answers(parts)
+        if self._detector.record_crash(
+            endpoint, CrashedRequest(parts, has_begun)
+        ):
+            self._broadcast(
+                PartCrashNotice(endpoint, 0, list(parts), has_begun)
+            )
+
+    def record_answer(
+        self, request: ForwardRequest, age_seconds: float
+    ) -> None:
+        """Clear the parts of a request that is being answered.
+
+        `age_seconds` is the time since the request was sent to its server.
+        """
+        cleared = self._detector.record_answer(
+            request.prompt_parts, age_seconds
+        )
+        if cleared:
+            self._share_answers(cleared)
+
+    def on_notice(self, notice: PartNotice) -> None:
+        """Apply what another entry has seen."""
+        try:
+            self._apply(notice)
+        except (TypeError, ValueError) as error:
+            logger.warning('peer: notice of a part is malformed: %r', error)
+
+    def describe(self) -> list[Message]:
+        """Return the notices that tell another entry all that is known."""
+        notices: list[Message] = []
+        suspects: set[str] = set()
+        for endpoint, age_seconds, request in self._detector.crashes():
+            suspects.update(request.parts)
+            notices.append(
+                PartCrashNotice(
+                    endpoint,
+                    age_seconds,
+                    list(request.parts),
+                    request.has_begun,
+                )
+            )
+        answers = self._build_answer_notice(suspects)
+        return [
+            *notices,
+            *([answers] if answers.rows else []),
+            *(PartBanNotice(*ban) for ban in self._detector.bans()),
+        ]
+
+    def _apply(self, notice: PartNotice) -> None:
+        match notice:
+            case PartCrashNotice():
+                parts = limit_parts(str(part) for part in notice.parts)
+                self._detector.record_crash(
+                    notice.endpoint,
+                    CrashedRequest(parts, notice.has_begun),
+                    notice.age_seconds,
+                )
+            case PartAnswerNotice():
+                for part, age_seconds in notice.rows:
+                    self._detector.record_answer(
+                        limit_parts([str(part)]), float(age_seconds)
+                    )
+            case PartBanNotice():
+                self._detector.adopt_ban(
+                    notice.part, notice.age_seconds, notice.trial_count
+                )
+
+    def _share_answers(self, parts: Iterable[str]) -> None:
+        notice = self._build_answer_notice(parts)
+        if notice.rows:
+            self._broadcast(notice)
+
+    def _build_answer_notice(self, parts: Iterable[str]) -> PartAnswerNotice:
+        ages_seconds = self._detector.answer_ages_seconds(parts)
+        return PartAnswerNotice([list(row) for row in ages_seconds.items()])
--- a/wasabistream/forwarding/poison_request_guards.py
+++ b/wasabistream/forwarding/poison_request_guards.py
@@ -8,8 +8,13 @@
 from wasabistream.crash_notices import ClearNotice, CrashNotice
 from wasabistream.exceptions import NotRunError
 from wasabistream.forwarding.backend_servers import BackendServer
+from wasabistream.forwarding.poison_part_guards import (
+    PartNotice,
+    PoisonPartGuard,
+)
 from wasabistream.forwarding.requests import ForwardRequest
 from wasabistream.messages import Message
+from wasabistream.poison_parts import PoisonPartDetector
 from wasabistream.quarantines import Quarantine, QuarantineDecision
 
 logger = logging.getLogger(__name__)
@@ -31,43 +36,74 @@
 
     Requests are identified by a fingerprint of caller, target and body, so
     that a request that is sent again under another id or through another entry
-    is recognised.
+    is recognised. Requests that only share a part of their prompts are banned by
+    that part.
     """
 
     def __init__(
         self,
         probe: ServerProbe,
         broadcast: Callable[[Message], None],
+        detector: PoisonPartDetector,
     ) -> None:
         self._probe = probe
         self._broadcast = broadcast
         self._quarantine = Quarantine()
+        self._part_guard = PoisonPartGuard(broadcast, detector)
 
-    def is_banned(self, request: ForwardRequest) -> bool:
-        """Return whether a request is banned after repeated crashes."""
+    def find_refusal_reason(self, request: ForwardRequest) -> str:
+        """Return why a new request is refused, or an empty string."""
         decision = self._quarantine.check(request.fingerprint)
-        return decision == QuarantineDecision.banned
+        if decision == QuarantineDecision.banned:
+            return 'it repeatedly crashed servers'
+        if self._part_guard.refuses(request):
+            return 'a part of its prompt crashes servers'
+        return ''
+
+    def refuses_repeat(self, request: ForwardRequest) -> bool:
+        """Return whether a request must not be sent to a further server."""
+        return self._part_guard.refuses_repeat(request)
 
     def record_lost_answer(
-        self, server: BackendServer, request: ForwardRequest
+        self, server: BackendServer, request: ForwardRequest, *, has_begun: bool
     ) -> None:
-        """Record a crash if the server of an unanswered request is down."""
+        """Record a crash if the server of an unanswered request is down.
+
+        `has_begun` tells whether the head of the answer had arrived.
+        """
         try:
             self._probe.probe(server)
         except NotRunError:
             self._record_crash(server, request)
+            self._part_guard.record_crash(
+                server.endpoint, request, has_begun=has_begun
+            )
+
+    def record_answer(
+        self, request: ForwardRequest, age_seconds: float
+    ) -> None:
+        """Clear the suspicion against a request that is being answered.
 
-    def record_answer(self, request: ForwardRequest) -> None:
-        """Clear the suspicion against a request that was answered."""
+        `age_seconds` is the time since it was sent to its server.
+        """
         if self._quarantine.record_completion(request.fingerprint):
             self._broadcast(ClearNotice(request.fingerprint))
+        self._part_guard.record_answer(request, age_seconds)
 
-    def on_crash_notice(self, notice: CrashNotice | ClearNotice) -> None:
+    def on_crash_notice(
+        self, notice: CrashNotice | ClearNotice | PartNotice
+    ) -> None:
         """Apply a crash or clearance that another entry reports."""
         if isinstance(notice, CrashNotice):
             self._quarantine.record_crash(notice.crash_id, notice.fingerprints)
-        else:
+        elif isinstance(notice, ClearNotice):
             self._quarantine.record_completion(notice.fingerprint)
+        else:
+            self._part_guard.on_notice(notice)
+
+    def describe(self) -> list[Message]:
+        """Return the notices for an entry that has just been linked."""
+        return self._part_guard.describe()
 
     def _record_crash(
         self, server: BackendServer, request: ForwardRequest
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -152,7 +152,9 @@
             moved = self._find_move(watch)
             if moved is None or not progress.is_continuable:
                 if watch.reason is None and not progress.event_count:
-                    self._poison_guard.record_lost_answer(server, watch.request)
+                    self._poison_guard.record_lost_answer(
+                        server, watch.request, has_begun=history.has_begun
+                    )
                 return build_bad_gateway()
             next_server = self._find_server(moved, server)
             if next_server is None:
@@ -211,7 +213,9 @@
             return False
         watch.caller.write(event.raw)
         if not progress.event_count:
-            self._poison_guard.record_answer(watch.request)
+            self._poison_guard.record_answer(
+                watch.request, watch.silent_seconds
+            )
         progress.count_event(event.event_id)
         watch.record_progress()
         watch.stall_limits = _build_stall_limits(watch.request.route)
--- a/wasabistream/forwarding/unary_forwarders.py
+++ b/wasabistream/forwarding/unary_forwarders.py
@@ -85,14 +85,18 @@
         try:
             with self._sender.open(server, watch, history) as exchange:
                 reply = self._read(server, exchange, watch)
-                self._poison_guard.record_answer(watch.request)
+                self._poison_guard.record_answer(
+                    watch.request, watch.silent_seconds
+                )
                 return reply
         except NotRunError as error:
             _log_attempt('not run', watch, error)
         except BackendError as error:
             _log_attempt('failed', watch, error)
             if watch.reason is None:
-                self._poison_guard.record_lost_answer(server, watch.request)
+                self._poison_guard.record_lost_answer(
+                    server, watch.request, has_begun=history.has_begun
+                )
             if watch.reason != CutReason.caller_left:
                 self._failure_rates.record(server.endpoint, failed=True)
         return None
--- a/wasabistream/metrics.py
+++ b/wasabistream/metrics.py
@@ -12,6 +12,9 @@
     'wasabi_requests', 'Requests by path kind and result', ['kind', 'result']
 )
 REFUSALS = Counter('wasabi_refusals', 'Refusals by reason', ['reason'])
+BANNED_PARTS = Gauge(
+    'wasabi_banned_prompt_parts', 'Parts of prompts whose requests are refused'
+)
 ATTEMPTS = Counter('wasabi_attempts', 'Attempts by outcome', ['outcome'])
 OPEN_STREAMS = Gauge('wasabi_open_streams', 'Streams to callers now open')
 CUT_STREAMS = Counter(
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -39,6 +39,7 @@
 from wasabistream.platform.store_clients import StoreClient
 from wasabistream.platform.store_decoders import FleetDecoder
 from wasabistream.platform.store_followers import StoreFollower
+from wasabistream.poison_parts import PoisonPartDetector
 
 # Maximum number of requests in progress; each occupies a thread.
 REQUEST_THREAD_COUNT = 128
@@ -70,6 +71,7 @@
         super().__init__(node_settings, process)
         self.fleet = FleetHolder()
         self.mirror = StoreMirror()
+        self.poison_parts = PoisonPartDetector()
         self._load_tracker = LoadTracker()
         self._failure_rates = FailureRates()
         move_tracker = MoveTracker()
@@ -200,8 +202,12 @@
             self.node_settings.data_centre,
         )
         client = HttpServerClient()
-        poison_guard = PoisonRequestGuard(client, self._peer_links.broadcast)
-        self._peer_links.subscribe_crashes(poison_guard.on_crash_notice)
+        poison_guard = PoisonRequestGuard(
+            client, self._peer_links.broadcast, self.poison_parts
+        )
+        self._peer_links.subscribe_crashes(
+            poison_guard.on_crash_notice, poison_guard.describe
+        )
         sender = AttemptSender(
             client,
             self._load_tracker,
@@ -211,6 +217,7 @@
                 self._peer_links.entry_count,
             ),
             self._cold_limiter,
+            poison_guard,
         )
         buffers = AnswerBuffers(
             build_answer_limits(self.node_settings.memory_limit_bytes)
