Ban messages of chats that crash engines on the product's own interface

Same class as the part of a prompt on the platform: the quarantine knew a request by organisation, model and whole prompt. Ten chats that share the message in the middle crashed an engine 20 times, two engines each (test_shared_message_is_contained fails on the code before: 20 not less than or equal to 5).

Change: each message but the last is a part; agents report the parts of requests without a token in a crashed engine and the answers that clear them, entries decide with the same PoisonPartDetector and refuse with 'quarantined'. The guard moves out of the forwarding package, as both use it; messages about crashes have one base class. An entry that links later gets all of it from the agents.

The test passes: at most 5 crashes, a chat that shares the first message is answered. On the platform nothing changes but the module of the guard.

--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -40,10 +40,24 @@
     fleet: Fleet, url: str, prompt: str, work_class: str = 'normal'
 ) -> tuple[int, str]:
     """Run a completion; return its status and error code."""
+    return _post(fleet, f'{url}/v1/completions', {'prompt': prompt}, work_class)
+
+
+def chat(fleet: Fleet, url: str, *contents: str) -> tuple[int, str]:
+    """Run a chat with these messages; return its status and error code."""
+    messages = [{'role': 'user', 'content': content} for content in contents]
+    return _post(
+        fleet, f'{url}/v1/chat/completions', {'messages': messages}, 'normal'
+    )
+
+
+def _post(
+    fleet: Fleet, url: str, body: dict[str, Any], work_class: str
+) -> tuple[int, str]:
     response = fleet.http.request(
         'POST',
-        f'{url}/v1/completions',
-        json={'model': 'assistant', 'prompt': prompt},
+        url,
+        json={'model': 'assistant', **body},
         headers={
             **HEADERS,
             'Wasabi-Class': work_class,
@@ -51,8 +65,8 @@
         },
         timeout=WAIT_SECONDS,
     )
-    body = json.loads(response.data)
-    return response.status, body.get('error', {}).get('code', '')
+    answer = json.loads(response.data)
+    return response.status, answer.get('error', {}).get('code', '')
 
 
 def complete_many(
--- a/tests/test_generations.py
+++ b/tests/test_generations.py
@@ -13,6 +13,8 @@
 from wasabistream.gates import Gate
 from wasabistream.generations import GenerationRunner
 from wasabistream.messages import Message
+from wasabistream.poison_part_guards import PoisonPartGuard
+from wasabistream.poison_parts import PoisonPartDetector
 from wasabistream.quarantines import Quarantine
 from wasabistream.ramps import OpenRamp
 from wasabistream.requests import Accepted, Refused, Withdraw
@@ -65,7 +67,13 @@
     def build(self, engine: Any) -> None:
         """Build a runner with a gate of one slot in front of an engine."""
         quarantine = Quarantine()
-        crashes = CrashDetector('agent', engine, quarantine, self.link.send)
+        crashes = CrashDetector(
+            'agent',
+            engine,
+            quarantine,
+            self.link.send,
+            PoisonPartGuard(self.link.send, PoisonPartDetector()),
+        )
         self.runner = GenerationRunner(
             'agent', '1', engine, BUFFER_BYTES, 10, quarantine, crashes
         )
--- a/wasabistream/agent_messages.py
+++ b/wasabistream/agent_messages.py
@@ -6,7 +6,7 @@
 from wasabistream.availability import Availability
 from wasabistream.call_runners import CallRunner
 from wasabistream.configuration_notices import VmListDigest
-from wasabistream.crash_notices import ClearNotice, CrashNotice
+from wasabistream.crash_notices import CrashMessage
 from wasabistream.crashes import CrashDetector
 from wasabistream.document_relays import DocumentRelay
 from wasabistream.generations import GenerationRunner
@@ -63,7 +63,7 @@
                 self.generations.withdraw(link, message)
             case Resume():
                 self.generations.resume(link, message)
-            case CrashNotice() | ClearNotice():
+            case CrashMessage():
                 self.crashes.on_crash_notice(message)
             case VmListDigest() | VmListBody():
                 self._handle_vm_list(link, message)
--- a/wasabistream/agents.py
+++ b/wasabistream/agents.py
@@ -43,6 +43,8 @@
 )
 from wasabistream.operator_pages import OperatorPages
 from wasabistream.placement_runners import PlacementRunner
+from wasabistream.poison_part_guards import PoisonPartGuard
+from wasabistream.poison_parts import PoisonPartDetector
 from wasabistream.quarantines import Quarantine
 from wasabistream.settings import AgentSettings
 from wasabistream.signals import document_changed
@@ -86,6 +88,7 @@
             self._engine,
             self._quarantine,
             self._broadcast,
+            PoisonPartGuard(self._broadcast, PoisonPartDetector()),
         )
         self.generations = GenerationRunner(
             settings.process_id,
@@ -187,6 +190,8 @@
         self.load_reporter.on_link_opened(link)
         if self.caches.current.prefixes:
             link.send(self.caches.current)
+        for notice in self._crashes.describe():
+            link.send(notice)
         self.relay.on_link_opened(link)
 
     def on_closed(self, link: Link, reason: str) -> None:
--- a/wasabistream/crash_notices.py
+++ b/wasabistream/crash_notices.py
@@ -5,9 +5,14 @@
 from wasabistream.messages import Message, message
 
 
+@dataclass(frozen=True, slots=True)
+class CrashMessage(Message):
+    """Base class of messages about crashes."""
+
+
 @message(50)
 @dataclass(frozen=True, slots=True)
-class CrashNotice(Message):
+class CrashNotice(CrashMessage):
     """State the fingerprints of the requests in an engine that crashed."""
 
     crash_id: str
@@ -16,7 +21,7 @@
 
 @message(51)
 @dataclass(frozen=True, slots=True)
-class ClearNotice(Message):
+class ClearNotice(CrashMessage):
     """State that a suspected request has run to its end."""
 
     fingerprint: int
--- a/wasabistream/crashes.py
+++ b/wasabistream/crashes.py
@@ -4,12 +4,18 @@
 import threading
 from collections.abc import Callable, Sequence
 
-from wasabistream.crash_notices import ClearNotice, CrashNotice
+from wasabistream.crash_notices import (
+    ClearNotice,
+    CrashMessage,
+    CrashNotice,
+)
 from wasabistream.engines import EngineClient
 from wasabistream.exceptions import BackendError
 from wasabistream.gates import Gate
 from wasabistream.jobs import GenerationJob
 from wasabistream.messages import Message
+from wasabistream.part_notices import PartBanNotice
+from wasabistream.poison_part_guards import PoisonPartGuard
 from wasabistream.quarantines import Quarantine
 
 logger = logging.getLogger(__name__)
@@ -32,11 +38,13 @@
         engine: EngineClient,
         quarantine: Quarantine,
         broadcast: Callable[[Message], None],
+        part_guard: PoisonPartGuard,
     ) -> None:
         self._agent_id = agent_id
         self._engine = engine
         self._quarantine = quarantine
         self._broadcast = broadcast
+        self._part_guard = part_guard
         self._lock = threading.Lock()
         self._boot_id = ''
         self._lost_stream_ids: frozenset[str] = frozenset()
@@ -54,12 +62,21 @@
         """Stop the threads that watch the engine."""
         self._stopped.set()
 
-    def on_crash_notice(self, notice: CrashNotice | ClearNotice) -> None:
-        """Apply what another agent has found out about a request."""
+    def on_crash_notice(self, notice: CrashMessage) -> None:
+        """Apply what another process has found out about a request."""
         if isinstance(notice, CrashNotice):
             self._quarantine.record_crash(notice.crash_id, notice.fingerprints)
-        else:
+        elif isinstance(notice, ClearNotice):
             self._quarantine.record_completion(notice.fingerprint)
+        elif self._part_guard.on_notice(notice) and isinstance(
+            notice, PartBanNotice
+        ):
+            # Entries have no links to each other for the trials they start.
+            self._broadcast(notice)
+
+    def describe(self) -> list[Message]:
+        """Return the notices for an entry that has just been linked."""
+        return self._part_guard.describe()
 
     def on_stream_broken(self, job: GenerationJob) -> bool:
         """Return whether the engine crashed; record the crash if it is new."""
@@ -75,6 +92,13 @@
             self._on_engine_lost(boot_id)
             return True
 
+    def on_first_token(self, job: GenerationJob, age_seconds: float) -> None:
+        """Clear the parts of the prompt of a job that is being answered.
+
+        `age_seconds` is the time since it was sent to the engine.
+        """
+        self._part_guard.record_answer(job.request, age_seconds)
+
     def on_job_finished(self, job: GenerationJob) -> None:
         """Clear a finished job's request of suspicion, and broadcast that."""
         fingerprint = job.request.fingerprint
@@ -111,6 +135,11 @@
             self._quarantine.record_crash(crash_id, fingerprints)
             # On each link the notice is sent before the ends of the streams.
             self._broadcast(CrashNotice(crash_id, fingerprints))
+        for job in sent:
+            if not job.generated_count:
+                self._part_guard.record_crash(
+                    crash_id, job.request, has_begun=False
+                )
         self._gate.ramp.on_engine_lost()
         _refuse_jobs(waiting)
         if boot_id:
--- a/wasabistream/entries.py
+++ b/wasabistream/entries.py
@@ -13,7 +13,7 @@
 from wasabistream.callers import CallerHandler, draining_answer
 from wasabistream.configuration_notices import DocumentPatch, VmListFetch
 from wasabistream.configurations import ConfigurationStore
-from wasabistream.crash_notices import ClearNotice, CrashNotice
+from wasabistream.crash_notices import CrashMessage
 from wasabistream.dialers import PeerDialer
 from wasabistream.dispatchers import Dispatcher
 from wasabistream.distributors import ConfigurationDistributor
@@ -199,7 +199,7 @@
             match message:
                 case LoadReport() | ServingReport() | CacheReport():
                     self.directory.report(link, message)
-                case CrashNotice() | ClearNotice():
+                case CrashMessage():
                     self._request_quarantine.on_crash_notice(link, message)
                 case DocumentDigest() | DocumentFetch() | VmListFetch():
                     self.distributor.on_agent_message(link, message)
--- a/wasabistream/forwarding/peer_links.py
+++ b/wasabistream/forwarding/peer_links.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable, Sequence
 
-from wasabistream.crash_notices import ClearNotice, CrashNotice
+from wasabistream.crash_notices import CrashMessage
 from wasabistream.dialers import PeerDialer
 from wasabistream.forwarding.announced_engines import (
     AnnouncedEngines,
@@ -28,21 +28,9 @@
 from wasabistream.messages import Message
 from wasabistream.metrics import KNOWN_ENTRIES
 from wasabistream.notices import Hello
-from wasabistream.part_notices import (
-    PartAnswerNotice,
-    PartBanNotice,
-    PartCrashNotice,
-)
 
 logger = logging.getLogger(__name__)
 
-CrashMessage = (
-    CrashNotice
-    | ClearNotice
-    | PartCrashNotice
-    | PartAnswerNotice
-    | PartBanNotice
-)
 
 NOTICE_INTERVAL_SECONDS = 1.0
 # A process that starts without data waits this long for the store, or for a
@@ -188,13 +176,7 @@
                 case EngineAnnouncement():
                     self._directly_announced_engines.record_contact(notice)
                     self._announced_engines.record_contact(notice)
-                case (
-                    CrashNotice()
-                    | ClearNotice()
-                    | PartCrashNotice()
-                    | PartAnswerNotice()
-                    | PartBanNotice()
-                ):
+                case CrashMessage():
                     self._on_crash_notice(notice)
                 case MirrorQuery():
                     for part in self._exchange.parts_after(notice.revision):
--- a/wasabistream/forwarding/poison_request_guards.py
+++ b/wasabistream/forwarding/poison_request_guards.py
@@ -5,15 +5,16 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from wasabistream.crash_notices import ClearNotice, CrashNotice
+from wasabistream.crash_notices import (
+    ClearNotice,
+    CrashMessage,
+    CrashNotice,
+)
 from wasabistream.exceptions import NotRunError
 from wasabistream.forwarding.backend_servers import BackendServer
-from wasabistream.forwarding.poison_part_guards import (
-    PartNotice,
-    PoisonPartGuard,
-)
 from wasabistream.forwarding.requests import ForwardRequest
 from wasabistream.messages import Message
+from wasabistream.poison_part_guards import PoisonPartGuard
 from wasabistream.poison_parts import PoisonPartDetector
 from wasabistream.quarantines import Quarantine, QuarantineDecision
 
@@ -90,9 +91,7 @@
             self._broadcast(ClearNotice(request.fingerprint))
         self._part_guard.record_answer(request, age_seconds)
 
-    def on_crash_notice(
-        self, notice: CrashNotice | ClearNotice | PartNotice
-    ) -> None:
+    def on_crash_notice(self, notice: CrashMessage) -> None:
         """Apply a crash or clearance that another entry reports."""
         if isinstance(notice, CrashNotice):
             self._quarantine.record_crash(notice.crash_id, notice.fingerprints)
--- a/wasabistream/generations.py
+++ b/wasabistream/generations.py
@@ -252,6 +252,7 @@
             job.first_token_monotonic_seconds = now
             FIRST_TOKEN_SECONDS.observe(now - started)
             gate.ramp.first_token(now - started, job.request.prompt_tokens)
+            self._crashes.on_first_token(job, now - started)
         job.last_token_monotonic_seconds = now
         job.publish(token.text)
 
--- a/wasabistream/messages.py
+++ b/wasabistream/messages.py
@@ -73,7 +73,8 @@
                 for field in declared_fields
             ),
             required_count=sum(
-                field.default is MISSING for field in declared_fields
+                field.default is MISSING and field.default_factory is MISSING
+                for field in declared_fields
             ),
         )
         message_type.type_code = type_code
--- a/wasabistream/part_notices.py
+++ b/wasabistream/part_notices.py
@@ -2,12 +2,13 @@
 
 from dataclasses import dataclass
 
-from wasabistream.messages import Message, message
+from wasabistream.crash_notices import CrashMessage
+from wasabistream.messages import message
 
 
 @message(90)
 @dataclass(frozen=True, slots=True)
-class PartCrashNotice(Message):
+class PartCrashNotice(CrashMessage):
     """State which request a server held when it crashed."""
 
     endpoint: str
@@ -20,7 +21,7 @@
 
 @message(91)
 @dataclass(frozen=True, slots=True)
-class PartAnswerNotice(Message):
+class PartAnswerNotice(CrashMessage):
     """State how long ago requests with some parts were sent and answered."""
 
     # Rows of the id of a part and the age in seconds.
@@ -29,7 +30,7 @@
 
 @message(92)
 @dataclass(frozen=True, slots=True)
-class PartBanNotice(Message):
+class PartBanNotice(CrashMessage):
     """State that a part is banned, and how many trials were started."""
 
     part: str
--- a/wasabistream/forwarding/poison_part_guards.py
+++ b/wasabistream/poison_part_guards.py
@@ -1,10 +1,11 @@
-"""Ban on parts of prompts that crash servers, shared by all entries."""
+"""Ban on parts of prompts that crash servers, shared by several processes."""
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
+from typing import Protocol
 
+from wasabistream.crash_notices import CrashMessage
 from wasabistream.crash_records import CrashedRequest
-from wasabistream.forwarding.requests import ForwardRequest
 from wasabistream.messages import Message
 from wasabistream.metrics import REFUSALS
 from wasabistream.part_notices import (
@@ -17,13 +18,23 @@
 
 logger = logging.getLogger(__name__)
 
-PartNotice = PartCrashNotice | PartAnswerNotice | PartBanNotice
+
+class PromptRequest(Protocol):
+    """Describe what the guard reads of a request."""
+
+    @property
+    def request_id(self) -> str:
+        """Return the id for log lines."""
+
+    @property
+    def prompt_parts(self) -> Sequence[str]:
+        """Return the ids of the shared parts of the prompt, in order."""
 
 
 class PoisonPartGuard:
     """Refuse requests with banned parts and share crashes and answers.
 
-    All entries decide from the same crashes and answers. An entry that links
+    All processes decide from the same crashes and answers. One that links
     later, or again, gets them and the bans at once.
     """
 
@@ -35,7 +46,7 @@
         self._broadcast = broadcast
         self._detector = detector
 
-    def refuses(self, request: ForwardRequest) -> bool:
+    def refuses(self, request: PromptRequest) -> bool:
         """Return whether to refuse a new request; else it may be a trial."""
         parts = request.prompt_parts
         if not self._detector.is_banned(parts):
@@ -55,16 +66,16 @@
         self._broadcast(PartBanNotice(trial.part, 0, trial.trial_count))
         return False
 
-    def refuses_repeat(self, request: ForwardRequest) -> bool:
+    def refuses_repeat(self, request: PromptRequest) -> bool:
         """Return whether a request must not be sent to a further server."""
         return self._detector.is_banned(request.prompt_parts)
 
     def record_crash(
-        self, endpoint: str, request: ForwardRequest, *, has_begun: bool
+        self, endpoint: str, request: PromptRequest, *, has_begun: bool
     ) -> None:
         """Record and share that a server crashed while it held a request."""
-        parts = request.prompt_parts
-        # First, so that the entries decide with the same answers.
+        parts = tuple(request.prompt_parts)
+        # First, so that all processes decide with the same answers.
         self._share_answers(parts)
         if self._detector.record_crash(
             endpoint, CrashedRequest(parts, has_begun)
@@ -73,9 +84,7 @@
                 PartCrashNotice(endpoint, 0, list(parts), has_begun)
             )
 
-    def record_answer(
-        self, request: ForwardRequest, age_seconds: float
-    ) -> None:
+    def record_answer(self, request: PromptRequest, age_seconds: float) -> None:
         """Clear the parts of a request that is being answered.
 
         `age_seconds` is the time since the request was sent to its server.
@@ -86,15 +95,16 @@
         if cleared:
             self._share_answers(cleared)
 
-    def on_notice(self, notice: PartNotice) -> None:
-        """Apply what another entry has seen."""
+    def on_notice(self, notice: CrashMessage) -> bool:
+        """Apply what another process has seen; return whether it is new."""
         try:
-            self._apply(notice)
+            return self._apply(notice)
         except (TypeError, ValueError) as error:
             logger.warning('peer: notice of a part is malformed: %r', error)
+            return False
 
     def describe(self) -> list[Message]:
-        """Return the notices that tell another entry all that is known."""
+        """Return the notices that tell another process all that is known."""
         notices: list[Message] = []
         suspects: set[str] = set()
         for endpoint, age_seconds, request in self._detector.crashes():
@@ -114,24 +124,28 @@
             *(PartBanNotice(*ban) for ban in self._detector.bans()),
         ]
 
-    def _apply(self, notice: PartNotice) -> None:
+    def _apply(self, notice: CrashMessage) -> bool:
         match notice:
             case PartCrashNotice():
                 parts = limit_parts(str(part) for part in notice.parts)
-                self._detector.record_crash(
+                return self._detector.record_crash(
                     notice.endpoint,
                     CrashedRequest(parts, notice.has_begun),
                     notice.age_seconds,
                 )
             case PartAnswerNotice():
-                for part, age_seconds in notice.rows:
+                cleared = [
                     self._detector.record_answer(
                         limit_parts([str(part)]), float(age_seconds)
                     )
+                    for part, age_seconds in notice.rows
+                ]
+                return any(cleared)
             case PartBanNotice():
-                self._detector.adopt_ban(
+                return self._detector.adopt_ban(
                     notice.part, notice.age_seconds, notice.trial_count
                 )
+        return False
 
     def _share_answers(self, parts: Iterable[str]) -> None:
         notice = self._build_answer_notice(parts)
--- a/wasabistream/poison_parts.py
+++ b/wasabistream/poison_parts.py
@@ -104,8 +104,8 @@
 
     def adopt_ban(
         self, part: str, age_seconds: float, trial_count: int
-    ) -> None:
-        """Take over a ban, or its trials, from another entry."""
+    ) -> bool:
+        """Take over a ban, or its trials; return whether anything is new."""
         with self._lock:
             now = self._clock()
             banned_at_seconds = now - age_seconds
@@ -114,11 +114,14 @@
                 answered_at_seconds is not None
                 and answered_at_seconds > banned_at_seconds
             ):
-                return
-            if part not in self._bans:
+                return False
+            is_new = part not in self._bans
+            if is_new:
                 self._add_ban(part, banned_at_seconds)
             if trial_count > self._bans[part].trial_count:
                 self._bans[part].record_trial(trial_count, now)
+                is_new = True
+            return is_new
 
     def crashes(self) -> list[tuple[str, float, CrashedRequest]]:
         """Return endpoint, age in seconds and requests of the crashes."""
--- a/wasabistream/request_bodies.py
+++ b/wasabistream/request_bodies.py
@@ -7,6 +7,7 @@
 from wasabistream.documents import Document, Organisation
 from wasabistream.exceptions import RequestError
 from wasabistream.http_servers import HttpRequest
+from wasabistream.prompt_parts import limit_parts
 from wasabistream.requests import Generate
 
 DEFAULT_MAX_TOKENS = 16384
@@ -72,7 +73,8 @@
     The request id and the answer context are still empty. Raises RequestError.
     """
     model, adapter = _find_model(document, organisation, body.get('model'))
-    prompt = _read_prompt(body)
+    messages = _read_messages(body)
+    prompt = '\n'.join(messages)
     work_class = request.headers.get(CLASS_HEADER, organisation.default_class)
     if work_class not in WORK_CLASSES:
         raise RequestError('unknown work class', 400, 'bad_class')
@@ -92,6 +94,10 @@
         adapter=adapter,
         priority_weight=float(organisation.priority_weight),
         options=json.dumps(_read_options(body)),
+        # The last message is the request's own.
+        prompt_parts=list(
+            limit_parts(f'{hash64(text):016x}' for text in messages[:-1])
+        ),
     )
 
 
@@ -144,20 +150,20 @@
     return options
 
 
-def _read_prompt(body: dict[str, Any]) -> str:
+def _read_messages(body: dict[str, Any]) -> list[str]:
     if 'messages' not in body:
         prompt = body.get('prompt')
         if isinstance(prompt, str):
-            return prompt
+            return [prompt]
         raise RequestError('prompt is not a string', 400, 'bad_prompt')
     messages = body['messages']
     if not isinstance(messages, list) or not messages:
         raise RequestError('messages is not a list', 400, 'bad_messages')
     try:
-        return '\n'.join(
+        return [
             f'{item["role"]}: {_join_text_parts(item["content"])}'
             for item in messages
-        )
+        ]
     except (KeyError, TypeError) as error:
         raise RequestError(
             'a message lacks role or text content', 400, 'bad_messages'
--- a/wasabistream/requests.py
+++ b/wasabistream/requests.py
@@ -1,6 +1,6 @@
 """Messages between entries and agents about one request of a caller."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from wasabistream.messages import Message, message
 
@@ -35,6 +35,8 @@
     options: str = ''
     # Encoded AnswerContext: the fields that all events of the answer share.
     answer_context: str = ''
+    # Hashes of the messages of the prompt that other requests may share.
+    prompt_parts: list = field(default_factory=list)
 
 
 @message(11)
