Give silent relays of the store up within the time of a change

If both relays of its data centre are paused and no other data centre has seen the change, requests are answered as the older version says.

Change: a relay without a notice for three quarters of `config_apply_ms` is none, an entry that is behind for half of it reads the store itself (1.5 s and 1 s here).

--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -65,6 +65,7 @@
             self.announced_engines,
             lambda: self.store_lost,
             lambda: None,
+            2.0,
         )
         self.on_opened = self.links.on_opened
         self.received: list[Message] = []
--- a/tests/test_store_relays.py
+++ b/tests/test_store_relays.py
@@ -10,16 +10,20 @@
 from tests.forwarding_builders import Clock
 from wasabistream.forwarding.peer_messages import PeerNotice
 from wasabistream.forwarding.store_relays import (
-    BEHIND_LIMIT_SECONDS,
-    NOTICE_AGE_LIMIT_SECONDS,
+    BEHIND_RATIO,
+    NOTICE_AGE_RATIO,
     RELAY_COUNT,
     StoreRelays,
 )
+from wasabistream.platform.store_followers import RELAYED_POLL_SECONDS
 
 DATA_CENTRE = 'dc-a'
 ENTRIES = tuple(f'10.0.0.{number}:8748' for number in range(1, 9))
 REMOTE_ENTRY = '10.9.0.1:8748'
 REVISION = 20
+# Time after its confirmation in which a change must be in force.
+APPLY_SECONDS = 2.0
+LISTING_SECONDS = 0.1
 
 
 class StoreRelaysTest(unittest.TestCase):
@@ -31,7 +35,11 @@
         self.revision = REVISION
         self.views = {
             entry: StoreRelays(
-                entry, DATA_CENTRE, self.read_revision, self.clock
+                entry,
+                DATA_CENTRE,
+                self.read_revision,
+                APPLY_SECONDS,
+                self.clock,
             )
             for entry in ENTRIES
         }
@@ -91,21 +99,32 @@
 
     def test_lone_entry_watches(self) -> None:
         """Guard against an entry that waits for relays that do not exist."""
-        alone = StoreRelays('a', 'dc-b', lambda: 1, self.clock)
+        alone = StoreRelays('a', 'dc-b', lambda: 1, APPLY_SECONDS, self.clock)
         self.assertTrue(alone.is_relay())
         self.assertFalse(alone.is_updated_by_relays())
 
     def test_lost_relay_is_replaced(self) -> None:
         """Guard against relying on a relay that has ended or is paused."""
         lost = self.relays()[0]
-        self.clock.advance(NOTICE_AGE_LIMIT_SECONDS)
+        self.clock.advance(APPLY_SECONDS * NOTICE_AGE_RATIO)
         self.notify_all(lost)
         live_relays = [entry for entry in self.relays() if entry != lost]
         self.assertEqual(len(live_relays), RELAY_COUNT)
 
+    def test_silent_relays_are_given_up_in_time(self) -> None:
+        """Guard against changes missed while both relays are paused.
+
+        If no other data centre has seen the change, only the silence of the
+        relays shows that changes may be missing.
+        """
+        self.clock.advance(
+            APPLY_SECONDS - RELAYED_POLL_SECONDS - LISTING_SECONDS
+        )
+        self.assertEqual(self.updated(), [])
+
     def test_silent_entries(self) -> None:
         """Guard against relying on relays while all links are silent."""
-        self.clock.advance(NOTICE_AGE_LIMIT_SECONDS)
+        self.clock.advance(APPLY_SECONDS * NOTICE_AGE_RATIO)
         self.assertEqual(self.updated(), [])
 
     def test_relays_that_lost_the_store(self) -> None:
@@ -121,7 +140,7 @@
         """Guard against missing a change that another data centre has seen."""
         self.notify(REMOTE_ENTRY, 'dc-b', revision=REVISION + 1)
         self.assertTrue(self.updated())
-        self.clock.advance(BEHIND_LIMIT_SECONDS + 0.1)
+        self.clock.advance(APPLY_SECONDS * BEHIND_RATIO + 0.1)
         self.assertEqual(self.updated(), [])
         self.revision = REVISION + 1
         self.assertTrue(self.updated())
--- a/wasabistream/forwarding/peer_links.py
+++ b/wasabistream/forwarding/peer_links.py
@@ -65,6 +65,7 @@
         announced_engines: AnnouncedEngines,
         is_store_lost: Callable[[], bool],
         refresh_fleet: Callable[[], None],
+        apply_seconds: float,
     ) -> None:
         self._hello = hello
         self._endpoint = endpoint
@@ -85,7 +86,10 @@
         self._live_entries = LiveEntries(endpoint)
         self._exchange = MirrorExchange(mirror)
         self.relays = StoreRelays(
-            endpoint, hello.data_centre, lambda: mirror.revision
+            endpoint,
+            hello.data_centre,
+            lambda: mirror.revision,
+            apply_seconds,
         )
         mirror.subscribe_differences(self._pass_on)
         self._on_crash_notice: Callable[[CrashMessage], None] = _ignore
--- a/wasabistream/forwarding/store_relays.py
+++ b/wasabistream/forwarding/store_relays.py
@@ -14,10 +14,11 @@
 
 # Relays of each data centre; one more than needed, as one may be lost.
 RELAY_COUNT = 2
-# A peer without a notice for longer is no relay.
-NOTICE_AGE_LIMIT_SECONDS = 2.5
+# Parts of the time in which a change must be in force. A peer without a notice
+# for longer is no relay; the rest is left for reading the store.
+NOTICE_AGE_RATIO = 0.75
 # An entry that has missed a revision for longer reads the store itself.
-BEHIND_LIMIT_SECONDS = 1.0
+BEHIND_RATIO = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,11 +40,14 @@
         own_endpoint: str,
         data_centre: str,
         own_revision: Callable[[], int],
+        apply_seconds: float,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._own_endpoint = own_endpoint
         self._data_centre = data_centre
         self._own_revision = own_revision
+        self._notice_age_limit_seconds = apply_seconds * NOTICE_AGE_RATIO
+        self._behind_limit_seconds = apply_seconds * BEHIND_RATIO
         self._clock = clock
         self._lock = threading.Lock()
         self._peers: dict[object, PeerState] = {}
@@ -100,7 +104,7 @@
         return rendezvous_hash(self._data_centre, endpoint)
 
     def _live_peers(self) -> list[PeerState]:
-        oldest_seconds = self._clock() - NOTICE_AGE_LIMIT_SECONDS
+        oldest_seconds = self._clock() - self._notice_age_limit_seconds
         return [
             peer
             for peer in self._peers.values()
@@ -119,4 +123,4 @@
         now = self._clock()
         if self._behind_since_seconds is None:
             self._behind_since_seconds = now
-        return now - self._behind_since_seconds > BEHIND_LIMIT_SECONDS
+        return now - self._behind_since_seconds > self._behind_limit_seconds
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -99,6 +99,7 @@
             announced_engines,
             self._is_store_lost,
             self._fleet_updater.refresh,
+            node_settings.bounds.apply_seconds,
         )
         poll_limits = build_long_poll_limits(
             node_settings.bounds.recovery_seconds
--- a/wasabistream/platform/node_files.py
+++ b/wasabistream/platform/node_files.py
@@ -17,6 +17,8 @@
 
 # `stable_window_ms` of settings files that lack it.
 DEFAULT_RECOVERY_MS = 3000
+# `config_apply_ms` of settings files that lack it.
+DEFAULT_APPLY_MS = 2000
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +32,8 @@
     cold_limit: ColdLimit
     # Time after a disruption in which a process must be up to date again.
     recovery_seconds: float
+    # Time after its confirmation in which a configuration must be in force.
+    apply_seconds: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,4 +134,8 @@
             float(bounds.get('stable_window_ms', DEFAULT_RECOVERY_MS))
             / MILLISECONDS_PER_SECOND
         ),
+        apply_seconds=(
+            float(bounds.get('config_apply_ms', DEFAULT_APPLY_MS))
+            / MILLISECONDS_PER_SECOND
+        ),
     )
