Clear parts of crashes that arrive after their answers

Cause, found in reading: an entry that is linked again gets crashes that are older than answers it has passed on. Their parts stayed suspected until the next answer, so that a sound part could be banned meanwhile.

Change: a crash that arrives late is checked against the known answers. test_late_crashes_spare_answered_parts fails on the code before (all five entries refuse the part) and passes.

--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -99,6 +99,15 @@
         self.assertIn(0, refusing)
         self.assertIn(started, refusing)
 
+    def test_late_crashes_spare_answered_parts(self) -> None:
+        """Guard against blaming parts that were answered since the crashes."""
+        self.fleet.cut_entries = {0}
+        for number in range(1, MAX_CRASH_COUNT):
+            self.fleet.crash(number, COMMON)
+        self.fleet.answer(0, COMMON)
+        self.fleet.link(0)
+        self.assertEqual(self.fleet.refusing_entries(COMMON), [])
+
     def test_entry_that_starts_after_the_crashes_expired(self) -> None:
         """Guard against a ban that ends with the memory of its crashes."""
         self.crash_all(DEADLY)
--- a/wasabistream/poison_parts.py
+++ b/wasabistream/poison_parts.py
@@ -56,6 +56,10 @@
             now = self._clock()
             is_new = self._log.add(endpoint, request, now - age_seconds)
             if is_new:
+                # The crash may be older than answers that are known.
+                for part in request.parts:
+                    answered_at_seconds = self._answered_at_seconds.get(part, 0)
+                    self._log.clear_part(part, answered_at_seconds)
                 self._decide(now)
             return is_new
 
