Name times of answers for what they are after the read-through

Comments and local names only: the time that clears a part is the latest at which it was answered for certain, no longer the time at which its request was sent.

--- a/wasabistream/crash_records.py
+++ b/wasabistream/crash_records.py
@@ -31,7 +31,7 @@
     # Monotonic time.
     at_seconds: float
     requests: set[CrashedRequest] = field(default_factory=set)
-    # Parts of requests that were sent and answered after the crash.
+    # Parts that were answered after the crash.
     cleared_parts: set[str] = field(default_factory=set)
 
     def add(self, request: CrashedRequest) -> bool:
@@ -87,14 +87,14 @@
         self._records.append(CrashRecord(endpoint, at_seconds, {request}))
         return True
 
-    def clear_part(self, part: str, sent_at_seconds: float) -> bool:
-        """Clear a part of the crashes before an answered request was sent.
+    def clear_part(self, part: str, answered_at_seconds: float) -> bool:
+        """Clear a part of the crashes before an answer.
 
         Returns whether it was suspected of any of them.
         """
         was_suspect = False
         for record in self._records:
-            if record.at_seconds >= sent_at_seconds:
+            if record.at_seconds >= answered_at_seconds:
                 continue
             if part in record.suspects():
                 was_suspect = True
--- a/wasabistream/long_polls.py
+++ b/wasabistream/long_polls.py
@@ -18,7 +18,7 @@
 # the peer is back.
 FIRST_WAIT_SECONDS = 0.1
 JITTER_RATIOS = (0.5, 1.5)
-# In the times of a lost poll; older contents may be outdated.
+# Multiple of the time-out; contents may be outdated after a longer silence.
 MAX_ANSWER_AGE_RATIO = 2.0
 
 
--- a/wasabistream/metrics.py
+++ b/wasabistream/metrics.py
@@ -58,7 +58,7 @@
 STORE_LOST = Gauge('wasabi_store_lost', 'Whether the store does not answer')
 STORE_ANSWER_AGE = Gauge(
     'wasabi_store_answer_age_seconds',
-    'Time since the store, or a relay for it, was heard',
+    'Time since the store, or a relay for it, last answered',
 )
 STORE_CALLS = Counter(
     'wasabi_store_calls', 'Calls to the store by outcome', ['outcome']
--- a/wasabistream/part_bans.py
+++ b/wasabistream/part_bans.py
@@ -5,7 +5,7 @@
 # A doubtful ban is checked soon; any other trial most likely costs a server.
 FIRST_CHECK_SECONDS = 2.0
 FIRST_TRIAL_SECONDS = 45.0
-# Few trials reach servers in a day even if all of them crash one.
+# Keeps the trials of a part that goes on crashing servers to a few in a day.
 PAUSE_GROWTH = 10.0
 
 
--- a/wasabistream/part_notices.py
+++ b/wasabistream/part_notices.py
@@ -1,4 +1,4 @@
-"""Messages between entries about parts of prompts that crash servers."""
+"""Messages between processes about parts of prompts that crash servers."""
 
 from dataclasses import dataclass
 
@@ -22,7 +22,7 @@
 @message(91)
 @dataclass(frozen=True, slots=True)
 class PartAnswerNotice(CrashMessage):
-    """State how long ago requests with some parts were sent and answered."""
+    """State how long ago requests with some parts were answered."""
 
     # Rows of the id of a part and the age in seconds.
     rows: list
--- a/wasabistream/platform/store_followers.py
+++ b/wasabistream/platform/store_followers.py
@@ -66,7 +66,7 @@
 
     @property
     def answer_age_seconds(self) -> float:
-        """Return the time since the store, or a relay for it, was heard."""
+        """Return the time since the store, or a relay for it, last answered."""
         return time.monotonic() - self._answered_at_seconds
 
     @property
--- a/wasabistream/poison_parts.py
+++ b/wasabistream/poison_parts.py
@@ -1,7 +1,7 @@
 """Decision which parts of prompts crash the servers that answer them.
 
 A part that crashes servers is never answered, so an answer clears all parts of
-its request of the crashes before it was sent. Of the parts that remain, the
+its request of the crashes before it. Of the parts that remain, the
 fewest that explain the crashes are banned.
 """
 
@@ -43,7 +43,7 @@
         self._lock = threading.Lock()
         self._log = CrashLog()
         self._bans: OrderedDict[str, PartBan] = OrderedDict()
-        # When the last answered request with the part was sent.
+        # Latest time at which a request with the part was answered for certain.
         self._answered_at_seconds: OrderedDict[str, float] = OrderedDict()
 
     def record_crash(
@@ -66,17 +66,17 @@
     def record_answer(
         self, parts: Iterable[str], age_seconds: float
     ) -> list[str]:
-        """Record an answer to a request that was sent `age_seconds` ago.
+        """Record an answer that was given at most `age_seconds` ago.
 
         Returns the parts that it clears of crashes.
         """
         with self._lock:
             now = self._clock()
-            sent_at_seconds = now - age_seconds
+            answered_at_seconds = now - age_seconds
             cleared = [
                 part
                 for part in parts
-                if self._record_answered_part(part, sent_at_seconds)
+                if self._record_answered_part(part, answered_at_seconds)
             ]
             if cleared:
                 self._decide(now)
@@ -150,7 +150,7 @@
             ]
 
     def answer_ages_seconds(self, parts: Iterable[str]) -> dict[str, float]:
-        """Return how long ago requests with the parts were sent and answered."""
+        """Return how long ago requests with the parts were answered."""
         with self._lock:
             now = self._clock()
             return {
@@ -159,14 +159,20 @@
                 if part in self._answered_at_seconds
             }
 
-    def _record_answered_part(self, part: str, sent_at_seconds: float) -> bool:
-        earlier_seconds = self._answered_at_seconds.pop(part, sent_at_seconds)
-        self._answered_at_seconds[part] = max(earlier_seconds, sent_at_seconds)
+    def _record_answered_part(
+        self, part: str, answered_at_seconds: float
+    ) -> bool:
+        earlier_seconds = self._answered_at_seconds.pop(
+            part, answered_at_seconds
+        )
+        self._answered_at_seconds[part] = max(
+            earlier_seconds, answered_at_seconds
+        )
         while len(self._answered_at_seconds) > MAX_ANSWERED_PART_COUNT:
             self._answered_at_seconds.popitem(last=False)
-        was_suspect = self._log.clear_part(part, sent_at_seconds)
+        was_suspect = self._log.clear_part(part, answered_at_seconds)
         ban = self._bans.get(part)
-        if ban is not None and ban.banned_at_seconds < sent_at_seconds:
+        if ban is not None and ban.banned_at_seconds < answered_at_seconds:
             self._lift_ban(part, 'answered')
             return True
         return was_suspect
