--- a/tests/test_long_polls.py
+++ b/tests/test_long_polls.py
@@ -8,10 +8,12 @@
     LongPollPacer,
     build_long_poll_limits,
 )
+from wasabistream.platform.store_followers import (
+    RETRY_MAX_SECONDS,
+    RETRY_MIN_SECONDS,
+)
 
 RECOVERY_SECONDS = (2.0, 3.0, 8.0, 30.0)
-RETRY_MIN_SECONDS = 0.1
-RETRY_MAX_SECONDS = 0.4
 
 
 class LongPollTest(unittest.TestCase):
