Announce configuration changes in the order of their revisions

Cause: ConfigurationStore chose the latest document under its lock, but called the receivers of `document_changed` after it. An entry is offered documents by three threads (watch of the configuration service, links, start check), so the receivers could get revision 1 after revision 2. BackendDirectory keeps the document of the last call, so a backend server or data centre that the later revision takes out of service would be in use again until the next change.

Ruled out: the platform's adapter. StoreMirror and FleetUpdater call their handlers under the lock that decides the order. Agents get documents from the thread of their links only.

Change: OrderedDelivery queues changes under the store's lock and delivers them one at a time, in that order.

Evidence: test_changes_are_announced_in_order, before: announced ['2', '1'], after: ['1', '2'].

Conclusion: an older document is no longer applied after a later one.

--- a/tests/test_configurations.py
+++ b/tests/test_configurations.py
@@ -1,6 +1,7 @@
 """Tests of patches and of the document in force."""
 
 import json
+import threading
 import unittest
 from typing import Any
 
@@ -11,7 +12,7 @@
 from wasabistream.configurations import ConfigurationStore
 from wasabistream.documents import canonical_json
 from wasabistream.patches import PatchError, apply_patch, make_patch
-from wasabistream.signals import document_refused
+from wasabistream.signals import document_changed, document_refused
 
 ENTRIES = st.lists(
     st.builds(
@@ -28,6 +29,10 @@
 )
 
 
+# Time for a thread to deliver ahead of its turn, if it can.
+OVERTAKING_SECONDS = 0.3
+
+
 def encode(raw: Any) -> bytes:
     """Return the JSON bytes of a value."""
     return json.dumps(raw).encode()
@@ -104,3 +109,25 @@
             self.assertEqual(version_ids, sorted(version_ids))
             final_version_ids.add(store.latest_version_id)
         self.assertEqual(len(final_version_ids), 1)
+
+    def test_changes_are_announced_in_order(self) -> None:
+        """Guard against an older document that is applied after a later one.
+
+        The later one arrives while the older one is being announced.
+        """
+        store = ConfigurationStore()
+        later = threading.Thread(
+            target=store.offer, args=(encode(build_document(revision=2)), 'b')
+        )
+        announced: list[str] = []
+
+        def receive(sender: object, subject: str, **_: object) -> None:
+            if subject == '1':
+                later.start()
+                later.join(OVERTAKING_SECONDS)
+            announced.append(subject)
+
+        with document_changed.connected_to(receive, store):
+            store.offer(encode(build_document(revision=1)), 'a')
+            later.join()
+        self.assertEqual(announced, ['1', '2'])
--- a/wasabistream/configurations.py
+++ b/wasabistream/configurations.py
@@ -17,6 +17,7 @@
     DOCUMENT_OLDER_READS,
     DOCUMENT_REVISION,
 )
+from wasabistream.ordered_deliveries import OrderedDelivery
 
 logger = logging.getLogger(__name__)
 
@@ -45,6 +46,17 @@
     problems: tuple[str, ...]
 
 
+@dataclass(frozen=True)
+class DocumentChange:
+    """Describe a version that comes into force."""
+
+    version: DocumentVersion
+    # The version in force until then; None at the first one.
+    previous: DocumentVersion | None
+    # Its source, or the event that confirmed the store.
+    cause: str
+
+
 class ConfigurationStore:
     """Keep the latest document received; an older one never replaces it.
 
@@ -58,6 +70,7 @@
         self._latest: DocumentVersion | None = None
         self._bodies: OrderedDict[str, bytes] = OrderedDict()
         self._refused_digests: OrderedDict[str, None] = OrderedDict()
+        self._changes = OrderedDelivery(self._put_in_force)
         self.refusal: RefusedDocument | None = None
         # Id of the last offered version that was older than the latest one.
         self.older_read: VersionId | None = None
@@ -98,10 +111,11 @@
             newer = version.version_id > self.latest_version_id
             if newer:
                 self._store_version(version)
-            confirmed = self._confirmed
-        if newer and confirmed:
-            self._put_in_force(version, current, cause)
-        elif not newer and version.version_id != self.latest_version_id:
+            if newer and self._confirmed:
+                self._changes.add(DocumentChange(version, current, cause))
+        if newer:
+            self._changes.flush()
+        elif version.version_id != self.latest_version_id:
             self._record_older_version(version, cause)
         return newer
 
@@ -114,9 +128,9 @@
             if self._confirmed:
                 return
             self._confirmed = True
-            version = self._latest
-        if version is not None:
-            self._put_in_force(version, None, cause)
+            if self._latest is not None:
+                self._changes.add(DocumentChange(self._latest, None, cause))
+        self._changes.flush()
 
     def record_peer_refusal(self, refusal: RefusedDocument) -> bool:
         """Record a refusal that a peer reports; tells whether it was new."""
@@ -175,12 +189,8 @@
             self.latest_version_id[0],
         )
 
-    def _put_in_force(
-        self,
-        version: DocumentVersion,
-        previous: DocumentVersion | None,
-        cause: str,
-    ) -> None:
+    def _put_in_force(self, change: DocumentChange) -> None:
+        version = change.version
         DOCUMENT_REVISION.set(version.document.revision)
         logger.info(
             'configuration: revision %d in force', version.document.revision
@@ -188,8 +198,8 @@
         signals.document_changed.send(
             self,
             subject=str(version.document.revision),
-            cause=cause,
+            cause=change.cause,
             digest=version.digest,
-            previous=previous,
+            previous=change.previous,
             version=version,
         )
