Wait for the announcement of a document before its check in a test

It waited until revision 2 was visible in the store and read the list of announced revisions at once; a document is visible before its change is announced, and the announcing thread had not run yet.

The check is as strict as before: the announced revisions must be exactly [2].

Ruled out: a restart that brings revision 1 into force (the list would hold 1).

--- a/tests/test_distributors.py
+++ b/tests/test_distributors.py
@@ -196,6 +196,8 @@
             )
         require(lambda: new.revision, 'a document after the restart')
         require(lambda: new.revision == 2, 'the current document')
+        # A document is visible before its change is announced.
+        require(lambda: new.revisions_in_force, 'an announced document')
         self.assertEqual(new.revisions_in_force, [2])
 
 
