Pass VM lists on in the order of their indexes

An older list applied last keeps a VM linked that has left, or leaves a new one out, until the next list.

Change: the lists are delivered by OrderedDelivery, too.

Evidence: test_lists_are_passed_on_in_order, before: [2, 1], after: [1, 2].

--- a/tests/test_configurations.py
+++ b/tests/test_configurations.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from tests.builders import build_document, build_full_document
+from tests.waits import OVERTAKING_SECONDS
 from wasabistream.configurations import ConfigurationStore
 from wasabistream.documents import canonical_json
 from wasabistream.patches import PatchError, apply_patch, make_patch
@@ -29,10 +30,6 @@
 )
 
 
-# Time for a thread to deliver ahead of its turn, if it can.
-OVERTAKING_SECONDS = 0.3
-
-
 def encode(raw: Any) -> bytes:
     """Return the JSON bytes of a value."""
     return json.dumps(raw).encode()
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -1,10 +1,12 @@
 """Tests of the fetcher and of the subsets of the VM list for agents."""
 
 import json
+import threading
 import time
 import unittest
 from typing import Any, cast
 
+from tests.waits import OVERTAKING_SECONDS
 from wasabistream.configuration_notices import VmListDigest, VmListFetch
 from wasabistream.configurations import NO_VERSION, VersionId
 from wasabistream.fetchers import Fetcher
@@ -14,6 +16,7 @@
 from wasabistream.vm_list_clients import VmListClient
 from wasabistream.vm_list_stores import VmListStore
 from wasabistream.vm_list_subset_relays import VmListSubsetRelay
+from wasabistream.vms import VmList
 
 TICK_LIMIT_COUNT = 200
 
@@ -144,3 +147,24 @@
         self.vms.append(_build_vm('engine-2', 'dc-b'))
         self.offer(6)
         self.assertEqual(self.store.latest_version_id[0], 8)
+
+    def test_lists_are_passed_on_in_order(self) -> None:
+        """Guard against an older VM list that is applied after a later one.
+
+        The later one arrives while the older one is passed on.
+        """
+        store = VmListStore()
+        body = json.dumps({'vms': self.vms}).encode()
+        later = threading.Thread(target=store.offer, args=(body, 2, 0))
+        received: list[int] = []
+
+        def receive(vm_list: VmList) -> None:
+            if vm_list.index == 1:
+                later.start()
+                later.join(OVERTAKING_SECONDS)
+            received.append(vm_list.index)
+
+        store.subscribe(receive)
+        store.offer(body, 1, 0)
+        later.join()
+        self.assertEqual(received, [1, 2])
--- a/tests/waits.py
+++ b/tests/waits.py
@@ -5,6 +5,8 @@
 
 WAIT_SECONDS = 10
 POLL_SECONDS = 0.01
+# Time for another thread to overtake a delivery, if it can.
+OVERTAKING_SECONDS = 0.3
 
 
 def wait_for(
--- a/wasabistream/vm_list_stores.py
+++ b/wasabistream/vm_list_stores.py
@@ -10,6 +10,7 @@
 from wasabistream.configurations import NO_VERSION, VersionId
 from wasabistream.documents import canonical_json, compute_digest
 from wasabistream.exceptions import ConfigurationError
+from wasabistream.ordered_deliveries import OrderedDelivery
 from wasabistream.vms import VmList, decode_vm_list, parse_vm_list
 
 logger = logging.getLogger(__name__)
@@ -40,6 +41,7 @@
         self._bodies: OrderedDict[str, bytes] = OrderedDict()
         self._last_read_monotonic_seconds = float('-inf')
         self._subscribers: list[Callable[[VmList], None]] = []
+        self._changes = OrderedDelivery(self._notify)
         self.latest: VmListVersion | None = None
 
     @property
@@ -78,8 +80,8 @@
             self._last_read_monotonic_seconds = (
                 time.monotonic() - read_age_seconds
             )
-        for receive in self._subscribers:
-            receive(version.vm_list)
+            self._changes.add(version.vm_list)
+        self._changes.flush()
         return True
 
     def confirm_read(self, index: int, read_age_seconds: float) -> None:
@@ -91,6 +93,10 @@
                     read_seconds, self._last_read_monotonic_seconds
                 )
 
+    def _notify(self, vm_list: VmList) -> None:
+        for receive in self._subscribers:
+            receive(vm_list)
+
 
 def _parse(body: bytes, index: int) -> VmListVersion:
     vm_list = parse_vm_list(body, index)
