Report changes of the fleet in their order

Cause: FleetUpdater wrote its gauge of the configuration version and its log lines after it had released its lock, so two threads could report version 7 after version 8, and the metrics showed an older version than the one in force. The views themselves were replaced in order.

--- a/wasabistream/forwarding/fleet_updaters.py
+++ b/wasabistream/forwarding/fleet_updaters.py
@@ -64,7 +64,8 @@
             self._holder.current = fleet
             for handler in self._handlers:
                 handler(fleet)
-        _report_change(before, fleet)
+            # Under the lock, so that gauges and log lines stay in order.
+            _report_change(before, fleet)
 
 
 def _report_change(before: Fleet, fleet: Fleet) -> None:
