End requests in progress whose part is banned meanwhile

Each crash ends all streams of its engine.

Cause: the ban was checked when a request arrived and before a repeat, not for a request that waits in an engine. Class: a decision that holds for new work only. Looked for elsewhere: jobs that wait at a gate on the product's own interface started after the ban (test_queued_job_with_banned_part_never_runs fails on the code before).

Change: the supervisor cuts requests that were admitted before the ban became known to this process; the agent refuses such jobs before it starts them. A part that was ever answered does not count, as the ban may be wrong. Counted by wasabi_cut_requests_total, named by `cut_reason` and by `wasabistream losses`.

Ruled out: cutting trials (admitted after the ban), and requests with events (they clear their parts).

Conclusion: engines are lost to requests that they begin before the ban, no longer to those that wait in them.

--- a/tests/test_generations.py
+++ b/tests/test_generations.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from tests.builders import build_generate
+from tests.waits import wait_for
 from wasabistream.admissions import OpenPolicy
 from wasabistream.batch_limits import BatchLimit
 from wasabistream.crashes import CrashDetector
@@ -67,12 +68,13 @@
     def build(self, engine: Any) -> None:
         """Build a runner with a gate of one slot in front of an engine."""
         quarantine = Quarantine()
+        self.detector = PoisonPartDetector()
         crashes = CrashDetector(
             'agent',
             engine,
             quarantine,
             self.link.send,
-            PoisonPartGuard(self.link.send, PoisonPartDetector()),
+            PoisonPartGuard(self.link.send, self.detector),
         )
         self.runner = GenerationRunner(
             'agent', '1', engine, BUFFER_BYTES, 10, quarantine, crashes
@@ -138,6 +140,22 @@
         self.assertEqual(self.refusals('q'), ['backend_out'])
         self.assertEqual(len(self.runner.jobs_in_progress()), 1)
 
+    def test_queued_job_with_banned_part_never_runs(self) -> None:
+        """Guard against queued requests that crash the engine after a ban."""
+        self.runner.generate(
+            self.link, build_generate(prompt='first', fingerprint=1)
+        )
+        self.assertTrue(self.engine.request_received.wait(WAIT_SECONDS))
+        queued = build_generate(
+            request_id='q', prompt='q', fingerprint=2, prompt_parts=['deadly']
+        )
+        self.runner.generate(self.link, queued)
+        self.detector.adopt_ban('deadly', 0, 0)
+        self.engine.may_finish.set()
+        self.assertTrue(wait_for(lambda: self.refusals('q'), WAIT_SECONDS))
+        self.assertEqual(self.refusals('q'), ['quarantined'])
+        self.assertEqual(self.engine.prompts, ['first'])
+
     def test_repeated_id_runs_once(self) -> None:
         """Guard against two generations for one request id."""
         request = build_generate(request_id='twice', prompt='twice')
--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -192,6 +192,36 @@
                 self.fleet.crash(entry, *parts)
         return crash_count
 
+    def test_requests_in_progress_end_with_a_ban(self) -> None:
+        """Guard against requests that crash servers after the ban.
+
+        They were sent before it; trials, sent after it, may go on.
+        """
+        detector = self.fleet.detectors[0]
+        self.fleet.answer(0, COMMON)
+        sent_at_seconds = self.fleet.clock()
+        self.crash_all(COMMON, DEADLY)
+        self.assertTrue(
+            detector.is_banned_since((COMMON, DEADLY), sent_at_seconds)
+        )
+        self.assertFalse(detector.is_banned_since((COMMON,), sent_at_seconds))
+        self.fleet.clock.advance(FIRST_TRIAL_SECONDS)
+        self.assertFalse(
+            detector.is_banned_since((DEADLY,), self.fleet.clock())
+        )
+
+    def test_doubtful_ban_spares_requests_in_progress(self) -> None:
+        """Guard against ending sound requests after a failure of servers."""
+        self.fleet.answer(0, COMMON, OTHER)
+        sent_at_seconds = self.fleet.clock()
+        self.fleet.crash_together(COMMON, OTHER)
+        self.assertNotEqual(self.fleet.refusing_entries(COMMON, OTHER), [])
+        self.assertFalse(
+            self.fleet.detectors[0].is_banned_since(
+                (COMMON, OTHER), sent_at_seconds
+            )
+        )
+
     def test_memory_is_bounded(self) -> None:
         """Guard against callers that send other parts each time."""
         detector = self.fleet.detectors[0]
--- a/tests/test_supervisors.py
+++ b/tests/test_supervisors.py
@@ -32,6 +32,7 @@
         self.responsive = threading.Event()
         self.responsive.set()
         self.has_moved = False
+        self.is_banned = False
         self.caller = FakeCaller()
         self.exchange = whole()
         self.watch = RequestWatch(build_request(), self.caller)
@@ -42,6 +43,7 @@
         supervisor = RequestSupervisor(
             lambda endpoint: self.responsive.is_set(),
             lambda run_id: self.has_moved,
+            lambda request, admitted_at_seconds: self.is_banned,
         )
         supervisor.add(self.watch)
         supervisor.start()
@@ -114,6 +116,17 @@
         self.assertEqual(self.watch.reason, CutReason.moved)
         self.assertFalse(self.watch.is_ended)
 
+    def test_banned_part(self) -> None:
+        """Guard against a request in progress that crashes its server.
+
+        Its part is banned while it waits for its first event.
+        """
+        self.is_banned = True
+        self.supervise()
+        self.assertTrue(self.is_cut())
+        self.assertEqual(self.watch.reason, CutReason.poison_part)
+        self.assertTrue(self.watch.is_ended)
+
     def test_stalled_stream(self) -> None:
         """Guard against a stream without events that never ends."""
         self.watch.stall_limits = StallLimits(0.2, 0.4)
--- a/wasabistream/crashes.py
+++ b/wasabistream/crashes.py
@@ -92,6 +92,12 @@
             self._on_engine_lost(boot_id)
             return True
 
+    def is_banned_since_queued(self, job: GenerationJob) -> bool:
+        """Return whether a part of a queued job has been banned meanwhile."""
+        return self._part_guard.refuses_since(
+            job.request, job.queued_monotonic_seconds
+        )
+
     def on_first_token(self, job: GenerationJob, age_seconds: float) -> None:
         """Clear the parts of the prompt of a job that is being answered.
 
--- a/wasabistream/forwarding/supervisors.py
+++ b/wasabistream/forwarding/supervisors.py
@@ -10,6 +10,7 @@
 from wasabistream.exceptions import WasabiError
 from wasabistream.forwarding.interfaces import Caller, Cancellable
 from wasabistream.forwarding.requests import ForwardRequest
+from wasabistream.metrics import CUT_REQUESTS
 
 logger = logging.getLogger(__name__)
 
@@ -31,6 +32,13 @@
     slow = 'slow'
     stalled = 'stalled'
     moved = 'moved'
+    poison_part = 'poison_part'
+
+
+# Reasons after which no further attempt is made.
+ENDING_REASONS = frozenset(
+    (CutReason.caller_left, CutReason.timeout, CutReason.poison_part)
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +57,7 @@
     def __init__(self, request: ForwardRequest, caller: Caller) -> None:
         self.request = request
         self.caller = caller
+        self.admitted_at_seconds = time.monotonic()
         self.endpoint = ''
         # Why the exchange was cut; None if it was not.
         self.reason: CutReason | None = None
@@ -67,7 +76,7 @@
     @property
     def is_ended(self) -> bool:
         """Return whether the request itself was cut, not just an attempt."""
-        return self.reason in {CutReason.caller_left, CutReason.timeout}
+        return self.reason in ENDING_REASONS
 
     @property
     def silent_seconds(self) -> float:
@@ -92,14 +101,15 @@
             else:
                 self.reason = None
 
-    def cut(self, reason: CutReason) -> None:
-        """Record the reason of the first cut and close the exchange."""
+    def cut(self, reason: CutReason) -> bool:
+        """Close the exchange; return False if it was cut before."""
         with self._lock:
             if self.reason is not None:
-                return
+                return False
             self.reason = reason
             if self._exchange is not None:
                 self._exchange.close()
+            return True
 
 
 class RequestSupervisor:
@@ -113,9 +123,11 @@
         self,
         is_responsive: Callable[[str], bool],
         has_moved: Callable[[str], bool],
+        is_banned_since: Callable[[ForwardRequest, float], bool],
     ) -> None:
         self._is_responsive = is_responsive
         self._has_moved = has_moved
+        self._is_banned_since = is_banned_since
         self._lock = threading.Lock()
         self._watches: set[RequestWatch] = set()
         self._stopped = threading.Event()
@@ -159,14 +171,18 @@
 
     def _check(self, watch: RequestWatch) -> None:
         reason = self._find_cut_reason(watch)
-        if reason is not None:
-            watch.cut(reason)
+        if reason is not None and watch.cut(reason):
+            CUT_REQUESTS.labels(reason.value).inc()
 
     def _find_cut_reason(self, watch: RequestWatch) -> CutReason | None:
         if watch.caller.has_left():
             return CutReason.caller_left
         if watch.request.deadline.expired:
             return CutReason.timeout
+        # Events clear the parts of a request, so this one has none yet and
+        # would crash its server with the first.
+        if self._is_banned_since(watch.request, watch.admitted_at_seconds):
+            return CutReason.poison_part
         attempt_deadline = watch.attempt_deadline_seconds
         if attempt_deadline is not None and time.monotonic() > attempt_deadline:
             return CutReason.slow
--- a/wasabistream/generations.py
+++ b/wasabistream/generations.py
@@ -223,6 +223,9 @@
         if job.deadline_monotonic_seconds <= started:
             job.refuse('deadline')
             return
+        if self._crashes.is_banned_since_queued(job):
+            job.refuse('quarantined')
+            return
         if not job.try_mark_sent():
             return
         stream = EngineStream(
--- a/wasabistream/inspection/loss_causes.py
+++ b/wasabistream/inspection/loss_causes.py
@@ -70,6 +70,11 @@
     return record.cut_reason == 'caller_left'
 
 
+@loss_cause('a part of its prompt crashes servers', avoidable=False)
+def _poison_part(record: RequestRecord, context: LossContext) -> bool:
+    return record.cut_reason == 'poison_part'
+
+
 @loss_cause('stalled at the engine')
 def _stalled(record: RequestRecord, context: LossContext) -> bool:
     return record.outcome == 'cut' and record.cut_reason == 'stalled'
--- a/wasabistream/metrics.py
+++ b/wasabistream/metrics.py
@@ -20,6 +20,11 @@
 CUT_STREAMS = Counter(
     'wasabi_cut_streams', 'Streams ended before their answer', ['reason']
 )
+CUT_REQUESTS = Counter(
+    'wasabi_cut_requests',
+    'Attempts of requests that the supervisor cut',
+    ['reason'],
+)
 FIRST_TOKEN_SECONDS = Histogram(
     'wasabi_first_token_seconds',
     'Time from admission to the first token of the engine',
--- a/wasabistream/part_bans.py
+++ b/wasabistream/part_bans.py
@@ -14,6 +14,8 @@
     """Hold the ban of one part; times are of the monotonic clock."""
 
     banned_at_seconds: float
+    # When this process learned of it.
+    known_at_seconds: float
     trial_count: int = 0
     last_trial_at_seconds: float = 0
 
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -21,7 +21,7 @@
 from wasabistream.forwarding.move_trackers import MoveTracker
 from wasabistream.forwarding.peer_links import PeerLinks
 from wasabistream.forwarding.poison_request_guards import PoisonRequestGuard
-from wasabistream.forwarding.requests import Reply
+from wasabistream.forwarding.requests import ForwardRequest, Reply
 from wasabistream.forwarding.server_choosers import ServerChooser
 from wasabistream.forwarding.stream_forwarders import StreamForwarder
 from wasabistream.forwarding.supervisors import RequestSupervisor
@@ -119,7 +119,7 @@
         )
         self._drain_gate = DrainGate(self._peer_links.is_majority_serving)
         self._request_supervisor = RequestSupervisor(
-            self._is_responsive, move_tracker.has_moved
+            self._is_responsive, move_tracker.has_moved, self._is_banned_since
         )
         handler = RequestHandler(
             self.fleet,
@@ -275,6 +275,13 @@
             and not self._load_tracker.has_fresh_reports()
         )
 
+    def _is_banned_since(
+        self, request: ForwardRequest, at_seconds: float
+    ) -> bool:
+        return self.poison_parts.is_banned_since(
+            request.prompt_parts, at_seconds
+        )
+
     def _is_responsive(self, endpoint: str) -> bool:
         return self._load_tracker.estimate(endpoint).responsive
 
--- a/wasabistream/poison_part_guards.py
+++ b/wasabistream/poison_part_guards.py
@@ -74,6 +74,13 @@
         """Return whether a request must not be sent to a further server."""
         return self._detector.is_banned(request.prompt_parts)
 
+    def refuses_since(self, request: PromptRequest, at_seconds: float) -> bool:
+        """Return whether a request admitted at a monotonic time must stop.
+
+        A trial is admitted after the ban became known and may go on.
+        """
+        return self._detector.is_banned_since(request.prompt_parts, at_seconds)
+
     def record_crash(
         self, endpoint: str, request: PromptRequest, *, has_begun: bool
     ) -> None:
--- a/wasabistream/poison_parts.py
+++ b/wasabistream/poison_parts.py
@@ -87,6 +87,20 @@
         with self._lock:
             return any(part in self._bans for part in parts)
 
+    def is_banned_since(self, parts: Iterable[str], at_seconds: float) -> bool:
+        """Return whether a ban of a part became known after a monotonic time.
+
+        A part that was answered before may be banned by mistake and does not
+        count.
+        """
+        with self._lock:
+            return any(
+                part in self._bans
+                and part not in self._answered_at_seconds
+                and self._bans[part].known_at_seconds >= at_seconds
+                for part in parts
+            )
+
     def start_trial(self, parts: Collection[str]) -> PartTrial | None:
         """Return the trial as which a request with a banned part may run.
 
@@ -239,7 +253,7 @@
         return not always_present.issubset(parts)
 
     def _add_ban(self, part: str, banned_at_seconds: float) -> None:
-        self._bans[part] = PartBan(banned_at_seconds)
+        self._bans[part] = PartBan(banned_at_seconds, self._clock())
         while len(self._bans) > MAX_BAN_COUNT:
             self._bans.popitem(last=False)
         BANNED_PARTS.set(len(self._bans))
