--- a/wasabistream/inspection/loss_causes.py
+++ b/wasabistream/inspection/loss_causes.py
@@ -98,23 +98,23 @@
 @loss_cause('engine left with notice, move came late')
 def _moved_late(record: RequestRecord, context: LossContext) -> bool:
     moved = context.move_messages.get(record.request_id) == 'mover: moved'
-    return _is_broken(record) and moved
+    return record.is_broken and moved
 
 
 @loss_cause('engine left with notice, no room for a move')
 def _no_room(record: RequestRecord, context: LossContext) -> bool:
     has_tried = record.request_id in context.move_messages
-    return _is_broken(record) and has_tried
+    return record.is_broken and has_tried
 
 
 @loss_cause('engine left with notice, not moved')
 def _not_moved(record: RequestRecord, context: LossContext) -> bool:
-    return _is_broken(record) and context.had_notice(record)
+    return record.is_broken and context.had_notice(record)
 
 
 @loss_cause('server ended without notice', avoidable=False)
 def _crashed(record: RequestRecord, context: LossContext) -> bool:
-    return _is_broken(record)
+    return record.is_broken
 
 
 @loss_cause('waited for the first event')
@@ -140,7 +140,3 @@
 @loss_cause('other')
 def _other(record: RequestRecord, context: LossContext) -> bool:
     return True
-
-
-def _is_broken(record: RequestRecord) -> bool:
-    return record.outcome == 'cut' or record.status == 502
--- a/wasabistream/inspection/request_records.py
+++ b/wasabistream/inspection/request_records.py
@@ -54,6 +54,11 @@
             self.is_late or self.has_long_gap
         )
 
+    @property
+    def is_broken(self) -> bool:
+        """Return whether the answer broke off, or no server gave one."""
+        return self.outcome == 'cut' or self.status == 502
+
     @property
     def is_late(self) -> bool:
         """Return whether the answer or its first event came late."""
