Count a crash in part against streams that wait in the engine

Cause: on the platform an entry knows only its own requests in a crashed engine, so each got the whole weight of the crash, also a stream without the head of its answer.

Change: a stream whose answer had not begun gets a third of the crash, so it is banned after the third. Crash notices tell the number of requests that share the crash; older processes ignore the field. Requests that are answered as a whole keep their ban after two crashes. The product's own interface is not concerned: its agents know all requests of a crashed engine and divide the crash among them.

Ruled out: not counting such streams at all; the head of an answer can be lost, and a request that crashes its servers must stay within its limit (three crashes and the stable window, then three more).

--- a/wasabistream/crash_notices.py
+++ b/wasabistream/crash_notices.py
@@ -17,6 +17,8 @@
 
     crash_id: str
     fingerprints: list
+    # Requests that may have crashed the engine, if more than the fingerprints.
+    request_count: int = 0
 
 
 @message(51)
--- a/wasabistream/crashes.py
+++ b/wasabistream/crashes.py
@@ -65,7 +65,9 @@
     def on_crash_notice(self, notice: CrashMessage) -> None:
         """Apply what another process has found out about a request."""
         if isinstance(notice, CrashNotice):
-            self._quarantine.record_crash(notice.crash_id, notice.fingerprints)
+            self._quarantine.record_crash(
+                notice.crash_id, notice.fingerprints, notice.request_count
+            )
         elif isinstance(notice, ClearNotice):
             self._quarantine.record_completion(notice.fingerprint)
         elif self._part_guard.on_notice(notice) and isinstance(
--- a/wasabistream/entry_quarantines.py
+++ b/wasabistream/entry_quarantines.py
@@ -39,7 +39,7 @@
         match notice:
             case CrashNotice():
                 is_new = self._quarantine.record_crash(
-                    notice.crash_id, notice.fingerprints
+                    notice.crash_id, notice.fingerprints, notice.request_count
                 )
             case ClearNotice():
                 is_new = self._quarantine.record_completion(notice.fingerprint)
--- a/wasabistream/forwarding/poison_request_guards.py
+++ b/wasabistream/forwarding/poison_request_guards.py
@@ -13,6 +13,7 @@
 from wasabistream.exceptions import NotRunError
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.requests import ForwardRequest
+from wasabistream.forwarding.routes import RouteKind
 from wasabistream.messages import Message
 from wasabistream.poison_part_guards import PoisonPartGuard
 from wasabistream.poison_parts import PoisonPartDetector
@@ -23,6 +24,10 @@
 # Crashes of a server under one request within a window of this length count as
 # one.
 CRASH_WINDOW_SECONDS = 2.0
+# A stream whose answer had not begun was most likely waiting in a server that
+# crashed under another request, so it counts as one of this many: it is banned
+# after three crashes in place of two.
+WAITING_REQUEST_COUNT = 3
 
 
 class ServerProbe(Protocol):
@@ -75,7 +80,7 @@
         try:
             self._probe.probe(server)
         except NotRunError:
-            self._record_crash(server, request)
+            self._record_crash(server, request, has_begun=has_begun)
             self._part_guard.record_crash(
                 server.endpoint, request, has_begun=has_begun
             )
@@ -94,7 +99,9 @@
     def on_crash_notice(self, notice: CrashMessage) -> None:
         """Apply a crash or clearance that another entry reports."""
         if isinstance(notice, CrashNotice):
-            self._quarantine.record_crash(notice.crash_id, notice.fingerprints)
+            self._quarantine.record_crash(
+                notice.crash_id, notice.fingerprints, notice.request_count
+            )
         elif isinstance(notice, ClearNotice):
             self._quarantine.record_completion(notice.fingerprint)
         else:
@@ -105,13 +112,17 @@
         return self._part_guard.describe()
 
     def _record_crash(
-        self, server: BackendServer, request: ForwardRequest
+        self, server: BackendServer, request: ForwardRequest, *, has_begun: bool
     ) -> None:
+        is_waiting = request.route.kind == RouteKind.streaming and not has_begun
+        request_count = WAITING_REQUEST_COUNT if is_waiting else 1
         crash_window = int(time.time() / CRASH_WINDOW_SECONDS)
         fingerprint = request.fingerprint
         crash_id = f'{server.endpoint}/{crash_window}/{fingerprint}'
-        if self._quarantine.record_crash(crash_id, [fingerprint]):
-            self._broadcast(CrashNotice(crash_id, [fingerprint]))
+        if self._quarantine.record_crash(
+            crash_id, [fingerprint], request_count
+        ):
+            self._broadcast(CrashNotice(crash_id, [fingerprint], request_count))
             logger.warning(
                 'crash: server went down while it ran a request',
                 extra={
--- a/wasabistream/quarantines.py
+++ b/wasabistream/quarantines.py
@@ -36,7 +36,7 @@
     """Hold the crash history of one fingerprint, on the monotonic clock."""
 
     crash_count: int = 0
-    # For each crash, 1 divided by the number of fingerprints in the engine.
+    # For each crash, 1 divided by the number of requests that share it.
     crash_weight: float = 0
     expires_monotonic_seconds: float = 0
     banned_until_monotonic_seconds: float = 0
@@ -56,9 +56,19 @@
         """Return the number of fingerprints with a crash history."""
         return len(self._histories)
 
-    def record_crash(self, crash_id: str, fingerprints: Iterable[int]) -> bool:
-        """Count a crash for its fingerprints; return False for a repeat."""
+    def record_crash(
+        self,
+        crash_id: str,
+        fingerprints: Iterable[int],
+        request_count: int = 0,
+    ) -> bool:
+        """Count a crash for its fingerprints; return False for a repeat.
+
+        `request_count` is the number of requests that share the crash, if it
+        is more than the fingerprints.
+        """
         batch_fingerprints = frozenset(fingerprints)
+        crash_share = 1 / max(len(batch_fingerprints), request_count, 1)
         now = time.monotonic()
         with self._lock:
             if crash_id in self._crash_ids:
@@ -66,7 +76,7 @@
             self._crash_ids[crash_id] = None
             _evict_oldest(self._crash_ids, MAX_CRASH_ID_COUNT)
             for fingerprint in batch_fingerprints:
-                self._add_crash(fingerprint, 1 / len(batch_fingerprints), now)
+                self._add_crash(fingerprint, crash_share, now)
             return True
 
     def record_completion(self, fingerprint: int) -> bool:
