Ignore items of an own watch that the mirror already passed

What callers saw: nothing yet; found by looking for the class of the late configuration (what a process acts on is older than what it knows) on the way of the store's items to an entry.

Cause: a relay's differences and the own watch feed one mirror. StoreMirror ignored items at or below its revision only in differences. When a relay had passed on an item and its removal, the own watch's answer with the item alone put it back until the next answer, for up to two seconds if that one was lost: a server that had left, or an evacuation that had ended, was in force again. The configuration itself is never removed, so it could not go back this way.

Change: the rule stands in `_apply_change`, for both ways.

Evidence: test_watch_that_is_behind_a_relay, before: the item is back, after: not. The tests of mirrors, relays, links, store and path pass (66).

--- a/tests/test_store_mirrors.py
+++ b/tests/test_store_mirrors.py
@@ -78,6 +78,22 @@
         self.assertEqual(keys(mirror), set())
         self.assertEqual(mirror.revision, 9)
 
+    def test_watch_that_is_behind_a_relay(self) -> None:
+        """Guard against an own watch that brings back a server that left.
+
+        A relay has passed on the item and its removal; the answer to the watch
+        holds the item only.
+        """
+        mirror = StoreMirror()
+        mirror.replace([], 3)
+        item = build_item('servers/a', 4)
+        mirror.apply_difference(MirrorDifference(3, 4, (item,)))
+        removal = Removal('servers/a', 5)
+        mirror.apply_difference(MirrorDifference(4, 5, (removal,)))
+        mirror.apply([item], 4)
+        self.assertEqual(keys(mirror), set())
+        self.assertEqual(mirror.revision, 5)
+
     def test_difference_with_a_gap(self) -> None:
         """Guard against changes that were missed for ever."""
         mirror = StoreMirror()
--- a/wasabistream/forwarding/mirrors.py
+++ b/wasabistream/forwarding/mirrors.py
@@ -71,23 +71,11 @@
             return self._apply(changes, revision)
 
     def apply_difference(self, difference: MirrorDifference) -> bool:
-        """Apply a difference of another mirror; return False for a gap.
-
-        Items up to the own revision are known here, or were removed since. A
-        removal may be older, as the other mirror may have held it back.
-        """
+        """Apply a difference of another mirror; return False for a gap."""
         with self._lock:
             if difference.before_revision > self.revision:
                 return False
-            self._apply(
-                [
-                    change
-                    for change in difference.changes
-                    if isinstance(change, Removal)
-                    or change.revision > self.revision
-                ],
-                difference.revision,
-            )
+            self._apply(difference.changes, difference.revision)
             return True
 
     def replace(self, listing: Iterable[MirrorItem], revision: int) -> bool:
@@ -119,6 +107,10 @@
         return bool(effective)
 
     def _apply_change(self, change: MirrorChange) -> bool:
+        # Items up to the own revision are known here, or were removed since. A
+        # removal may be older, as it may have been held back.
+        if isinstance(change, MirrorItem) and change.revision <= self.revision:
+            return False
         existing = self._items.get(change.key)
         if existing is not None and existing.revision >= change.revision:
             return False
