Apply removals that an entry held back once relays keep it current

What callers saw: nothing yet; found by looking for the class of the late configuration on the way of the store's items to an entry.

Cause: after an outage an entry holds removals back for 2.2 s. It applied them only after an answer to its own watch. If relays kept it current from then on, and had applied the removal before, nobody removed the server: it stayed listed until the entry read the store again, for minutes or longer.

Change: the follower applies due removals while it is relayed, too.

Evidence: test_removals_held_back_before_relays_take_over fails on the code before (three of three runs) and passes after (three of three). Formatter, linter and types pass.

--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -13,6 +13,10 @@
 from tests.waits import wait_for
 from wasabistream.exceptions import HistoryLostError, StoreError
 from wasabistream.forwarding.endpoints import Endpoint
+from wasabistream.forwarding.expiry_guards import (
+    MIN_OUTAGE_SECONDS,
+    REREGISTRATION_SECONDS,
+)
 from wasabistream.forwarding.fleets import Fleet
 from wasabistream.forwarding.mirrors import StoreMirror
 from wasabistream.long_polls import build_long_poll_limits
@@ -124,6 +128,28 @@
         self.relayed = False
         self.assertTrue(wait_for(lambda: len(mirror.items()) == 3))
 
+    def test_removals_held_back_before_relays_take_over(self) -> None:
+        """Guard against a server that left and stays listed.
+
+        Its removal is held back after an outage, and relays keep the entry
+        current from then on; they have applied the removal before.
+        """
+        follower, mirror = self.follow()
+        self.store.failing_status = 503
+        self.assertTrue(
+            wait_for(lambda: follower.away_seconds > MIN_OUTAGE_SECONDS)
+        )
+        self.store.remove('servers/s1')
+        self.store.failing_status = 0
+        self.assertTrue(wait_for(lambda: follower.lost_at_seconds is None))
+        self.relayed = True
+        self.assertEqual(len(mirror.items()), 4)
+        self.assertTrue(
+            wait_for(
+                lambda: len(mirror.items()) == 3, 2 * REREGISTRATION_SECONDS
+            )
+        )
+
     def test_pause_makes_the_mirror_outdated(self) -> None:
         """Guard against a paused process whose peers copy its old items."""
         follower, _ = self.follow()
--- a/wasabistream/platform/store_followers.py
+++ b/wasabistream/platform/store_followers.py
@@ -105,6 +105,8 @@
         if self._has_listing and self._is_updated_by_relays():
             self._was_relayed = True
             self._stopped.wait(RELAYED_POLL_SECONDS)
+            # Relays do not send again what this entry has held back itself.
+            self._guard.apply_due_removals()
             return
         if self._was_relayed:
             # A relay that was lost may have held removals back.
