Count refusals by an outdated configuration among the losses

It now compares the version in each refusal with the versions in force at the other entries: refusals by an older version more than 2 s after a later one came into force are one row. The lines of refused requests name no route, so the row has none and no worth.

Test: test_refusals_by_an_outdated_configuration (fails before: no row).

--- a/tests/log_builders.py
+++ b/tests/log_builders.py
@@ -60,3 +60,14 @@
         'seconds': 0.03,
     }
     return build_line('request: ended', 1, **{**ended, **fields})
+
+
+def build_refusal(second: float, *, version: int, status: int = 404) -> str:
+    """Return the line of a request that a configuration does not allow."""
+    return build_line(
+        'request: refused: no route for this path',
+        second,
+        request_id='r1',
+        status=status,
+        version=version,
+    )
--- a/tests/test_inspection_commands.py
+++ b/tests/test_inspection_commands.py
@@ -16,6 +16,7 @@
     STREAM_ROUTE,
     build_call_end,
     build_line,
+    build_refusal,
     build_stream_end,
 )
 from wasabistream.inspection import log_commands
@@ -131,6 +132,28 @@
         self.assertEqual(rows[0]['route_percent'], 50)
         self.assertEqual(rows[0]['worth_percent'], 25)
 
+    def test_refusals_by_an_outdated_configuration(self) -> None:
+        """Guard against an entry that misses a change without a loss.
+
+        Another entry had the later version in force; refusals at once after it,
+        or by the latest version, are no losses.
+        """
+        in_force = build_line(
+            'fleet: configuration in force', 5, process_id='front-2', version=9
+        )
+        path = self.write(
+            build_refusal(6, version=7),
+            build_refusal(8, version=7),
+            build_refusal(8, version=9),
+            build_refusal(8, version=7, status=503),
+            in_force,
+        )
+        rows = self.run_losses(path)
+        self.assertEqual(
+            [(row['cause'], row['count']) for row in rows],
+            [('refused by an outdated configuration', 1)],
+        )
+
     def test_torn_line(self) -> None:
         """Guard against a torn line that hides all that follow."""
         torn = build_call_end('r0')[:-9]
--- a/wasabistream/inspection/loss_tables.py
+++ b/wasabistream/inspection/loss_tables.py
@@ -10,9 +10,14 @@
     LossContext,
     find_cause,
 )
+from wasabistream.inspection.outdated_refusals import OutdatedRefusals
 from wasabistream.inspection.request_records import RequestRecord, build_record
 
 MOVE_PREFIX = 'mover: '
+REFUSED_PREFIX = 'request: refused: '
+# The lines of refused requests name no route.
+OUTDATED_CAUSE = 'refused by an outdated configuration'
+UNKNOWN_ROUTE = ''
 # Bounds the memory for requests that have no last line or were lost.
 MAX_RECORD_COUNT = 200_000
 
@@ -38,12 +43,18 @@
         # Worth of one request by route; 1 for all others.
         self._worths = worths
         self._context = LossContext()
+        self._outdated_refusals = OutdatedRefusals()
         self._owed_counts: Counter[str] = Counter()
         self._lost: list[RequestRecord] = []
         # Streams that were sent and have not ended yet; an ended one whose
         # last line came first stays marked by None.
         self._open: OrderedDict[str, RequestRecord | None] = OrderedDict()
-        self.skipped_count = 0
+        self._skipped_count = 0
+
+    @property
+    def skipped_count(self) -> int:
+        """Return the number of losses that did not fit into memory."""
+        return self._skipped_count + self._outdated_refusals.skipped_count
 
     def add(self, lines: Iterable[LogLine]) -> None:
         """Add log lines."""
@@ -53,13 +64,17 @@
                     self._add_ended(line)
                 case 'stream: sent':
                     self._add_sent(line)
+                case 'fleet: configuration in force':
+                    self._outdated_refusals.add_version(line)
                 case 'engine: state changed':
                     self._add_engine_state(line)
                 case message if message.startswith(MOVE_PREFIX):
                     self._add_move(line)
+                case message if message.startswith(REFUSED_PREFIX):
+                    self._outdated_refusals.add_refusal(line)
 
     def rows(self) -> list[LossRow]:
-        """Return the losses, those that cost most first."""
+        """Return the losses: outdated refusals, then those that cost most."""
         lost = [
             *self._lost,
             *(record for record in self._open.values() if record is not None),
@@ -84,7 +99,23 @@
             )
             for (route, cause), count in counts.items()
         ]
-        return sorted(rows, key=lambda row: row.worth_percent, reverse=True)
+        rows.sort(key=lambda row: row.worth_percent, reverse=True)
+        return [*self._build_outdated_rows(), *rows]
+
+    def _build_outdated_rows(self) -> list[LossRow]:
+        count = self._outdated_refusals.count()
+        if not count:
+            return []
+        return [
+            LossRow(
+                route=UNKNOWN_ROUTE,
+                cause=OUTDATED_CAUSE,
+                avoidable=True,
+                count=count,
+                route_percent=0,
+                worth_percent=0,
+            )
+        ]
 
     def _add_ended(self, line: LogLine) -> None:
         record = build_record(line)
@@ -96,7 +127,7 @@
         if record.is_in_time:
             return
         if len(self._lost) >= MAX_RECORD_COUNT:
-            self.skipped_count += 1
+            self._skipped_count += 1
             return
         self._lost.append(record)
 
@@ -120,7 +151,7 @@
         self._open.move_to_end(request_id)
         if len(self._open) > MAX_RECORD_COUNT:
             _, oldest = self._open.popitem(last=False)
-            self.skipped_count += oldest is not None
+            self._skipped_count += oldest is not None
 
     def _worth(self, route: str) -> float:
         return self._worths.get(route, 1)
