--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -246,8 +246,11 @@
     def test_malformed_notices_change_nothing(self) -> None:
         """Guard against a peer whose notices end the thread of the links."""
         guard = self.fleet.guards[0]
-        for _ in range(MAX_CRASH_COUNT):
-            self.fleet.clock.advance(STEP_SECONDS)
-            guard.on_crash_notice(PartCrashNotice('server', 0, [[]], True))
-            guard.on_crash_notice(PartAnswerNotice([7, ['part']]))
+        with self.assertLogs('wasabistream.poison_part_guards', 'WARNING'):
+            for _ in range(MAX_CRASH_COUNT):
+                self.fleet.clock.advance(STEP_SECONDS)
+                guard.on_crash_notice(PartCrashNotice('server', 0, [[]], True))
+                guard.on_crash_notice(PartAnswerNotice([7, ['part']]))
         self.assertEqual(self.fleet.refusing_entries(DEADLY), [])
+        self.crash_all(DEADLY)
+        self.assertEqual(self.fleet.refusing_entries(DEADLY), ALL_ENTRIES)
