End requests in progress only under certain bans

Cause: ends requests in progress with a ban unless the part was ever answered. Entries that have just started know no answers: if servers then end together, the common part of the requests that waited in them is banned, and ending the others in progress takes away the first answers, which lift such a ban at once.

Change: a ban is certain if the part was never answered while another part of the crashed requests was.

Test: test_ban_before_the_first_answers_spares_requests (fails before).

--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -202,12 +202,16 @@
         sent_at_seconds = self.fleet.clock()
         self.crash_all(COMMON, DEADLY)
         self.assertTrue(
-            detector.is_banned_since((COMMON, DEADLY), sent_at_seconds)
+            detector.is_certainly_banned_since(
+                (COMMON, DEADLY), sent_at_seconds
+            )
+        )
+        self.assertFalse(
+            detector.is_certainly_banned_since((COMMON,), sent_at_seconds)
         )
-        self.assertFalse(detector.is_banned_since((COMMON,), sent_at_seconds))
         self.fleet.clock.advance(FIRST_TRIAL_SECONDS)
         self.assertFalse(
-            detector.is_banned_since((DEADLY,), self.fleet.clock())
+            detector.is_certainly_banned_since((DEADLY,), self.fleet.clock())
         )
 
     def test_doubtful_ban_spares_requests_in_progress(self) -> None:
@@ -217,11 +221,25 @@
         self.fleet.crash_together(COMMON, OTHER)
         self.assertNotEqual(self.fleet.refusing_entries(COMMON, OTHER), [])
         self.assertFalse(
-            self.fleet.detectors[0].is_banned_since(
+            self.fleet.detectors[0].is_certainly_banned_since(
                 (COMMON, OTHER), sent_at_seconds
             )
         )
 
+    def test_ban_before_the_first_answers_spares_requests(self) -> None:
+        """Guard against ending sound requests when entries have just started.
+
+        Servers end together before any part was answered; a request in progress
+        may be the first answer, which lifts the ban.
+        """
+        self.fleet.crash_together(COMMON, OTHER)
+        self.assertNotEqual(self.fleet.refusing_entries(COMMON, OTHER), [])
+        self.assertFalse(
+            self.fleet.detectors[0].is_certainly_banned_since(
+                (COMMON, OTHER), 0
+            )
+        )
+
     def test_memory_is_bounded(self) -> None:
         """Guard against callers that send other parts each time."""
         detector = self.fleet.detectors[0]
--- a/tests/test_supervisors.py
+++ b/tests/test_supervisors.py
@@ -32,7 +32,7 @@
         self.responsive = threading.Event()
         self.responsive.set()
         self.has_moved = False
-        self.is_banned = False
+        self.must_end = False
         self.caller = FakeCaller()
         self.exchange = whole()
         self.watch = RequestWatch(build_request(), self.caller)
@@ -43,7 +43,7 @@
         supervisor = RequestSupervisor(
             lambda endpoint: self.responsive.is_set(),
             lambda run_id: self.has_moved,
-            lambda request, admitted_at_seconds: self.is_banned,
+            lambda request, admitted_at_seconds: self.must_end,
         )
         supervisor.add(self.watch)
         supervisor.start()
@@ -121,7 +121,7 @@
 
         Its part is banned while it waits for its first event.
         """
-        self.is_banned = True
+        self.must_end = True
         self.supervise()
         self.assertTrue(self.is_cut())
         self.assertEqual(self.watch.reason, CutReason.poison_part)
--- a/wasabistream/crash_records.py
+++ b/wasabistream/crash_records.py
@@ -59,6 +59,15 @@
                 positions[part] = max(positions.get(part, 0), position)
         return positions
 
+    def find_companions(self, part: str) -> set[str]:
+        """Return all parts of the requests that hold a part."""
+        return {
+            companion
+            for held in self.requests
+            if part in held.parts
+            for companion in held.parts
+        }
+
     def suspects(self) -> frozenset[str]:
         """Return the parts that may be the cause and are not cleared."""
         return frozenset(self.positions().keys() - self.cleared_parts)
--- a/wasabistream/forwarding/supervisors.py
+++ b/wasabistream/forwarding/supervisors.py
@@ -123,11 +123,11 @@
         self,
         is_responsive: Callable[[str], bool],
         has_moved: Callable[[str], bool],
-        is_banned_since: Callable[[ForwardRequest, float], bool],
+        must_end: Callable[[ForwardRequest, float], bool],
     ) -> None:
         self._is_responsive = is_responsive
         self._has_moved = has_moved
-        self._is_banned_since = is_banned_since
+        self._must_end = must_end
         self._lock = threading.Lock()
         self._watches: set[RequestWatch] = set()
         self._stopped = threading.Event()
@@ -181,7 +181,7 @@
             return CutReason.timeout
         # Events clear the parts of a request, so this one has none yet and
         # would crash its server with the first.
-        if self._is_banned_since(watch.request, watch.admitted_at_seconds):
+        if self._must_end(watch.request, watch.admitted_at_seconds):
             return CutReason.poison_part
         attempt_deadline = watch.attempt_deadline_seconds
         if attempt_deadline is not None and time.monotonic() > attempt_deadline:
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -119,7 +119,7 @@
         )
         self._drain_gate = DrainGate(self._peer_links.is_majority_serving)
         self._request_supervisor = RequestSupervisor(
-            self._is_responsive, move_tracker.has_moved, self._is_banned_since
+            self._is_responsive, move_tracker.has_moved, self._must_end
         )
         handler = RequestHandler(
             self.fleet,
@@ -275,10 +275,8 @@
             and not self._load_tracker.has_fresh_reports()
         )
 
-    def _is_banned_since(
-        self, request: ForwardRequest, at_seconds: float
-    ) -> bool:
-        return self.poison_parts.is_banned_since(
+    def _must_end(self, request: ForwardRequest, at_seconds: float) -> bool:
+        return self.poison_parts.is_certainly_banned_since(
             request.prompt_parts, at_seconds
         )
 
--- a/wasabistream/poison_parts.py
+++ b/wasabistream/poison_parts.py
@@ -88,17 +88,23 @@
             return any(part in self._bans for part in parts)
 
     def is_banned_since(self, parts: Iterable[str], at_seconds: float) -> bool:
-        """Return whether a ban of a part became known after a monotonic time.
+        """Return whether a ban of a part became known after a monotonic time."""
+        with self._lock:
+            return any(self._find_bans_since(parts, at_seconds))
+
+    def is_certainly_banned_since(
+        self, parts: Iterable[str], at_seconds: float
+    ) -> bool:
+        """Return whether a certain ban became known after a monotonic time.
 
-        A part that was answered before may be banned by mistake and does not
-        count.
+        A ban is certain if the part was never answered while others of the
+        crashed requests were. Before the first answers, servers that end
+        together cannot be told from a part that crashes them.
         """
         with self._lock:
             return any(
-                part in self._bans
-                and part not in self._answered_at_seconds
-                and self._bans[part].known_at_seconds >= at_seconds
-                for part in parts
+                self._is_certain(part)
+                for part in self._find_bans_since(parts, at_seconds)
             )
 
     def start_trial(self, parts: Collection[str]) -> PartTrial | None:
@@ -240,6 +246,25 @@
             default=None,
         )
 
+    def _find_bans_since(
+        self, parts: Iterable[str], at_seconds: float
+    ) -> list[str]:
+        return [
+            part
+            for part in parts
+            if part in self._bans
+            and self._bans[part].known_at_seconds >= at_seconds
+        ]
+
+    def _is_certain(self, banned: str) -> bool:
+        if banned in self._answered_at_seconds:
+            return False
+        return any(
+            part in self._answered_at_seconds
+            for record in self._log
+            for part in record.find_companions(banned)
+        )
+
     def _distinguishes(self, part: str, parts: Collection[str]) -> bool:
         """Return whether a request lacks a part that may be the cause instead."""
         alternatives = [
