--- a/tests/test_crash_blames.py
+++ b/tests/test_crash_blames.py
@@ -90,32 +90,40 @@
     def test_waiting_stream_is_banned_later(self) -> None:
         """Guard against a ban on a sound stream that waited in two servers.
 
-        Its answer had not begun when they crashed under another request. Other
-        requests get no part of their answer before it is complete.
+        Its answer had not begun when they crashed under another request.
         """
-        for kind, expected in (
-            (RouteKind.streaming, [False, False, True]),
-            (RouteKind.idempotent, [False, True, True]),
-        ):
-            with self.subTest(kind=kind):
-                self.setUp()
-                request = build_request(build_route(kind))
-                other_guard = PoisonRequestGuard(
-                    Mock(), Mock(), PoisonPartDetector()
-                )
-                refusals = []
-                for number in range(3):
-                    self.crash(number, request, has_begun=False)
-                    other_guard.on_crash_notice(self.sent_notices[-1])  # type: ignore[arg-type]
-                    refusals.append(
-                        [
-                            bool(guard.find_refusal_reason(request))
-                            for guard in (self.guard, other_guard)
-                        ]
-                    )
-                self.assertEqual(
-                    refusals, [[banned, banned] for banned in expected]
+        self.assertEqual(
+            self.refusals_after_crashes(RouteKind.streaming),
+            [(False, False), (False, False), (True, True)],
+        )
+
+    def test_whole_answers_do_not_begin_before_a_crash(self) -> None:
+        """Guard against a third crash by a request without a stream."""
+        self.assertEqual(
+            self.refusals_after_crashes(RouteKind.idempotent),
+            [(False, False), (True, True), (True, True)],
+        )
+
+    def refusals_after_crashes(
+        self, kind: RouteKind
+    ) -> list[tuple[bool, bool]]:
+        """Return after each of three crashes who refuses a request.
+
+        Its answers had not begun. The second one is an entry that was told.
+        """
+        request = build_request(build_route(kind))
+        other_guard = PoisonRequestGuard(Mock(), Mock(), PoisonPartDetector())
+        refusals = []
+        for number in range(3):
+            self.crash(number, request, has_begun=False)
+            other_guard.on_crash_notice(self.sent_notices[-1])  # type: ignore[arg-type]
+            refusals.append(
+                (
+                    bool(self.guard.find_refusal_reason(request)),
+                    bool(other_guard.find_refusal_reason(request)),
                 )
+            )
+        return refusals
 
     def test_answered_request_is_cleared(self) -> None:
         """An answer clears the crash before it, which had another cause."""
