Decode and log the rate limit that backend servers state

No log line told which limit a server states, nor when it begins and ends. The limit in the head of an answer is decoded at the boundary and kept with the head; agents report the one of their engine at once and log it with `engine: state changed`. A limit that is no plain decimal number is logged once and ignored: it neither sets a limit nor ends one. An answer with 421 states nothing, as it comes from another server than the expected one.

No decision reads the limit yet. An engine that changes its limit while it leaves would have been moved twice; the moves start with the beginning of the leaving only.

Tests: test_stated_rate_limit, test_rate_limit_is_reported_at_once.

--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -8,6 +8,8 @@
 from tests.platform_builders import CONFIGURATION, NODE, SERVER
 from wasabistream.exceptions import BackendError, SettingsError
 from wasabistream.forwarding.routes import RouteKind
+from wasabistream.forwarding.server_advisories import NO_LIMIT
+from wasabistream.platform.advisory_decoders import decode_advisory
 from wasabistream.platform.decode_errors import DECODE_ERRORS
 from wasabistream.platform.engine_clients import decode_state
 from wasabistream.platform.node_files import decode_node, read_node_file
@@ -80,6 +82,31 @@
         except BackendError as error:
             self.assertEqual(error.step, 'report')
 
+    def test_stated_rate_limit(self) -> None:
+        """Guard against a malformed rate limit that is taken for one.
+
+        Such a statement neither sets a limit nor ends the one before.
+        """
+        limits = {
+            '2.5': 2.5,
+            ' 0 ': 0.0,
+            '999999999999': 999999999999.0,
+            '-1': None,
+            '+1': None,
+            'nan': None,
+            'inf': None,
+            '1e3': None,
+            '1,5': None,
+            '1.': None,
+            '': None,
+            '1' * 400: None,
+            '\u0661': None,
+        }
+        for text, expected in limits.items():
+            advisory = decode_advisory({'server-limit': text}, 'server')
+            self.assertEqual(advisory.limit_per_second, expected, text)
+        self.assertEqual(decode_advisory({}, 's').limit_per_second, NO_LIMIT)
+
     def test_leaving_report(self) -> None:
         """Guard against overlooking that an engine is about to leave."""
         runs = [['a', 3000, 12, 1]]
--- a/tests/test_run_movers.py
+++ b/tests/test_run_movers.py
@@ -7,6 +7,8 @@
 import itertools
 import threading
 import unittest
+from collections.abc import Callable
+from dataclasses import replace
 from unittest.mock import Mock
 
 from tests.forwarding_builders import build_report
@@ -26,7 +28,9 @@
     decode_move_targets,
 )
 from wasabistream.forwarding.run_movers import RunMover
+from wasabistream.forwarding.server_advisories import NO_LIMIT, ServerAdvisory
 from wasabistream.messages import Message
+from wasabistream.notices import UNKNOWN_LIMIT
 
 SOURCE = '10.0.0.1:8000'
 LOCAL = '10.0.0.2:8000'
@@ -150,7 +154,12 @@
 class EngineWatcherTest(unittest.TestCase):
     """Guard against reporting state changes of an engine late."""
 
-    def watch(self, engine: Mock, done: threading.Event) -> EngineWatcher:
+    def watch(
+        self,
+        engine: Mock,
+        done: threading.Event,
+        on_leaving: Callable[[], None] | None = None,
+    ) -> EngineWatcher:
         """Poll an engine until `done` is set."""
         self.reports: list = []
 
@@ -159,7 +168,9 @@
             if getattr(notice, 'responsive', True) is False:
                 done.set()
 
-        watcher = EngineWatcher(engine, '10.0.0.1:8000', report, done.set)
+        watcher = EngineWatcher(
+            engine, '10.0.0.1:8000', report, on_leaving or done.set
+        )
         watcher.start()
         self.addCleanup(watcher.stop)
         self.assertTrue(done.wait(WAIT_SECONDS))
@@ -176,6 +187,28 @@
         self.watch(engine, threading.Event())
         self.assertTrue(self.reports[-1].leaving)
 
+    def test_rate_limit_is_reported_at_once(self) -> None:
+        """Guard against entries that hear late of a limit, or of its end.
+
+        A leaving engine that states another limit must not be moved twice.
+        """
+        idle = EngineState(0, 0, 3000, 30000, False, None, ())
+        limited = replace(idle, advisory=ServerAdvisory(1.5), leaving=True)
+        unreadable = replace(limited, advisory=ServerAdvisory(None))
+        silent = itertools.repeat(BackendError('silent', 'state', SOURCE))
+        engine = Mock()
+        engine.state.side_effect = itertools.chain(
+            (idle, limited, unreadable, idle), silent
+        )
+        on_leaving = Mock()
+        done = threading.Event()
+        self.watch(engine, done, on_leaving)
+        limits = [report.limit_per_second for report in self.reports]
+        self.assertEqual(
+            limits, [NO_LIMIT, 1.5, UNKNOWN_LIMIT, NO_LIMIT, UNKNOWN_LIMIT]
+        )
+        on_leaving.assert_called_once()
+
     def test_unresponsive_engine_is_reported(self) -> None:
         """Guard against sending requests to an unresponsive engine."""
         idle = EngineState(0, 0, 3000, 30000, False, None, ())
--- a/wasabistream/forwarding/engine_states.py
+++ b/wasabistream/forwarding/engine_states.py
@@ -5,6 +5,8 @@
 
 from dataclasses import dataclass
 
+from wasabistream.forwarding.server_advisories import ServerAdvisory
+
 
 @dataclass(frozen=True, slots=True)
 class EngineRun:
@@ -29,3 +31,4 @@
     # Time until the engine ends; None if unknown.
     leaves_seconds: float | None
     runs: tuple[EngineRun, ...]
+    advisory: ServerAdvisory = ServerAdvisory()
--- a/wasabistream/forwarding/engine_watchers.py
+++ b/wasabistream/forwarding/engine_watchers.py
@@ -8,7 +8,8 @@
 from wasabistream.exceptions import BackendError
 from wasabistream.forwarding.engine_states import EngineState
 from wasabistream.forwarding.run_movers import AgentEngine
-from wasabistream.notices import LoadReport
+from wasabistream.forwarding.server_advisories import format_limit
+from wasabistream.notices import UNKNOWN_LIMIT, LoadReport
 
 logger = logging.getLogger(__name__)
 
@@ -87,10 +88,7 @@
     def _publish(self, report: LoadReport) -> None:
         last = self.last
         self.last = report
-        changed = last is None or (last.leaving, last.responsive) != (
-            report.leaving,
-            report.responsive,
-        )
+        changed = last is None or _condition(last) != _condition(report)
         now = time.monotonic()
         due = now - self._reported_seconds >= REPORT_INTERVAL_SECONDS
         if not changed and (not due or report == last):
@@ -106,13 +104,19 @@
                     'leaving': report.leaving,
                     'responsive': report.responsive,
                     'running_count': report.running_count,
+                    'limit_per_second': format_limit(report.limit_per_second),
                 },
             )
-            if report.leaving:
+            if report.leaving and (last is None or not last.leaving):
                 self._on_leaving()
 
 
+def _condition(report: LoadReport) -> tuple[bool, bool, float]:
+    return report.leaving, report.responsive, report.limit_per_second
+
+
 def _build_load_report(state: EngineState) -> LoadReport:
+    limit = state.advisory.limit_per_second
     return LoadReport(
         memory_used_tokens=state.memory_used_tokens,
         memory_capacity_tokens=state.memory_capacity_tokens,
@@ -123,4 +127,5 @@
         + max(state.running_count - len(state.runs), 0),
         ramp_limit_count=0,
         leaving=state.leaving,
+        limit_per_second=UNKNOWN_LIMIT if limit is None else limit,
     )
--- a/wasabistream/forwarding/interfaces.py
+++ b/wasabistream/forwarding/interfaces.py
@@ -11,6 +11,7 @@
     Headers,
     Reply,
 )
+from wasabistream.forwarding.server_advisories import ServerAdvisory
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +27,9 @@
     # Whether the backend server states that it has not run the request.
     not_run: bool
     event_stream: bool
+    # What the backend server states about itself; None if the answer is not
+    # its own.
+    advisory: ServerAdvisory | None = None
 
     @property
     def succeeded(self) -> bool:
--- a/wasabistream/notices.py
+++ b/wasabistream/notices.py
@@ -6,6 +6,8 @@
 
 # Value of a taken count that an agent of an older version does not report.
 UNKNOWN_COUNT = -1
+# Rate limit in a report that does not state whether there is one.
+UNKNOWN_LIMIT = -1.0
 
 
 @message(1)
@@ -42,6 +44,9 @@
     taken_count: int = UNKNOWN_COUNT
     # Whether the backend server answered its agent.
     responsive: bool = True
+    # Requests per second that the backend server takes from all entries
+    # together; infinite without a limit.
+    limit_per_second: float = UNKNOWN_LIMIT
 
 
 @message(4)
--- a/wasabistream/platform/engine_clients.py
+++ b/wasabistream/platform/engine_clients.py
@@ -1,14 +1,16 @@
 """HTTP client for the engine beside an agent."""
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from wasabistream.exceptions import BackendError
 from wasabistream.forwarding.endpoints import Endpoint
 from wasabistream.forwarding.engine_states import EngineRun, EngineState
 from wasabistream.forwarding.move_outcomes import MoveOutcome
+from wasabistream.forwarding.server_advisories import ServerAdvisory
 from wasabistream.limited_pools import LimitedPool
+from wasabistream.platform.advisory_decoders import decode_advisory
 from wasabistream.platform.decode_errors import CALL_ERRORS, DECODE_ERRORS
 from wasabistream.platform.server_clients import SOCKET_OPTIONS
 from wasabistream.units import MILLISECONDS_PER_SECOND
@@ -28,6 +30,7 @@
 class _Answer:
     status: int
     body: Any
+    advisory: ServerAdvisory
 
 
 class EngineClient:
@@ -47,7 +50,9 @@
         )
         if answer.status != OK_STATUS:
             raise BackendError(f'status {answer.status}', 'state', self._peer)
-        return decode_state(answer.body, self._peer)
+        return replace(
+            decode_state(answer.body, self._peer), advisory=answer.advisory
+        )
 
     def copy_run(
         self, run_id: str, target_endpoint: str, *, final: bool
@@ -95,7 +100,12 @@
             decoded = json.loads(response.data) if response.data else None
         except CALL_ERRORS as error:
             raise BackendError(str(error), path, self._peer) from error
-        return _Answer(response.status, decoded)
+        headers = {
+            name.lower(): text for name, text in response.headers.items()
+        }
+        return _Answer(
+            response.status, decoded, decode_advisory(headers, self._peer)
+        )
 
 
 def _build_pool(endpoint: Endpoint, *, reuses: bool) -> LimitedPool:
--- a/wasabistream/platform/header_names.py
+++ b/wasabistream/platform/header_names.py
@@ -26,6 +26,8 @@
 # Set by backend servers on their own answers; its value is not checked.
 SEAL = 'wasabistream-response-seal'
 NOT_EXECUTED = 'wasabistream-not-executed'
+# Requests per second that a backend server takes from all entries together.
+RATE_LIMIT = 'server-limit'
 
 # Headers that only the system may set; dropped from callers' requests.
 SYSTEM_ONLY = frozenset(
--- a/wasabistream/platform/server_clients.py
+++ b/wasabistream/platform/server_clients.py
@@ -18,6 +18,7 @@
 from wasabistream.forwarding.requests import ForwardRequest, Headers
 from wasabistream.limited_responses import LimitedResponse
 from wasabistream.platform import header_names as names
+from wasabistream.platform.advisory_decoders import decode_advisory
 from wasabistream.units import MILLISECONDS_PER_SECOND
 
 # A connection within a region takes a few milliseconds. Waiting longer does
@@ -270,13 +271,16 @@
     if headers.get('content-encoding', 'identity') != 'identity':
         raise BackendError('body has an encoding', 'head', peer)
     media_type = headers.get('content-type', '')
-    # 421 (Misdirected Request) states by itself that the request has not run.
+    # 421 (Misdirected Request) states that the request has not run, as another
+    # server than the expected one has the address.
+    misdirected = response.status == 421
     return AnswerHead(
         status=response.status,
         headers=_select_returned_headers(pairs),
         sealed=names.SEAL in headers,
-        not_run=response.status == 421 or names.NOT_EXECUTED in headers,
+        not_run=misdirected or names.NOT_EXECUTED in headers,
         event_stream=media_type.startswith('text/event-stream'),
+        advisory=None if misdirected else decode_advisory(headers, peer),
     )
 
 
