--- a/tests/platform_paths.py
+++ b/tests/platform_paths.py
@@ -3,7 +3,7 @@
 import socket
 import threading
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any, ClassVar
 
@@ -59,6 +59,7 @@
     length: int | None = None,
     request_id: str = '',
     seal: str = 's',
+    extra_headers: Mapping[str, str] | None = None,
 ) -> None:
     """Answer with status 200 and these parts."""
     names = {key.lower(): text for key, text in handler.headers.items()}
@@ -67,17 +68,26 @@
     handler.send_header('Wasabistream-Request-Attempt-Id', echoed)
     if seal:
         handler.send_header('Wasabistream-Response-Seal', seal)
+    for name, text in (extra_headers or {}).items():
+        handler.send_header(name, text)
     handler.send_header('Content-Length', str(length or len(body)))
     handler.end_headers()
     handler.wfile.write(body)
     handler.close_connection = True
 
 
-def build_entry(store_port: int) -> PlatformEntry:
-    """Return an entry that reads a store on this machine."""
+def build_entry(
+    store_port: int, control_port: int = 0, seed_port: int = 0
+) -> PlatformEntry:
+    """Return an entry that reads a store on this machine.
+
+    Entries that link to each other need fixed control ports.
+    """
+    listen = {**NODE['listen'], 'control': f'127.0.0.1:{control_port}'}
     node = {
         **NODE,
-        'seeds': [],
+        'listen': listen,
+        'seeds': [f'127.0.0.1:{seed_port}'] if seed_port else [],
         'platform': {'address': f'127.0.0.1:{store_port}'},
     }
     return PlatformEntry(decode_node(node), ProcessOptions('', 0))
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -151,6 +151,11 @@
         """Return the port for readiness probes."""
         return self._readiness_server.port
 
+    @property
+    def live_entry_count(self) -> int:
+        """Return the number of live entries, including this one."""
+        return self._peer_links.entry_count()
+
     def on_start(self) -> None:
         """Follow the store and serve callers."""
         self._fleet_updater.subscribe(self._apply_fleet)
