Keep all entries together within the rate limit that a server states

Callers saw nothing; servers in need got more than they had asked for. Nothing read the limit, and servers were chosen by load alone. Class: a limit on the sum over all entries that no decision knows.

`rate_limits` spaces requests to a server by the inverse of its limit. An entry that hears of a limit, from the head of an answer or an agent's report, tells the others, and each request to such a server is told to all, so that every entry counts the same requests however uneven their callers are. Turns of the entries are spread in another order for each server. Entries that are known but out of reach keep their part, as they may still send. Moved generations go on where their memory is and delay later requests. A limit ends with an answer to a later request that does not state it, with the server's restart or with another server at its address; an age does not end it, and a low limit is tried each ten seconds. A server that takes no more is no target of moves. What no server takes is refused at once, with the time of the next turn in Retry-After.

Ruled out: equal parts for each entry. Five entries at a limit of one request per second leave each a request in five seconds, and a busy entry refuses what others do not use.

--- a/tests/forwarding_builders.py
+++ b/tests/forwarding_builders.py
@@ -1,8 +1,11 @@
 """Builders of test data for the forwarding package."""
 
+import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from unittest.mock import Mock
 
+from wasabistream.forwarding.advisory_guards import AdvisoryGuard
 from wasabistream.forwarding.answer_buffers import AnswerBuffers
 from wasabistream.forwarding.answer_limits import (
     DEFAULT_MEMORY_LIMIT_BYTES,
@@ -16,12 +19,15 @@
     RoutingConfiguration,
     group_routes,
 )
+from wasabistream.forwarding.entry_shares import EntryShares
 from wasabistream.forwarding.failure_rates import FailureRates
 from wasabistream.forwarding.fleets import Fleet, FleetHolder
 from wasabistream.forwarding.interfaces import ServerClient
 from wasabistream.forwarding.load_trackers import LoadTracker
 from wasabistream.forwarding.mirrors import MirrorItem
 from wasabistream.forwarding.poison_request_guards import PoisonRequestGuard
+from wasabistream.forwarding.rate_limits import RateLimits
+from wasabistream.forwarding.refusals import Refuser
 from wasabistream.forwarding.requests import (
     ForwardRequest,
     GenerationDemand,
@@ -172,6 +178,15 @@
     return ColdLimiter(ColdLimit(1.5, 5), lambda: 1)
 
 
+def build_advisories(
+    clock: Callable[[], float] = time.monotonic,
+) -> AdvisoryGuard:
+    """Return the guard of the only entry."""
+    return AdvisoryGuard(
+        RateLimits(EntryShares('10.1.0.1:9000', clock), Mock(), clock)
+    )
+
+
 def build_answer_buffers() -> AnswerBuffers:
     """Return buffers with the limits of a small machine."""
     return AnswerBuffers(build_answer_limits(DEFAULT_MEMORY_LIMIT_BYTES))
@@ -207,6 +222,8 @@
     sender: AttemptSender
     poison_guard: PoisonRequestGuard
     poison_parts: PoisonPartDetector
+    advisories: AdvisoryGuard
+    refuser: Refuser
 
 
 def build_parts(
@@ -217,13 +234,20 @@
     load_tracker = LoadTracker()
     failure_rates = FailureRates()
     cold = build_cold_limiter()
+    advisories = build_advisories()
+    advisories.on_fleet_changed(holder.current)
     poison_parts = PoisonPartDetector()
     poison_guard = PoisonRequestGuard(Mock(), Mock(), poison_parts)
     return ForwardingParts(
         holder,
         failure_rates,
         ServerChooser(
-            holder, load_tracker, failure_rates, cold, OWN_DATA_CENTRE
+            holder,
+            load_tracker,
+            failure_rates,
+            cold,
+            advisories,
+            OWN_DATA_CENTRE,
         ),
         AttemptSender(
             client,
@@ -232,7 +256,10 @@
             build_budgets(),
             cold,
             poison_guard,
+            advisories,
         ),
         poison_guard,
         poison_parts,
+        advisories,
+        Refuser(holder, advisories),
     )
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -17,6 +17,7 @@
     build_server,
 )
 from tests.waits import wait_for
+from wasabistream.crash_notices import CrashMessage
 from wasabistream.forwarding.announced_engines import (
     AnnouncedEngines,
     EngineAnnouncement,
@@ -108,11 +109,11 @@
         """Guard against a restarted entry that crashes further servers."""
         ban = PartBanNotice('part', 5, 0)
         informed = self.start('a', [])
-        informed.links.subscribe_crashes(print, lambda: [ban])
+        informed.links.subscribe(CrashMessage, print, lambda: [ban])
         told: list[Message] = []
         started = Entry('b', [])
         self.addCleanup(started.stop)
-        started.links.subscribe_crashes(told.append, list)
+        started.links.subscribe(CrashMessage, told.append, list)
         started.links.replace_seeds([informed.endpoint])
         self.assertTrue(wait_for(lambda: told == [ban]))
 
--- a/tests/test_plain_forwarders.py
+++ b/tests/test_plain_forwarders.py
@@ -56,6 +56,7 @@
             parts.failure_rates,
             parts.poison_guard,
             build_answer_buffers(),
+            parts.refuser,
         )
         for part in self.banned_parts:
             parts.poison_parts.adopt_ban(part, 0, 0)
--- a/tests/test_server_choosers.py
+++ b/tests/test_server_choosers.py
@@ -11,6 +11,7 @@
     ENGINE_SERVICE,
     MEMORY_TOKENS,
     OWN_DATA_CENTRE,
+    build_advisories,
     build_cold_limiter,
     build_fleet,
     build_holder,
@@ -42,6 +43,7 @@
             self.load_tracker,
             self.failure_rates,
             build_cold_limiter(),
+            build_advisories(),
             OWN_DATA_CENTRE,
         )
         self.generation = build_request(build_route(RouteKind.streaming))
@@ -164,6 +166,7 @@
             self.load_tracker,
             self.failure_rates,
             build_cold_limiter(),
+            build_advisories(),
             OWN_DATA_CENTRE,
         )
         counts = {server.server_id: 0 for server in (sole_engine, *others)}
--- a/tests/test_stream_forwarders.py
+++ b/tests/test_stream_forwarders.py
@@ -79,6 +79,7 @@
             self.moves,
             parts.poison_guard,
             build_answer_buffers(),
+            parts.refuser,
         )
         for part in self.banned_parts:
             parts.poison_parts.adopt_ban(part, 0, 0)
--- a/wasabistream/forwarding/agent_links.py
+++ b/wasabistream/forwarding/agent_links.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from wasabistream.dialers import PeerDialer
+from wasabistream.forwarding.advisory_guards import AdvisoryGuard
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.endpoints import Endpoint
 from wasabistream.forwarding.fleets import Fleet
@@ -40,11 +41,13 @@
         link_port: int,
         load_tracker: LoadTracker,
         moves: MoveTracker,
+        advisories: AdvisoryGuard,
     ) -> None:
         self._hello = hello
         self._link_port = link_port
         self._load_tracker = load_tracker
         self._moves = moves
+        self._advisories = advisories
         self._lock = threading.Lock()
         self._dialers: dict[Endpoint, PeerDialer] = {}
         # Monotonic time at which each backend server left the list.
@@ -83,6 +86,7 @@
         match notice:
             case LoadReport():
                 self._load_tracker.report(endpoint, notice)
+                self._advisories.record_report(endpoint, notice)
             case RunMoving():
                 self._moves.record_move_start(notice.run_id)
             case RunMoved():
@@ -107,7 +111,11 @@
         self, endpoint: str, link: Link, query: MoveTargetQuery
     ) -> None:
         rows = list_move_targets(
-            self._fleet, self._load_tracker, query.service, endpoint
+            self._fleet,
+            self._load_tracker,
+            self._advisories.admits,
+            query.service,
+            endpoint,
         )
         # A lost reply is harmless: the agent asks all entries, repeatedly.
         send_or_log(
--- a/wasabistream/forwarding/attempts.py
+++ b/wasabistream/forwarding/attempts.py
@@ -7,6 +7,7 @@
 from functools import partial
 
 from wasabistream.exceptions import BackendError, NotRunError
+from wasabistream.forwarding.advisory_guards import AdvisoryGuard
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.budgets import RepeatBudgets
 from wasabistream.forwarding.cold_limiters import ColdLimiter
@@ -57,6 +58,7 @@
         budgets: RepeatBudgets,
         cold: ColdLimiter,
         poison_guard: PoisonRequestGuard,
+        advisories: AdvisoryGuard,
     ) -> None:
         self._client = client
         self._load_tracker = load_tracker
@@ -64,6 +66,7 @@
         self._budgets = budgets
         self._cold = cold
         self._poison_guard = poison_guard
+        self._advisories = advisories
 
     def may_send(self, watch: RequestWatch, history: AttemptHistory) -> bool:
         """Return whether to send an attempt; a further one uses the budget."""
@@ -143,6 +146,10 @@
         # A moved generation that continues here is not a further run.
         counts_as_run = continuation is None or not continuation.handle
         history.unanswered_count = int(counts_as_run)
+        if not counts_as_run:
+            # Its memory is at this server only. Other attempts are counted
+            # when their server is chosen.
+            self._advisories.add_sent_request(server)
         try:
             exchange = self._client.open(
                 server,
@@ -163,6 +170,7 @@
             raise
         finally:
             history.unanswered_count = 0
+        self._advisories.record_answer(server, exchange.head.advisory, started)
         if exchange.head.not_run:
             history.turned_away_count += 1
             exchange.close()
--- a/wasabistream/forwarding/move_targets.py
+++ b/wasabistream/forwarding/move_targets.py
@@ -1,8 +1,10 @@
 """Move targets: backend servers that can take over generations."""
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 
+from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.fleets import Fleet
 from wasabistream.forwarding.load_trackers import LoadTracker
 
@@ -27,13 +29,17 @@
 
 
 def list_move_targets(
-    fleet: Fleet, load_tracker: LoadTracker, service: str, source_endpoint: str
+    fleet: Fleet,
+    load_tracker: LoadTracker,
+    admits: Callable[[BackendServer], bool],
+    service: str,
+    source_endpoint: str,
 ) -> list[list[object]]:
     """Return the rows of a report of move targets for one agent."""
     rows: list[list[object]] = []
     for server in fleet.usable_servers(service):
         estimate = load_tracker.estimate(server.endpoint)
-        usable = estimate.responsive and not estimate.leaving
+        usable = estimate.responsive and not estimate.leaving and admits(server)
         if server.endpoint == source_endpoint or not usable:
             continue
         rows.append(
--- a/wasabistream/forwarding/peer_links.py
+++ b/wasabistream/forwarding/peer_links.py
@@ -5,14 +5,15 @@
 import threading
 import time
 from collections.abc import Callable, Sequence
+from typing import TypeVar
 
-from wasabistream.crash_notices import CrashMessage
 from wasabistream.dialers import PeerDialer
 from wasabistream.forwarding.announced_engines import (
     AnnouncedEngines,
     EngineAnnouncement,
 )
 from wasabistream.forwarding.endpoints import parse_endpoint
+from wasabistream.forwarding.entry_shares import EntryShares
 from wasabistream.forwarding.live_entries import LiveEntries
 from wasabistream.forwarding.mirror_exchanges import MirrorExchange
 from wasabistream.forwarding.mirrors import MirrorDifference, StoreMirror
@@ -48,6 +49,18 @@
 RELAY_VERSION = 2
 
 
+NoticeT = TypeVar('NoticeT', bound=Message)
+
+
+@dataclasses.dataclass(frozen=True)
+class Subscription:
+    """Hold who handles a type of notices and describes them to new peers."""
+
+    message_type: type[Message]
+    handler: Callable[..., None]
+    describe: Callable[[], Sequence[Message]]
+
+
 class PeerLinks:
     """Discover the other entries and read the store through them.
 
@@ -84,6 +97,7 @@
         # The last notice sent over each link, with its lists.
         self._sent_notices: dict[Link, PeerNotice] = {}
         self._live_entries = LiveEntries(endpoint)
+        self.shares = EntryShares(endpoint)
         self._exchange = MirrorExchange(mirror)
         self.relays = StoreRelays(
             endpoint,
@@ -92,8 +106,7 @@
             apply_seconds,
         )
         mirror.subscribe_differences(self._pass_on)
-        self._on_crash_notice: Callable[[CrashMessage], None] = _ignore
-        self._describe_crashes: Callable[[], Sequence[Message]] = tuple
+        self._subscriptions: list[Subscription] = []
         # True once this entry shuts down.
         self.draining = False
         self._created_at_seconds = time.monotonic()
@@ -125,17 +138,19 @@
         for link in links:
             link.close()
 
-    def subscribe_crashes(
+    def subscribe(
         self,
-        handler: Callable[[CrashMessage], None],
+        message_type: type[NoticeT],
+        handler: Callable[[NoticeT], None],
         describe: Callable[[], Sequence[Message]],
     ) -> None:
-        """Call the handler with the notices of other entries about crashes.
+        """Call the handler with the notices of a type from other entries.
 
         `describe` returns the notices for an entry that is linked anew.
         """
-        self._on_crash_notice = handler
-        self._describe_crashes = describe
+        self._subscriptions.append(
+            Subscription(message_type, handler, describe)
+        )
 
     def broadcast(self, notice: Message) -> None:
         """Send a message to all linked entries."""
@@ -168,8 +183,9 @@
             with self._lock:
                 self._links[link] = None
             self._send_notice(link, self._build_notice())
-            for notice in self._describe_crashes():
-                _send(link, notice)
+            for subscription in self._subscriptions:
+                for notice in subscription.describe():
+                    _send(link, notice)
 
     def on_messages(self, link: Link, received: Sequence[Message]) -> None:
         """Handle messages from a peer or an agent."""
@@ -180,8 +196,6 @@
                 case EngineAnnouncement():
                     self._directly_announced_engines.record_contact(notice)
                     self._announced_engines.record_contact(notice)
-                case CrashMessage():
-                    self._on_crash_notice(notice)
                 case MirrorQuery():
                     for part in self._exchange.parts_after(notice.revision):
                         _send(link, part)
@@ -190,6 +204,8 @@
                 case MirrorUpdate():
                     if self._exchange.apply_update(notice):
                         self._query(link)
+                case _:
+                    self._notify_subscribers(notice)
 
     def on_closed(self, link: Link, reason: str) -> None:
         """Remove a closed link."""
@@ -201,6 +217,11 @@
             self._exchange.discard_parts(link)
         logger.info('peer: link to %s ended: %s', link.peer.peer_id, reason)
 
+    def _notify_subscribers(self, notice: Message) -> None:
+        for subscription in self._subscriptions:
+            if isinstance(notice, subscription.message_type):
+                subscription.handler(notice)
+
     def _run(self) -> None:
         while not self._stopped.is_set():
             self._dial()
@@ -311,6 +332,9 @@
             is_capable=link.peer.version_max >= RELAY_VERSION,
         )
         self._live_entries.record_contact(notice.endpoint, notice.direct_peers)
+        self.shares.record_notice(
+            notice.endpoint, notice.direct_peers, draining=notice.draining
+        )
         self._record_engines(notice)
         if self._wants_items(notice):
             self._query(link)
@@ -370,7 +394,3 @@
 
 def _send(link: Link, notice: Message) -> None:
     send_or_log(link, notice, 'peer: message', logging.DEBUG)
-
-
-def _ignore(notice: Message) -> None:
-    """Ignore a notice while no handler is set."""
--- a/wasabistream/forwarding/replies.py
+++ b/wasabistream/forwarding/replies.py
@@ -17,16 +17,20 @@
 RETRY_AFTER_MAX_SECONDS = 2.0
 
 
-def build_refusal(remaining_seconds: float) -> Reply:
+def build_refusal(
+    remaining_seconds: float, min_wait_seconds: float = 0
+) -> Reply:
     """Return a 503 for a request that has not run.
 
-    Its Retry-After is a share of the time until the request's deadline.
+    Its Retry-After is a share of the time until the request's deadline, or
+    `min_wait_seconds` if that is longer.
     """
     wait_seconds = remaining_seconds * RETRY_AFTER_RATIO
     wait_seconds *= random.uniform(1 - RETRY_AFTER_JITTER_RATIO, 1)
     wait_seconds = min(
         max(wait_seconds, RETRY_AFTER_MIN_SECONDS), RETRY_AFTER_MAX_SECONDS
     )
+    wait_seconds = max(wait_seconds, min_wait_seconds)
     return Reply(NOT_RUN, (('retry-after', f'{wait_seconds:.2f}'),))
 
 
--- a/wasabistream/forwarding/server_choosers.py
+++ b/wasabistream/forwarding/server_choosers.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Collection
 
+from wasabistream.forwarding.advisory_guards import AdvisoryGuard
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.cold_limiters import ColdLimiter
 from wasabistream.forwarding.failure_rates import FailureRates
@@ -46,12 +47,14 @@
         load_tracker: LoadTracker,
         failure_rates: FailureRates,
         cold: ColdLimiter,
+        advisories: AdvisoryGuard,
         data_centre: str,
     ) -> None:
         self._fleet = fleet
         self._load_tracker = load_tracker
         self._failure_rates = failure_rates
         self._cold = cold
+        self._advisories = advisories
         self._data_centre = data_centre
 
     def choose(
@@ -66,6 +69,7 @@
             for server in fleet.usable_servers(request.service)
             if server.endpoint not in excluded
             and self._cold.admits(server, cold_rate)
+            and self._advisories.admits(server)
         ]
         reachable = [
             server
@@ -90,6 +94,16 @@
             ),
         )
 
+    def take(
+        self, request: ForwardRequest, excluded: Collection[str] = ()
+    ) -> BackendServer | None:
+        """Choose a backend server and count the request at its limit."""
+        while True:
+            server = self.choose(request, excluded)
+            # Another request may have used the server's limit meanwhile.
+            if server is None or self._advisories.try_take(server):
+                return server
+
     def has_other(
         self, request: ForwardRequest, excluded: Collection[str]
     ) -> bool:
--- /dev/null
+++ b/wasabistream/forwarding/server_trackers.py
@@ -0,0 +1,37 @@
+"""What an entry tracks about backend servers, beyond their list."""
+
+from wasabistream.forwarding.advisory_guards import AdvisoryGuard
+from wasabistream.forwarding.advisory_messages import AdvisoryMessage
+from wasabistream.forwarding.cold_limiters import ColdLimit, ColdLimiter
+from wasabistream.forwarding.failure_rates import FailureRates
+from wasabistream.forwarding.fleets import Fleet
+from wasabistream.forwarding.load_trackers import LoadTracker
+from wasabistream.forwarding.peer_links import PeerLinks
+from wasabistream.forwarding.rate_limits import RateLimits
+
+
+class ServerTrackers:
+    """Hold the load, failures, limits and statements of backend servers."""
+
+    def __init__(self, peer_links: PeerLinks, cold_limit: ColdLimit) -> None:
+        self.load = LoadTracker()
+        self.failure_rates = FailureRates()
+        self.cold = ColdLimiter(cold_limit, peer_links.entry_count)
+        self.advisories = AdvisoryGuard(
+            RateLimits(peer_links.shares, peer_links.broadcast)
+        )
+        peer_links.subscribe(
+            AdvisoryMessage,
+            self.advisories.on_message,
+            self.advisories.describe,
+        )
+
+    def on_fleet_changed(self, fleet: Fleet) -> None:
+        """Forget servers that are no longer listed."""
+        endpoints = frozenset(
+            server.endpoint for server in fleet.servers.values()
+        )
+        self.load.keep_only(endpoints)
+        self.failure_rates.keep_only(endpoints)
+        self.cold.on_fleet_changed(fleet)
+        self.advisories.on_fleet_changed(fleet)
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -22,6 +22,7 @@
 from wasabistream.forwarding.move_trackers import MoveTracker
 from wasabistream.forwarding.piece_allowances import PieceAllowance
 from wasabistream.forwarding.poison_request_guards import PoisonRequestGuard
+from wasabistream.forwarding.refusals import Refuser
 from wasabistream.forwarding.replies import (
     BAD_GATEWAY,
     NOT_RUN,
@@ -71,6 +72,7 @@
         moves: MoveTracker,
         poison_guard: PoisonRequestGuard,
         buffers: AnswerBuffers,
+        refuser: Refuser,
     ) -> None:
         self._fleet = fleet
         self._chooser = chooser
@@ -79,6 +81,7 @@
         self._moves = moves
         self._poison_guard = poison_guard
         self._buffers = buffers
+        self._refuser = refuser
 
     def forward(
         self,
@@ -93,7 +96,7 @@
             and self._chooser.has_other(watch.request, history.endpoints[-1:])
         )
         while not watch.is_ended and progress.is_continuable:
-            server = self._chooser.choose(watch.request, history.endpoints[-1:])
+            server = self._chooser.take(watch.request, history.endpoints[-1:])
             if server is None or not self._sender.may_send(watch, history):
                 break
             self._log_sent(server, watch, progress)
@@ -120,7 +123,7 @@
             watch.caller.abort()
             return None
         if not history.may_have_run:
-            return build_refusal(watch.request.deadline.remaining_seconds)
+            return self._refuser.refuse(watch.request)
         if watch.request.deadline.expired:
             return build_gateway_timeout()
         return failure or build_bad_gateway()
--- a/wasabistream/forwarding/unary_forwarders.py
+++ b/wasabistream/forwarding/unary_forwarders.py
@@ -10,11 +10,11 @@
 from wasabistream.forwarding.failure_rates import FailureRates
 from wasabistream.forwarding.interfaces import ServerExchange
 from wasabistream.forwarding.poison_request_guards import PoisonRequestGuard
+from wasabistream.forwarding.refusals import Refuser
 from wasabistream.forwarding.replies import (
     SERVER_ERROR,
     build_bad_gateway,
     build_gateway_timeout,
-    build_refusal,
 )
 from wasabistream.forwarding.reply_readers import read_reply
 from wasabistream.forwarding.requests import Reply
@@ -44,19 +44,21 @@
         failure_rates: FailureRates,
         poison_guard: PoisonRequestGuard,
         buffers: AnswerBuffers,
+        refuser: Refuser,
     ) -> None:
         self._chooser = chooser
         self._sender = sender
         self._failure_rates = failure_rates
         self._poison_guard = poison_guard
         self._buffers = buffers
+        self._refuser = refuser
 
     def forward(self, watch: RequestWatch, history: AttemptHistory) -> Reply:
         """Return the answer to a request, or an error reply without one."""
         request = watch.request
         failure: Reply | None = None
         while True:
-            server = self._chooser.choose(request, history.endpoints)
+            server = self._chooser.take(request, history.endpoints)
             if server is None or not self._sender.may_send(watch, history):
                 return failure or self._build_failure_reply(watch, history)
             reply = self._attempt(server, watch, history)
@@ -70,7 +72,7 @@
         self, watch: RequestWatch, history: AttemptHistory
     ) -> Reply:
         if not history.may_have_run:
-            return build_refusal(watch.request.deadline.remaining_seconds)
+            return self._refuser.refuse(watch.request)
         if watch.request.deadline.expired:
             return build_gateway_timeout()
         return build_bad_gateway()
--- a/wasabistream/metrics.py
+++ b/wasabistream/metrics.py
@@ -57,6 +57,12 @@
     ['kind'],
     buckets=(0.02, 0.05, 0.125, 0.3, 0.8, 1.8, 4, 10, 40),
 )
+LIMITED_SERVERS = Gauge(
+    'wasabi_limited_servers', 'Backend servers that state a rate limit'
+)
+LIMITED_SENDS = Counter(
+    'wasabi_limited_sends', 'Requests sent to servers that state a rate limit'
+)
 MOVES = Counter(
     'wasabi_moves', 'Generations moved to another engine', ['outcome']
 )
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -4,25 +4,25 @@
 
 from cheroot.server import HTTPRequest
 
+from wasabistream.crash_notices import CrashMessage
 from wasabistream.forwarding.agent_links import AgentLinks
 from wasabistream.forwarding.announced_engines import AnnouncedEngines
 from wasabistream.forwarding.answer_buffers import AnswerBuffers
 from wasabistream.forwarding.answer_limits import build_answer_limits
 from wasabistream.forwarding.attempts import AttemptSender
 from wasabistream.forwarding.budgets import RepeatBudgets
-from wasabistream.forwarding.cold_limiters import ColdLimiter
 from wasabistream.forwarding.drain_gates import DrainGate
-from wasabistream.forwarding.failure_rates import FailureRates
 from wasabistream.forwarding.fleet_updaters import FleetUpdater
 from wasabistream.forwarding.fleets import Fleet, FleetHolder
 from wasabistream.forwarding.forwarders import Forwarder
-from wasabistream.forwarding.load_trackers import LoadTracker
 from wasabistream.forwarding.mirrors import StoreMirror
 from wasabistream.forwarding.move_trackers import MoveTracker
 from wasabistream.forwarding.peer_links import PeerLinks
 from wasabistream.forwarding.poison_request_guards import PoisonRequestGuard
+from wasabistream.forwarding.refusals import Refuser
 from wasabistream.forwarding.requests import ForwardRequest, Reply
 from wasabistream.forwarding.server_choosers import ServerChooser
+from wasabistream.forwarding.server_trackers import ServerTrackers
 from wasabistream.forwarding.stream_forwarders import StreamForwarder
 from wasabistream.forwarding.supervisors import RequestSupervisor
 from wasabistream.forwarding.unary_forwarders import UnaryForwarder
@@ -72,17 +72,7 @@
         self.fleet = FleetHolder()
         self.mirror = StoreMirror()
         self.poison_parts = PoisonPartDetector()
-        self._load_tracker = LoadTracker()
-        self._failure_rates = FailureRates()
         move_tracker = MoveTracker()
-        # Agents accept links at the link port; this entry accepts them at its
-        # control address.
-        self._agent_links = AgentLinks(
-            self.hello,
-            node_settings.link_port,
-            self._load_tracker,
-            move_tracker,
-        )
         announced_engines = AnnouncedEngines()
         self._fleet_updater = FleetUpdater(
             self.fleet,
@@ -101,6 +91,18 @@
             self._fleet_updater.refresh,
             node_settings.bounds.apply_seconds,
         )
+        self._servers = ServerTrackers(
+            self._peer_links, node_settings.bounds.cold_limit
+        )
+        # Agents accept links at the link port; this entry accepts them at its
+        # control address.
+        self._agent_links = AgentLinks(
+            self.hello,
+            node_settings.link_port,
+            self._servers.load,
+            move_tracker,
+            self._servers.advisories,
+        )
         poll_limits = build_long_poll_limits(
             node_settings.bounds.recovery_seconds
         )
@@ -114,9 +116,6 @@
         self._listener = LinkListener(
             control.address, control.port, self.hello, self._peer_links
         )
-        self._cold_limiter = ColdLimiter(
-            node_settings.bounds.cold_limit, self._peer_links.entry_count
-        )
         self._drain_gate = DrainGate(self._peer_links.is_majority_serving)
         self._request_supervisor = RequestSupervisor(
             self._is_responsive, move_tracker.has_moved, self._must_end
@@ -200,30 +199,34 @@
         return self._request_supervisor.request_ids()
 
     def _build_forwarder(self, move_tracker: MoveTracker) -> Forwarder:
+        servers = self._servers
         chooser = ServerChooser(
             self.fleet,
-            self._load_tracker,
-            self._failure_rates,
-            self._cold_limiter,
+            servers.load,
+            servers.failure_rates,
+            servers.cold,
+            servers.advisories,
             self.node_settings.data_centre,
         )
+        refuser = Refuser(self.fleet, servers.advisories)
         client = HttpServerClient()
         poison_guard = PoisonRequestGuard(
             client, self._peer_links.broadcast, self.poison_parts
         )
-        self._peer_links.subscribe_crashes(
-            poison_guard.on_crash_notice, poison_guard.describe
+        self._peer_links.subscribe(
+            CrashMessage, poison_guard.on_crash_notice, poison_guard.describe
         )
         sender = AttemptSender(
             client,
-            self._load_tracker,
-            self._failure_rates,
+            servers.load,
+            servers.failure_rates,
             RepeatBudgets(
                 self.node_settings.bounds.repeat_limit,
                 self._peer_links.entry_count,
             ),
-            self._cold_limiter,
+            servers.cold,
             poison_guard,
+            servers.advisories,
         )
         buffers = AnswerBuffers(
             build_answer_limits(self.node_settings.memory_limit_bytes)
@@ -231,16 +234,22 @@
         return Forwarder(
             self._request_supervisor,
             UnaryForwarder(
-                chooser, sender, self._failure_rates, poison_guard, buffers
+                chooser,
+                sender,
+                servers.failure_rates,
+                poison_guard,
+                buffers,
+                refuser,
             ),
             StreamForwarder(
                 self.fleet,
                 chooser,
                 sender,
-                self._failure_rates,
+                servers.failure_rates,
                 move_tracker,
                 poison_guard,
                 buffers,
+                refuser,
             ),
             poison_guard,
         )
@@ -260,12 +269,7 @@
         configuration = fleet.configuration
         if configuration is not None:
             self._front_server.set_limits(configuration.limits)
-        endpoints = frozenset(
-            server.endpoint for server in fleet.servers.values()
-        )
-        self._load_tracker.keep_only(endpoints)
-        self._failure_rates.keep_only(endpoints)
-        self._cold_limiter.on_fleet_changed(fleet)
+        self._servers.on_fleet_changed(fleet)
         self._agent_links.on_fleet_changed(fleet)
         self._peer_links.send_peer_notice()
 
@@ -277,7 +281,7 @@
         return (
             self.follower.away_seconds > ISOLATION_TIMEOUT_SECONDS
             and self._peer_links.entry_count() == 1
-            and not self._load_tracker.has_fresh_reports()
+            and not self._servers.load.has_fresh_reports()
         )
 
     def _must_end(self, request: ForwardRequest, at_seconds: float) -> bool:
@@ -286,7 +290,7 @@
         )
 
     def _is_responsive(self, endpoint: str) -> bool:
-        return self._load_tracker.estimate(endpoint).responsive
+        return self._servers.load.estimate(endpoint).responsive
 
 
 def _seed_endpoints(node_settings: NodeSettings) -> list[str]:
