Refuse generations that cannot begin well before their deadline

Cause: the chooser takes the least cost, however high it is. Class: work that cannot be done is taken.

An engine whose waiting prompts take more than half of the time until the deadline is no candidate; without one the request is refused at once. The time for each waiting prompt is learned from first events, by service.

Tried and left: a limit of twice the target latency; it refuses drafts that have time. Ruled out: unused limits; the limited engines got their one request per second.

Tests: test_queue_that_outlasts_the_deadline (failed before), test_fast_engines_bear_longer_queues.

--- a/tests/forwarding_builders.py
+++ b/tests/forwarding_builders.py
@@ -21,6 +21,7 @@
 )
 from wasabistream.forwarding.entry_shares import EntryShares
 from wasabistream.forwarding.failure_rates import FailureRates
+from wasabistream.forwarding.first_event_paces import FirstEventPaces
 from wasabistream.forwarding.fleets import Fleet, FleetHolder
 from wasabistream.forwarding.interfaces import ServerClient
 from wasabistream.forwarding.load_trackers import LoadTracker
@@ -183,7 +184,7 @@
 ) -> AdvisoryGuard:
     """Return the guard of the only entry."""
     return AdvisoryGuard(
-        RateLimits(EntryShares('10.1.0.1:9000', clock), Mock(), clock)
+        RateLimits(EntryShares('10.1.0.1:9000', clock), Mock(), clock),
     )
 
 
@@ -247,6 +248,7 @@
             failure_rates,
             cold,
             advisories,
+            FirstEventPaces(),
             OWN_DATA_CENTRE,
         ),
         AttemptSender(
--- a/tests/test_server_choosers.py
+++ b/tests/test_server_choosers.py
@@ -21,6 +21,7 @@
     build_server,
 )
 from wasabistream.forwarding.failure_rates import FailureRates
+from wasabistream.forwarding.first_event_paces import FirstEventPaces
 from wasabistream.forwarding.load_trackers import LoadTracker
 from wasabistream.forwarding.routes import RouteKind
 from wasabistream.forwarding.server_choosers import ServerChooser
@@ -38,12 +39,14 @@
         self.holder = build_holder(*self.engines, *self.plain)
         self.load_tracker = LoadTracker()
         self.failure_rates = FailureRates()
+        self.paces = FirstEventPaces()
         self.chooser = ServerChooser(
             self.holder,
             self.load_tracker,
             self.failure_rates,
             build_cold_limiter(),
             build_advisories(),
+            self.paces,
             OWN_DATA_CENTRE,
         )
         self.generation = build_request(build_route(RouteKind.streaming))
@@ -113,6 +116,35 @@
         self.load_tracker.report('10.0.0.2:8000', fresh)
         self.assertEqual(self.choose_engine(), 'server-1')
 
+    def test_queue_that_outlasts_the_deadline(self) -> None:
+        """Guard against a prompt that waits at an engine until its deadline.
+
+        Pattern: seven of eight engines state a rate limit, and what they do not
+        take waits at the eighth: 58 short generations of 216 ended there.
+        """
+        for engine in self.engines:
+            self.load_tracker.report(
+                engine.endpoint,
+                dataclasses.replace(build_report(), queued_count=30),
+            )
+        self.assertEqual(self.choose_engine(), '')
+        self.load_tracker.report(
+            self.engines[1].endpoint,
+            dataclasses.replace(build_report(), queued_count=5),
+        )
+        self.assertEqual(self.choose_engine(), 'server-2')
+
+    def test_fast_engines_bear_longer_queues(self) -> None:
+        """Guard against refusals that a fixed time for each prompt causes."""
+        for engine in self.engines:
+            self.load_tracker.report(
+                engine.endpoint,
+                dataclasses.replace(build_report(), queued_count=30),
+            )
+        for _ in range(100):
+            self.paces.record(ENGINE_SERVICE, 9, 0.2)
+        self.assertNotEqual(self.choose_engine(), '')
+
     def test_failing_server_is_avoided(self) -> None:
         """Guard against a server that fails its requests."""
         for _ in range(10):
@@ -167,6 +199,7 @@
             self.failure_rates,
             build_cold_limiter(),
             build_advisories(),
+            self.paces,
             OWN_DATA_CENTRE,
         )
         counts = {server.server_id: 0 for server in (sole_engine, *others)}
--- a/wasabistream/forwarding/server_choosers.py
+++ b/wasabistream/forwarding/server_choosers.py
@@ -8,6 +8,7 @@
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.cold_limiters import ColdLimiter
 from wasabistream.forwarding.failure_rates import FailureRates
+from wasabistream.forwarding.first_event_paces import FirstEventPaces
 from wasabistream.forwarding.fleets import FleetHolder
 from wasabistream.forwarding.load_trackers import LoadEstimate, LoadTracker
 from wasabistream.forwarding.requests import ForwardRequest
@@ -48,6 +49,7 @@
         failure_rates: FailureRates,
         cold: ColdLimiter,
         advisories: AdvisoryGuard,
+        paces: FirstEventPaces,
         data_centre: str,
     ) -> None:
         self._fleet = fleet
@@ -55,6 +57,7 @@
         self._failure_rates = failure_rates
         self._cold = cold
         self._advisories = advisories
+        self._paces = paces
         self._data_centre = data_centre
 
     def choose(
@@ -80,7 +83,7 @@
         # detect a recovery; further attempts would only delay the refusal.
         if not reachable and not excluded:
             reachable = servers
-        candidates = self._find_available(reachable)
+        candidates = self._find_available(request, reachable)
         if not candidates:
             return None
         data_centres = Counter(server.data_centre for server in candidates)
@@ -110,6 +113,16 @@
         """Return whether a server outside the excluded ones is available."""
         return self.choose(request, excluded) is not None
 
+    def count_waiting(self, server: BackendServer) -> int:
+        """Return the number of prompts that wait at a server."""
+        return self._load_tracker.estimate(server.endpoint).waiting_count
+
+    def record_first_event(
+        self, request: ForwardRequest, waiting_count: int, seconds: float
+    ) -> None:
+        """Record that a generation began `seconds` after it was sent."""
+        self._paces.record(request.service, waiting_count, seconds)
+
     def describe(self, server: BackendServer) -> dict[str, object]:
         """Return what a choice of a server rests on, as log fields."""
         estimate = self._load_tracker.estimate(server.endpoint)
@@ -124,7 +137,7 @@
         }
 
     def _find_available(
-        self, servers: list[BackendServer]
+        self, request: ForwardRequest, servers: list[BackendServer]
     ) -> dict[BackendServer, LoadEstimate]:
         estimates = {
             server: self._load_tracker.estimate(server.endpoint)
@@ -133,9 +146,18 @@
         return {
             server: estimate
             for server, estimate in estimates.items()
-            if not estimate.leaving and estimate.responsive
+            if not estimate.leaving
+            and estimate.responsive
+            and self._can_begin_in_time(request, estimate)
         }
 
+    def _can_begin_in_time(
+        self, request: ForwardRequest, estimate: LoadEstimate
+    ) -> bool:
+        return request.demand is None or self._paces.can_begin_in_time(
+            request, estimate.waiting_count
+        )
+
     def _cost(
         self,
         server: BackendServer,
--- a/wasabistream/forwarding/server_trackers.py
+++ b/wasabistream/forwarding/server_trackers.py
@@ -4,6 +4,7 @@
 from wasabistream.forwarding.advisory_messages import AdvisoryMessage
 from wasabistream.forwarding.cold_limiters import ColdLimit, ColdLimiter
 from wasabistream.forwarding.failure_rates import FailureRates
+from wasabistream.forwarding.first_event_paces import FirstEventPaces
 from wasabistream.forwarding.fleets import Fleet
 from wasabistream.forwarding.load_trackers import LoadTracker
 from wasabistream.forwarding.peer_links import PeerLinks
@@ -16,9 +17,10 @@
     def __init__(self, peer_links: PeerLinks, cold_limit: ColdLimit) -> None:
         self.load = LoadTracker()
         self.failure_rates = FailureRates()
+        self.paces = FirstEventPaces()
         self.cold = ColdLimiter(cold_limit, peer_links.entry_count)
         self.advisories = AdvisoryGuard(
-            RateLimits(peer_links.shares, peer_links.broadcast)
+            RateLimits(peer_links.shares, peer_links.broadcast),
         )
         peer_links.subscribe(
             AdvisoryMessage,
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -99,6 +99,7 @@
             server = self._chooser.take(watch.request, history.endpoints[-1:])
             if server is None or not self._sender.may_send(watch, history):
                 break
+            progress.waiting_count = self._chooser.count_waiting(server)
             self._log_sent(server, watch, progress)
             continuation = _build_resumption(progress)
             reply = self._follow_generation(
@@ -219,6 +220,11 @@
             self._poison_guard.record_answer(
                 watch.request, watch.silent_seconds
             )
+            self._chooser.record_first_event(
+                watch.request,
+                progress.waiting_count,
+                watch.silent_seconds,
+            )
         progress.count_event(event.event_id)
         watch.record_progress()
         watch.stall_limits = _build_stall_limits(watch.request.route)
--- a/wasabistream/forwarding/stream_progress.py
+++ b/wasabistream/forwarding/stream_progress.py
@@ -14,6 +14,8 @@
     last_event_id: str = ''
     event_count: int = 0
     move_count: int = 0
+    # Prompts that waited at the engine when the last attempt was sent there.
+    waiting_count: int = 0
     complete: bool = False
     started_seconds: float = field(default_factory=time.monotonic)
     first_event_seconds: float = 0
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -206,6 +206,7 @@
             servers.failure_rates,
             servers.cold,
             servers.advisories,
+            servers.paces,
             self.node_settings.data_centre,
         )
         refuser = Refuser(self.fleet, servers.advisories)
