Send nothing more to a server that states that it leaves

A server that leaves says so in its answers. Nothing read it: an entry knew a leaving server from the store or from its agent only, and sent it requests while the store was silent, late or listed it as ready. Class: a decision that asks for a server's state elsewhere, though the server has told this entry.

An entry remembers the statement for as long as the same server runs at the address: not for a restart, nor for another server there. An answer without the statement does not take it back, as it may have been begun before. The agent's report counts the same. A leaving server is no target of moves. The entry's own knowledge is enough, so none is shared.

--- a/tests/forwarding_builders.py
+++ b/tests/forwarding_builders.py
@@ -24,6 +24,7 @@
 from wasabistream.forwarding.first_event_paces import FirstEventPaces
 from wasabistream.forwarding.fleets import Fleet, FleetHolder
 from wasabistream.forwarding.interfaces import ServerClient
+from wasabistream.forwarding.leaving_servers import LeavingServers
 from wasabistream.forwarding.load_trackers import LoadTracker
 from wasabistream.forwarding.mirrors import MirrorItem
 from wasabistream.forwarding.poison_request_guards import PoisonRequestGuard
@@ -185,6 +186,7 @@
     """Return the guard of the only entry."""
     return AdvisoryGuard(
         RateLimits(EntryShares('10.1.0.1:9000', clock), Mock(), clock),
+        LeavingServers(clock),
     )
 
 
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -32,6 +32,7 @@
 )
 from wasabistream.forwarding.endpoints import parse_endpoint
 from wasabistream.forwarding.entry_shares import KNOWN_SECONDS, EntryShares
+from wasabistream.forwarding.leaving_servers import LeavingServers
 from wasabistream.forwarding.load_trackers import LoadTracker
 from wasabistream.forwarding.move_targets import list_move_targets
 from wasabistream.forwarding.rate_buckets import MAX_INTERVAL_SECONDS
@@ -292,7 +293,7 @@
 
         Agents of an older version do not state whether there is a limit.
         """
-        guard = AdvisoryGuard(self.limits)
+        guard = AdvisoryGuard(self.limits, LeavingServers(self.clock))
         report = LoadReport(0, 1, 0, 0, 0, leaving=False, limit_per_second=1.0)
         guard.record_report(self.server.endpoint, report)
         unknown = dataclasses.replace(report, limit_per_second=UNKNOWN_LIMIT)
@@ -306,7 +307,7 @@
 
     def test_refusal_states_when_a_server_is_free_again(self) -> None:
         """Guard against callers that come back before any server takes one."""
-        guard = AdvisoryGuard(self.limits)
+        guard = AdvisoryGuard(self.limits, LeavingServers(self.clock))
         refuser = Refuser(build_holder(self.server), guard)
         self.state(0.1)
         self.count_taken()
@@ -321,7 +322,7 @@
         """Guard against moving generations to a server that takes no more."""
         engine = dataclasses.replace(self.server, service=ENGINE_SERVICE)
         self.limits.on_fleet_changed([engine])
-        guard = AdvisoryGuard(self.limits)
+        guard = AdvisoryGuard(self.limits, LeavingServers(self.clock))
         fleet = build_fleet(engine)
         arguments = (
             fleet,
--- a/wasabistream/forwarding/advisory_guards.py
+++ b/wasabistream/forwarding/advisory_guards.py
@@ -5,6 +5,7 @@
 from wasabistream.forwarding.advisory_messages import AdvisoryMessage
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.fleets import Fleet
+from wasabistream.forwarding.leaving_servers import LeavingServers
 from wasabistream.forwarding.rate_limits import RateLimits
 from wasabistream.forwarding.server_advisories import ServerAdvisory
 from wasabistream.messages import Message
@@ -14,16 +15,23 @@
 class AdvisoryGuard:
     """Decide whether a backend server takes a request now."""
 
-    def __init__(self, rate_limits: RateLimits) -> None:
+    def __init__(
+        self, rate_limits: RateLimits, leaving_servers: LeavingServers
+    ) -> None:
         self._rate_limits = rate_limits
+        self._leaving_servers = leaving_servers
 
     def admits(self, server: BackendServer) -> bool:
         """Return whether a server takes one more request now."""
-        return self._rate_limits.admits(server)
+        return not self._leaving_servers.is_leaving(
+            server
+        ) and self._rate_limits.admits(server)
 
     def try_take(self, server: BackendServer) -> bool:
         """Count a request that is about to be sent, if the server takes it."""
-        return self._rate_limits.try_take(server)
+        return not self._leaving_servers.is_leaving(
+            server
+        ) and self._rate_limits.try_take(server)
 
     def add_sent_request(self, server: BackendServer) -> None:
         """Count a request that can only be sent to this server."""
@@ -31,7 +39,11 @@
 
     def wait_seconds(self, servers: Iterable[BackendServer]) -> float:
         """Return the time until the first of these servers takes a request."""
-        return self._rate_limits.wait_seconds(servers)
+        return self._rate_limits.wait_seconds(
+            server
+            for server in servers
+            if not self._leaving_servers.is_leaving(server)
+        )
 
     def record_answer(
         self,
@@ -45,6 +57,8 @@
         """
         if advisory is None:
             return
+        if advisory.is_leaving:
+            self._leaving_servers.record(server)
         limit = advisory.limit_per_second
         if limit is not None:
             self._rate_limits.record_answer(server, limit, sent_at_seconds)
@@ -57,6 +71,7 @@
     def on_fleet_changed(self, fleet: Fleet) -> None:
         """Forget what servers stated that ended or restarted."""
         self._rate_limits.on_fleet_changed(fleet.servers.values())
+        self._leaving_servers.on_fleet_changed(fleet.servers.values())
 
     def on_message(self, notice: AdvisoryMessage) -> None:
         """Apply what another entry reports."""
--- a/wasabistream/forwarding/server_advisories.py
+++ b/wasabistream/forwarding/server_advisories.py
@@ -15,6 +15,8 @@
     """
 
     limit_per_second: float | None = NO_LIMIT
+    # Whether it finishes its work and wants no more requests.
+    is_leaving: bool = False
 
 
 def format_limit(limit_per_second: float) -> float | None:
--- a/wasabistream/forwarding/server_records.py
+++ b/wasabistream/forwarding/server_records.py
@@ -41,6 +41,10 @@
         for slot in self._slots.values():
             yield slot.server, slot.record
 
+    def __len__(self) -> int:
+        """Return the number of records."""
+        return len(self._slots)
+
     def on_servers_changed(self, servers: Iterable[BackendServer]) -> None:
         """Remove the records of servers that ended or restarted."""
         self._listed = {server.endpoint: server for server in servers}
--- a/wasabistream/forwarding/server_trackers.py
+++ b/wasabistream/forwarding/server_trackers.py
@@ -6,6 +6,7 @@
 from wasabistream.forwarding.failure_rates import FailureRates
 from wasabistream.forwarding.first_event_paces import FirstEventPaces
 from wasabistream.forwarding.fleets import Fleet
+from wasabistream.forwarding.leaving_servers import LeavingServers
 from wasabistream.forwarding.load_trackers import LoadTracker
 from wasabistream.forwarding.peer_links import PeerLinks
 from wasabistream.forwarding.rate_limits import RateLimits
@@ -21,6 +22,7 @@
         self.cold = ColdLimiter(cold_limit, peer_links.entry_count)
         self.advisories = AdvisoryGuard(
             RateLimits(peer_links.shares, peer_links.broadcast),
+            LeavingServers(),
         )
         peer_links.subscribe(
             AdvisoryMessage,
--- a/wasabistream/metrics.py
+++ b/wasabistream/metrics.py
@@ -60,6 +60,9 @@
 LIMITED_SERVERS = Gauge(
     'wasabi_limited_servers', 'Backend servers that state a rate limit'
 )
+LEAVING_SERVERS = Gauge(
+    'wasabi_leaving_servers', 'Backend servers that state that they leave'
+)
 LIMITED_SENDS = Counter(
     'wasabi_limited_sends', 'Requests sent to servers that state a rate limit'
 )
--- a/wasabistream/platform/advisory_decoders.py
+++ b/wasabistream/platform/advisory_decoders.py
@@ -13,6 +13,8 @@
 # Decimal numbers without sign or exponent; the number of digits is limited so
 # that the value stays finite.
 DECIMAL = re.compile(r'[0-9]{1,12}(\.[0-9]{1,12})?')
+FLAG_ON = '1'
+FLAG_OFF = '0'
 MAX_LOGGED_LENGTH = 40
 # Servers and texts that are remembered as logged.
 MAX_LOGGED_COUNT = 256
@@ -21,10 +23,14 @@
 def decode_advisory(headers: Mapping[str, str], peer: str) -> ServerAdvisory:
     """Return what a server states; headers have names in lower case."""
     limit = headers.get(names.RATE_LIMIT)
+    leaving = headers.get(names.LEAVING, FLAG_OFF).strip()
+    if leaving not in {FLAG_ON, FLAG_OFF}:
+        _log_unreadable(leaving[:MAX_LOGGED_LENGTH], peer)
     return ServerAdvisory(
         limit_per_second=(
             NO_LIMIT if limit is None else _decode_decimal(limit, peer)
         ),
+        is_leaving=leaving == FLAG_ON,
     )
 
 
--- a/wasabistream/platform/engine_clients.py
+++ b/wasabistream/platform/engine_clients.py
@@ -50,8 +50,11 @@
         )
         if answer.status != OK_STATUS:
             raise BackendError(f'status {answer.status}', 'state', self._peer)
+        state = decode_state(answer.body, self._peer)
         return replace(
-            decode_state(answer.body, self._peer), advisory=answer.advisory
+            state,
+            advisory=answer.advisory,
+            leaving=state.leaving or answer.advisory.is_leaving,
         )
 
     def copy_run(
--- a/wasabistream/platform/header_names.py
+++ b/wasabistream/platform/header_names.py
@@ -28,6 +28,8 @@
 NOT_EXECUTED = 'wasabistream-not-executed'
 # Requests per second that a backend server takes from all entries together.
 RATE_LIMIT = 'server-limit'
+# Set to 1 by a backend server that leaves.
+LEAVING = 'server-leaving'
 
 # Headers that only the system may set; dropped from callers' requests.
 SYSTEM_ONLY = frozenset(
