Back off from servers that answer 503 with Retry-After

A server that turns requests away says for how long it wants none. Nothing read it: the next request went there by load, was turned away as well and took a repeat from the budget. Class: the same as of the rate limit, a statement of the server that no decision knows.

The time is kept with the server at the entry that it was stated to, for five minutes at most; a shorter time or an answer in progress does not end it, a restart or another server at the address does. When each server of a service is at its limit or wants nothing, the refusal says when the first one takes requests again.

Test: test_requests_go_elsewhere, two servers; with the record left out the refusing one gets 11 or more of 20 requests in place of 1; test_back_offs has the cases.

--- a/tests/forwarding_builders.py
+++ b/tests/forwarding_builders.py
@@ -12,6 +12,7 @@
     build_answer_limits,
 )
 from wasabistream.forwarding.attempts import AttemptSender
+from wasabistream.forwarding.back_offs import BackOffs
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.budgets import RepeatBudgets, RepeatLimit
 from wasabistream.forwarding.cold_limiters import ColdLimit, ColdLimiter
@@ -187,6 +188,7 @@
     return AdvisoryGuard(
         RateLimits(EntryShares('10.1.0.1:9000', clock), Mock(), clock),
         LeavingServers(clock),
+        BackOffs(clock),
     )
 
 
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -93,9 +93,9 @@
             ('true', False),
             ('11', False),
         ):
-            advisory = decode_advisory({'server-leaving': text}, 'server')
+            advisory = decode_advisory(200, {'server-leaving': text}, 'server')
             self.assertEqual(advisory.is_leaving, expected, text)
-        self.assertFalse(decode_advisory({}, 'server').is_leaving)
+        self.assertFalse(decode_advisory(200, {}, 'server').is_leaving)
 
 
 class LeavingServerPathTest(PlatformPathCase):
--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -103,9 +103,11 @@
             '\u0661': None,
         }
         for text, expected in limits.items():
-            advisory = decode_advisory({'server-limit': text}, 'server')
+            advisory = decode_advisory(200, {'server-limit': text}, 'server')
             self.assertEqual(advisory.limit_per_second, expected, text)
-        self.assertEqual(decode_advisory({}, 's').limit_per_second, NO_LIMIT)
+        self.assertEqual(
+            decode_advisory(200, {}, 's').limit_per_second, NO_LIMIT
+        )
 
     def test_leaving_report(self) -> None:
         """Guard against overlooking that an engine is about to leave."""
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -26,6 +26,7 @@
     LimitedSendNotice,
     RateLimitNotice,
 )
+from wasabistream.forwarding.back_offs import BackOffs
 from wasabistream.forwarding.backend_servers import (
     BackendServer,
     build_unlisted_server,
@@ -158,6 +159,12 @@
         self.limits = RateLimits(self.shares, self.told.append, self.clock)
         self.limits.on_fleet_changed([self.server, self.other])
 
+    def build_guard(self) -> AdvisoryGuard:
+        """Return a guard with these limits."""
+        return AdvisoryGuard(
+            self.limits, LeavingServers(self.clock), BackOffs(self.clock)
+        )
+
     def state(self, limit_per_second: float) -> None:
         """Receive an answer to a request that was sent just now."""
         self.limits.record_answer(self.server, limit_per_second, self.clock())
@@ -293,7 +300,7 @@
 
         Agents of an older version do not state whether there is a limit.
         """
-        guard = AdvisoryGuard(self.limits, LeavingServers(self.clock))
+        guard = self.build_guard()
         report = LoadReport(0, 1, 0, 0, 0, leaving=False, limit_per_second=1.0)
         guard.record_report(self.server.endpoint, report)
         unknown = dataclasses.replace(report, limit_per_second=UNKNOWN_LIMIT)
@@ -307,7 +314,7 @@
 
     def test_refusal_states_when_a_server_is_free_again(self) -> None:
         """Guard against callers that come back before any server takes one."""
-        guard = AdvisoryGuard(self.limits, LeavingServers(self.clock))
+        guard = self.build_guard()
         refuser = Refuser(build_holder(self.server), guard)
         self.state(0.1)
         self.count_taken()
@@ -322,7 +329,7 @@
         """Guard against moving generations to a server that takes no more."""
         engine = dataclasses.replace(self.server, service=ENGINE_SERVICE)
         self.limits.on_fleet_changed([engine])
-        guard = AdvisoryGuard(self.limits, LeavingServers(self.clock))
+        guard = self.build_guard()
         fleet = build_fleet(engine)
         arguments = (
             fleet,
--- a/wasabistream/forwarding/advisory_guards.py
+++ b/wasabistream/forwarding/advisory_guards.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from wasabistream.forwarding.advisory_messages import AdvisoryMessage
+from wasabistream.forwarding.back_offs import BackOffs
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.fleets import Fleet
 from wasabistream.forwarding.leaving_servers import LeavingServers
@@ -16,22 +17,24 @@
     """Decide whether a backend server takes a request now."""
 
     def __init__(
-        self, rate_limits: RateLimits, leaving_servers: LeavingServers
+        self,
+        rate_limits: RateLimits,
+        leaving_servers: LeavingServers,
+        back_offs: BackOffs,
     ) -> None:
         self._rate_limits = rate_limits
         self._leaving_servers = leaving_servers
+        self._back_offs = back_offs
 
     def admits(self, server: BackendServer) -> bool:
         """Return whether a server takes one more request now."""
-        return not self._leaving_servers.is_leaving(
-            server
-        ) and self._rate_limits.admits(server)
+        return self._wants_requests(server) and self._rate_limits.admits(server)
 
     def try_take(self, server: BackendServer) -> bool:
         """Count a request that is about to be sent, if the server takes it."""
-        return not self._leaving_servers.is_leaving(
+        return self._wants_requests(server) and self._rate_limits.try_take(
             server
-        ) and self._rate_limits.try_take(server)
+        )
 
     def add_sent_request(self, server: BackendServer) -> None:
         """Count a request that can only be sent to this server."""
@@ -39,11 +42,15 @@
 
     def wait_seconds(self, servers: Iterable[BackendServer]) -> float:
         """Return the time until the first of these servers takes a request."""
-        return self._rate_limits.wait_seconds(
-            server
+        waits = (
+            max(
+                self._rate_limits.wait_seconds(server),
+                self._back_offs.wait_seconds(server),
+            )
             for server in servers
             if not self._leaving_servers.is_leaving(server)
         )
+        return min(waits, default=0)
 
     def record_answer(
         self,
@@ -59,6 +66,8 @@
             return
         if advisory.is_leaving:
             self._leaving_servers.record(server)
+        if advisory.retry_after_seconds:
+            self._back_offs.record(server, advisory.retry_after_seconds)
         limit = advisory.limit_per_second
         if limit is not None:
             self._rate_limits.record_answer(server, limit, sent_at_seconds)
@@ -70,8 +79,9 @@
 
     def on_fleet_changed(self, fleet: Fleet) -> None:
         """Forget what servers stated that ended or restarted."""
-        self._rate_limits.on_fleet_changed(fleet.servers.values())
-        self._leaving_servers.on_fleet_changed(fleet.servers.values())
+        servers = fleet.servers.values()
+        for part in (self._rate_limits, self._leaving_servers, self._back_offs):
+            part.on_fleet_changed(servers)
 
     def on_message(self, notice: AdvisoryMessage) -> None:
         """Apply what another entry reports."""
@@ -80,3 +90,9 @@
     def describe(self) -> list[Message]:
         """Return the notices for an entry that has just been linked."""
         return self._rate_limits.describe()
+
+    def _wants_requests(self, server: BackendServer) -> bool:
+        return not (
+            self._leaving_servers.is_leaving(server)
+            or self._back_offs.wait_seconds(server)
+        )
--- a/wasabistream/forwarding/rate_limits.py
+++ b/wasabistream/forwarding/rate_limits.py
@@ -64,9 +64,7 @@
 
     def admits(self, server: BackendServer) -> bool:
         """Return whether a request to a server is within its limit."""
-        with self._lock:
-            stated = self._find(server)
-            return stated is None or self._wait_seconds(server, stated) <= 0
+        return not self.wait_seconds(server)
 
     def try_take(self, server: BackendServer) -> bool:
         """Count a request if it is within the limit; return whether it is."""
@@ -89,16 +87,13 @@
             self._count(stated)
         self._broadcast(LimitedSendNotice(server.endpoint))
 
-    def wait_seconds(self, servers: Iterable[BackendServer]) -> float:
-        """Return the time until the first of these servers takes a request."""
+    def wait_seconds(self, server: BackendServer) -> float:
+        """Return the time until a server takes the next request."""
         with self._lock:
-            waits = []
-            for server in servers:
-                stated = self._find(server)
-                if stated is None:
-                    return 0
-                waits.append(self._wait_seconds(server, stated))
-        return max(min(waits, default=0), 0)
+            stated = self._find(server)
+            if stated is None:
+                return 0
+            return max(self._wait_seconds(server, stated), 0)
 
     def record_answer(
         self,
--- a/wasabistream/forwarding/refusals.py
+++ b/wasabistream/forwarding/refusals.py
@@ -26,9 +26,9 @@
         )
         if not wait_seconds:
             return build_refusal(remaining_seconds)
-        REFUSALS.labels('server_limit').inc()
+        REFUSALS.labels('server_advisory').inc()
         logger.info(
-            'request: refused: all servers are at their stated limits',
+            'request: refused: no server takes it before the stated wait',
             extra={
                 'request_id': request.request_id,
                 'service': request.service,
--- a/wasabistream/forwarding/server_advisories.py
+++ b/wasabistream/forwarding/server_advisories.py
@@ -17,6 +17,8 @@
     limit_per_second: float | None = NO_LIMIT
     # Whether it finishes its work and wants no more requests.
     is_leaving: bool = False
+    # Time for which it wants no requests from this entry.
+    retry_after_seconds: float = 0
 
 
 def format_limit(limit_per_second: float) -> float | None:
--- a/wasabistream/forwarding/server_trackers.py
+++ b/wasabistream/forwarding/server_trackers.py
@@ -2,6 +2,7 @@
 
 from wasabistream.forwarding.advisory_guards import AdvisoryGuard
 from wasabistream.forwarding.advisory_messages import AdvisoryMessage
+from wasabistream.forwarding.back_offs import BackOffs
 from wasabistream.forwarding.cold_limiters import ColdLimit, ColdLimiter
 from wasabistream.forwarding.failure_rates import FailureRates
 from wasabistream.forwarding.first_event_paces import FirstEventPaces
@@ -23,6 +24,7 @@
         self.advisories = AdvisoryGuard(
             RateLimits(peer_links.shares, peer_links.broadcast),
             LeavingServers(),
+            BackOffs(),
         )
         peer_links.subscribe(
             AdvisoryMessage,
--- a/wasabistream/metrics.py
+++ b/wasabistream/metrics.py
@@ -60,6 +60,9 @@
 LIMITED_SERVERS = Gauge(
     'wasabi_limited_servers', 'Backend servers that state a rate limit'
 )
+BACK_OFFS = Counter(
+    'wasabi_back_offs', 'Times that servers asked this entry to come back later'
+)
 LEAVING_SERVERS = Gauge(
     'wasabi_leaving_servers', 'Backend servers that state that they leave'
 )
--- a/wasabistream/platform/advisory_decoders.py
+++ b/wasabistream/platform/advisory_decoders.py
@@ -13,6 +13,8 @@
 # Decimal numbers without sign or exponent; the number of digits is limited so
 # that the value stays finite.
 DECIMAL = re.compile(r'[0-9]{1,12}(\.[0-9]{1,12})?')
+# Only with this status the time in Retry-After holds for all requests.
+BACK_OFF_STATUS = 503
 FLAG_ON = '1'
 FLAG_OFF = '0'
 MAX_LOGGED_LENGTH = 40
@@ -20,8 +22,13 @@
 MAX_LOGGED_COUNT = 256
 
 
-def decode_advisory(headers: Mapping[str, str], peer: str) -> ServerAdvisory:
+def decode_advisory(
+    status: int, headers: Mapping[str, str], peer: str
+) -> ServerAdvisory:
     """Return what a server states; headers have names in lower case."""
+    retry_after = None
+    if status == BACK_OFF_STATUS:
+        retry_after = headers.get(names.RETRY_AFTER)
     limit = headers.get(names.RATE_LIMIT)
     leaving = headers.get(names.LEAVING, FLAG_OFF).strip()
     if leaving not in {FLAG_ON, FLAG_OFF}:
@@ -31,6 +38,11 @@
             NO_LIMIT if limit is None else _decode_decimal(limit, peer)
         ),
         is_leaving=leaving == FLAG_ON,
+        retry_after_seconds=(
+            0
+            if retry_after is None
+            else _decode_decimal(retry_after, peer) or 0
+        ),
     )
 
 
--- a/wasabistream/platform/engine_clients.py
+++ b/wasabistream/platform/engine_clients.py
@@ -107,7 +107,9 @@
             name.lower(): text for name, text in response.headers.items()
         }
         return _Answer(
-            response.status, decoded, decode_advisory(headers, self._peer)
+            response.status,
+            decoded,
+            decode_advisory(response.status, headers, self._peer),
         )
 
 
--- a/wasabistream/platform/header_names.py
+++ b/wasabistream/platform/header_names.py
@@ -30,6 +30,7 @@
 RATE_LIMIT = 'server-limit'
 # Set to 1 by a backend server that leaves.
 LEAVING = 'server-leaving'
+RETRY_AFTER = 'retry-after'
 
 # Headers that only the system may set; dropped from callers' requests.
 SYSTEM_ONLY = frozenset(
--- a/wasabistream/platform/server_clients.py
+++ b/wasabistream/platform/server_clients.py
@@ -280,7 +280,11 @@
         sealed=names.SEAL in headers,
         not_run=misdirected or names.NOT_EXECUTED in headers,
         event_stream=media_type.startswith('text/event-stream'),
-        advisory=None if misdirected else decode_advisory(headers, peer),
+        advisory=(
+            None
+            if misdirected
+            else decode_advisory(response.status, headers, peer)
+        ),
     )
 
 
