Cut a stream whose resumption has no events

A stream broke off, another server answered the resumption with 200 and an event stream without one event, and the caller's stream ended as complete, without its last events. Cause: the end of any server's answer was taken for the end of the generation. Class: the end of a part taken for the end of the whole.

A resumption without the generation's memory needs an event before its end counts; else the stream is resumed once more where the route allows it, or cut. A moved generation may end without another event: its memory tells the server where it ended. An error, a page, a refusal or a cut answer in place of a resumption leaves the caller's stream as it was; this was so before, and has a test now.

--- a/tests/test_stream_forwarders.py
+++ b/tests/test_stream_forwarders.py
@@ -22,6 +22,7 @@
     no_answer,
     not_run_error,
     stream,
+    torn,
     turned_away,
     whole,
 )
@@ -48,8 +49,8 @@
     return RunMoved(REQUEST_ID, endpoint, '10.0.0.1:8000', 'handle-1')
 
 
-class StreamForwarderTest(unittest.TestCase):
-    """Guard against lost, repeated or mixed-up events."""
+class StreamForwarderCase(unittest.TestCase):
+    """Forward streams from engines that follow a script."""
 
     def setUp(self) -> None:
         """Create a caller and a tracker without moves."""
@@ -87,6 +88,10 @@
         self.watch = RequestWatch(request, self.caller)
         return forwarder.forward(self.watch, AttemptHistory(), self.progress)
 
+
+class StreamForwarderTest(StreamForwarderCase):
+    """Guard against lost, repeated or mixed-up events."""
+
     def test_request_with_a_banned_part_is_not_repeated(self) -> None:
         """Guard against repeats that crash one engine after the other."""
         self.banned_parts = PROMPT_PARTS[-1:]
@@ -290,3 +295,57 @@
         self.forward(STREAM_ROUTE, exchange)
         self.assertFalse(self.progress.complete)
         self.assertTrue(self.caller.aborted)
+
+
+class ResumptionEndTest(StreamForwarderCase):
+    """Guard against resumed streams that end as complete without their end."""
+
+    def test_resumption_without_an_event(self) -> None:
+        """Guard against a stream that ends as complete before its last event.
+
+        A server that answers a resumption with an empty stream, or only with
+        events that the caller has, does not show that the stream was whole.
+        """
+        for empty in (b'', b': comment\n\n', events(1, 2)):
+            self.setUp()
+            self.forward(
+                RESUMABLE_ROUTE,
+                stream(events(1, 2), cut=True),
+                stream(empty),
+            )
+            self.assertFalse(self.progress.complete)
+            self.assertTrue(self.caller.aborted)
+
+    def test_moved_generation_without_a_further_event(self) -> None:
+        """Guard against cutting a stream that was moved after its last event.
+
+        The memory that was moved tells the server where the generation ended.
+        """
+        self.moves.record_move(build_move())
+        self.forward(STREAM_ROUTE, stream(events(1, 2), cut=True), stream())
+        self.assertTrue(self.progress.complete)
+        self.assertEqual(self.caller.body, events(1, 2))
+
+    def test_resumption_that_answers_an_error(self) -> None:
+        """Guard against an error's text in the middle of a stream."""
+        for answer in (
+            whole(500, b'id: 3\ndata: error\n\n'),
+            whole(200, b'id: 3\ndata: page\n\n'),
+            whole(404, b'no'),
+            whole(503, b'no'),
+            turned_away(),
+            torn(b'id: 3\ndata: tor'),
+            stream(b'id: 3\ndata: tor', cut=True),
+            no_answer(),
+        ):
+            self.setUp()
+            reply = self.forward(
+                RESUMABLE_ROUTE,
+                stream(events(1, 2), cut=True),
+                answer,
+                *(turned_away() for _ in range(3)),
+            )
+            self.assertIsNone(reply)
+            self.assertEqual(self.caller.body, events(1, 2))
+            self.assertFalse(self.progress.complete)
+            self.assertTrue(self.caller.aborted)
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -147,7 +147,14 @@
                 with self._sender.open(
                     server, watch, history, continuation
                 ) as exchange:
-                    return self._relay(server, watch, exchange, progress)
+                    events_before = progress.event_count
+                    reply = self._relay(server, watch, exchange, progress)
+                    if reply is None:
+                        _check_completeness(
+                            server, progress, events_before, continuation
+                        )
+                        progress.complete = True
+                    return reply
             except NotRunError as error:
                 self._log('not run', watch, error, progress)
                 return build_refusal(watch.request.deadline.remaining_seconds)
@@ -200,7 +207,6 @@
         if splitter.has_partial_event or watch.reason is not None:
             raise BackendError('stream was cut', 'events', server.endpoint)
         self._failure_rates.record(server.endpoint, failed=False)
-        progress.complete = True
         return None
 
     def _pass_on(
@@ -301,6 +307,24 @@
         )
 
 
+def _check_completeness(
+    server: BackendServer,
+    progress: StreamProgress,
+    events_before: int,
+    continuation: Continuation | None,
+) -> None:
+    """Check that the end of a server's stream is the end of the whole one.
+
+    A server that resumes a stream without its memory and has no event for it
+    may not know it at all. Raises BackendError.
+    """
+    is_resumption = continuation is not None and not continuation.handle
+    if is_resumption and progress.event_count == events_before:
+        raise BackendError(
+            'resumption has no events', 'events', server.endpoint
+        )
+
+
 def _may_repeat(reply: Reply, watch: RequestWatch) -> bool:
     if reply.status in {BAD_GATEWAY, NOT_RUN}:
         return True
