Do not take streams in progress for prompts that wait

Without an agent's report an entry counts its own requests at an engine as waiting, so that an engine with some twenty streams in progress got no short generation any more. Found by reading. The time until the first event is estimated only with a report.

Test: test_engines_without_reports_are_not_excluded (failed before).

--- a/tests/test_server_choosers.py
+++ b/tests/test_server_choosers.py
@@ -134,6 +134,15 @@
         )
         self.assertEqual(self.choose_engine(), 'server-2')
 
+    def test_engines_without_reports_are_not_excluded(self) -> None:
+        """Guard against refusals for streams that run and do not wait."""
+        for engine in self.engines:
+            for number in range(30):
+                self.load_tracker.add_sent_request(
+                    engine.endpoint, str(number), 100
+                )
+        self.assertNotEqual(self.choose_engine(), '')
+
     def test_fast_engines_bear_longer_queues(self) -> None:
         """Guard against refusals that a fixed time for each prompt causes."""
         for engine in self.engines:
--- a/wasabistream/forwarding/server_choosers.py
+++ b/wasabistream/forwarding/server_choosers.py
@@ -154,9 +154,11 @@
     def _can_begin_in_time(
         self, request: ForwardRequest, estimate: LoadEstimate
     ) -> bool:
-        return request.demand is None or self._paces.can_begin_in_time(
-            request, estimate.waiting_count
-        )
+        # Without a report, requests in progress cannot be told from those that
+        # wait.
+        if request.demand is None or estimate.report_age_seconds is None:
+            return True
+        return self._paces.can_begin_in_time(request, estimate.waiting_count)
 
     def _cost(
         self,
