--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -36,13 +36,13 @@
 from wasabistream.forwarding.leaving_servers import LeavingServers
 from wasabistream.forwarding.load_trackers import LoadTracker
 from wasabistream.forwarding.move_targets import list_move_targets
-from wasabistream.forwarding.rate_buckets import MAX_INTERVAL_SECONDS
 from wasabistream.forwarding.rate_limits import RateLimits
 from wasabistream.forwarding.refusals import Refuser
 from wasabistream.forwarding.server_advisories import NO_LIMIT, ServerAdvisory
 from wasabistream.forwarding.server_records import MAX_RECORD_COUNT
 from wasabistream.messages import Message
 from wasabistream.notices import UNKNOWN_LIMIT, LoadReport
+from wasabistream.rate_buckets import MAX_INTERVAL_SECONDS
 
 RUN_SECONDS = 15.0
 
--- a/wasabistream/forwarding/rate_limits.py
+++ b/wasabistream/forwarding/rate_limits.py
@@ -17,7 +17,6 @@
 )
 from wasabistream.forwarding.endpoints import parse_endpoint
 from wasabistream.forwarding.entry_shares import EntryShares
-from wasabistream.forwarding.rate_buckets import RateBucket, interval_seconds
 from wasabistream.forwarding.server_advisories import NO_LIMIT, format_limit
 from wasabistream.forwarding.server_records import (
     ServerRecords,
@@ -25,6 +24,7 @@
 )
 from wasabistream.messages import Message
 from wasabistream.metrics import LIMITED_SENDS, LIMITED_SERVERS
+from wasabistream.rate_buckets import RateBucket, interval_seconds
 
 logger = logging.getLogger(__name__)
 
