Keep the gate within the rate that an engine states

The class of the rate limit, looked for on the product's own interface: an engine in need had no way to say how many generations it starts in a second, and the gate started jobs as soon as there was room. The state of an engine may hold `max_requests_per_second`; the gate, the only one that sends jobs to its engine, spaces starts by it and refuses at once what could not start before its deadline.

A server that leaves needs no change there: the gate closes with its engine's VM. Not done: an engine's 503 with Retry-After fails its job and does not hold back the next one, and plain services on the product's own interface state no rate.

Tests: test_engine_gets_no_more_starts_than_it_takes, test_job_that_cannot_start_in_time_is_refused, test_rates.

--- a/tests/test_gates.py
+++ b/tests/test_gates.py
@@ -5,14 +5,19 @@
 from typing import Any
 
 from tests.builders import build_job
+from tests.byte_servers import send_once, serve_bytes
+from tests.test_client_limits import frame
+from tests.waits import wait_for
 from wasabistream.admissions import AdmissionPolicy, GrowthPolicy, OpenPolicy
 from wasabistream.batch_limits import BatchLimit
+from wasabistream.engines import make_engine_client
 from wasabistream.exceptions import AttemptError
 from wasabistream.gates import Gate
 from wasabistream.jobs import GenerationJob
 from wasabistream.outcomes import Outcome
 from wasabistream.ramps import OpenRamp
 from wasabistream.retries import OVERLOAD_REASONS
+from wasabistream.start_rates import StartRate
 from wasabistream.token_gaps import TokenGapMeter
 
 WAIT_SECONDS = 5.0
@@ -27,8 +32,8 @@
     raise AssertionError('job was not refused')
 
 
-class GateTest(unittest.TestCase):
-    """Guard the order of jobs and that a refused job never runs."""
+class GateCase(unittest.TestCase):
+    """Run gates and record which jobs start."""
 
     def setUp(self) -> None:
         """Record the order in which jobs start."""
@@ -78,6 +83,10 @@
         gate.submit(job)
         return job
 
+
+class GateTest(GateCase):
+    """Guard the order of jobs and that a refused job never runs."""
+
     def test_dropped_job_never_starts(self) -> None:
         """Guard against a job that runs after it was reported as not run."""
         gate = self.build_gate(1)
@@ -185,3 +194,70 @@
         new_key = ('other', 'assistant', 'normal')
         expected = policy.estimator.expected_tokens(new_key, 0)
         self.assertGreater(expected, 700)
+
+
+class StartRateTest(GateCase):
+    """Guard against an engine that gets more than it states to take."""
+
+    def test_engine_gets_no_more_starts_than_it_takes(self) -> None:
+        """Guard against a gate that starts jobs as soon as there is room."""
+        gate = self.build_gate(slot_count=50)
+        gate.limit_starts(4)
+        for _ in range(20):
+            self.submit(gate)
+        time.sleep(1)
+        self.assertGreaterEqual(len(self.started), 3)
+        self.assertLessEqual(len(self.started), 6)
+        self.assertEqual(gate.effective_limit_count, gate.running_count)
+        gate.limit_starts(None)
+        self.assertTrue(wait_for(lambda: len(self.started) == 20))
+
+    def test_job_that_cannot_start_in_time_is_refused(self) -> None:
+        """Guard against jobs that wait behind the limit until their deadline."""
+        gate = self.build_gate(slot_count=50)
+        gate.limit_starts(0.5)
+        self.submit(gate)
+        self.submit(gate)
+        late = build_job()
+        late.deadline_monotonic_seconds = time.monotonic() + 1
+        refusal = submit_refused(gate, late)
+        self.assertEqual(refusal.reason, 'overloaded')
+        self.assertGreater(refusal.retry_after_seconds, 0)
+
+    def test_limit_that_rises(self) -> None:
+        """Guard against waiting for the turn of a lower limit."""
+        rate = StartRate()
+        rate.set_limit(0)
+        rate.add_start()
+        self.assertGreater(rate.wait_seconds(), 5)
+        rate.set_limit(10)
+        self.assertLessEqual(rate.wait_seconds(), 0.1)
+
+
+class StatedRateTest(unittest.TestCase):
+    """Guard against a malformed rate that stops an engine's agent."""
+
+    def test_rates(self) -> None:
+        """Guard against a rate that is no number, or below 0."""
+        for text, expected in (
+            ('2.5', 2.5),
+            ('0', 0.0),
+            ('null', None),
+            ('-1', None),
+            ('true', None),
+            ('"2"', None),
+            ('NaN', None),
+            ('Infinity', None),
+            ('[1]', None),
+        ):
+            body = (
+                '{"memory_used_tokens": 0, "memory_capacity_tokens": 1,'
+                ' "running": 0, "models": [], "adapters": [], "role": "both",'
+                ' "boot_id": "b", "max_requests_per_second": %s}' % text
+            )
+            with serve_bytes(send_once(frame(body.encode()))) as server:
+                client = make_engine_client(
+                    'standard', f'http://127.0.0.1:{server.port}'
+                )
+                state = client.state()
+            self.assertEqual(state.max_requests_per_second, expected, text)
--- a/wasabistream/agents.py
+++ b/wasabistream/agents.py
@@ -261,12 +261,14 @@
             state.memory_capacity_tokens,
             self.generations.run,
         )
+        gate.limit_starts(state.max_requests_per_second)
         self._crashes.start(gate, state.boot_id)
         return gate
 
     def _update_engine_state(self, state: EngineState) -> None:
         previous_serving = self._build_serving_report()
         self._engine_state = state
+        self.generations.gate.limit_starts(state.max_requests_per_second)
         if self._build_serving_report() != previous_serving:
             send_to_all(list(self._links), self._build_serving_report())
 
--- a/wasabistream/engines.py
+++ b/wasabistream/engines.py
@@ -1,6 +1,8 @@
 """Clients of model engines, by engine kind."""
 
 import json
+import logging
+import math
 import time
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
@@ -12,6 +14,8 @@
 from wasabistream.limited_pools import build_pool_manager
 from wasabistream.requests import Generate
 
+logger = logging.getLogger(__name__)
+
 CONNECT_TIMEOUT_SECONDS = 1.0
 CONTROL_TIMEOUT_SECONDS = 2.0
 # Longest time without data on a stream before the engine counts as failed.
@@ -61,6 +65,8 @@
     fencing: int = 0
     # Version by model, as far as the engine reports it.
     versions: Mapping[str, str] = field(default_factory=dict)
+    # Most generations that it starts in a second; None without a limit.
+    max_requests_per_second: float | None = None
 
 
 class EngineClient(Protocol):
@@ -155,6 +161,9 @@
                 prefixes=tuple(report.get('prefixes', ())),
                 fencing=int(report.get('fencing', 0)),
                 versions=dict(report.get('versions', {})),
+                max_requests_per_second=_decode_rate(
+                    report.get('max_requests_per_second'), self._url
+                ),
             )
         except (KeyError, TypeError) as error:
             raise BackendError(
@@ -237,6 +246,16 @@
         )
 
 
+def _decode_rate(rate: Any, url: str) -> float | None:
+    if rate is None:
+        return None
+    # An exact type, as bool is a subclass of int.
+    if type(rate) in {int, float} and 0 <= rate < math.inf:
+        return float(rate)
+    logger.debug('engine: rate limit of %s cannot be read: %r', url, rate)
+    return None
+
+
 def _split_lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
     """Yield whole lines, and b'' for each piece without one."""
     pending = bytearray()
--- a/wasabistream/gates.py
+++ b/wasabistream/gates.py
@@ -14,6 +14,7 @@
 from wasabistream.metrics import GATE_QUEUED, GATE_RUNNING
 from wasabistream.outcomes import Outcome
 from wasabistream.ramps import Ramp
+from wasabistream.start_rates import StartRate
 from wasabistream.token_gaps import TokenGapMeter
 
 logger = logging.getLogger(__name__)
@@ -50,6 +51,7 @@
         self.batch_limit = batch_limit
         self.token_gaps = token_gaps
         self._start_job = start_job
+        self._start_rate = StartRate()
         self._condition = threading.Condition()
         self._queues = ClassQueues()
         self._class_memory = ClassMemoryMeter()
@@ -79,10 +81,10 @@
     def effective_limit_count(self) -> int:
         """Return how many jobs the engine can run now, for load reports.
 
-        While jobs are queued the engine is full, so the limit is at most the
-        number of jobs that run.
+        While jobs are queued, or the engine takes no further start yet, the
+        limit is at most the number of jobs that run.
         """
-        if self.queued_count:
+        if self.queued_count or self._start_rate.wait_seconds():
             return min(self.limit_count, max(self.running_count, 1))
         return self.limit_count
 
@@ -95,6 +97,12 @@
         """Return the tokens of engine memory that running jobs hold."""
         return sum(job.memory_tokens for job in self.running_jobs())
 
+    def limit_starts(self, max_per_second: float | None) -> None:
+        """Set the most jobs that the engine takes in a second, if any."""
+        with self._condition:
+            self._start_rate.set_limit(max_per_second)
+            self._condition.notify_all()
+
     def start(self) -> None:
         """Start the admission thread."""
         threading.Thread(target=self._run, name='gate', daemon=True).start()
@@ -129,15 +137,16 @@
 
     def estimate_wait_seconds(self, job: GenerationJob) -> float:
         """Estimate how long a new job would wait in the queue."""
+        start_wait_seconds = self._start_rate.wait_seconds(self.queued_count)
         queued_tokens = self._queues.queued_tokens_before(job)
         if not queued_tokens:
-            return 0
+            return start_wait_seconds
         # While jobs are queued, the engine runs as many as it can hold.
         tokens_per_second = (
             max(self.running_count, 1)
             / self.token_gaps.mean_gap_or_default_seconds
         )
-        return queued_tokens / tokens_per_second
+        return max(queued_tokens / tokens_per_second, start_wait_seconds)
 
     def drop(self, job: GenerationJob) -> bool:
         """Remove a job from the queue; return whether it was queued."""
@@ -221,6 +230,8 @@
     def _pop_admitted(self) -> GenerationJob | None:
         if self.closed_reason or self.running_count >= self.limit_count:
             return None
+        if self._start_rate.wait_seconds():
+            return None
         running = list(self._running.values())
         if any(job.suspect for job in running):
             return None
@@ -246,9 +257,13 @@
         if not self.policy.admits(job, running, reserved_tokens):
             return None
         self._queues.start(job)
-        self._running[job.stream_id] = job
+        self._add_running(job)
         return job
 
+    def _add_running(self, job: GenerationJob) -> None:
+        self._running[job.stream_id] = job
+        self._start_rate.add_start()
+
     def _pause_suspects(self, job: GenerationJob) -> None:
         generation_seconds = (
             job.last_token_monotonic_seconds - job.first_token_monotonic_seconds
@@ -264,7 +279,7 @@
     def _pop_suspect(self) -> GenerationJob:
         job = self._suspects.pop(0)
         self._queues.fair_shares.charge(job, job.expected_tokens)
-        self._running[job.stream_id] = job
+        self._add_running(job)
         return job
 
 
