--- a/tests/test_server_choosers.py
+++ b/tests/test_server_choosers.py
@@ -24,6 +24,7 @@
 from wasabistream.forwarding.first_event_paces import FirstEventPaces
 from wasabistream.forwarding.load_trackers import LoadTracker
 from wasabistream.forwarding.routes import RouteKind
+from wasabistream.forwarding.server_advisories import ServerAdvisory
 from wasabistream.forwarding.server_choosers import ServerChooser
 
 
@@ -40,12 +41,14 @@
         self.load_tracker = LoadTracker()
         self.failure_rates = FailureRates()
         self.paces = FirstEventPaces()
+        self.cold = build_cold_limiter()
+        self.advisories = build_advisories()
         self.chooser = ServerChooser(
             self.holder,
             self.load_tracker,
             self.failure_rates,
-            build_cold_limiter(),
-            build_advisories(),
+            self.cold,
+            self.advisories,
             self.paces,
             OWN_DATA_CENTRE,
         )
@@ -116,6 +119,28 @@
         self.load_tracker.report('10.0.0.2:8000', fresh)
         self.assertEqual(self.choose_engine(), 'server-1')
 
+    def test_cold_server_with_a_limit(self) -> None:
+        """Guard against one of two limits that hides the other."""
+        cold = dataclasses.replace(self.engines[0], cold_remaining_seconds=60)
+        self.holder.current = build_fleet(cold)
+        self.cold.on_fleet_changed(self.holder.current)
+        self.advisories.on_fleet_changed(self.holder.current)
+        self.advisories.record_answer(cold, ServerAdvisory(1), 0)
+        taken_count = 0
+        for _ in range(50):
+            server = self.chooser.take(self.generation)
+            if server is not None:
+                self.cold.add_sent_request(server)
+                taken_count += 1
+        self.assertEqual(taken_count, 1)
+        self.advisories.record_answer(cold, ServerAdvisory(1000), 0)
+        for _ in range(50):
+            if self.chooser.take(self.generation) is not None:
+                self.cold.add_sent_request(cold)
+                taken_count += 1
+        # The limit of a cold server is 37 a second in these fleets.
+        self.assertLess(taken_count, 45)
+
     def test_queue_that_outlasts_the_deadline(self) -> None:
         """Guard against a prompt that waits at an engine until its deadline.
 
