Tie statements of servers to the server that made them

A statement of an engine that only its agent had announced, without an id, passed to whichever server was listed at the address later: one that had left could keep its successor out of use for good. A late answer of a server that had ended replaced what its successor had stated. Class: state kept by address in place of by server.

A record without an id ends once a server with an id is listed at its address, the id of a record stays when the server is only announced for a while, and statements of a server are ignored when another one is listed at its address.

Tests: test_announced_server_and_another_at_its_address, test_late_answer_of_a_server_that_has_ended (both failed before).

--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -67,6 +67,30 @@
         self.guard.on_fleet_changed(build_fleet(announced, self.other))
         self.assertFalse(self.guard.admits(announced))
 
+    def test_announced_server_and_another_at_its_address(self) -> None:
+        """Guard against avoiding another server at the address for good.
+
+        The statement came while the store was away, from an engine without an
+        id; the address may have gone to another one meanwhile.
+        """
+        announced = build_unlisted_server(
+            parse_endpoint(self.other.endpoint), ENGINE_SERVICE, 'dc', 24
+        )
+        self.guard.on_fleet_changed(build_fleet(announced))
+        self.guard.record_answer(announced, LEAVING, self.clock())
+        self.assertFalse(self.guard.admits(announced))
+        self.guard.on_fleet_changed(build_fleet(self.other))
+        self.assertTrue(self.guard.admits(self.other))
+
+    def test_late_answer_of_a_server_that_has_ended(self) -> None:
+        """Guard against a statement that hides the one of its successor."""
+        successor = dataclasses.replace(self.server, server_id='server-9')
+        self.guard.on_fleet_changed(build_fleet(successor, self.other))
+        self.guard.record_answer(successor, LEAVING, self.clock())
+        late = ServerAdvisory(1, is_leaving=True, retry_after_seconds=60)
+        self.guard.record_answer(self.server, late, self.clock())
+        self.assertFalse(self.guard.admits(successor))
+
     def test_restarted_server_and_reused_address(self) -> None:
         """Guard against avoiding a server that has just started."""
         restarted = dataclasses.replace(self.server, started_unix_ms=6)
--- a/wasabistream/forwarding/back_offs.py
+++ b/wasabistream/forwarding/back_offs.py
@@ -39,6 +39,8 @@
         until = self._clock() + seconds
         with self._lock:
             before = self._until_seconds.find(server)
+            if self._until_seconds.is_outdated(server):
+                return
             if before is not None and before >= until:
                 return
             self._until_seconds.put(server, until)
--- a/wasabistream/forwarding/leaving_servers.py
+++ b/wasabistream/forwarding/leaving_servers.py
@@ -33,7 +33,8 @@
     def record(self, server: BackendServer) -> None:
         """Record that a server states that it leaves."""
         with self._lock:
-            if self._leaving_since.find(server) is not None:
+            is_known = self._leaving_since.find(server) is not None
+            if is_known or self._leaving_since.is_outdated(server):
                 return
             self._leaving_since.put(server, self._clock())
             self._update_gauge()
--- a/wasabistream/forwarding/rate_limits.py
+++ b/wasabistream/forwarding/rate_limits.py
@@ -103,6 +103,8 @@
     ) -> None:
         """Apply what a server states in the answer to a request."""
         with self._lock:
+            if self._limits.is_outdated(server):
+                return
             stated = self._find(server)
             if limit_per_second == NO_LIMIT and (
                 stated is None or sent_at_seconds < stated.observed_at_seconds
--- a/wasabistream/forwarding/server_records.py
+++ b/wasabistream/forwarding/server_records.py
@@ -55,12 +55,16 @@
                 slot.unlisted_at_seconds = slot.unlisted_at_seconds or now
                 if now - slot.unlisted_at_seconds > UNLISTED_SECONDS:
                     self._slots.pop(endpoint)
-            elif is_same_server(listed, slot.server):
-                slot.server = listed
+            elif _continues(listed, slot.server):
                 slot.unlisted_at_seconds = None
             else:
                 self._slots.pop(endpoint)
 
+    def is_outdated(self, server: BackendServer) -> bool:
+        """Return whether another server is listed at this one's address."""
+        listed = self._listed.get(server.endpoint)
+        return listed is not None and not is_same_server(listed, server)
+
     def find(self, server: BackendServer) -> RecordT | None:
         """Return the record of a server, or None."""
         slot = self._slots.get(server.endpoint)
@@ -78,7 +82,13 @@
         return self._listed.get(endpoint)
 
     def put(self, server: BackendServer, record: RecordT) -> None:
-        """Keep a record in place of the one at the same endpoint."""
+        """Keep a record in place of the one at the same endpoint.
+
+        The record of a server that has ended is not kept: its last answers may
+        come after another one was listed at its address.
+        """
+        if self.is_outdated(server):
+            return
         endpoint = server.endpoint
         self._slots.pop(endpoint, None)
         if len(self._slots) >= MAX_RECORD_COUNT:
@@ -98,3 +108,10 @@
         return True
     starts = {one.started_unix_ms, other.started_unix_ms} - {0}
     return one.server_id == other.server_id and len(starts) <= 1
+
+
+def _continues(listed: BackendServer, recorded: BackendServer) -> bool:
+    # A record that was made without an id may be that of a server before.
+    if listed.server_id and not recorded.server_id:
+        return False
+    return is_same_server(listed, recorded)
