Count each request to a limited server once

Servers that stated a limit got less than they took, and callers were refused for it. Seen in the logs of capped-burst: after the burst the limited engines got nothing for four seconds, while the one without a limit had a queue. Cause: entries that are seeds of each other have two links, and the notice of a sent request went over both. Class: a message that is counted, sent like one that may arrive twice.

Such a message goes over one link to each peer.

Test: test_counted_message_arrives_once; a message to all peers arrives twice there.

--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -4,6 +4,7 @@
 while the store is unavailable.
 """
 
+import time
 import unittest
 from collections.abc import Sequence
 from dataclasses import astuple, replace
@@ -18,6 +19,10 @@
 )
 from tests.waits import wait_for
 from wasabistream.crash_notices import CrashMessage
+from wasabistream.forwarding.advisory_messages import (
+    AdvisoryMessage,
+    LimitedSendNotice,
+)
 from wasabistream.forwarding.announced_engines import (
     AnnouncedEngines,
     EngineAnnouncement,
@@ -41,6 +46,8 @@
 from wasabistream.part_notices import PartBanNotice
 
 ADDRESS = '127.0.0.1'
+# Time for a second copy of a message to arrive.
+SETTLING_SECONDS = 0.2
 ENGINE = EngineAnnouncement('10.0.0.9:8000', 'writer', 'dc-b')
 
 
@@ -117,6 +124,32 @@
         started.links.replace_seeds([informed.endpoint])
         self.assertTrue(wait_for(lambda: told == [ban]))
 
+    def test_counted_message_arrives_once(self) -> None:
+        """Guard against requests that a peer counts twice.
+
+        Two entries that are seeds of each other have two links.
+        """
+        sender = self.start('a', [])
+        receiver = self.start('b', [sender.endpoint])
+        sender.links.replace_seeds([receiver.endpoint])
+        told: list[Message] = []
+        receiver.links.subscribe(AdvisoryMessage, told.append, list)
+
+        def arrives_twice() -> bool:
+            told.clear()
+            sender.links.broadcast(LimitedSendNotice('all'))
+            return wait_for(lambda: len(told) == 2, SETTLING_SECONDS)
+
+        self.assertTrue(wait_for(arrives_twice))
+        told.clear()
+        sender.links.broadcast(LimitedSendNotice('one'), once_per_peer=True)
+        sender.links.broadcast(LimitedSendNotice('last'), once_per_peer=True)
+        self.assertTrue(wait_for(lambda: LimitedSendNotice('last') in told))
+        time.sleep(SETTLING_SECONDS)
+        self.assertEqual(
+            told, [LimitedSendNotice('one'), LimitedSendNotice('last')]
+        )
+
     def test_store_is_read_through_a_peer(self) -> None:
         """Guard against an entry with an outdated configuration."""
         reader = self.start('a', [])
--- a/wasabistream/forwarding/peer_links.py
+++ b/wasabistream/forwarding/peer_links.py
@@ -152,10 +152,18 @@
             Subscription(message_type, handler, describe)
         )
 
-    def broadcast(self, notice: Message) -> None:
-        """Send a message to all linked entries."""
+    def broadcast(
+        self, notice: Message, *, once_per_peer: bool = False
+    ) -> None:
+        """Send a message to all linked entries.
+
+        Two entries that are seeds of each other have two links; a message that
+        is counted goes over one of them, `once_per_peer`.
+        """
         with self._lock:
             links = list(self._links)
+        if once_per_peer:
+            links = list({link.peer.peer_id: link for link in links}.values())
         for link in links:
             _send(link, notice)
 
--- a/wasabistream/forwarding/server_trackers.py
+++ b/wasabistream/forwarding/server_trackers.py
@@ -1,5 +1,7 @@
 """What an entry tracks about backend servers, beyond their list."""
 
+from functools import partial
+
 from wasabistream.forwarding.advisory_guards import AdvisoryGuard
 from wasabistream.forwarding.advisory_messages import AdvisoryMessage
 from wasabistream.forwarding.back_offs import BackOffs
@@ -22,7 +24,10 @@
         self.paces = FirstEventPaces()
         self.cold = ColdLimiter(cold_limit, peer_links.entry_count)
         self.advisories = AdvisoryGuard(
-            RateLimits(peer_links.shares, peer_links.broadcast),
+            RateLimits(
+                peer_links.shares,
+                partial(peer_links.broadcast, once_per_peer=True),
+            ),
             LeavingServers(),
             BackOffs(),
         )
