--- a/tests/platform_paths.py
+++ b/tests/platform_paths.py
@@ -138,6 +138,17 @@
         self.backend.respond = answer
         self.backend.received_requests.clear()
 
+    def add_backend(self) -> StandInBackend:
+        """Return a second backend server, which the entry lists."""
+        backend = StandInBackend()
+        self.addCleanup(backend.server_close)
+        self.addCleanup(backend.shutdown)
+        port = backend.server_address[1]
+        row = {**SERVER, 'service': 'desk', 'address': f'127.0.0.1:{port}'}
+        self.store.put(build_row('servers/s2', 9, row))
+        wait_until(lambda: len(self.entry.fleet.current.servers) == 2)
+        return backend
+
     def exchange(self, raw: bytes) -> bytes:
         """Send bytes and return all bytes received until the end."""
         return exchange(self.entry.front_port, raw)
--- a/tests/test_back_offs.py
+++ b/tests/test_back_offs.py
@@ -7,7 +7,6 @@
 import dataclasses
 import unittest
 
-from tests.builders import wait_until
 from tests.forwarding_builders import (
     Clock,
     build_advisories,
@@ -16,11 +15,9 @@
     build_request,
     build_server,
 )
-from tests.platform_builders import SERVER, build_row
 from tests.platform_paths import (
     BackendHandler,
     PlatformPathCase,
-    StandInBackend,
 )
 from wasabistream.forwarding.advisory_guards import AdvisoryGuard
 from wasabistream.forwarding.back_offs import MAX_BACK_OFF_SECONDS
@@ -105,13 +102,7 @@
 
     def test_requests_go_elsewhere(self) -> None:
         """Guard against twenty requests at a server that wants none."""
-        other = StandInBackend()
-        self.addCleanup(other.server_close)
-        self.addCleanup(other.shutdown)
-        port = other.server_address[1]
-        row = {**SERVER, 'service': 'desk', 'address': f'127.0.0.1:{port}'}
-        self.store.put(build_row('servers/s2', 9, row))
-        wait_until(lambda: len(self.entry.fleet.current.servers) == 2)
+        self.add_backend()
         self.backend.respond = turn_away
         answers = [self.get(b'back-off-%d' % number) for number in range(20)]
         self.assertEqual(len(self.backend.received_requests), 1)
--- a/tests/test_leaving_servers.py
+++ b/tests/test_leaving_servers.py
@@ -7,7 +7,6 @@
 import dataclasses
 import unittest
 
-from tests.builders import wait_until
 from tests.forwarding_builders import (
     ENGINE_SERVICE,
     Clock,
@@ -15,11 +14,9 @@
     build_fleet,
     build_server,
 )
-from tests.platform_builders import SERVER, build_row
 from tests.platform_paths import (
     BackendHandler,
     PlatformPathCase,
-    StandInBackend,
     answer,
 )
 from wasabistream.forwarding.advisory_guards import AdvisoryGuard
@@ -127,13 +124,7 @@
 
     def test_silent_store(self) -> None:
         """Guard against requests to a leaving server while the store is away."""
-        other = StandInBackend()
-        self.addCleanup(other.server_close)
-        self.addCleanup(other.shutdown)
-        port = other.server_address[1]
-        row = {**SERVER, 'service': 'desk', 'address': f'127.0.0.1:{port}'}
-        self.store.put(build_row('servers/s2', 9, row))
-        wait_until(lambda: len(self.entry.fleet.current.servers) == 2)
+        other = self.add_backend()
         self.store.silent = True
         self.addCleanup(setattr, self.store, 'silent', False)
         self.backend.respond = answer_and_leave
