Leave entries that have shut down no part of a limit

Found by reading: other entries list one that shuts down until their links to it close, so that its part of each limit stayed unused for a minute. An entry that says that it drains counts only while it is linked, until it sends a notice without that again.

Test: test_entry_that_has_shut_down_keeps_none (failed before), EntryShareTest.

--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -32,7 +32,11 @@
     build_unlisted_server,
 )
 from wasabistream.forwarding.endpoints import parse_endpoint
-from wasabistream.forwarding.entry_shares import KNOWN_SECONDS, EntryShares
+from wasabistream.forwarding.entry_shares import (
+    KNOWN_SECONDS,
+    LINKED_SECONDS,
+    EntryShares,
+)
 from wasabistream.forwarding.leaving_servers import LeavingServers
 from wasabistream.forwarding.load_trackers import LoadTracker
 from wasabistream.forwarding.move_targets import list_move_targets
@@ -342,3 +346,61 @@
         self.limits.record_answer(engine, 1, self.clock())
         self.count_taken(engine)
         self.assertFalse(list_move_targets(*arguments))
+
+
+class EntryShareTest(unittest.TestCase):
+    """Guard against a part of a limit that nobody uses, or two do."""
+
+    def setUp(self) -> None:
+        """Create the shares of an entry that knows three others."""
+        self.clock = Clock()
+        self.names = [f'10.1.0.{number}:9000' for number in range(4)]
+        self.shares = EntryShares(self.names[0], self.clock)
+        self.hear(*self.names[1:])
+
+    def hear(self, *endpoints: str, draining: str = '') -> None:
+        """Receive a notice of each of these entries, which list all."""
+        for endpoint in endpoints:
+            self.shares.record_notice(
+                endpoint, self.names, draining=endpoint == draining
+            )
+
+    def test_entry_that_is_silent_keeps_its_part(self) -> None:
+        """Guard against using the part of an entry that may still send."""
+        self.assertEqual(self.shares.ratio(), 1)
+        for _ in range(5):
+            self.clock.advance(1)
+            self.hear(*self.names[2:])
+        self.assertEqual(self.shares.ratio(), 3 / 4)
+        self.hear(self.names[1])
+        self.assertEqual(self.shares.ratio(), 1)
+
+    def test_entry_that_has_shut_down_keeps_none(self) -> None:
+        """Guard against a part that an entry leaves unused for a minute.
+
+        Others list the entry until their links to it have closed.
+        """
+        self.hear(self.names[1], draining=self.names[1])
+        for _ in range(5):
+            self.clock.advance(1)
+            self.hear(*self.names[2:])
+        self.assertEqual(self.shares.ratio(), 1)
+        self.hear(self.names[1])
+        self.clock.advance(LINKED_SECONDS + 1)
+        self.hear(*self.names[2:])
+        self.assertEqual(self.shares.ratio(), 3 / 4)
+
+    def test_entry_that_is_gone_is_forgotten(self) -> None:
+        """Guard against the part of an entry that was removed for good."""
+        self.names.pop()
+        for _ in range(int(KNOWN_SECONDS) + 1):
+            self.clock.advance(1)
+            self.hear(*self.names[1:])
+        self.assertEqual(self.shares.ratio(), 1)
+
+    def test_turns_differ_by_server(self) -> None:
+        """Guard against one entry that has the first turn everywhere."""
+        ranks = {self.shares.rank(f'server-{number}') for number in range(99)}
+        self.assertEqual(ranks, {0, 1 / 4, 2 / 4, 3 / 4})
+        self.clock.advance(LINKED_SECONDS + 1)
+        self.assertEqual(self.shares.rank('server-1'), 0)
--- a/wasabistream/forwarding/entry_shares.py
+++ b/wasabistream/forwarding/entry_shares.py
@@ -1,8 +1,9 @@
 """Share of the entries that tell this one which requests they send."""
 
+import math
 import threading
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from wasabistream.owners import rendezvous_hash
 
@@ -11,6 +12,43 @@
 # Time for which an entry that no longer answers may still serve callers on the
 # other side of a network partition.
 KNOWN_SECONDS = 60.0
+# Servers with a limit whose order of entries is kept.
+MAX_RANK_COUNT = 10_000
+
+
+class _RecentSet:
+    """Hold members that expire; the set is built again only when it changes."""
+
+    def __init__(self) -> None:
+        self._until_seconds: dict[str, float] = {}
+        self._members: frozenset[str] = frozenset()
+        self._valid_until_seconds = math.inf
+
+    def add(self, member: str, until_seconds: float) -> None:
+        """Add a member, or set another time until which it stays."""
+        self._until_seconds[member] = until_seconds
+        if member not in self._members:
+            self._members |= {member}
+        self._valid_until_seconds = min(
+            self._valid_until_seconds, until_seconds
+        )
+
+    def discard(self, member: str) -> None:
+        """Remove a member, if it is there."""
+        if self._until_seconds.pop(member, None) is not None:
+            self._members -= {member}
+
+    def members(self, now_seconds: float) -> frozenset[str]:
+        """Return the members that have not expired."""
+        if now_seconds > self._valid_until_seconds:
+            for member, until in list(self._until_seconds.items()):
+                if until < now_seconds:
+                    self._until_seconds.pop(member)
+            self._members = frozenset(self._until_seconds)
+            self._valid_until_seconds = min(
+                self._until_seconds.values(), default=math.inf
+            )
+        return self._members
 
 
 class EntryShares:
@@ -27,8 +65,13 @@
         self._own_endpoint = own_endpoint
         self._clock = clock
         self._lock = threading.Lock()
-        self._linked_until_seconds: dict[str, float] = {}
-        self._known_until_seconds: dict[str, float] = {}
+        self._linked = _RecentSet()
+        self._known = _RecentSet()
+        # Entries that shut down; others may list them for a while.
+        self._draining = _RecentSet()
+        # Places by key among the linked entries of the last look.
+        self._ranks: dict[str, float] = {}
+        self._ranked: frozenset[str] = frozenset()
 
     def record_notice(
         self, endpoint: str, listed: Iterable[str], *, draining: bool = False
@@ -36,20 +79,26 @@
         """Record an entry's notice and the entries that it is linked to."""
         now = self._clock()
         linked_until = now + LINKED_SECONDS
+        known_until = now + KNOWN_SECONDS
         with self._lock:
-            for known in (*listed, endpoint):
-                self._known_until_seconds[known] = now + KNOWN_SECONDS
-            self._linked_until_seconds[endpoint] = linked_until
+            self._known.add(endpoint, known_until)
+            self._linked.add(endpoint, linked_until)
+            self._draining.discard(endpoint)
             if draining:
-                self._known_until_seconds[endpoint] = linked_until
-            self._known_until_seconds.pop(self._own_endpoint, None)
+                self._known.add(endpoint, linked_until)
+                self._draining.add(endpoint, known_until)
+            unlisted = self._draining.members(now) | {self._own_endpoint}
+            for known in set(listed) - unlisted:
+                self._known.add(known, known_until)
 
     def ratio(self) -> float:
         """Return the part of a common limit that the linked entries may use."""
         with self._lock:
-            linked = self._list_linked()
-            known = self._remove_expired(self._known_until_seconds)
-            return len(linked) / (len(known.difference(linked)) + len(linked))
+            now = self._clock()
+            linked = self._linked.members(now)
+            unlinked = self._known.members(now) - linked
+            # This entry counts as linked.
+            return (len(linked) + 1) / (len(linked) + 1 + len(unlinked))
 
     def rank(self, key: str) -> float:
         """Return this entry's place among the linked ones, from 0 to below 1.
@@ -57,20 +106,19 @@
         Each key gives another order.
         """
         with self._lock:
-            linked = self._list_linked()
+            linked = self._linked.members(self._clock())
+            if linked != self._ranked or len(self._ranks) >= MAX_RANK_COUNT:
+                self._ranks = {}
+                self._ranked = linked
+            rank = self._ranks.get(key)
+            if rank is None:
+                rank = self._find_rank(key, linked)
+                self._ranks[key] = rank
+            return rank
+
+    def _find_rank(self, key: str, linked: Collection[str]) -> float:
         own_hash = rendezvous_hash(key, self._own_endpoint)
         before = sum(
             rendezvous_hash(key, endpoint) > own_hash for endpoint in linked
         )
-        return before / len(linked)
-
-    def _list_linked(self) -> set[str]:
-        linked = self._remove_expired(self._linked_until_seconds)
-        return linked | {self._own_endpoint}
-
-    def _remove_expired(self, until_seconds: dict[str, float]) -> set[str]:
-        now = self._clock()
-        for endpoint, until in list(until_seconds.items()):
-            if until < now:
-                until_seconds.pop(endpoint)
-        return set(until_seconds)
+        return before / (len(linked) + 1)
