Log why no server takes a request, and count it among the losses

The line states now whether each server is at its limit or wants nothing for a time, or none can begin the request in time; the refusals are counted by reason, and `wasabistream losses` has a row for the former.

--- a/tests/test_inspection_commands.py
+++ b/tests/test_inspection_commands.py
@@ -113,6 +113,18 @@
                 (build_call_end('r1', status=500, run_count=2),),
             ),
             ('refused, not run', (build_call_end('r1', status=503),)),
+            (
+                'refused, servers state limits or waits',
+                (
+                    build_line(
+                        'request: refused: no server takes it before the '
+                        'stated wait',
+                        request_id='r1',
+                        wait_seconds=0.5,
+                    ),
+                    build_call_end('r1', status=503),
+                ),
+            ),
             ('answered late', (build_call_end('r1', seconds=0.5),)),
             ('deadline passed', (build_call_end('r1', status=504),)),
         )
--- a/wasabistream/forwarding/refusals.py
+++ b/wasabistream/forwarding/refusals.py
@@ -1,6 +1,7 @@
 """Refusals of requests that no backend server takes."""
 
 import logging
+from types import MappingProxyType
 
 from wasabistream.forwarding.advisory_guards import AdvisoryGuard
 from wasabistream.forwarding.fleets import FleetHolder
@@ -10,6 +11,15 @@
 
 logger = logging.getLogger(__name__)
 
+REFUSAL_TEXTS = MappingProxyType(
+    {
+        # Each server is at its rate limit or wants no requests for a time.
+        'server_advisory': 'no server takes it before the stated wait',
+        # None is listed, reachable and able to begin it in time.
+        'no_server': 'no server can begin it in time',
+    }
+)
+
 
 class Refuser:
     """Refuse requests that have not run and state when to come back."""
@@ -19,21 +29,21 @@
         self._advisories = advisories
 
     def refuse(self, request: ForwardRequest) -> Reply:
-        """Return the refusal of a request; log a limit that caused it."""
+        """Return the refusal of a request and log its reason."""
         remaining_seconds = request.deadline.remaining_seconds
-        wait_seconds = self._advisories.wait_seconds(
-            self._fleet.current.usable_servers(request.service)
-        )
-        if not wait_seconds:
-            return build_refusal(remaining_seconds)
-        REFUSALS.labels('server_advisory').inc()
+        usable = self._fleet.current.usable_servers(request.service)
+        wait_seconds = self._advisories.wait_seconds(usable)
+        reason = 'server_advisory' if wait_seconds else 'no_server'
+        REFUSALS.labels(reason).inc()
         logger.info(
-            'request: refused: no server takes it before the stated wait',
+            'request: refused: %s',
+            REFUSAL_TEXTS[reason],
             extra={
                 'request_id': request.request_id,
                 'service': request.service,
                 'organisation': request.organisation,
                 'priority': request.priority,
+                'usable_server_count': len(usable),
                 'wait_seconds': round(wait_seconds, 3),
             },
         )
--- a/wasabistream/inspection/loss_causes.py
+++ b/wasabistream/inspection/loss_causes.py
@@ -1,32 +1,11 @@
 """Causes of requests that were not served in time, in order of precedence."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
+from wasabistream.inspection.loss_contexts import LossContext
 from wasabistream.inspection.request_records import RequestRecord
 
-# An engine that has announced its end is gone within this time.
-NOTICE_SECONDS = 10.0
-
-
-@dataclass
-class LossContext:
-    """Hold what other log lines say about engines and moves."""
-
-    # Times at which the agent of an engine reported that it leaves.
-    leave_times_seconds: dict[str, list[float]] = field(default_factory=dict)
-    # Last message of an agent about the move of a request.
-    move_messages: dict[str, str] = field(default_factory=dict)
-
-    def had_notice(self, record: RequestRecord) -> bool:
-        """Return whether a server of the request left shortly before."""
-        return any(
-            0 <= record.ended_at_seconds - left_at <= NOTICE_SECONDS
-            for server in record.servers
-            for left_at in self.leave_times_seconds.get(server, ())
-        )
-
-
 Condition = Callable[[RequestRecord, LossContext], bool]
 
 
@@ -85,6 +64,11 @@
     return record.cut_reason == 'timeout' or record.status == 504
 
 
+@loss_cause('refused, servers state limits or waits', avoidable=False)
+def _limited(record: RequestRecord, context: LossContext) -> bool:
+    return record.request_id in context.waiting_request_ids
+
+
 @loss_cause('refused, not run')
 def _refused(record: RequestRecord, context: LossContext) -> bool:
     return record.status in {429, 503}
--- a/wasabistream/inspection/loss_tables.py
+++ b/wasabistream/inspection/loss_tables.py
@@ -5,16 +5,14 @@
 from dataclasses import dataclass
 
 from wasabistream.inspection.log_lines import LogLine
-from wasabistream.inspection.loss_causes import (
-    LossCause,
-    LossContext,
-    find_cause,
-)
+from wasabistream.inspection.loss_causes import LossCause, find_cause
+from wasabistream.inspection.loss_contexts import LossContext
 from wasabistream.inspection.outdated_refusals import OutdatedRefusals
 from wasabistream.inspection.request_records import RequestRecord, build_record
 
 MOVE_PREFIX = 'mover: '
 REFUSED_PREFIX = 'request: refused: '
+WAITING_MESSAGE = 'request: refused: no server takes it before the stated wait'
 # The lines of refused requests name no route.
 OUTDATED_CAUSE = 'refused by an outdated configuration'
 UNKNOWN_ROUTE = ''
@@ -70,6 +68,8 @@
                     self._add_engine_state(line)
                 case message if message.startswith(MOVE_PREFIX):
                     self._add_move(line)
+                case message if message == WAITING_MESSAGE:
+                    self._add_waiting(line)
                 case message if message.startswith(REFUSED_PREFIX):
                     self._outdated_refusals.add_refusal(line)
 
@@ -141,6 +141,11 @@
             times = self._context.leave_times_seconds.setdefault(endpoint, [])
             times.append(line.time_seconds)
 
+    def _add_waiting(self, line: LogLine) -> None:
+        request_ids = self._context.waiting_request_ids
+        if len(request_ids) < MAX_RECORD_COUNT:
+            request_ids.add(line.request_id)
+
     def _add_move(self, line: LogLine) -> None:
         messages = self._context.move_messages
         if len(messages) < MAX_RECORD_COUNT or line.request_id in messages:
