Name refusals without a server by what is known

A request that servers turned away is refused by the same path as one that none can begin in time; the line said the latter.

--- a/wasabistream/forwarding/refusals.py
+++ b/wasabistream/forwarding/refusals.py
@@ -15,8 +15,8 @@
     {
         # Each server is at its rate limit or wants no requests for a time.
         'server_advisory': 'no server takes it before the stated wait',
-        # None is listed, reachable and able to begin it in time.
-        'no_server': 'no server can begin it in time',
+        # None is reachable and can begin it in time, or some turned it away.
+        'no_server': 'no server took it',
     }
 )
 
