--- a/review/4/case.py
+++ b/review/4/case.py
@@ -18,9 +18,10 @@
 # `reuse_after_s` is 2.
 REUSE_AT_SECONDS = 4.2
 DOWN_SECONDS = 4.5
-# Half of the sheet's rates, for half of its engines.
-DRAFTS_PER_SECOND = 1.15
-CHATS_PER_SECOND = 1.6
+# The sheet's engines and rates.
+ENGINE_COUNT = 6
+DRAFTS_PER_SECOND = 2.29
+CHATS_PER_SECOND = 3.23
 DRAFT_EVENTS = 235
 CHAT_EVENTS = 3
 EVENT_SECONDS = 0.04
@@ -94,7 +95,8 @@
 def play(case):
     store = s.Store(case)
     link_port = s.free_port(
-        *(f'127.0.1.{n}' for n in (1, 2)), *(f'127.0.2.{n}' for n in (1, 2, 3))
+        *(f'127.0.1.{n}' for n in (1, 2)),
+        *(f'127.0.2.{n + 1}' for n in range(ENGINE_COUNT)),
     )
     fronts = [
         s.Front(f'front-{zone}-1', f'127.0.1.{number + 1}', zone)
@@ -102,7 +104,8 @@
     ]
     seeds = [front.control for front in fronts]
     engines = []
-    for number, zone in enumerate(ZONES):
+    for number in range(ENGINE_COUNT):
+        zone = ZONES[number % len(ZONES)]
         address = f'127.0.2.{number + 1}'
         engine = s.Server(
             case, f'i-llm-{number}', 'dabba-llm', zone, address,
@@ -111,10 +114,11 @@
         engines.append(engine)
         store.put(f'servers/{engine.name}', engine.item())
         node = s.node_settings(
-            f'side-{zone}-1', 'side', address, zone, store, seeds,
+            f'side-{zone}-{number}', 'side', address, zone, store, seeds,
             {'link': link_port}, 232, app=engine.endpoint, service='dabba-llm',
         )
         case.start('agent', f'side-{number}', node, s.free_port(address))
+    for number, zone in enumerate(ZONES):
         app = s.Server(
             case, f'i-app-{number}', 'dabba-app', zone, f'127.0.3.{number + 1}',
             respond_app,
@@ -169,9 +173,9 @@
         time.sleep(max(began + seconds - time.monotonic(), 0))
 
     if case.trouble:
-        lost = engines[2]
+        lost = engines[-1]
         case.log('machine lost for good', server=lost.name)
-        case.kill('side-2')
+        case.kill(f'side-{ENGINE_COUNT - 1}')
         lost.close()
         sleep_until(EXPIRY_SECONDS)
         store.remove(f'servers/{lost.name}')
