--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""Bodies within `max_body_bytes` take entries over their memory (Fault)."""
+"""Bodies within `max_body_bytes` take entries over their memory (LOST, Fault)."""
 
 import os
 import signal
