Reject answers whose lines are not valid HTTP

Cause: http.client ends a head at the first line that is no field and drops the lines after it, Transfer-Encoding and Content-Length among them. The answer then counted as one that ends with its connection. The bytes that callers got begin right after the head, which excludes the copy of the body. The same parser accepts chunk sizes such as "+4" and "0_4", skips any two bytes after a chunk, and takes a bare carriage return for a line end.

Change: limited_responses checks each line against RFC 9112 before http.client parses it.

It works as no line can be dropped or reinterpreted any more: a malformed one fails the answer before its body is read.

--- a/wasabistream/limited_responses.py
+++ b/wasabistream/limited_responses.py
@@ -1,11 +1,13 @@
-"""HTTP responses whose bytes and duration are limited.
+"""HTTP responses that are checked strictly and whose size is limited.
 
 `http.client` skips interim responses and reads headers and trailers for as
-long as the peer sends them.
+long as the peer sends them. It drops all header lines after a malformed one,
+the framing of the body among them, and accepts chunk sizes like "-1".
 """
 
 import http.client
 import io
+import re
 import socket
 import time
 from typing import Any
@@ -13,6 +15,19 @@
 # Status line, headers and interim responses together.
 HEAD_LIMIT_BYTES = 64 * 1024
 FINAL_STATUS_MIN = 200
+LINE_END = b'\r\n'
+# Bytes of a malformed line that an error quotes.
+MAX_SHOWN_BYTES = 80
+# Lines of RFC 9112. A folded header line is obsolete and not accepted.
+STATUS_LINE = re.compile(
+    rb'HTTP/1\.[0-9] [1-9][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?\r\n'
+)
+FIELD_LINE = re.compile(
+    rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*)?\r\n"
+)
+CHUNK_SIZE_LINE = re.compile(
+    rb'[0-9A-Fa-f]{1,16}(?:[ \t]*;[\t\x20-\x7e\x80-\xff]*)?\r\n'
+)
 
 
 class ResponseLimitError(http.client.HTTPException):
@@ -20,7 +35,7 @@
 
 
 class FramingError(http.client.HTTPException):
-    """Report a response whose head is cut off or whose length is unclear."""
+    """Report a response that is malformed or whose length is unclear."""
 
 
 class LimitedReader(io.RawIOBase):
@@ -101,16 +116,18 @@
             deadline_seconds = time.monotonic() + timeout_seconds
         self._closes = closes
         self.reader = LimitedReader(sock, limit_bytes, deadline_seconds)
+        self._file = _MessageFile(self.reader)
         super().__init__(
-            _ReaderFile(self.reader),  # type: ignore[arg-type]
+            _FileSource(self._file),  # type: ignore[arg-type]
             debuglevel,
             method,
             url,
         )
 
     def begin(self) -> None:
-        """Read the head; raises FramingError if it is cut or ambiguous."""
+        """Read the head; raises FramingError if it is cut or malformed."""
         super().begin()
+        self._file.line_pattern = CHUNK_SIZE_LINE
         # http.client takes the end of the connection for the end of the head.
         if self.reader.ended:
             raise FramingError('head is cut off')
@@ -137,16 +154,50 @@
         """Return whether only the end of the connection ends the body."""
         return not self.chunked and self.length is None
 
+    def _get_chunk_left(self) -> int | None:
+        # http.client skips two bytes after a chunk whatever they are.
+        if self.chunk_left == 0:
+            if self._file.read(len(LINE_END)) != LINE_END:
+                raise FramingError('chunk is not followed by a line end')
+            self.chunk_left = None
+        return super()._get_chunk_left()  # type: ignore[misc, no-any-return]
+
+    def _read_and_discard_trailer(self) -> None:
+        self._file.line_pattern = FIELD_LINE
+        super()._read_and_discard_trailer()  # type: ignore[misc]
 
-class _ReaderFile:
-    """Stand in for the socket from which `http.client` makes a file."""
+
+class _MessageFile(io.BufferedReader):
+    """Read the lines of a message; raises FramingError if one is malformed.
+
+    The first line and the line after an interim head are status lines.
+    """
 
     def __init__(self, reader: LimitedReader) -> None:
-        self._reader = reader
+        super().__init__(reader)
+        self.line_pattern = STATUS_LINE
+
+    def readline(self, size: int | None = -1) -> bytes:
+        """Return the next line, or b'' at the end of the connection."""
+        line = super().readline(size)
+        if line and not self.line_pattern.fullmatch(line):
+            raise FramingError(f'malformed line: {line[:MAX_SHOWN_BYTES]!r}')
+        if self.line_pattern is STATUS_LINE:
+            self.line_pattern = FIELD_LINE
+        elif line == LINE_END and self.line_pattern is FIELD_LINE:
+            self.line_pattern = STATUS_LINE
+        return line
+
+
+class _FileSource:
+    """Stand in for the socket from which `http.client` makes a file."""
+
+    def __init__(self, file: _MessageFile) -> None:
+        self._file = file
 
-    def makefile(self, mode: str) -> io.BufferedReader:
-        """Return a buffered file that reads through the limits."""
-        return io.BufferedReader(self._reader)
+    def makefile(self, mode: str) -> _MessageFile:
+        """Return the file that reads through the limits."""
+        return self._file
 
 
 def _is_length(text: str) -> bool:
