Refuse answers without a length after a failed send

Cause: while a long body is still sent, a reset is reported to the send and only there. _send drops the error so that an early answer can be read; the reads then show a regular end of the connection, which ends an answer without a length. A cut by the supervisor is excluded (its flag is not set); a reset after the body was sent is reported to the read and gave 502.

Change: TrackedConnection remembers a failed send, LimitedResponse refuses the head of an answer that has neither a length nor chunks on such a connection. The pools share it, as urllib3 ignores EPIPE and ECONNRESET of a send in the same way; calls of plain services raise and had no such fault.

It works as an answer whose end cannot be told from a reset no longer counts as complete.

--- a/wasabistream/limited_pools.py
+++ b/wasabistream/limited_pools.py
@@ -12,7 +12,32 @@
 MAX_IDLE_COUNT = 256
 
 
-class _LimitedConnection(HTTPConnection):
+class TrackedConnection(HTTPConnection):
+    """Remember whether a request could not be sent completely.
+
+    A server may answer before it has read a long body, so that urllib3 reads
+    the response in spite of a reset.
+    """
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self.send_failed = False
+
+    def connect(self) -> None:
+        """Open the connection."""
+        self.send_failed = False
+        super().connect()
+
+    def send(self, data: Any) -> None:
+        """Send a part of a request; raises OSError."""
+        try:
+            super().send(data)
+        except OSError:
+            self.send_failed = True
+            raise
+
+
+class _LimitedConnection(TrackedConnection):
     """Limit each response.
 
     With `reuses` off, each request uses a new connection, on which no late
@@ -29,13 +54,21 @@
         **options: Any,
     ) -> None:
         super().__init__(*arguments, **options)
-        # http.client calls this to create the response.
-        self.response_class = partial(  # type: ignore[assignment]
+        self._build_limited = partial(
             LimitedResponse,
             limit_bytes=limit_bytes,
             limits_duration=limits_duration,
             closes=not reuses,
         )
+        # http.client calls this to create the response.
+        self.response_class = self._build_response  # type: ignore[assignment]
+
+    def _build_response(
+        self, *arguments: Any, **options: Any
+    ) -> LimitedResponse:
+        return self._build_limited(
+            *arguments, send_failed=self.send_failed, **options
+        )
 
 
 class _LimitedTlsConnection(_LimitedConnection, HTTPSConnection):
--- a/wasabistream/limited_responses.py
+++ b/wasabistream/limited_responses.py
@@ -97,6 +97,7 @@
 
     With `limits_duration`, the socket's timeout applies to the response as a
     whole, not to each read. With `closes`, its connection is not used again.
+    With `send_failed`, the request could not be sent completely.
     """
 
     def __init__(
@@ -109,12 +110,14 @@
         limit_bytes: int = HEAD_LIMIT_BYTES,
         limits_duration: bool = False,
         closes: bool = False,
+        send_failed: bool = False,
     ) -> None:
         timeout_seconds = sock.gettimeout()
         deadline_seconds = None
         if limits_duration and timeout_seconds is not None:
             deadline_seconds = time.monotonic() + timeout_seconds
         self._closes = closes
+        self._send_failed = send_failed
         self.reader = LimitedReader(sock, limit_bytes, deadline_seconds)
         self._file = _MessageFile(self.reader)
         super().__init__(
@@ -139,6 +142,10 @@
             raise FramingError('transfer coding is not only chunked')
         if len(set(lengths)) > 1 or not all(map(_is_length, lengths)):
             raise FramingError('content length is invalid')
+        # A failed send takes a reset off the socket, so that reads show a
+        # regular end of the connection instead.
+        if self._send_failed and self.ends_with_connection:
+            raise FramingError('connection was reset before the body ended')
         # Makes http.client and urllib3 give the connection up.
         self.will_close = self.will_close or self._closes
 
--- a/wasabistream/platform/server_clients.py
+++ b/wasabistream/platform/server_clients.py
@@ -4,7 +4,6 @@
 import socket
 from collections.abc import Callable, Mapping
 
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.util import SKIP_HEADER
 
@@ -16,6 +15,7 @@
     Cancellable,
 )
 from wasabistream.forwarding.requests import ForwardRequest, Headers
+from wasabistream.limited_pools import TrackedConnection
 from wasabistream.limited_responses import LimitedResponse
 from wasabistream.platform import header_names as names
 from wasabistream.platform.advisory_decoders import decode_advisory
@@ -83,7 +83,7 @@
 
     def __init__(
         self,
-        connection: HTTPConnection,
+        connection: TrackedConnection,
         request: ForwardRequest,
         peer: str,
         closer: SocketCloser,
@@ -92,7 +92,11 @@
         self._peer = peer
         self._closer = closer
         self._sock = connection.sock
-        self._response = LimitedResponse(self._sock, method=request.method)
+        self._response = LimitedResponse(
+            self._sock,
+            method=request.method,
+            send_failed=connection.send_failed,
+        )
         try:
             self._response.begin()
         except (OSError, http.client.HTTPException, ValueError) as error:
@@ -176,9 +180,9 @@
     port: int,
     peer: str,
     socket_options: SocketOptions = SOCKET_OPTIONS,
-) -> HTTPConnection:
+) -> TrackedConnection:
     """Open a connection to a backend server; raises NotRunError."""
-    connection = HTTPConnection(
+    connection = TrackedConnection(
         address,
         port,
         timeout=CONNECT_TIMEOUT_SECONDS,
@@ -206,7 +210,7 @@
 
 
 def _send(
-    connection: HTTPConnection,
+    connection: TrackedConnection,
     server: BackendServer,
     request: ForwardRequest,
     options: AttemptOptions,
