Take only requests that end before a drain does, and answer the rest

Cause: the gate estimated 1.5 s and 20 ms for each token, while the chooser accepts engines whose queue takes up to half of the time left. The stop itself took 0.7 s with nothing in progress (the loops of two HTTP servers look for a stop twice a second) and cut what was left one after the other, so that the process was killed at the end of its grace. Loss in the listen queue is excluded: each cut request had been passed on.

At the end of the drain the supervisor cuts all requests, and those without a part of an answer get a final reply. A stop wakes the loop of its server. On the product's own interface calls whose timeout lies behind the end of the drain are refused, and the refusal of a call with a key no longer promises that nothing has run.

--- a/tests/test_drain_gates.py
+++ b/tests/test_drain_gates.py
@@ -57,6 +57,15 @@
         self.gate.close(GRACE_SECONDS)
         self.assertTrue(self.gate.admits(generation(40)))
 
+    def test_generation_with_a_late_deadline_is_refused(self) -> None:
+        """Guard against a short generation that waits in an engine's queue.
+
+        Its estimated time was below the time left, and it was cut.
+        """
+        self.gate.close(GRACE_SECONDS)
+        self.clock.advance(NO_PEER_ADMISSION_SECONDS + 0.3)
+        self.assertFalse(self.gate.admits(generation(12)))
+
     def test_nothing_is_admitted_near_the_end(self) -> None:
         """Guard against admitting a request that cannot be answered in time."""
         self.gate.close(GRACE_SECONDS)
--- a/tests/test_supervisors.py
+++ b/tests/test_supervisors.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import math
 import threading
 import time
 import unittest
@@ -33,6 +34,7 @@
         self.responsive.set()
         self.has_moved = False
         self.must_end = False
+        self.end_seconds = math.inf
         self.caller = FakeCaller()
         self.exchange = whole()
         self.watch = RequestWatch(build_request(), self.caller)
@@ -45,6 +47,7 @@
             lambda run_id: self.has_moved,
             lambda request, admitted_at_seconds: self.must_end,
         )
+        supervisor.end_requests_at(self.end_seconds)
         supervisor.add(self.watch)
         supervisor.start()
         self.addCleanup(supervisor.stop)
@@ -116,6 +119,16 @@
         self.assertEqual(self.watch.reason, CutReason.moved)
         self.assertFalse(self.watch.is_ended)
 
+    def test_end_of_the_drain(self) -> None:
+        """Guard against requests that are in progress when their entry ends."""
+        self.end_seconds = time.monotonic() + POLL_INTERVAL_SECONDS * 3
+        self.supervise()
+        self.assertFalse(self.exchange.closed)
+        self.assertTrue(self.is_cut())
+        self.assertGreater(time.monotonic(), self.end_seconds)
+        self.assertTrue(self.watch.is_ended)
+        self.assertEqual(self.watch.reason, CutReason.stopping)
+
     def test_banned_part(self) -> None:
         """Guard against a request in progress that crashes its server.
 
--- a/wasabistream/callers.py
+++ b/wasabistream/callers.py
@@ -1,6 +1,7 @@
 """Handler of the HTTP endpoints that an entry offers to callers."""
 
 import dataclasses
+from collections.abc import Callable
 from functools import partial
 from typing import Any
 
@@ -39,6 +40,7 @@
 from wasabistream.service_calls import (
     SERVICES_PREFIX,
     ServiceCallHandler,
+    build_draining_refusal,
     entry_refusal_outcome,
 )
 from wasabistream.settings import EntrySettings
@@ -69,6 +71,7 @@
         dispatcher: Dispatcher,
         key_owner_sender: OwnerCallSender,
         hangups: HangupWatcher,
+        remaining_seconds: Callable[[], float],
     ) -> None:
         self._settings = settings
         self._configuration = configuration
@@ -78,7 +81,10 @@
         self._limiter = ConcurrencyLimiter()
         self._resumer = StreamResumer(directory, dispatcher)
         self._services = ServiceCallHandler(
-            settings.data_centre, dispatcher, key_owner_sender
+            settings.data_centre,
+            dispatcher,
+            key_owner_sender,
+            remaining_seconds,
         )
 
     def handle(
@@ -230,9 +236,9 @@
     )
 
 
-def draining_answer() -> HttpAnswer:
+def draining_answer(request: HttpRequest) -> HttpAnswer:
     """Return the answer of an entry that is draining."""
-    return refusal_answer(AttemptError('draining', Outcome.not_run, '', 1))
+    return refusal_answer(build_draining_refusal(request))
 
 
 def refusal_answer(refusal: AttemptError) -> HttpAnswer:
--- a/wasabistream/draining_connections.py
+++ b/wasabistream/draining_connections.py
@@ -1,10 +1,15 @@
 """Connections of an HTTP server that answers what has arrived when it stops."""
 
+import logging
 import select
 import socket
 
 from cheroot.connections import ConnectionManager
 
+logger = logging.getLogger(__name__)
+
+WAKE_TIMEOUT_SECONDS = 0.1
+
 
 class DrainingConnectionManager(ConnectionManager):
     """Hand requests that have arrived to the workers before the server stops.
@@ -14,8 +19,11 @@
 
     def stop(self) -> None:
         """Stop waiting for requests; accept the connections that wait."""
-        super().stop()
         listener = self.server.socket
+        self._stop_requested = True
+        if listener is not None:
+            _wake(listener)
+        super().stop()
         while listener is not None and _is_readable(listener):
             connection = self._from_server_socket(listener)  # type: ignore[attr-defined]
             if connection is None:
@@ -36,6 +44,19 @@
         selector.close()
 
 
+def _wake(listener: socket.socket) -> None:
+    """Connect to the listener, as its loop looks for a stop twice a second.
+
+    A planned stop has half a second between its drain and the end.
+    """
+    try:
+        socket.create_connection(
+            listener.getsockname()[:2], WAKE_TIMEOUT_SECONDS
+        ).close()
+    except OSError as error:
+        logger.info('http: loop of a listener is not woken: %s', error)
+
+
 def _is_readable(sock: socket.socket) -> bool:
     poll = select.poll()
     poll.register(sock, select.POLLIN)
--- a/wasabistream/entries.py
+++ b/wasabistream/entries.py
@@ -2,6 +2,7 @@
 
 import itertools
 import logging
+import math
 import secrets
 import time
 from collections.abc import Sequence
@@ -77,6 +78,8 @@
         self.vm_list: VmList | None = None
         self._request_counter = itertools.count(1)
         self._refuse_from_monotonic_seconds = 0.0
+        # Monotonic time at which a drain ends.
+        self._end_seconds = math.inf
         self.peer_monitor = PeerMonitor()
         self.link_manager = AgentLinkManager(
             settings.process_id,
@@ -112,6 +115,7 @@
                 self.service_view,
             ),
             self._hangups,
+            lambda: self._end_seconds - time.monotonic(),
         )
         self._pages = OperatorPages(self._build_readiness)
         self.server = ApiServer(
@@ -140,6 +144,7 @@
         self._refuse_from_monotonic_seconds = (
             time.monotonic() + self.drain_notice_seconds()
         )
+        self._end_seconds = time.monotonic() + self.settings.drain_limit_seconds
 
     def drain_notice_seconds(self) -> float:
         """Return how long requests are still taken after the drain began."""
@@ -219,7 +224,7 @@
             self.draining
             and time.monotonic() > self._refuse_from_monotonic_seconds
         ):
-            return draining_answer()
+            return draining_answer(request)
         # None if the handler has taken over the socket.
         return self._callers.handle(request, take_socket)
 
--- a/wasabistream/forwarding/drain_gates.py
+++ b/wasabistream/forwarding/drain_gates.py
@@ -6,13 +6,9 @@
 
 from wasabistream.forwarding.requests import ForwardRequest
 
-# Time of one output token on a busy engine; a batch of 24 takes about 10 ms.
-TOKEN_SECONDS = 0.02
 # For this long after draining begins, requests that may be cut at its end are
 # admitted too, unless most of the other entries still serve.
 NO_PEER_ADMISSION_SECONDS = 2.7
-# Time to the first token on a busy engine.
-FIRST_TOKEN_SECONDS = 1.5
 
 
 class DrainGate:
@@ -51,20 +47,10 @@
         if self._end_seconds is None:
             return True
         now = self._clock()
-        if now + max_duration_seconds(request) < self._end_seconds:
+        # Only the deadline bounds a request: neither the queue of its server
+        # nor the length of a generation is known.
+        if now + request.deadline.remaining_seconds < self._end_seconds:
             return True
         return (
             now < self._no_peer_end_seconds and not self._is_majority_serving()
         )
-
-
-def max_duration_seconds(request: ForwardRequest) -> float:
-    """Return the longest time in seconds that a request may take."""
-    limit_seconds = request.deadline.remaining_seconds
-    demand = request.demand
-    if demand is None:
-        return limit_seconds
-    generation_seconds = (
-        FIRST_TOKEN_SECONDS + demand.max_output_tokens * TOKEN_SECONDS
-    )
-    return min(limit_seconds, generation_seconds)
--- a/wasabistream/forwarding/supervisors.py
+++ b/wasabistream/forwarding/supervisors.py
@@ -1,6 +1,7 @@
 """Supervision of requests: cuts exchanges that are no longer useful."""
 
 import logging
+import math
 import threading
 import time
 from collections.abc import Callable
@@ -33,11 +34,17 @@
     stalled = 'stalled'
     moved = 'moved'
     poison_part = 'poison_part'
+    stopping = 'stopping'
 
 
 # Reasons after which no further attempt is made.
 ENDING_REASONS = frozenset(
-    (CutReason.caller_left, CutReason.timeout, CutReason.poison_part)
+    (
+        CutReason.caller_left,
+        CutReason.timeout,
+        CutReason.poison_part,
+        CutReason.stopping,
+    )
 )
 
 
@@ -131,6 +138,7 @@
         self._lock = threading.Lock()
         self._watches: set[RequestWatch] = set()
         self._stopped = threading.Event()
+        self._end_seconds = math.inf
 
     def start(self) -> None:
         """Start checking."""
@@ -142,6 +150,13 @@
         """Stop checking."""
         self._stopped.set()
 
+    def end_requests_at(self, monotonic_seconds: float) -> None:
+        """Cut all requests from this time on, as their entry ends.
+
+        Those without a part of an answer get a final reply.
+        """
+        self._end_seconds = monotonic_seconds
+
     def add(self, watch: RequestWatch) -> None:
         """Add a request to the checks."""
         with self._lock:
@@ -179,6 +194,8 @@
             return CutReason.caller_left
         if watch.request.deadline.expired:
             return CutReason.timeout
+        if time.monotonic() > self._end_seconds:
+            return CutReason.stopping
         # Events clear the parts of a request, so this one has none yet and
         # would crash its server with the first.
         if self._must_end(watch.request, watch.admitted_at_seconds):
--- a/wasabistream/inspection/loss_causes.py
+++ b/wasabistream/inspection/loss_causes.py
@@ -41,7 +41,7 @@
 
 @loss_cause('entry ended with the request', avoidable=False)
 def _entry_ended(record: RequestRecord, context: LossContext) -> bool:
-    return record.outcome == 'lost'
+    return record.outcome == 'lost' or record.cut_reason == 'stopping'
 
 
 @loss_cause('caller left')
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -174,6 +174,7 @@
         self._peer_links.draining = True
         self._peer_links.send_peer_notice()
         self._drain_gate.close(self.settings.drain_limit_seconds)
+        self._request_supervisor.end_requests_at(self._stop_at_seconds)
 
     def on_reload(self, node_settings: NodeSettings) -> None:
         """Look for the other entries at the seeds of changed settings."""
--- a/wasabistream/service_calls.py
+++ b/wasabistream/service_calls.py
@@ -1,10 +1,11 @@
 """Calls of callers to plain services, at an entry."""
 
 import urllib.parse
+from collections.abc import Callable
 
 from wasabistream.dispatchers import Dispatcher
 from wasabistream.documents import Document, Organisation, Service
-from wasabistream.exceptions import RequestError
+from wasabistream.exceptions import AttemptError, RequestError
 from wasabistream.headers import filter_request_headers, filter_response_headers
 from wasabistream.http_servers import HttpAnswer, HttpRequest
 from wasabistream.outcomes import Outcome
@@ -27,8 +28,11 @@
         data_centre: str,
         dispatcher: Dispatcher,
         key_owner_sender: OwnerCallSender,
+        remaining_seconds: Callable[[], float],
     ) -> None:
         self._data_centre = data_centre
+        # Time until this process ends; infinite while it is not draining.
+        self._remaining_seconds = remaining_seconds
         self._dispatcher = dispatcher
         self._key_owner_sender = key_owner_sender
         self._in_progress: dict[str, Call] = {}
@@ -47,6 +51,9 @@
         service, path = _find_service_and_path(
             document, organisation, request.path
         )
+        # Its caller would get no answer if it took all of its time.
+        if service.timeout_seconds > self._remaining_seconds():
+            raise build_draining_refusal(request)
         method = request.method.upper()
         repeatable = service.is_repeatable(method, path)
         key = request.headers.get(IDEMPOTENCY_KEY_HEADER, '')
@@ -121,6 +128,11 @@
     return HttpAnswer(answer.status, answer.body, content_type, headers)
 
 
+def build_draining_refusal(request: HttpRequest) -> AttemptError:
+    """Return the refusal of a request that a draining entry does not take."""
+    return AttemptError('draining', entry_refusal_outcome(request), '', 1)
+
+
 def entry_refusal_outcome(request: HttpRequest) -> Outcome:
     """Return the outcome of a request that the entry itself refuses.
 
