Use engines without an id only while their agents report

Cause: notices passed announcements on without their age, so that a lost engine stayed announced for up to 7 s; an announcement added an engine again that the store had removed since; and a server without an id was used although its address may be assigned again after 2 s. An outdated list is excluded: listed servers have an id, and the log shows the removal.

--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -34,7 +34,7 @@
     STALE_PEER_DELAY_SECONDS,
     PeerLinks,
 )
-from wasabistream.forwarding.peer_messages import MirrorQuery
+from wasabistream.forwarding.peer_messages import MirrorQuery, PeerNotice
 from wasabistream.links import Link
 from wasabistream.listeners import LinkListener
 from wasabistream.messages import (
@@ -319,6 +319,37 @@
             wait_for(lambda: peer.announced_engines.list_live() == [ENGINE])
         )
 
+    def test_relayed_engine_keeps_its_age(self) -> None:
+        """Guard against an engine that is announced for twice the timeout.
+
+        It was lost, its address had gone to a plain service meanwhile, and
+        that service ran generations.
+        """
+        clock = Clock()
+        peer = self.start('b', [])
+        peer.links._announced_engines = AnnouncedEngines(clock)
+        notice = PeerNotice(
+            '10.0.0.1:1', 1, True, [], [list(astuple(ENGINE))], False
+        )
+        peer.links._record_engines(replace(notice, engine_ages_ms=[3000]))
+        announced_engines = peer.links._announced_engines
+        self.assertEqual(announced_engines.list_live(), [ENGINE])
+        clock.advance(LIVENESS_TIMEOUT_SECONDS - 2.9)
+        self.assertEqual(announced_engines.list_live(), [])
+        # An entry of an earlier build states no ages.
+        peer.links._record_engines(notice)
+        self.assertEqual(announced_engines.list_live(), [ENGINE])
+
+    def test_notices_state_ages(self) -> None:
+        """Guard against a relay that passes an announcement on as a new one."""
+        clock = Clock()
+        seed = self.start('a', [])
+        directly_announced = AnnouncedEngines(clock)
+        seed.links._directly_announced_engines = directly_announced
+        directly_announced.record_contact(ENGINE)
+        clock.advance(3)
+        self.assertEqual(seed.links._build_notice().engine_ages_ms, [3000])
+
 
 class AnnouncedEnginesTest(unittest.TestCase):
     """Guard against a fleet with missing, stale or duplicate engines."""
--- a/wasabistream/forwarding/load_trackers.py
+++ b/wasabistream/forwarding/load_trackers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.notices import LoadReport
 
 # A report includes the requests that were sent at least this long before it
@@ -12,6 +13,10 @@
 REPORT_DELAY_SECONDS = 0.15
 # Older reports are ignored.
 REPORT_AGE_LIMIT_SECONDS = 3.0
+# Time after the end of a server in which its address is not assigned again.
+DEFAULT_REUSE_SECONDS = 2.0
+# Part of it for a request to be sent and to arrive.
+SEND_MARGIN_SECONDS = 0.5
 
 
 @dataclass(slots=True)
@@ -49,8 +54,13 @@
 class LoadTracker:
     """Track this entry's requests and the load reports of agents."""
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        reuse_seconds: float = DEFAULT_REUSE_SECONDS,
+    ) -> None:
         self._clock = clock
+        self._reuse_seconds = reuse_seconds
         self._lock = threading.Lock()
         self._loads: dict[str, ServerLoad] = {}
 
@@ -84,6 +94,20 @@
                 if idle and endpoint not in endpoints:
                     self._loads.pop(endpoint)
 
+    def has_certain_address(self, server: BackendServer) -> bool:
+        """Return whether no other server can have the address by now.
+
+        A server with an id turns away requests for another one. Without an id
+        only a recent report of its agent tells that it is still there.
+        """
+        if server.server_id:
+            return True
+        age_seconds = self.estimate(server.endpoint).report_age_seconds
+        return (
+            age_seconds is not None
+            and age_seconds < self._reuse_seconds - SEND_MARGIN_SECONDS
+        )
+
     def has_fresh_reports(self) -> bool:
         """Return whether any agent has reported recently."""
         oldest = self._clock() - REPORT_AGE_LIMIT_SECONDS
--- a/wasabistream/forwarding/move_targets.py
+++ b/wasabistream/forwarding/move_targets.py
@@ -42,6 +42,8 @@
         usable = estimate.responsive and not estimate.leaving and admits(server)
         if server.endpoint == source_endpoint or not usable:
             continue
+        if not load_tracker.has_certain_address(server):
+            continue
         rows.append(
             [
                 server.endpoint,
--- a/wasabistream/forwarding/peer_links.py
+++ b/wasabistream/forwarding/peer_links.py
@@ -1,6 +1,7 @@
 """Links between entries: discovery, notices and store contents."""
 
 import dataclasses
+import itertools
 import logging
 import threading
 import time
@@ -29,6 +30,7 @@
 from wasabistream.messages import Message
 from wasabistream.metrics import KNOWN_ENTRIES
 from wasabistream.notices import Hello
+from wasabistream.units import MILLISECONDS_PER_SECOND
 
 logger = logging.getLogger(__name__)
 
@@ -311,6 +313,7 @@
             direct_peers = [
                 notice.endpoint for notice in self._links.values() if notice
             ]
+        engine_ages_seconds = self._directly_announced_engines.ages_seconds()
         return PeerNotice(
             self._endpoint,
             self._mirror.revision,
@@ -318,9 +321,13 @@
             sorted(set(direct_peers)),
             [
                 [engine.endpoint, engine.service, engine.data_centre]
-                for engine in self._directly_announced_engines.list_live()
+                for engine in engine_ages_seconds
             ],
             self.draining,
+            engine_ages_ms=[
+                round(age_seconds * MILLISECONDS_PER_SECOND)
+                for age_seconds in engine_ages_seconds.values()
+            ],
         )
 
     def _on_peer_notice(self, link: Link, notice: PeerNotice) -> None:
@@ -377,9 +384,14 @@
 
     def _record_engines(self, notice: PeerNotice) -> None:
         try:
-            for endpoint, service, data_centre in notice.engines:
+            ages_ms = itertools.chain(
+                notice.engine_ages_ms, itertools.repeat(0)
+            )
+            for row, age_ms in zip(notice.engines, ages_ms, strict=False):
+                endpoint, service, data_centre = row
                 self._announced_engines.record_contact(
-                    EngineAnnouncement(endpoint, service, data_centre)
+                    EngineAnnouncement(endpoint, service, data_centre),
+                    age_ms / MILLISECONDS_PER_SECOND,
                 )
         except (TypeError, ValueError) as error:
             logger.warning('peer: announced engines are malformed: %r', error)
--- a/wasabistream/forwarding/peer_messages.py
+++ b/wasabistream/forwarding/peer_messages.py
@@ -1,6 +1,6 @@
 """Messages between entries."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from wasabistream.messages import Message, message
 
@@ -27,6 +27,9 @@
     # Whether both lists are those of the notice before on the same link; they
     # are empty then. Only for peers of protocol version 2 or higher.
     lists_unchanged: bool = False
+    # Time since the announcement of each of the engines, also if the lists are
+    # left out. Empty from entries of earlier builds.
+    engine_ages_ms: list = field(default_factory=list)
 
 
 @message(86)
--- a/wasabistream/forwarding/server_choosers.py
+++ b/wasabistream/forwarding/server_choosers.py
@@ -73,6 +73,7 @@
             if server.endpoint not in excluded
             and self._cold.admits(server, cold_rate)
             and self._advisories.admits(server)
+            and self._load_tracker.has_certain_address(server)
         ]
         reachable = [
             server
--- a/wasabistream/forwarding/server_trackers.py
+++ b/wasabistream/forwarding/server_trackers.py
@@ -18,8 +18,13 @@
 class ServerTrackers:
     """Hold the load, failures, limits and statements of backend servers."""
 
-    def __init__(self, peer_links: PeerLinks, cold_limit: ColdLimit) -> None:
-        self.load = LoadTracker()
+    def __init__(
+        self,
+        peer_links: PeerLinks,
+        cold_limit: ColdLimit,
+        reuse_seconds: float,
+    ) -> None:
+        self.load = LoadTracker(reuse_seconds=reuse_seconds)
         self.failure_rates = FailureRates()
         self.paces = FirstEventPaces()
         self.cold = ColdLimiter(cold_limit, peer_links.entry_count)
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -92,7 +92,9 @@
             node_settings.bounds.apply_seconds,
         )
         self._servers = ServerTrackers(
-            self._peer_links, node_settings.bounds.cold_limit
+            self._peer_links,
+            node_settings.bounds.cold_limit,
+            node_settings.bounds.reuse_seconds,
         )
         # Agents accept links at the link port; this entry accepts them at its
         # control address.
--- a/wasabistream/platform/node_files.py
+++ b/wasabistream/platform/node_files.py
@@ -12,6 +12,7 @@
 from wasabistream.forwarding.budgets import RepeatLimit
 from wasabistream.forwarding.cold_limiters import ColdLimit
 from wasabistream.forwarding.endpoints import Endpoint, parse_endpoint
+from wasabistream.forwarding.load_trackers import DEFAULT_REUSE_SECONDS
 from wasabistream.platform.decode_errors import DECODE_ERRORS
 from wasabistream.units import BYTES_PER_MEGABYTE, MILLISECONDS_PER_SECOND
 
@@ -34,6 +35,9 @@
     recovery_seconds: float
     # Time after its confirmation in which a configuration must be in force.
     apply_seconds: float
+    # Time after the end of a backend server in which its address is not
+    # assigned to another one.
+    reuse_seconds: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,4 +142,5 @@
             float(bounds.get('config_apply_ms', DEFAULT_APPLY_MS))
             / MILLISECONDS_PER_SECOND
         ),
+        reuse_seconds=float(bounds.get('reuse_after_s', DEFAULT_REUSE_SECONDS)),
     )
