Leave out entries of servers and VMs that cannot be used

On the product's own interface one odd VM refused the whole list and a port of 99999 ended its dialer.

Cause: decoders checked types, not whether a value can be used, and the errors came up on threads that serve others.

Change: addresses are IP addresses, numbers at most 2^53, texts can be encoded; what breaks this is left out with a log line. A dialer takes an address that cannot be dialled for a failed attempt.

--- a/tests/daemon_processes.py
+++ b/tests/daemon_processes.py
@@ -37,6 +37,10 @@
         except OSError:
             return False
 
+    def wait_for_log(self, text: str) -> None:
+        """Wait until the process has logged a text; raises TimeoutError."""
+        wait_until(lambda: text in self.log_path.read_text(encoding='utf-8'))
+
     def peak_memory_bytes(self) -> int:
         """Return the largest resident memory so far."""
         path = Path(f'/proc/{self.process.pid}/status')
--- a/wasabistream/links.py
+++ b/wasabistream/links.py
@@ -289,7 +289,8 @@
             error_number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error_number:
             raise OSError(error_number, os.strerror(error_number))
-    except OSError as error:
+    # Of a port out of range or an address that cannot be encoded.
+    except (OSError, OverflowError, TypeError) as error:
         link_loop.forget(sock)
         sock.close()
         raise LinkError(str(error), 'connect', peer) from error
--- a/wasabistream/platform/engine_clients.py
+++ b/wasabistream/platform/engine_clients.py
@@ -11,7 +11,11 @@
 from wasabistream.forwarding.server_advisories import ServerAdvisory
 from wasabistream.limited_pools import LimitedPool
 from wasabistream.platform.advisory_decoders import decode_advisory
-from wasabistream.platform.decode_errors import CALL_ERRORS, DECODE_ERRORS
+from wasabistream.platform.decode_errors import (
+    CALL_ERRORS,
+    DECODE_ERRORS,
+    decode_count,
+)
 from wasabistream.platform.server_clients import SOCKET_OPTIONS
 from wasabistream.units import MILLISECONDS_PER_SECOND
 
@@ -131,10 +135,10 @@
         leaves_ms = body.get('leaves_ms')
         draining = body.get('state') == 'draining'
         return EngineState(
-            running_count=int(body['running']),
-            waiting_count=int(body['waiting']),
-            memory_used_tokens=int(body['kv_used']),
-            memory_capacity_tokens=int(body['kv_total']),
+            running_count=decode_count(body['running']),
+            waiting_count=decode_count(body['waiting']),
+            memory_used_tokens=decode_count(body['kv_used']),
+            memory_capacity_tokens=decode_count(body['kv_total']),
             leaving=draining or leaves_ms is not None,
             leaves_seconds=(
                 None
@@ -151,7 +155,7 @@
     run_id, memory_tokens, event_count, priority = row[:4]
     return EngineRun(
         run_id=str(run_id),
-        memory_tokens=int(memory_tokens),
-        event_count=int(event_count),
+        memory_tokens=decode_count(memory_tokens),
+        event_count=decode_count(event_count),
         priority=int(priority),
     )
--- a/wasabistream/platform/store_clients.py
+++ b/wasabistream/platform/store_clients.py
@@ -13,7 +13,11 @@
 from wasabistream.forwarding.mirrors import MirrorChange, MirrorItem, Removal
 from wasabistream.limited_pools import LimitedPool
 from wasabistream.metrics import STORE_CALLS
-from wasabistream.platform.decode_errors import CALL_ERRORS
+from wasabistream.platform.decode_errors import (
+    CALL_ERRORS,
+    DECODE_ERRORS,
+    decode_count,
+)
 from wasabistream.platform.server_clients import SOCKET_OPTIONS
 from wasabistream.units import MILLISECONDS_PER_SECOND
 
@@ -70,7 +74,7 @@
             ]
             _require_keys_after(after, listed)
             items.extend(listed)
-            revision = revision or int(_require_field(page, 'current_rev'))
+            revision = revision or _decode_revision(page)
             if not page.get('has_more') or not listed:
                 break
             after = listed[-1].key
@@ -94,7 +98,7 @@
         )
         rows = _require_field(page, 'events')
         changes = tuple(_decode_change(row) for row in rows)
-        return Changes(changes, int(_require_field(page, 'current_rev')))
+        return Changes(changes, _decode_revision(page))
 
     def reset(self) -> None:
         """Replace the connection; the old one may have lost an answer."""
@@ -150,13 +154,29 @@
         return MirrorItem(
             key=str(row['key']),
             content=base64.b64decode(row['value'], validate=True),
-            revision=int(row['revision']),
+            revision=decode_count(row['revision']),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except DECODE_ERRORS as error:
+        raise StoreError(repr(error), 'decode') from error
+
+
+def _decode_revision(page: Mapping[str, Any]) -> int:
+    try:
+        return decode_count(_require_field(page, 'current_rev'))
+    except DECODE_ERRORS as error:
         raise StoreError(repr(error), 'decode') from error
 
 
 def _decode_change(row: Any) -> MirrorChange:
     if isinstance(row, dict) and row.get('removed'):
-        return Removal(str(row.get('key')), int(row.get('revision') or 0))
+        return _decode_removal(row)
     return _decode_item(row)
+
+
+def _decode_removal(row: Mapping[str, Any]) -> Removal:
+    try:
+        return Removal(
+            str(row.get('key')), decode_count(row.get('revision') or 0)
+        )
+    except DECODE_ERRORS as error:
+        raise StoreError(repr(error), 'decode') from error
--- a/wasabistream/platform/store_decoders.py
+++ b/wasabistream/platform/store_decoders.py
@@ -1,8 +1,8 @@
 """Decode store items that the operator and backend servers write."""
 
+import ipaddress
 import json
 import logging
-import math
 from collections.abc import Mapping
 from typing import Any
 
@@ -18,7 +18,7 @@
 from wasabistream.forwarding.organisations import KeyHolder
 from wasabistream.forwarding.routes import Destination, Route, RouteKind
 from wasabistream.forwarding.services import EngineProfile, Service
-from wasabistream.platform.decode_errors import DECODE_ERRORS
+from wasabistream.platform.decode_errors import DECODE_ERRORS, decode_count
 from wasabistream.units import MILLISECONDS_PER_SECOND
 
 logger = logging.getLogger(__name__)
@@ -26,6 +26,7 @@
 CONFIGURATION_KEY = 'op/config'
 EVACUATION_PREFIX = 'op/evacuate/'
 SERVER_PREFIX = 'servers/'
+MAX_PORT = 65535
 SERVER_STATES = frozenset(('ready', 'draining'))
 
 
@@ -140,34 +141,31 @@
     if entry['state'] not in SERVER_STATES:
         raise ValueError(f'state {entry["state"]!r} is unknown')
     endpoint = parse_endpoint(entry['address'])
-    if not endpoint.address or not 0 < endpoint.port < 65536:
-        raise ValueError(f'address {entry["address"]!r} is not valid')
+    # Without the check a name would be looked up in the middle of a request.
+    ipaddress.ip_address(endpoint.address)
+    if not 0 < endpoint.port <= MAX_PORT:
+        raise ValueError(f'port {endpoint.port} is out of range')
     if not isinstance(entry['zone'], str):
         raise TypeError('zone is not a string')
+    # Both are sent to other processes; `\ud800` cannot be encoded.
+    entry['zone'].encode()
+    server_id.encode('ascii')
     return BackendServer(
         server_id=server_id,
         service=entry['service'],
         address=endpoint.address,
         port=endpoint.port,
         data_centre=entry['zone'],
-        slot_count=_decode_count(entry['slots']),
+        slot_count=decode_count(entry['slots']),
         draining=entry['state'] == 'draining',
         cold_remaining_seconds=(
-            _decode_count(entry.get('cold_remaining_ms', 0))
+            decode_count(entry.get('cold_remaining_ms', 0))
             / MILLISECONDS_PER_SECOND
         ),
-        started_unix_ms=_decode_count(entry.get('born', 0)),
+        started_unix_ms=decode_count(entry.get('born', 0)),
     )
 
 
-def _decode_count(number: Any) -> int:
-    if isinstance(number, bool) or not isinstance(number, int | float):
-        raise TypeError(f'{number!r} is not a number')
-    if not math.isfinite(number) or number < 0:
-        raise ValueError(f'{number!r} is negative or not finite')
-    return int(number)
-
-
 def _decode_seconds(
     limits: Mapping[str, Any], name: str, default_seconds: float
 ) -> float:
--- a/wasabistream/vms.py
+++ b/wasabistream/vms.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+import logging
 from dataclasses import dataclass
 from enum import StrEnum
 from functools import cached_property
@@ -11,6 +12,10 @@
 
 from wasabistream.exceptions import ConfigurationError
 
+logger = logging.getLogger(__name__)
+
+MAX_PORT = 65535
+
 
 class VmState(StrEnum):
     """State of a VM on the list; a leaving one gets no new work."""
@@ -81,21 +86,38 @@
 
 
 def decode_vm_list(body: bytes) -> dict[str, Any]:
-    """Return the raw JSON object of a VM list; raises ConfigurationError."""
+    """Return the raw JSON object of a VM list; raises ConfigurationError.
+
+    Entries that describe no VM are left out, so that the others stay in use.
+    """
     try:
         raw = json.loads(body)
     except (ValueError, RecursionError) as error:
         raise ConfigurationError(repr(error), 'VM list') from error
     if not isinstance(raw, dict) or not isinstance(raw.get('vms'), list):
         raise ConfigurationError('no list of VMs', 'VM list')
-    return raw
+    return {**raw, 'vms': _drop_invalid(raw['vms'])}
 
 
 def parse_vm_list(body: bytes, index: int) -> VmList:
     """Parse a VM list; raises ConfigurationError."""
     listed = decode_vm_list(body)['vms']
-    try:
-        vms = cattrs.structure(listed, tuple[Vm, ...])
-    except cattrs.BaseValidationError as error:
-        raise ConfigurationError(repr(error), 'VM list') from error
-    return VmList(index, vms)
+    return VmList(index, cattrs.structure(listed, tuple[Vm, ...]))
+
+
+def _drop_invalid(listed: list[Any]) -> list[Any]:
+    valid = []
+    for raw_vm in listed:
+        try:
+            _check_vm(raw_vm)
+        except (cattrs.BaseValidationError, ValueError, TypeError) as error:
+            logger.error('VM list: entry is left out: %r', error)
+            continue
+        valid.append(raw_vm)
+    return valid
+
+
+def _check_vm(raw_vm: Any) -> None:
+    vm = cattrs.structure(raw_vm, Vm)
+    if not 0 < vm.link_port <= MAX_PORT:
+        raise ValueError(f'link port {vm.link_port} is out of range')
