Move streams whose connection to their engine has gone silent

Cause: nothing asks the agent, which reads from its engine how many events each generation has made; and the link to the agent was silent as well and counted as alive for 6 s. A slow engine is excluded: engines made their events at the usual pace and worked on after the callers had left.

Change: after 1.5 s without an event the entry tells the agent how many it has. If the engine has made eight more, the agent moves the generation, and the stream goes on there. Links to agents that report each second are opened again after 2.5 s of silence.

--- a/tests/test_run_movers.py
+++ b/tests/test_run_movers.py
@@ -20,6 +20,7 @@
     MoveTargetReport,
     RunMoved,
     RunMoving,
+    RunSilent,
 )
 from wasabistream.forwarding.move_outcomes import MoveOutcome
 from wasabistream.forwarding.move_target_finders import MoveTargetFinder
@@ -27,7 +28,7 @@
     choose_move_target,
     decode_move_targets,
 )
-from wasabistream.forwarding.run_movers import RunMover
+from wasabistream.forwarding.run_movers import LOST_EVENT_COUNT, RunMover
 from wasabistream.forwarding.server_advisories import NO_LIMIT, ServerAdvisory
 from wasabistream.messages import Message
 from wasabistream.notices import UNKNOWN_LIMIT
@@ -46,6 +47,7 @@
         self.full = full
         self.moves: list[tuple[str, str, bool]] = []
         self.state_count = 0
+        self.leaving = True
 
     def state(self) -> EngineState:
         """Return the state; raises BackendError without generations."""
@@ -53,7 +55,13 @@
         if not self.runs or self.state_count > 100:
             raise BackendError('gone', 'state', SOURCE)
         return EngineState(
-            len(self.runs), 0, 9000, 30000, True, 1.5, tuple(self.runs)
+            len(self.runs),
+            0,
+            9000,
+            30000,
+            self.leaving,
+            1.5,
+            tuple(self.runs),
         )
 
     def copy_run(
@@ -143,6 +151,54 @@
             choose_move_target(targets, 'dc-a', 4000, remote_affordable=False)
         )
 
+    def move_silent(self, engine: FakeEngine, received_count: int) -> list:
+        """Report the silent generation `a`; return where it moved."""
+        sent_messages: list[Message] = []
+
+        def broadcast(notice: Message) -> None:
+            sent_messages.append(notice)
+            if isinstance(notice, MoveTargetQuery):
+                targets.on_report(MoveTargetReport([[LOCAL, 'dc-a', 20000, 0]]))
+
+        targets = MoveTargetFinder('writer', 'dc-a', broadcast)
+        mover = RunMover(engine, SOURCE, targets, broadcast)
+        mover.move_silent(RunSilent('a', received_count))
+        return [
+            notice.endpoint
+            for notice in sent_messages
+            if isinstance(notice, RunMoved)
+        ]
+
+    def test_silent_generation_is_moved(self) -> None:
+        """Guard against losing a stream whose connection has gone silent.
+
+        Pattern: half of the connections of an entry go silent, and all drafts
+        in progress on them are lost.
+        """
+        engine = FakeEngine(
+            EngineRun('a', 3000, 60, 1), EngineRun('b', 3000, 60, 1)
+        )
+        engine.leaving = False
+        self.assertEqual(self.move_silent(engine, 20), [LOCAL])
+        self.assertEqual([run.run_id for run in engine.runs], ['b'])
+
+    def test_paused_generation_stays(self) -> None:
+        """Guard against moving a generation that its engine has preempted.
+
+        A few events may be on the way to the entry.
+        """
+        engine = FakeEngine(EngineRun('a', 3000, 60, 1))
+        engine.leaving = False
+        received_count = 60 - LOST_EVENT_COUNT + 1
+        self.assertEqual(self.move_silent(engine, received_count), [])
+        self.assertEqual(self.move_silent(engine, 70), [])
+        self.assertEqual(engine.moves, [])
+
+    def test_engine_that_leaves_moves_all(self) -> None:
+        """Guard against two moves of one generation at the same time."""
+        engine = FakeEngine(EngineRun('a', 3000, 60, 1))
+        self.assertEqual(self.move_silent(engine, 0), [])
+
     def test_malformed_report(self) -> None:
         """Guard against an agent that fails on a malformed report."""
         targets = MoveTargetFinder('writer', 'dc-a', Mock())
--- a/tests/test_supervisors.py
+++ b/tests/test_supervisors.py
@@ -9,11 +9,14 @@
 import time
 import unittest
 
-from tests.forwarding_builders import build_request
+from tests.forwarding_builders import build_request, build_route
 from tests.forwarding_fakes import FakeCaller, FakeExchange, whole
 from tests.waits import wait_for
+from wasabistream.forwarding.routes import RouteKind
 from wasabistream.forwarding.supervisors import (
     POLL_INTERVAL_SECONDS,
+    SILENCE_REPORT_INTERVAL_SECONDS,
+    SILENT_STREAM_SECONDS,
     UNRESPONSIVE_SILENCE_SECONDS,
     CutReason,
     RequestSupervisor,
@@ -35,6 +38,7 @@
         self.has_moved = False
         self.must_end = False
         self.end_seconds = math.inf
+        self.silence_reports: list[tuple[str, str, int]] = []
         self.caller = FakeCaller()
         self.exchange = whole()
         self.watch = RequestWatch(build_request(), self.caller)
@@ -46,6 +50,7 @@
             lambda endpoint: self.responsive.is_set(),
             lambda run_id: self.has_moved,
             lambda request, admitted_at_seconds: self.must_end,
+            lambda *report: self.silence_reports.append(report),
         )
         supervisor.end_requests_at(self.end_seconds)
         supervisor.add(self.watch)
@@ -119,6 +124,28 @@
         self.assertEqual(self.watch.reason, CutReason.moved)
         self.assertFalse(self.watch.is_ended)
 
+    def test_silent_stream(self) -> None:
+        """Guard against a stream whose connection has gone silent for good.
+
+        Its engine goes on, and its caller left after seven seconds.
+        """
+        generation = build_request(build_route(RouteKind.streaming))
+        self.watch = RequestWatch(generation, self.caller)
+        self.watch.attach(ENDPOINT, self.exchange)
+        self.watch.record_event()
+        self.watch.stall_limits = StallLimits(60, 60)
+        self.supervise()
+        self.assertEqual(self.silence_reports, [])
+        self.assertTrue(wait_for(lambda: len(self.silence_reports) == 2))
+        self.assertGreater(
+            self.watch.silent_seconds,
+            SILENT_STREAM_SECONDS + SILENCE_REPORT_INTERVAL_SECONDS,
+        )
+        self.assertEqual(
+            self.silence_reports[0], (ENDPOINT, generation.request_id, 1)
+        )
+        self.assertFalse(self.exchange.closed)
+
     def test_end_of_the_drain(self) -> None:
         """Guard against requests that are in progress when their entry ends."""
         self.end_seconds = time.monotonic() + POLL_INTERVAL_SECONDS * 3
--- a/wasabistream/forwarding/agent_links.py
+++ b/wasabistream/forwarding/agent_links.py
@@ -16,10 +16,13 @@
     MoveTargetReport,
     RunMoved,
     RunMoving,
+    RunSilent,
 )
 from wasabistream.forwarding.move_targets import list_move_targets
 from wasabistream.forwarding.move_trackers import MoveTracker
+from wasabistream.link_loops import link_loop
 from wasabistream.link_senders import send_or_log
+from wasabistream.link_waits import Pause, Task
 from wasabistream.links import Link
 from wasabistream.messages import Message
 from wasabistream.notices import Hello, LoadReport
@@ -30,6 +33,10 @@
 # server still runs for some seconds, and its agent needs the links to move
 # generations.
 UNLISTED_LINK_SECONDS = 20.0
+# Agents repeat their reports each second. A link that has brought some and is
+# silent for this long is opened again, as a connection may go silent for good.
+SILENT_LINK_SECONDS = 2.5
+SILENCE_CHECK_SECONDS = 0.5
 
 
 class AgentLinks:
@@ -53,6 +60,14 @@
         # Monotonic time at which each backend server left the list.
         self._unlisted_since_seconds: dict[Endpoint, float] = {}
         self._fleet = Fleet()
+        self._open_links: dict[str, Link] = {}
+        # When the agent of each open link reported last.
+        self._reported_at_seconds: dict[str, float] = {}
+        self._stopped = False
+
+    def start(self) -> None:
+        """Start looking for silent links."""
+        link_loop.spawn(self._watch_silence())
 
     def on_fleet_changed(self, fleet: Fleet) -> None:
         """Open links to listed engines and close those of unlisted ones."""
@@ -76,16 +91,44 @@
 
     def stop(self) -> None:
         """Close all links."""
+        self._stopped = True
         with self._lock:
             for dialer in self._dialers.values():
                 dialer.stop()
             self._dialers.clear()
 
+    def report_silent_run(
+        self, endpoint: str, run_id: str, event_count: int
+    ) -> None:
+        """Tell the agent of an engine that a generation's events are lost."""
+        with self._lock:
+            link = self._open_links.get(endpoint)
+        if link is not None:
+            send_or_log(
+                link,
+                RunSilent(run_id, event_count),
+                'agent link: silent generation',
+            )
+
+    def on_opened(self, endpoint: str, link: Link) -> None:
+        """Use a link to the agent of an engine."""
+        with self._lock:
+            self._open_links[endpoint] = link
+            self._reported_at_seconds.pop(endpoint, None)
+
+    def on_closed(self, endpoint: str, link: Link) -> None:
+        """Forget a link that has ended."""
+        with self._lock:
+            if self._open_links.get(endpoint) is link:
+                self._open_links.pop(endpoint)
+                self._reported_at_seconds.pop(endpoint, None)
+
     def receive(self, endpoint: str, link: Link, notice: Message) -> None:
         """Handle one message from an agent."""
         match notice:
             case LoadReport():
                 self._load_tracker.report(endpoint, notice)
+                self._reported_at_seconds[endpoint] = time.monotonic()
                 self._advisories.record_report(endpoint, notice)
             case RunMoving():
                 self._moves.record_move_start(notice.run_id)
@@ -94,6 +137,24 @@
             case MoveTargetQuery():
                 self._send_move_targets(endpoint, link, notice)
 
+    def close_silent_links(self) -> None:
+        """Close links whose agents have stopped to report."""
+        oldest = time.monotonic() - SILENT_LINK_SECONDS
+        with self._lock:
+            silent = [
+                (endpoint, link)
+                for endpoint, link in self._open_links.items()
+                if self._reported_at_seconds.get(endpoint, oldest) < oldest
+            ]
+        for endpoint, link in silent:
+            logger.warning('agent link: %s is silent', endpoint)
+            link.close()
+
+    def _watch_silence(self) -> Task:
+        while not self._stopped:
+            yield Pause(SILENCE_CHECK_SECONDS)
+            self.close_silent_links()
+
     def _drop_unlisted(self, wanted: set[Endpoint]) -> None:
         now = time.monotonic()
         for address in list(self._dialers):
@@ -131,8 +192,9 @@
         self._endpoint = endpoint
 
     def on_opened(self, link: Link) -> None:
-        """Log the new link."""
+        """Use the new link."""
         logger.info('agent link: opened to %s', self._endpoint)
+        self._links.on_opened(self._endpoint, link)
 
     def on_messages(self, link: Link, received: Sequence[Message]) -> None:
         """Handle messages from the agent."""
@@ -140,7 +202,8 @@
             self._links.receive(self._endpoint, link, notice)
 
     def on_closed(self, link: Link, reason: str) -> None:
-        """Log the end of the link and its reason."""
+        """Forget the link."""
+        self._links.on_closed(self._endpoint, link)
         logger.info('agent link: link to %s ended: %s', self._endpoint, reason)
 
 
--- a/wasabistream/forwarding/move_messages.py
+++ b/wasabistream/forwarding/move_messages.py
@@ -27,6 +27,16 @@
     handle: str
 
 
+@message(96)
+@dataclass(frozen=True, slots=True)
+class RunSilent(Message):
+    """Report to an agent that a generation's events do not arrive."""
+
+    run_id: str
+    # Events that the entry has received.
+    event_count: int
+
+
 @message(82)
 @dataclass(frozen=True, slots=True)
 class MoveTargetQuery(Message):
--- a/wasabistream/forwarding/run_movers.py
+++ b/wasabistream/forwarding/run_movers.py
@@ -1,6 +1,7 @@
 """Moves of generations off an engine that is shutting down."""
 
 import logging
+import threading
 import time
 from collections.abc import Callable
 from typing import Protocol
@@ -8,7 +9,11 @@
 from wasabistream.exceptions import BackendError
 from wasabistream.forwarding.copy_rate_estimators import CopyRateEstimator
 from wasabistream.forwarding.engine_states import EngineRun, EngineState
-from wasabistream.forwarding.move_messages import RunMoved, RunMoving
+from wasabistream.forwarding.move_messages import (
+    RunMoved,
+    RunMoving,
+    RunSilent,
+)
 from wasabistream.forwarding.move_outcomes import MoveOutcome
 from wasabistream.forwarding.move_target_finders import MoveTargetFinder
 from wasabistream.messages import Message
@@ -19,6 +24,9 @@
 # Delay before a failed move of a generation is tried again.
 MOVE_RETRY_SECONDS = 0.3
 STATE_POLL_INTERVAL_SECONDS = 0.03
+# Events that an engine has made beyond those that its entry has received, from
+# which on the connection between them counts as broken. Some are on the way.
+LOST_EVENT_COUNT = 8
 # Extra memory at the target for tokens generated during the copy.
 GROWTH_TOKENS = 64
 
@@ -58,6 +66,8 @@
         self._target_finder = target_finder
         self._broadcast = broadcast
         self._copy_rates = CopyRateEstimator()
+        self._silent_lock = threading.Lock()
+        self._silent_run_ids: set[str] = set()
 
     def move_all(self) -> None:
         """Move generations while the engine shuts down and can be polled."""
@@ -86,6 +96,46 @@
             if not self._move(run, remote_affordable=remote_affordable):
                 retry_at_seconds[run.run_id] = now + MOVE_RETRY_SECONDS
 
+    def move_silent(self, report: RunSilent) -> None:
+        """Move a generation whose connection to its entry has gone silent.
+
+        The engine cannot tell; it goes on with events that nobody receives.
+        """
+        with self._silent_lock:
+            if report.run_id in self._silent_run_ids:
+                return
+            self._silent_run_ids.add(report.run_id)
+        try:
+            run = self._find_cut_off_run(report)
+            if run is not None:
+                logger.warning(
+                    'mover: events do not reach the entry',
+                    extra={
+                        'request_id': run.run_id,
+                        'event_count': run.event_count,
+                        'received_count': report.event_count,
+                    },
+                )
+                self._move(run, remote_affordable=True)
+        finally:
+            with self._silent_lock:
+                self._silent_run_ids.discard(report.run_id)
+
+    def _find_cut_off_run(self, report: RunSilent) -> EngineRun | None:
+        try:
+            state = self._engine.state()
+        except BackendError as error:
+            logger.info('mover: engine does not answer: %s', error)
+            return None
+        # Generations of an engine that leaves are moved in any case.
+        if state.leaving:
+            return None
+        least_count = report.event_count + LOST_EVENT_COUNT
+        for run in state.runs:
+            if run.run_id == report.run_id and run.event_count >= least_count:
+                return run
+        return None
+
     def _move(self, run: EngineRun, *, remote_affordable: bool) -> bool:
         started = time.monotonic()
         target = self._target_finder.find(
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -232,7 +232,7 @@
                 watch.silent_seconds,
             )
         progress.count_event(event.event_id)
-        watch.record_progress()
+        watch.record_event()
         watch.stall_limits = _build_stall_limits(watch.request.route)
         return True
 
--- a/wasabistream/forwarding/supervisors.py
+++ b/wasabistream/forwarding/supervisors.py
@@ -22,6 +22,10 @@
 # Events that were made before a move may still arrive for this long; the end of
 # the source's answer may be lost with the connection.
 MOVED_SILENCE_SECONDS = 0.5
+# Time without an event after which the agent of a stream's engine is asked
+# whether there are any, and the time between two such questions.
+SILENT_STREAM_SECONDS = 1.5
+SILENCE_REPORT_INTERVAL_SECONDS = 0.5
 
 
 class CutReason(StrEnum):
@@ -77,6 +81,9 @@
         # this attempt was cut now.
         self.may_move_on: Callable[[], bool] = _never
         self._progressed_at_seconds = time.monotonic()
+        # Events of the stream that have been passed on.
+        self.event_count = 0
+        self._silence_reported_at_seconds = -math.inf
         self._exchange: Cancellable | None = None
         self._lock = threading.Lock()
 
@@ -94,6 +101,25 @@
         """Record that the attempt has just begun or produced an event."""
         self._progressed_at_seconds = time.monotonic()
 
+    def record_event(self) -> None:
+        """Record an event that was passed on to the caller."""
+        self.event_count += 1
+        self.record_progress()
+
+    def take_silence_report(self) -> bool:
+        """Return whether to report a silent stream now, once per interval."""
+        now = time.monotonic()
+        # A generation without events may still wait in its engine's queue.
+        if not self.endpoint or self.stall_limits is None:
+            return False
+        if self.silent_seconds < SILENT_STREAM_SECONDS:
+            return False
+        elapsed_seconds = now - self._silence_reported_at_seconds
+        if elapsed_seconds < SILENCE_REPORT_INTERVAL_SECONDS:
+            return False
+        self._silence_reported_at_seconds = now
+        return True
+
     def attach(self, endpoint: str, exchange: Cancellable | None) -> None:
         """Set the exchange to close on a cut; close it if the request ended."""
         with self._lock:
@@ -131,10 +157,13 @@
         is_responsive: Callable[[str], bool],
         has_moved: Callable[[str], bool],
         must_end: Callable[[ForwardRequest, float], bool],
+        report_silence: Callable[[str, str, int], None],
     ) -> None:
         self._is_responsive = is_responsive
         self._has_moved = has_moved
         self._must_end = must_end
+        # Gets an engine's endpoint, the id of a request and its events so far.
+        self._report_silence = report_silence
         self._lock = threading.Lock()
         self._watches: set[RequestWatch] = set()
         self._stopped = threading.Event()
@@ -186,8 +215,13 @@
 
     def _check(self, watch: RequestWatch) -> None:
         reason = self._find_cut_reason(watch)
-        if reason is not None and watch.cut(reason):
-            CUT_REQUESTS.labels(reason.value).inc()
+        if reason is not None:
+            if watch.cut(reason):
+                CUT_REQUESTS.labels(reason.value).inc()
+        elif watch.take_silence_report():
+            self._report_silence(
+                watch.endpoint, watch.request.request_id, watch.event_count
+            )
 
     def _find_cut_reason(self, watch: RequestWatch) -> CutReason | None:
         if watch.caller.has_left():
--- a/wasabistream/platform/agent_applications.py
+++ b/wasabistream/platform/agent_applications.py
@@ -7,7 +7,7 @@
 from wasabistream.forwarding.announced_engines import EngineAnnouncement
 from wasabistream.forwarding.announcers import EngineAnnouncer
 from wasabistream.forwarding.engine_watchers import EngineWatcher
-from wasabistream.forwarding.move_messages import MoveTargetReport
+from wasabistream.forwarding.move_messages import MoveTargetReport, RunSilent
 from wasabistream.forwarding.move_target_finders import MoveTargetFinder
 from wasabistream.forwarding.run_movers import RunMover
 from wasabistream.link_senders import send_or_log
@@ -85,10 +85,19 @@
             _send(link, last)
 
     def on_messages(self, link: Link, received: Sequence[Message]) -> None:
-        """Pass reports of move targets to the finder."""
+        """Handle reports of move targets and of silent generations."""
         for notice in received:
-            if isinstance(notice, MoveTargetReport):
-                self._target_finder.on_report(notice)
+            match notice:
+                case MoveTargetReport():
+                    self._target_finder.on_report(notice)
+                case RunSilent():
+                    # A move waits for the engine, links must not.
+                    threading.Thread(
+                        target=self._mover.move_silent,
+                        args=(notice,),
+                        name='silent',
+                        daemon=True,
+                    ).start()
 
     def on_closed(self, link: Link, reason: str) -> None:
         """Remove the link of an entry."""
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -120,7 +120,10 @@
         )
         self._drain_gate = DrainGate(self._peer_links.is_majority_serving)
         self._request_supervisor = RequestSupervisor(
-            self._is_responsive, move_tracker.has_moved, self._must_end
+            self._is_responsive,
+            move_tracker.has_moved,
+            self._must_end,
+            self._agent_links.report_silent_run,
         )
         handler = RequestHandler(
             self.fleet,
@@ -165,6 +168,7 @@
         self.follower.start()
         self._listener.start()
         self._peer_links.start()
+        self._agent_links.start()
         self._front_server.run_in_thread('front')
         self._readiness_server.run_in_thread('ready')
 
