Bound the memory of callers' bodies and check their chunks

Cause: nothing bounded the bodies in progress, and the fingerprint of a request took the hexadecimal text of its body, four lengths more.

Change: bodies over 64 KiB take at most 0.3 of the memory of a process; what has no room is refused as not run before it is read. Bodies are read and hashed in pieces, with the same hashes as before.

--- a/tests/daemon_processes.py
+++ b/tests/daemon_processes.py
@@ -19,6 +19,8 @@
 from wasabistream_tools.fleet import free_port
 
 KIB_BYTES = 1024
+# Memory of an entry at which the platform ends it.
+MEMORY_LIMIT_MB = 150
 
 
 @dataclass(frozen=True)
@@ -74,6 +76,7 @@
         **NODE,
         'listen': {use: f'127.0.0.1:{port}' for use, port in ports.items()},
         'seeds': [],
+        'limits': {'memory_mb': MEMORY_LIMIT_MB},
         **settings,
     }
     node_path = Path(folder) / 'boot.yaml'
--- a/tests/forwarding_builders.py
+++ b/tests/forwarding_builders.py
@@ -5,12 +5,10 @@
 from dataclasses import dataclass
 from unittest.mock import Mock
 
+from wasabistream.body_budgets import DEFAULT_MEMORY_LIMIT_BYTES
 from wasabistream.forwarding.advisory_guards import AdvisoryGuard
 from wasabistream.forwarding.answer_buffers import AnswerBuffers
-from wasabistream.forwarding.answer_limits import (
-    DEFAULT_MEMORY_LIMIT_BYTES,
-    build_answer_limits,
-)
+from wasabistream.forwarding.answer_limits import build_answer_limits
 from wasabistream.forwarding.attempts import AttemptSender
 from wasabistream.forwarding.back_offs import BackOffs
 from wasabistream.forwarding.backend_servers import BackendServer
--- a/tests/test_endless_processes.py
+++ b/tests/test_endless_processes.py
@@ -12,13 +12,17 @@
 
 from tests.builders import wait_until
 from tests.byte_servers import ANSWER_HEAD, ByteServer, serve_bytes
-from tests.daemon_processes import DaemonCase, DaemonProcess
+from tests.daemon_processes import (
+    MEMORY_LIMIT_MB,
+    DaemonCase,
+    DaemonProcess,
+)
 from tests.platform_builders import SERVER, build_row
 from tests.platform_paths import HEAD, exchange
 from tests.test_odd_entries import CLOSING_GENERATION
 from wasabistream.units import BYTES_PER_MEGABYTE
 
-MEMORY_LIMIT_BYTES = 150 * BYTES_PER_MEGABYTE
+MEMORY_LIMIT_BYTES = MEMORY_LIMIT_MB * BYTES_PER_MEGABYTE
 CALLER_COUNT = 32
 REQUEST_COUNT = 8
 FAULTY_COUNT = 4
--- /dev/null
+++ b/tests/test_request_bodies.py
@@ -0,0 +1,186 @@
+"""Tests of callers' bodies: their memory in a process, and their framing.
+
+Failure patterns: a few callers with bodies of the permitted size take a process
+over its memory; a body with malformed chunks is taken for a whole one.
+"""
+
+import socket
+import threading
+import unittest
+from collections import Counter
+from functools import partial
+from unittest.mock import patch
+
+from tests.daemon_processes import MEMORY_LIMIT_MB, DaemonCase
+from tests.platform_builders import CONFIGURATION, build_row
+from tests.platform_paths import BackendHandler, exchange
+from tests.test_stops import read_status
+from wasabistream.body_budgets import (
+    BODY_MEMORY_RATIO,
+    UNCOUNTED_BODY_BYTES,
+    BodyBudget,
+)
+from wasabistream.exceptions import RequestError
+from wasabistream.http_servers import ApiServer, HttpAnswer
+from wasabistream.units import BYTES_PER_MEGABYTE
+
+MEMORY_LIMIT_BYTES = MEMORY_LIMIT_MB * BYTES_PER_MEGABYTE
+MAX_BODY_BYTES = CONFIGURATION['limits']['max_body_bytes']
+LONG_COUNT = 30
+WAIT_SECONDS = 20
+HOLD_SECONDS = 0.3
+HEAD = (
+    b'POST /chat/desk/x HTTP/1.1\r\nHost: host.example\r\n'
+    b'Wasabistream-Request-Attempt-Id: %s\r\n'
+    b'Wasabistream-Deadline-Remaining: 5000\r\nConnection: close\r\n'
+)
+CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+MALFORMED_BODIES = (
+    b'-1\r\nx\r\n0\r\n\r\n',
+    b'+1\r\nx\r\n0\r\n\r\n',
+    b'0x1\r\nx\r\n0\r\n\r\n',
+    b'1_0\r\nx\r\n0\r\n\r\n',
+    b' 1\r\nx\r\n0\r\n\r\n',
+    b'1\nx\r\n0\r\n\r\n',
+    b'1\r\nxGET\r\n0\r\n\r\n',
+    b'1\r\nx\r\n0_0\r\n\r\n',
+    b'1\r\nx\r\n+0\r\n\r\n',
+    b'1\r\nx\r\n0\r\nno field\r\n\r\n',
+    b'1\r\nx\r\n0\r\n\n',
+    b'\r\n\r\n',
+)
+
+
+class BodyProcessTest(DaemonCase):
+    """Guard against an entry that the bodies of its callers end."""
+
+    def setUp(self) -> None:
+        """Start an entry before a server that holds requests for a time."""
+        super().setUp()
+        self.bodies: list[bytes] = []
+        self.store.put(build_row('op/config', 9, build_long_configuration()))
+        self.answer_at_once = self.backend.respond
+        do_post = patch.object(
+            BackendHandler,
+            'do_POST',
+            lambda handler: self.receive(handler),
+            create=True,
+        )
+        do_post.start()
+        self.addCleanup(do_post.stop)
+        self.entry = self.start_entry()
+
+    def receive(self, handler: BackendHandler) -> None:
+        """Read a body, hold the request and answer it."""
+        length = int(handler.headers.get('Content-Length', 0))
+        self.bodies.append(handler.rfile.read(length))
+        threading.Event().wait(HOLD_SECONDS)
+        self.answer_at_once(handler)
+
+    def post(self, request_id: bytes, body: bytes) -> bytes:
+        """Send a request with a body and return the whole answer."""
+        length = b'Content-Length: %d\r\n\r\n' % len(body)
+        raw = HEAD % request_id + length + body
+        return exchange(self.entry.front_port, raw)
+
+    def test_many_long_bodies(self) -> None:
+        """Guard against bodies that together exceed the memory limit.
+
+        What has no room is refused as not run, with a time to come back, and
+        short bodies are served all the while.
+        """
+        body = b'b' * MAX_BODY_BYTES
+        answers: list[bytes] = []
+
+        def send(number: int) -> None:
+            answers.append(self.post(b'long-%d' % number, body))
+
+        callers = [
+            threading.Thread(target=partial(send, number))
+            for number in range(LONG_COUNT)
+        ]
+        for caller in callers:
+            caller.start()
+        self.assertIn(b' 200 ', self.post(b'short', b'b' * 600)[:20])
+        for caller in callers:
+            caller.join(WAIT_SECONDS)
+        self.assertIsNone(self.entry.process.poll())
+        self.assertLess(self.entry.peak_memory_bytes(), MEMORY_LIMIT_BYTES)
+        statuses = Counter(answer[9:12] for answer in answers)
+        self.assertEqual(statuses[b'200'] + statuses[b'503'], LONG_COUNT)
+        self.assertGreaterEqual(statuses[b'200'], 10)
+        for answer in answers:
+            if answer[9:12] == b'503':
+                self.assertIn(b'retry-after:', answer.lower())
+
+    def test_chunks(self) -> None:
+        """Guard against malformed chunks that pass for a whole body.
+
+        A body in chunks of exactly the permitted size is taken.
+        """
+        for number, chunks in enumerate(MALFORMED_BODIES):
+            answer = exchange(
+                self.entry.front_port, CHUNKED % b'c%d' % number + chunks
+            )
+            self.assertIn(b' 400 ', answer[:20], chunks)
+        self.assertEqual(self.bodies, [])
+        size = MAX_BODY_BYTES // 4
+        whole = b'%x\r\n%s\r\n' % (size, b'x' * size) * 4
+        end = b'0\r\nTrailer: a\r\n\r\n'
+        answer = exchange(self.entry.front_port, CHUNKED % b'w' + whole + end)
+        self.assertIn(b' 200 ', answer[:20])
+        self.assertEqual(len(self.bodies[0]), MAX_BODY_BYTES)
+        answer = exchange(
+            self.entry.front_port, CHUNKED % b'l' + whole + b'1\r\nx\r\n' + end
+        )
+        self.assertIn(b' 413 ', answer[:20])
+
+
+class BodyBudgetTest(unittest.TestCase):
+    """Guard against memory that is not counted, or counted for ever."""
+
+    def test_limit(self) -> None:
+        """Guard against bodies beyond the share, and callers locked out."""
+        limit_bytes = int(MEMORY_LIMIT_BYTES * BODY_MEMORY_RATIO)
+        budget = BodyBudget(MEMORY_LIMIT_BYTES)
+        with budget.open() as first, budget.open() as second:
+            first.add(limit_bytes)
+            second.add(UNCOUNTED_BODY_BYTES)
+            with self.assertRaises(RequestError) as raised:
+                second.add(1)
+        self.assertEqual(raised.exception.status, 503)  # noqa: WPS441
+        with budget.open() as third:
+            for _ in range(2):
+                third.add(limit_bytes // 2)
+            with self.assertRaises(RequestError):
+                third.add(limit_bytes // 2)
+
+    def test_own_interface(self) -> None:
+        """Guard against the same on the product's own interface."""
+        server = ApiServer(
+            '127.0.0.1', 0, lambda request, take: HttpAnswer(200), 2
+        )
+        server.run_in_thread()
+        self.addCleanup(server.stop)
+        server.body_budget = BodyBudget(0)
+        for body, status in (
+            (b'b' * UNCOUNTED_BODY_BYTES, 200),
+            (b'b' * UNCOUNTED_BODY_BYTES * 2, 503),
+        ):
+            with socket.create_connection(('127.0.0.1', server.port)) as sock:
+                head = b'POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n'
+                sock.sendall(head % len(body) + b'\r\n' + body)
+                self.assertEqual(read_status(sock), status)
+
+
+def build_long_configuration() -> dict[str, object]:
+    """Return a configuration whose lookups may take some seconds."""
+    routes = [
+        {**route, 'timeout_ms': 5000, 'target_latency_ms': 2000}
+        for route in CONFIGURATION['routes']
+    ]
+    return {**CONFIGURATION, 'version': 8, 'routes': routes}
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/wasabistream/body_readers.py
+++ b/wasabistream/body_readers.py
@@ -1,41 +1,122 @@
 """Reading of the bodies of callers' requests."""
 
-from cheroot.errors import MaxSizeExceeded
-from cheroot.server import ChunkedRFile, HTTPRequest
+import logging
+from collections.abc import Iterator
+from typing import Any
 
+from cheroot.server import HTTPRequest
+
+from wasabistream.body_budgets import BodyReservation
 from wasabistream.exceptions import RequestError
+from wasabistream.limited_responses import (
+    CHUNK_SIZE_LINE,
+    FIELD_LINE,
+    LINE_END,
+)
 from wasabistream.read_deadlines import read_deadlines
 
+logger = logging.getLogger(__name__)
+
 # Bodies have a few megabytes at most.
 BODY_LIMIT_SECONDS = 60.0
+# Time for the rest of a body that is not wanted any more.
+DISCARD_LIMIT_SECONDS = 2.0
+MALFORMED_CODE = 'bad_body'
+MAX_READ_BYTES = 64 * 1024
+MAX_LINE_BYTES = 4096
+MAX_TRAILER_COUNT = 64
 
 
-def read_body(request: HTTPRequest) -> bytes:
+def read_body(request: HTTPRequest, reservation: BodyReservation) -> bytes:
     """Return the whole body; raises RequestError if it is not whole."""
     with read_deadlines.limit(
         request.conn.socket, BODY_LIMIT_SECONDS
     ) as deadline:
         try:
-            return _read_whole(request)
+            return _read_whole(request, reservation)
         except RequestError as error:
             if not deadline.expired:
                 raise
             raise RequestError('body came too slowly', 408, 'slow') from error
 
 
-def _read_whole(request: HTTPRequest) -> bytes:
+def discard_body(request: HTTPRequest, error: RequestError) -> None:
+    """Read the rest of a body that was refused but is well formed.
+
+    Closing a connection with unread bytes resets it, and the answer that was
+    sent before could be lost.
+    """
+    if error.code == MALFORMED_CODE:
+        return
+    with read_deadlines.limit(request.conn.socket, DISCARD_LIMIT_SECONDS):
+        try:
+            # A body in chunks ends with its connection.
+            _read_to_end(
+                request.conn.rfile if request.chunked_read else request.rfile
+            )
+        except (OSError, ValueError) as error:
+            logger.debug('http: rest of a body is not read: %s', error)
+
+
+def _read_to_end(file: Any) -> None:
+    piece = file.read(MAX_READ_BYTES)
+    while piece:
+        piece = file.read(MAX_READ_BYTES)
+
+
+def _read_whole(request: HTTPRequest, reservation: BodyReservation) -> bytes:
     try:
-        body: bytes = request.rfile.read()
-        if isinstance(request.rfile, ChunkedRFile):
-            # Unread trailers would be parsed as the next request.
-            list(request.rfile.read_trailer_lines())  # type: ignore
-            return body
-    except MaxSizeExceeded as error:
-        raise RequestError('body is too long', 413, 'too_long') from error
+        if request.chunked_read:
+            return b''.join(_read_chunks(request, reservation))
+        length = int(request.inheaders.get(b'Content-Length', 0))
+        reservation.add(length)
+        # cheroot counts what is read through this file.
+        return b''.join(_read_pieces(request.rfile, length))
     except TimeoutError as error:
         raise RequestError('body came too slowly', 408, 'slow') from error
     except (OSError, ValueError) as error:
-        raise RequestError(str(error), 400, 'bad_body') from error
-    if len(body) < int(request.inheaders.get(b'Content-Length', 0)):
-        raise RequestError('body is cut off', 400, 'bad_body')
-    return body
+        raise RequestError(str(error), 400, MALFORMED_CODE) from error
+
+
+def _read_chunks(
+    request: HTTPRequest, reservation: BodyReservation
+) -> Iterator[bytes]:
+    """Yield the pieces of a body in chunks, whose framing is checked."""
+    limit_bytes = request.server.max_request_body_size
+    length = 0
+    while True:
+        line = request.conn.rfile.readline(MAX_LINE_BYTES)
+        if not CHUNK_SIZE_LINE.fullmatch(line):
+            raise RequestError('chunk size is malformed', 400, MALFORMED_CODE)
+        size = int(line.partition(b';')[0], 16)
+        if not size:
+            _read_trailers(request)
+            return
+        length += size
+        if limit_bytes and length > limit_bytes:
+            raise RequestError('body is too long', 413, 'too_long')
+        reservation.add(size)
+        yield from _read_pieces(request.conn.rfile, size)
+        if request.conn.rfile.read(len(LINE_END)) != LINE_END:
+            raise RequestError('chunk is malformed', 400, MALFORMED_CODE)
+
+
+def _read_pieces(file: Any, length: int) -> Iterator[bytes]:
+    remaining = length
+    while remaining:
+        piece = file.read(min(remaining, MAX_READ_BYTES))
+        if not piece:
+            raise RequestError('body is cut off', 400, MALFORMED_CODE)
+        remaining -= len(piece)
+        yield piece
+
+
+def _read_trailers(request: HTTPRequest) -> None:
+    # Unread trailers would be parsed as the next request.
+    for _ in range(MAX_TRAILER_COUNT):
+        line = request.conn.rfile.readline(MAX_LINE_BYTES)
+        if line == LINE_END:
+            return
+        if not FIELD_LINE.fullmatch(line):
+            raise RequestError('trailer is malformed', 400, MALFORMED_CODE)
+    raise RequestError('body has too many trailers', 400, MALFORMED_CODE)
--- a/wasabistream/forwarding/answer_limits.py
+++ b/wasabistream/forwarding/answer_limits.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass
 
-DEFAULT_MEMORY_LIMIT_BYTES = 128 * 1024 * 1024
 # Share of a process's memory for answers that are read whole.
 TOTAL_MEMORY_RATIO = 0.2
 # Most answers are a few kilobytes; four of the longest fit at the same time.
--- a/wasabistream/http_servers.py
+++ b/wasabistream/http_servers.py
@@ -14,8 +14,14 @@
     error_body,
     http_head,
     reason_phrase,
+    retry_after_field,
 )
-from wasabistream.body_readers import read_body
+from wasabistream.body_budgets import (
+    DEFAULT_MEMORY_LIMIT_BYTES,
+    BodyBudget,
+    BodyReservation,
+)
+from wasabistream.body_readers import discard_body, read_body
 from wasabistream.draining_connections import DrainingConnectionManager
 from wasabistream.exceptions import RequestError
 from wasabistream.outcomes import Outcome
@@ -29,6 +35,8 @@
 HEAD_LIMIT_SECONDS = 20
 # Length of the listen queue of the socket.
 LISTEN_BACKLOG_COUNT = 1000
+BUSY_STATUS = 503
+BUSY_RETRY_SECONDS = 1
 
 
 @dataclass(frozen=True)
@@ -64,20 +72,30 @@
 
     def respond(self) -> None:
         """Answer one request."""
-        try:
-            request = self._read_request()
-        except RequestError as error:
-            # The rest of the body would be parsed as the next request.
-            self.req.close_connection = True
-            body = error_body(error.reason, error.code, Outcome.not_run)
-            self._write_answer(HttpAnswer(error.status, body))
-            return
-        answer = self.req.server.handler(request, self._take_socket)
-        if answer is not None:
-            self._write_answer(answer)
-
-    def _read_request(self) -> HttpRequest:
-        body = read_body(self.req)
+        with self.req.server.body_budget.open() as reservation:
+            try:
+                request = self._read_request(reservation)
+            except RequestError as error:
+                self._refuse(error)
+                return
+            answer = self.req.server.handler(request, self._take_socket)
+            if answer is not None:
+                self._write_answer(answer)
+
+    def _refuse(self, error: RequestError) -> None:
+        # The rest of the body would be parsed as the next request.
+        self.req.close_connection = True
+        body = error_body(error.reason, error.code, Outcome.not_run)
+        wait_seconds = BUSY_RETRY_SECONDS if error.status == BUSY_STATUS else 0
+        self._write_answer(
+            HttpAnswer(
+                error.status, body, headers=retry_after_field(wait_seconds)
+            )
+        )
+        discard_body(self.req, error)
+
+    def _read_request(self, reservation: BodyReservation) -> HttpRequest:
+        body = read_body(self.req, reservation)
         return HttpRequest(
             method=self.req.method.decode('latin-1'),
             path=self.req.path.decode('latin-1'),
@@ -168,6 +186,7 @@
             maxthreads=thread_count,
         )
         self.handler = handler
+        self.body_budget = BodyBudget(DEFAULT_MEMORY_LIMIT_BYTES)
         self.timeout = REQUEST_TIMEOUT_SECONDS
         self.request_queue_size = LISTEN_BACKLOG_COUNT
         self.prepare()
--- a/wasabistream/keyed_calls.py
+++ b/wasabistream/keyed_calls.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from wasabistream.digests import hash64
+from wasabistream.digests import hash64, hash64_with_body
 from wasabistream.ledgers import (
     CallLedger,
     CallState,
@@ -196,5 +196,5 @@
 
 
 def _digest(call: Call) -> str:
-    body_digest = hash64(call.body.hex())
+    body_digest = hash64_with_body(call.body)
     return f'{hash64(call.method, call.path):016x}{body_digest:016x}'
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -136,7 +136,11 @@
         front = node_settings.listen['front']
         ready = node_settings.listen['ready']
         self._front_server = IngressServer(
-            front.address, front.port, handler.handle, REQUEST_THREAD_COUNT
+            front.address,
+            front.port,
+            handler.handle,
+            REQUEST_THREAD_COUNT,
+            node_settings.memory_limit_bytes,
         )
         self._readiness_server = IngressServer(
             ready.address,
--- a/wasabistream/platform/ingress_servers.py
+++ b/wasabistream/platform/ingress_servers.py
@@ -17,10 +17,15 @@
 )
 
 from wasabistream.answers import reason_phrase
-from wasabistream.body_readers import read_body
+from wasabistream.body_budgets import (
+    DEFAULT_MEMORY_LIMIT_BYTES,
+    BodyBudget,
+)
+from wasabistream.body_readers import discard_body, read_body
 from wasabistream.draining_connections import DrainingConnectionManager
 from wasabistream.exceptions import RequestError
 from wasabistream.forwarding.caller_limits import CallerLimits
+from wasabistream.forwarding.replies import NOT_RUN, build_refusal
 from wasabistream.forwarding.requests import Headers, Reply
 from wasabistream.platform import header_names as names
 from wasabistream.read_deadlines import read_deadlines
@@ -40,6 +45,9 @@
 ADDED_THREAD_COUNT = 16
 MIN_IDLE_THREAD_COUNT = 4
 DEFAULT_HEAD_SECONDS = 10.0
+# Remaining time assumed for requests whose bodies are not read: bodies in
+# progress end with their requests.
+MAX_UNREAD_SECONDS = 1.0
 # Added to the configured idle timeout, which callers may use up to its end.
 IDLE_GRACE_SECONDS = 3.0
 
@@ -127,6 +135,12 @@
     RequestHandlerClass = IngressRequest  # noqa: WPS115
 
 
+def read_request_id(request: HTTPRequest) -> str:
+    """Return the id of a request, or an empty string."""
+    text: bytes = request.inheaders.get(names.REQUEST_ID.title().encode(), b'')
+    return text.decode('latin-1')
+
+
 class HttpCaller:
     """Write the answer to one request of a caller."""
 
@@ -192,13 +206,27 @@
 
     def respond(self) -> None:
         """Answer one request."""
-        try:
-            body = read_body(self.req)
-        except RequestError as error:
-            self.req.close_connection = True
-            HttpCaller(self.req, '').reply(Reply(error.status))
-            return
-        self.req.server.handler(self.req, body)
+        with self.req.server.body_budget.open() as reservation:
+            try:
+                body = read_body(self.req, reservation)
+            except RequestError as error:
+                self._refuse(error)
+                return
+            self.req.server.handler(self.req, body)
+
+    def _refuse(self, error: RequestError) -> None:
+        request_id = read_request_id(self.req)
+        logger.info(
+            'request: refused: %s',
+            error.reason,
+            extra={'request_id': request_id, 'status': error.status},
+        )
+        reply = Reply(error.status)
+        if error.status == NOT_RUN:
+            reply = build_refusal(MAX_UNREAD_SECONDS)
+        self.req.close_connection = True
+        HttpCaller(self.req, request_id).reply(reply)
+        discard_body(self.req, error)
 
 
 class IngressServer(HTTPServer):
@@ -213,6 +241,7 @@
         port: int,
         handler: IngressHandler,
         thread_count: int,
+        memory_limit_bytes: int = DEFAULT_MEMORY_LIMIT_BYTES,
     ) -> None:
         super().__init__(
             (address, port),
@@ -225,6 +254,7 @@
         # Time for the head of a request after its first byte.
         self.head_seconds = DEFAULT_HEAD_SECONDS
         self.handler = handler
+        self.body_budget = BodyBudget(memory_limit_bytes)
         self.request_queue_size = BACKLOG_COUNT
         self.keep_alive_conn_limit = MAX_KEEP_ALIVE_CONNECTION_COUNT
         self.prepare()
--- a/wasabistream/platform/node_files.py
+++ b/wasabistream/platform/node_files.py
@@ -7,8 +7,8 @@
 
 import yaml
 
+from wasabistream.body_budgets import DEFAULT_MEMORY_LIMIT_BYTES
 from wasabistream.exceptions import SettingsError
-from wasabistream.forwarding.answer_limits import DEFAULT_MEMORY_LIMIT_BYTES
 from wasabistream.forwarding.budgets import RepeatLimit
 from wasabistream.forwarding.cold_limiters import ColdLimit
 from wasabistream.forwarding.endpoints import Endpoint, parse_endpoint
--- a/wasabistream/platform/request_decoders.py
+++ b/wasabistream/platform/request_decoders.py
@@ -4,7 +4,7 @@
 
 from cheroot.server import HTTPRequest
 
-from wasabistream.digests import hash64
+from wasabistream.digests import hash64_with_body
 from wasabistream.exceptions import RequestError
 from wasabistream.forwarding.configurations import RoutingConfiguration
 from wasabistream.forwarding.organisations import KeyHolder
@@ -63,17 +63,11 @@
         organisation=holder.name if holder else '',
         priority=priority,
         demand=_decode_demand(headers),
-        fingerprint=hash64(api_key, target, body.hex()),
+        fingerprint=hash64_with_body(body, api_key, target),
         prompt_parts=_decode_shared_parts(headers),
     )
 
 
-def read_request_id(request: HTTPRequest) -> str:
-    """Return the id of a request, or an empty string."""
-    text: bytes = request.inheaders.get(names.REQUEST_ID.title().encode(), b'')
-    return text.decode('latin-1')
-
-
 def _decode_target(request: HTTPRequest) -> str:
     # Servers differ in how they read other bytes.
     if not VISIBLE_ASCII.fullmatch(request.uri):
--- a/wasabistream/platform/request_handlers.py
+++ b/wasabistream/platform/request_handlers.py
@@ -11,11 +11,11 @@
 from wasabistream.forwarding.forwarders import Forwarder
 from wasabistream.forwarding.replies import build_refusal
 from wasabistream.forwarding.requests import Reply
-from wasabistream.platform.ingress_servers import HttpCaller
-from wasabistream.platform.request_decoders import (
-    decode_request,
+from wasabistream.platform.ingress_servers import (
+    HttpCaller,
     read_request_id,
 )
+from wasabistream.platform.request_decoders import decode_request
 
 logger = logging.getLogger(__name__)
 
