Refuse all keys when the last organisation is removed

Cause: the decoder took an empty list for a missing one. A configuration without the field still asks for no keys.

Evidence: test_last_organisation_is_removed failed before (None in place of an empty table).

--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -51,6 +51,14 @@
             self.assertEqual(route.timeout_seconds, 6)
             self.assertTrue(route.repeatable)
 
+    def test_last_organisation_is_removed(self) -> None:
+        """Guard against serving everybody once no organisation is left."""
+        emptied = decode_configuration({**CONFIGURATION, 'tenants': []})
+        self.assertEqual(emptied.key_holders, {})
+        without = {**CONFIGURATION}
+        without.pop('tenants')
+        self.assertIsNone(decode_configuration(without).key_holders)
+
     def test_split_by_weight(self) -> None:
         """Guard against traffic for a service whose weight is zero."""
         configuration = decode_configuration(CONFIGURATION)
--- a/wasabistream/platform/store_decoders.py
+++ b/wasabistream/platform/store_decoders.py
@@ -116,7 +116,9 @@
             str(row['name']): _decode_service(row)
             for row in document['services']
         },
-        key_holders=_decode_key_holders(holders) if holders else None,
+        key_holders=(
+            None if holders is None else _decode_key_holders(holders)
+        ),
         limits=CallerLimits(
             max_header_bytes=int(
                 limits.get('max_header_bytes', default.max_header_bytes)
