--- a/wasabistream/platform/agent_daemon.py
+++ b/wasabistream/platform/agent_daemon.py
@@ -1,9 +1,14 @@
 """Program of the agent daemon."""
 
+import signal
 import sys
 
-from wasabistream.platform.agent_applications import PlatformAgent
-from wasabistream.platform.daemons import run_daemon
+# The application sets its handler once it runs; until then SIGHUP would end
+# the process. It reads its settings afterwards in any case.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from wasabistream.platform.agent_applications import PlatformAgent  # noqa: E402
+from wasabistream.platform.daemons import run_daemon  # noqa: E402
 
 if __name__ == '__main__':
     sys.exit(run_daemon(PlatformAgent))
--- a/wasabistream/platform/store_decoders.py
+++ b/wasabistream/platform/store_decoders.py
@@ -116,9 +116,7 @@
             str(row['name']): _decode_service(row)
             for row in document['services']
         },
-        key_holders=(
-            None if holders is None else _decode_key_holders(holders)
-        ),
+        key_holders=(None if holders is None else _decode_key_holders(holders)),
         limits=CallerLimits(
             max_header_bytes=int(
                 limits.get('max_header_bytes', default.max_header_bytes)
