Try a doubtful ban of a part soon if nothing was answered before

Cause: a ban counted as certain for the time of its first trial unless the part itself had been answered. Without any answers the part and the common cause of the crashes cannot be told apart, which the end of requests in progress allowed for already.

--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -160,6 +160,19 @@
         self.fleet.answer(0, COMMON, OTHER)
         self.assertEqual(self.fleet.refusing_entries(COMMON, OTHER), [])
 
+    def test_ban_without_any_answers_is_tried_soon(self) -> None:
+        """Guard against refusing everybody after servers ended together.
+
+        Entries that have just started know no answers, and the common part of
+        all requests was refused for 45 s.
+        """
+        self.crash_all(COMMON, OTHER)
+        self.assertEqual(self.fleet.refusing_entries(OTHER), ALL_ENTRIES)
+        self.fleet.clock.advance(FIRST_CHECK_SECONDS)
+        self.fleet.answer(0, COMMON, OTHER)
+        self.assertEqual(self.fleet.refusing_entries(OTHER), [])
+        self.assertEqual(self.fleet.refusing_entries(COMMON), [])
+
     def test_part_that_is_sound_again(self) -> None:
         """Guard against a ban without end on a part that has been mended."""
         self.crash_all(DEADLY)
--- a/wasabistream/poison_parts.py
+++ b/wasabistream/poison_parts.py
@@ -119,9 +119,8 @@
             part = banned.pop()
             ban = self._bans[part]
             now = self._clock()
-            # A part that was answered before may have been in servers that
-            # ended together for another reason.
-            is_doubtful = part in self._answered_at_seconds
+            # The servers may have ended together for another reason.
+            is_doubtful = not self._is_certain(part)
             if not is_doubtful:
                 is_doubtful = self._distinguishes(part, parts)
             if not ban.is_trial_due(now, is_doubtful=is_doubtful):
