Drop requests whose callers have left before they are sent on

Change: the forwarder looks once, before a request is sent on, and drops it if its caller has left. The supervisor looks from then on, as before.

Evidence: test_caller_that_has_left failed before.

--- a/wasabistream/forwarding/forwarders.py
+++ b/wasabistream/forwarding/forwarders.py
@@ -51,6 +51,15 @@
             )
             caller.reply(build_refusal(request.deadline.remaining_seconds))
             return
+        # The request may have waited for a thread, and no server should begin
+        # work that nobody waits for.
+        if caller.has_left():
+            logger.info(
+                'request: caller left before it was sent',
+                extra={'request_id': request.request_id},
+            )
+            caller.abort()
+            return
         reply: Reply | None = None
         self._supervisor.add(watch)
         try:
