Look for silent keys only when the live ones are listed

Since engines without an id are tracked by presence, each recorded contact went through all keys. Entries record each peer of each notice, so that the work of a notice grew with the square of the number of entries.

--- a/wasabistream/forwarding/liveness_trackers.py
+++ b/wasabistream/forwarding/liveness_trackers.py
@@ -30,10 +30,12 @@
 
     def record_contact(self, key: KeyT, age_seconds: float = 0) -> bool:
         """Record contact `age_seconds` ago; return whether the key is new."""
-        contact_seconds = self._clock() - age_seconds
+        now = self._clock()
+        contact_seconds = now - age_seconds
         with self._lock:
-            self._remove_silent()
             before = self._presences.get(key)
+            if before is not None and _is_silent(before, now):
+                before = None
             if before is None:
                 self._presences[key] = Presence(
                     contact_seconds, contact_seconds
@@ -50,8 +52,11 @@
 
     def presences(self) -> dict[KeyT, Presence]:
         """Return the live keys with their first and last contacts."""
+        now = self._clock()
         with self._lock:
-            self._remove_silent()
+            for key, presence in list(self._presences.items()):
+                if _is_silent(presence, now):
+                    self._presences.pop(key)
             return dict(self._presences)
 
     def ages_seconds(self) -> dict[KeyT, float]:
@@ -62,8 +67,6 @@
             for key, presence in self.presences().items()
         }
 
-    def _remove_silent(self) -> None:
-        oldest = self._clock() - LIVENESS_TIMEOUT_SECONDS
-        for key, presence in list(self._presences.items()):
-            if presence.last_seconds < oldest:
-                self._presences.pop(key)
+
+def _is_silent(presence: Presence, now: float) -> bool:
+    return now - presence.last_seconds > LIVENESS_TIMEOUT_SECONDS
