--- a/wasabistream/platform/daemons.py
+++ b/wasabistream/platform/daemons.py
@@ -16,6 +16,7 @@
     ProcessOptions,
 )
 from wasabistream.platform.node_files import NodeSettings, read_node_file
+from wasabistream.units import MAX_PORT
 
 NODE_FILE_VARIABLE = 'WASABISTREAM_NODE_FILE'
 LOG_LEVEL_VARIABLE = 'WASABISTREAM_LOG_LEVEL'
@@ -24,7 +25,6 @@
 DEFAULT_LOG_LEVEL = 'INFO'
 # The deployment file names the same port.
 DEFAULT_METRICS_PORT = 9464
-MAX_PORT = 65535
 
 ApplicationFactory = Callable[[NodeSettings, ProcessOptions], NodeApplication]
 
--- a/wasabistream/platform/store_decoders.py
+++ b/wasabistream/platform/store_decoders.py
@@ -19,14 +19,13 @@
 from wasabistream.forwarding.routes import Destination, Route, RouteKind
 from wasabistream.forwarding.services import EngineProfile, Service
 from wasabistream.platform.decode_errors import DECODE_ERRORS, decode_count
-from wasabistream.units import MILLISECONDS_PER_SECOND
+from wasabistream.units import MAX_PORT, MILLISECONDS_PER_SECOND
 
 logger = logging.getLogger(__name__)
 
 CONFIGURATION_KEY = 'op/config'
 EVACUATION_PREFIX = 'op/evacuate/'
 SERVER_PREFIX = 'servers/'
-MAX_PORT = 65535
 SERVER_STATES = frozenset(('ready', 'draining'))
 
 
--- a/wasabistream/setting_rules.py
+++ b/wasabistream/setting_rules.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-MAX_PORT = 65535
+from wasabistream.units import MAX_PORT
+
 # Ids become parts of request ids, stream ids and header fields.
 ID_PATTERN = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
 LOG_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR', 'CRITICAL')
--- a/wasabistream/vms.py
+++ b/wasabistream/vms.py
@@ -11,11 +11,10 @@
 import cattrs
 
 from wasabistream.exceptions import ConfigurationError
+from wasabistream.units import MAX_PORT
 
 logger = logging.getLogger(__name__)
 
-MAX_PORT = 65535
-
 
 class VmState(StrEnum):
     """State of a VM on the list; a leaving one gets no new work."""
