Give the reader of a link a buffer that grows with its frames

Each link held a buffer of 1 MiB, the default of msgpack's Unpacker, which small messages fill over time: 64 links in use took 67 MB, so that processes with many peers came close to their memory limit without any request.

--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -1,6 +1,8 @@
 """Tests of frames and messages."""
 
+import os
 import unittest
+from pathlib import Path
 
 import msgpack
 
@@ -10,6 +12,11 @@
 from wasabistream.requests import Finished, Token
 
 TOKEN = Token('r1', 3, 'word')
+LINK_COUNT = 64
+# Some times the buffer that the library has by default.
+FED_FRAME_COUNT = 120_000
+MAX_LINK_BYTES = 128 * 1024
+PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
 
 
 class FrameReaderTest(unittest.TestCase):
@@ -50,3 +57,22 @@
             nested = [nested]
         with self.assertRaises(FrameError):
             FrameReader('peer').feed(msgpack.packb([6, nested]))
+
+    def test_memory_of_many_links(self) -> None:
+        """Guard against a buffer of a mebibyte for each link in use."""
+        frames = encode_frame(TOKEN) * 1000
+        readers = [FrameReader(str(number)) for number in range(LINK_COUNT)]
+        before_bytes = resident_bytes()
+        for reader in readers:
+            for _ in range(FED_FRAME_COUNT // 1000):
+                reader._unpacker.feed(frames)
+                for _ in reader._unpacker:
+                    continue
+        added_bytes = resident_bytes() - before_bytes
+        self.assertLess(added_bytes, LINK_COUNT * MAX_LINK_BYTES)
+
+
+def resident_bytes() -> int:
+    """Return the resident memory of this process."""
+    fields = Path('/proc/self/statm').read_text(encoding='ascii').split()
+    return int(fields[1]) * PAGE_BYTES
--- a/wasabistream/frames.py
+++ b/wasabistream/frames.py
@@ -12,6 +12,9 @@
 # A configuration document has up to 1 MiB; the rest is for the other fields of
 # its frame.
 MAX_FRAME_BYTES = 1024 * 1024 + 64 * 1024
+# Buffer of a new reader, which grows with its frames up to the limit. The
+# library's default of 1 MiB for each link is filled over time and never freed.
+INITIAL_BUFFER_BYTES = 16 * 1024
 MAX_DEPTH = 8
 NESTED_TYPES = (list, dict)
 
@@ -31,6 +34,7 @@
         # Names the peer in errors.
         self._peer = peer
         self._unpacker = msgpack.Unpacker(
+            read_size=INITIAL_BUFFER_BYTES,
             max_buffer_size=2 * MAX_FRAME_BYTES,
             max_array_len=MAX_FRAME_BYTES,
             max_map_len=1024,
