Have the allocator return long bodies to the system

The C library raises its threshold for mapped blocks to the size of the first long body that is freed; after that, freed bodies stay in the heaps of the threads that read them.

A fixed threshold and two arenas (the interpreter lock leaves no use for more) return them.

--- a/wasabistream/applications.py
+++ b/wasabistream/applications.py
@@ -6,6 +6,7 @@
 import time
 from types import FrameType
 
+from wasabistream.allocators import return_freed_memory
 from wasabistream.settings import ProcessSettings
 
 logger = logging.getLogger(__name__)
@@ -58,6 +59,7 @@
         """Run until a signal arrives and return the exit code."""
         signal.signal(signal.SIGTERM, self._handle_signal)
         signal.signal(signal.SIGINT, self._handle_signal)
+        return_freed_memory()
         self.on_start()
         logger.info('%s: started', self.process_role)
         self._wait_for_signals(1)
