Give the memory of a process one owner

Cause: bodies in progress had a limit, nothing had one for the sum. Beside them stood the copy that joins a body's pieces, what sockets held unread (up to 48 MB), two copies of an answer while it is written, answers whose memory counted as free before they were sent, and threads and connections.

memory_budgets owns the sum: program and threads are set aside; connections, long bodies and long answers share the rest. Connections have a small receive buffer, which is counted, and a larger one only while a body is read whose length is reserved. Bodies and answers are collected without a copy, and written in pieces. What does not fit is refused at once, as before; 15 bodies of the permitted size fit into 150 MB, ten did before.

Ruled out: refused bodies while they are dropped (one piece for each thread).

The tests of the former budget moved to the new names with the same bounds; how many bodies must fit stays at 0.3 of the memory.

--- a/tests/forwarding_builders.py
+++ b/tests/forwarding_builders.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from unittest.mock import Mock
 
-from wasabistream.body_budgets import DEFAULT_MEMORY_LIMIT_BYTES
 from wasabistream.forwarding.advisory_guards import AdvisoryGuard
 from wasabistream.forwarding.answer_buffers import AnswerBuffers
 from wasabistream.forwarding.answer_limits import build_answer_limits
@@ -36,6 +35,10 @@
 from wasabistream.forwarding.routes import Destination, Route, RouteKind
 from wasabistream.forwarding.server_choosers import ServerChooser
 from wasabistream.forwarding.services import EngineProfile, Service
+from wasabistream.memory_budgets import (
+    DEFAULT_MEMORY_LIMIT_BYTES,
+    MemoryBudget,
+)
 from wasabistream.notices import LoadReport
 from wasabistream.poison_parts import PoisonPartDetector
 from wasabistream.retries import Deadline
@@ -192,7 +195,10 @@
 
 def build_answer_buffers() -> AnswerBuffers:
     """Return buffers with the limits of a small machine."""
-    return AnswerBuffers(build_answer_limits(DEFAULT_MEMORY_LIMIT_BYTES))
+    return AnswerBuffers(
+        build_answer_limits(DEFAULT_MEMORY_LIMIT_BYTES),
+        MemoryBudget(DEFAULT_MEMORY_LIMIT_BYTES),
+    )
 
 
 def build_item(key: str, revision: int, content: bytes = b'{}') -> MirrorItem:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -7,6 +7,7 @@
 import socket
 import unittest
 from collections.abc import Callable
+from contextlib import ExitStack, closing
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -69,12 +70,15 @@
     def read(self, server: ByteServer) -> Reply:
         """Send one request to a stand-in server and read its answer."""
         exchange = self.open(server)
-        try:
+        with ExitStack() as resources:
+            resources.callback(exchange.close)
             return read_reply(
-                build_server(1), exchange, REQUEST_ID, build_answer_buffers()
+                build_server(1),
+                exchange,
+                REQUEST_ID,
+                build_answer_buffers(),
+                resources,
             )
-        finally:
-            exchange.close()
 
 
 class EndlessAnswerTest(ByteServerCase):
@@ -133,7 +137,8 @@
         added_count = 0
         with self.assertRaises(BackendError):
             while True:
-                with buffers.open() as first, buffers.open() as second:
+                with closing(buffers.open()) as first:
+                    second = buffers.open()
                     for _ in range(100):
                         first.add(piece)
                         second.add(piece)
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -66,8 +66,7 @@
         for reader in readers:
             for _ in range(FED_FRAME_COUNT // 1000):
                 reader._unpacker.feed(frames)
-                for _ in reader._unpacker:
-                    continue
+                list(reader._unpacker)
         added_bytes = resident_bytes() - before_bytes
         self.assertLess(added_bytes, LINK_COUNT * MAX_LINK_BYTES)
 
--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -14,22 +14,24 @@
 from tests.daemon_processes import MEMORY_LIMIT_MB, DaemonCase
 from tests.platform_builders import CONFIGURATION, build_row
 from tests.platform_paths import BackendHandler, exchange
+from tests.platform_paths import answer as write_answer
+from tests.process_memory import MemoryMonitor
 from tests.test_stops import read_status
-from wasabistream.body_budgets import (
-    BODY_MEMORY_RATIO,
-    UNCOUNTED_BODY_BYTES,
-    BodyBudget,
-)
-from wasabistream.exceptions import RequestError
+from wasabistream.exceptions import MemoryLimitError
 from wasabistream.http_servers import ApiServer, HttpAnswer
+from wasabistream.memory_budgets import UNCOUNTED_BYTES, MemoryBudget
 from wasabistream.units import BYTES_PER_MEGABYTE
 
 MEMORY_LIMIT_BYTES = MEMORY_LIMIT_MB * BYTES_PER_MEGABYTE
 MAX_BODY_BYTES = CONFIGURATION['limits']['max_body_bytes']
 LONG_COUNT = 30
-# Bodies of the permitted size that fit at the same time.
-FITTING_COUNT = int(MEMORY_LIMIT_BYTES * BODY_MEMORY_RATIO) // MAX_BODY_BYTES
-NO_ROOM = 'bodies in progress use too much memory'
+# More than there are threads for requests.
+CROWD_COUNT = 160
+# Close to the longest answer that an entry takes.
+LONG_ANSWER_BYTES = 6 * 1024 * 1024
+# Bodies of the permitted size that must fit at the same time.
+FITTING_COUNT = int(MEMORY_LIMIT_BYTES * 0.3) // MAX_BODY_BYTES
+NO_ROOM = 'requests use too much memory'
 WAIT_SECONDS = 20
 HOLD_SECONDS = 0.3
 HEAD = (
@@ -118,6 +120,39 @@
             if answer[9:12] == b'503':
                 self.assertIn(b'retry-after:', answer.lower())
 
+    def test_memory_of_a_crowd(self) -> None:
+        """Guard against memory beyond what long bodies reserve.
+
+        The allocator kept freed bodies, sockets held unread ones, and answers
+        were copied on their way out.
+        """
+        long_body = b'b' * MAX_BODY_BYTES
+        long_answer = b'a' * LONG_ANSWER_BYTES
+        for size, answer_body in (
+            (MAX_BODY_BYTES, b'{}'),
+            (UNCOUNTED_BYTES, b'a' * UNCOUNTED_BYTES),
+            (MAX_BODY_BYTES, long_answer),
+        ):
+            self.answer_at_once = partial(write_answer, body=answer_body)
+            monitor = MemoryMonitor(self.entry)
+            with monitor:
+                self.send_crowd(long_body[:size])
+            self.assertIsNone(self.entry.process.poll())
+            self.assertLess(monitor.peak_bytes, MEMORY_LIMIT_BYTES)
+
+    def send_crowd(self, body: bytes) -> None:
+        """Send a body from many callers at once."""
+        callers = [
+            threading.Thread(
+                target=self.post, args=(b'crowd-%d' % number, body)
+            )
+            for number in range(CROWD_COUNT)
+        ]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join(WAIT_SECONDS)
+
     def test_chunks(self) -> None:
         """Guard against malformed chunks that pass for a whole body.
 
@@ -141,24 +176,23 @@
         self.assertIn(b' 413 ', answer[:20])
 
 
-class BodyBudgetTest(unittest.TestCase):
+class MemoryBudgetTest(unittest.TestCase):
     """Guard against memory that is not counted, or counted for ever."""
 
     def test_limit(self) -> None:
         """Guard against bodies beyond the share, and callers locked out."""
-        limit_bytes = int(MEMORY_LIMIT_BYTES * BODY_MEMORY_RATIO)
-        budget = BodyBudget(MEMORY_LIMIT_BYTES)
-        with budget.open() as first, budget.open() as second:
-            first.add(limit_bytes)
-            second.add(UNCOUNTED_BODY_BYTES)
-            with self.assertRaises(RequestError) as raised:
+        budget = MemoryBudget(MEMORY_LIMIT_BYTES)
+        room_bytes = budget.shared_bytes - int(MEMORY_LIMIT_BYTES * 0.1)
+        with budget.open_body() as first, budget.open_body() as second:
+            first.add(room_bytes)
+            second.add(UNCOUNTED_BYTES)
+            with self.assertRaises(MemoryLimitError):
                 second.add(1)
-        self.assertEqual(raised.exception.status, 503)  # noqa: WPS441
-        with budget.open() as third:
+        with budget.open_body() as third:
             for _ in range(2):
-                third.add(limit_bytes // 2)
-            with self.assertRaises(RequestError):
-                third.add(limit_bytes // 2)
+                third.add(room_bytes // 2)
+            with self.assertRaises(MemoryLimitError):
+                third.add(room_bytes // 2)
 
     def test_own_interface(self) -> None:
         """Guard against the same on the product's own interface."""
@@ -167,10 +201,10 @@
         )
         server.run_in_thread()
         self.addCleanup(server.stop)
-        server.body_budget = BodyBudget(0)
+        server.memory_budget = MemoryBudget(0)
         for body, status in (
-            (b'b' * UNCOUNTED_BODY_BYTES, 200),
-            (b'b' * UNCOUNTED_BODY_BYTES * 2, 503),
+            (b'b' * UNCOUNTED_BYTES, 200),
+            (b'b' * UNCOUNTED_BYTES * 2, 503),
         ):
             with socket.create_connection(('127.0.0.1', server.port)) as sock:
                 head = b'POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n'
--- a/wasabistream/answers.py
+++ b/wasabistream/answers.py
@@ -4,6 +4,8 @@
 from http import HTTPStatus
 from typing import Protocol
 
+from cheroot.server import HTTPRequest
+
 from wasabistream.outcomes import Outcome
 from wasabistream.streams import CallerStream
 
@@ -11,6 +13,8 @@
 EVENT_STREAM_TYPE = 'text/event-stream'
 LAST_CHUNK = b'0\r\n\r\n'
 DONE_EVENT = b'data: [DONE]\n\n'
+# cheroot copies what it writes twice.
+MAX_WRITE_BYTES = 16 * 1024
 
 
 def error_body(
@@ -47,6 +51,13 @@
     return {'Retry-After': str(max(1, round(seconds)))} if seconds else {}
 
 
+def write_body(request: HTTPRequest, body: bytes) -> None:
+    """Write a body in pieces; raises OSError on a closed connection."""
+    view = memoryview(body)
+    for start in range(0, len(body), MAX_WRITE_BYTES):
+        request.write(view[start : start + MAX_WRITE_BYTES])
+
+
 def http_head(
     status: int, content_type: str, head_fields: dict[str, str]
 ) -> bytes:
--- a/wasabistream/draining_connections.py
+++ b/wasabistream/draining_connections.py
@@ -5,6 +5,9 @@
 import socket
 
 from cheroot.connections import ConnectionManager
+from cheroot.server import HTTPConnection
+
+from wasabistream.exceptions import MemoryLimitError
 
 logger = logging.getLogger(__name__)
 
@@ -25,7 +28,7 @@
             _wake(listener)
         super().stop()
         while listener is not None and _is_readable(listener):
-            connection = self._from_server_socket(listener)  # type: ignore[attr-defined]
+            connection = self._from_server_socket(listener)
             if connection is None:
                 return
             self.server.process_conn(connection)
@@ -43,6 +46,16 @@
                 connection.close()
         selector.close()
 
+    def _from_server_socket(
+        self, server_socket: socket.socket
+    ) -> HTTPConnection | None:
+        """Accept a connection, or close it if no memory is left for it."""
+        try:
+            return super()._from_server_socket(server_socket)  # type: ignore[misc, no-any-return]
+        except MemoryLimitError as error:
+            logger.warning('http: connection is closed: %s', error)
+            return None
+
 
 def _wake(listener: socket.socket) -> None:
     """Connect to the listener, as its loop looks for a stop twice a second.
--- a/wasabistream/exceptions.py
+++ b/wasabistream/exceptions.py
@@ -66,6 +66,13 @@
     """Report a configuration service that cannot be reached or decoded."""
 
 
+class MemoryLimitError(WasabiError):
+    """Report that no memory of the process is left for a request."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason, step='memory')
+
+
 class RequestError(WasabiError):
     """Report an invalid request of a caller, with the status to answer."""
 
--- a/wasabistream/forwarding/forwarders.py
+++ b/wasabistream/forwarding/forwarders.py
@@ -80,6 +80,7 @@
             caller.abort()
         finally:
             self._supervisor.remove(watch)
+            watch.resources.close()
         self._log(watch, history, progress, reply, started)
 
     def _log(
--- a/wasabistream/forwarding/reply_readers.py
+++ b/wasabistream/forwarding/reply_readers.py
@@ -1,6 +1,7 @@
 """Reading of complete answers from backend servers."""
 
 import logging
+from contextlib import ExitStack
 
 from wasabistream.exceptions import BackendError
 from wasabistream.forwarding.answer_buffers import AnswerBuffers
@@ -23,19 +24,21 @@
     exchange: ServerExchange,
     request_id: str,
     buffers: AnswerBuffers,
+    resources: ExitStack,
 ) -> Reply:
-    """Read a complete answer.
+    """Read a complete answer, whose memory `resources` frees.
 
     A refusal without the server's statement that the request has not run
     becomes a 502. Raises BackendError when the answer breaks off or is too
     long, or when it is a success without the seal of a backend server.
     """
     allowance = PieceAllowance()
-    with buffers.open() as buffer:
-        while piece := exchange.read():
-            allowance.take()
-            buffer.add(piece)
-        body = buffer.join()
+    buffer = buffers.open()
+    resources.callback(buffer.close)
+    while piece := exchange.read():
+        allowance.take()
+        buffer.add(piece)
+    body = buffer.finish()
     head = exchange.head
     if head.succeeded and not head.sealed:
         raise BackendError('answer has no seal', 'head', server.endpoint)
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -186,7 +186,11 @@
         head = exchange.head
         if not head.succeeded or not head.event_stream:
             reply = read_reply(
-                server, exchange, watch.request.request_id, self._buffers
+                server,
+                exchange,
+                watch.request.request_id,
+                self._buffers,
+                watch.resources,
             )
             self._failure_rates.record(
                 server.endpoint, failed=reply.status >= SERVER_ERROR
--- a/wasabistream/forwarding/supervisors.py
+++ b/wasabistream/forwarding/supervisors.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from collections.abc import Callable
+from contextlib import ExitStack
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -85,6 +86,8 @@
         self.event_count = 0
         self._silence_reported_at_seconds = -math.inf
         self._exchange: Cancellable | None = None
+        # Closed once the answer has been sent.
+        self.resources = ExitStack()
         self._lock = threading.Lock()
 
     @property
--- a/wasabistream/forwarding/unary_forwarders.py
+++ b/wasabistream/forwarding/unary_forwarders.py
@@ -134,7 +134,11 @@
         watch: RequestWatch,
     ) -> Reply:
         reply = read_reply(
-            server, exchange, watch.request.request_id, self._buffers
+            server,
+            exchange,
+            watch.request.request_id,
+            self._buffers,
+            watch.resources,
         )
         failed = reply.status >= SERVER_ERROR
         self._failure_rates.record(server.endpoint, failed=failed)
--- a/wasabistream/http_servers.py
+++ b/wasabistream/http_servers.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
+from cheroot.server import Gateway, HTTPRequest, HTTPServer
 
 from wasabistream.answers import (
     JSON_TYPE,
@@ -15,15 +15,21 @@
     http_head,
     reason_phrase,
     retry_after_field,
-)
-from wasabistream.body_budgets import (
-    DEFAULT_MEMORY_LIMIT_BYTES,
-    BodyBudget,
-    BodyReservation,
+    write_body,
 )
 from wasabistream.body_readers import discard_body, read_body
+from wasabistream.caller_connections import (
+    IDLE_BUFFER_BYTES,
+    CallerConnection,
+    set_receive_buffer,
+)
 from wasabistream.draining_connections import DrainingConnectionManager
 from wasabistream.exceptions import RequestError
+from wasabistream.memory_budgets import (
+    DEFAULT_MEMORY_LIMIT_BYTES,
+    MemoryBudget,
+    MemoryReservation,
+)
 from wasabistream.outcomes import Outcome
 from wasabistream.read_deadlines import read_deadlines
 
@@ -72,7 +78,7 @@
 
     def respond(self) -> None:
         """Answer one request."""
-        with self.req.server.body_budget.open() as reservation:
+        with self.req.server.memory_budget.open_body() as reservation:
             try:
                 request = self._read_request(reservation)
             except RequestError as error:
@@ -94,7 +100,7 @@
         )
         discard_body(self.req, error)
 
-    def _read_request(self, reservation: BodyReservation) -> HttpRequest:
+    def _read_request(self, reservation: MemoryReservation) -> HttpRequest:
         body = read_body(self.req, reservation)
         return HttpRequest(
             method=self.req.method.decode('latin-1'),
@@ -120,7 +126,7 @@
         ]
         self.req.ensure_headers_sent()
         if self.req.method != b'HEAD':
-            self.req.write(answer.body)
+            write_body(self.req, answer.body)
 
     def _take_socket(self) -> socket.socket:
         connection = self.req.conn
@@ -159,7 +165,7 @@
         self.conn.wfile.write(http_head(code, JSON_TYPE, extra_headers) + body)
 
 
-class JsonErrorConnection(HTTPConnection):
+class JsonErrorConnection(CallerConnection):
     """Parse requests with JsonErrorRequest."""
 
     # cheroot defines this name.
@@ -186,10 +192,13 @@
             maxthreads=thread_count,
         )
         self.handler = handler
-        self.body_budget = BodyBudget(DEFAULT_MEMORY_LIMIT_BYTES)
+        self.memory_budget = MemoryBudget(
+            DEFAULT_MEMORY_LIMIT_BYTES, thread_count
+        )
         self.timeout = REQUEST_TIMEOUT_SECONDS
         self.request_queue_size = LISTEN_BACKLOG_COUNT
         self.prepare()
+        set_receive_buffer(self.socket, IDLE_BUFFER_BYTES)
         self._connections = DrainingConnectionManager(self)
 
     @property
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -28,6 +28,7 @@
 from wasabistream.forwarding.unary_forwarders import UnaryForwarder
 from wasabistream.listeners import LinkListener
 from wasabistream.long_polls import build_long_poll_limits
+from wasabistream.memory_budgets import MemoryBudget
 from wasabistream.platform.ingress_servers import HttpCaller, IngressServer
 from wasabistream.platform.node_applications import (
     NodeApplication,
@@ -125,6 +126,10 @@
             self._must_end,
             self._agent_links.report_silent_run,
         )
+        self._memory = MemoryBudget(
+            node_settings.memory_limit_bytes,
+            REQUEST_THREAD_COUNT + READINESS_THREAD_COUNT,
+        )
         handler = RequestHandler(
             self.fleet,
             self._drain_gate,
@@ -140,13 +145,14 @@
             front.port,
             handler.handle,
             REQUEST_THREAD_COUNT,
-            node_settings.memory_limit_bytes,
+            self._memory,
         )
         self._readiness_server = IngressServer(
             ready.address,
             ready.port,
             self._answer_readiness_probe,
             READINESS_THREAD_COUNT,
+            self._memory,
         )
 
     @property
@@ -241,7 +247,8 @@
             servers.advisories,
         )
         buffers = AnswerBuffers(
-            build_answer_limits(self.node_settings.memory_limit_bytes)
+            build_answer_limits(self.node_settings.memory_limit_bytes),
+            self._memory,
         )
         return Forwarder(
             self._request_supervisor,
--- a/wasabistream/platform/ingress_servers.py
+++ b/wasabistream/platform/ingress_servers.py
@@ -16,17 +16,22 @@
     HTTPServer,
 )
 
-from wasabistream.answers import reason_phrase
-from wasabistream.body_budgets import (
-    DEFAULT_MEMORY_LIMIT_BYTES,
-    BodyBudget,
-)
+from wasabistream.answers import reason_phrase, write_body
 from wasabistream.body_readers import discard_body, read_body
+from wasabistream.caller_connections import (
+    IDLE_BUFFER_BYTES,
+    CallerConnection,
+    set_receive_buffer,
+)
 from wasabistream.draining_connections import DrainingConnectionManager
 from wasabistream.exceptions import RequestError
 from wasabistream.forwarding.caller_limits import CallerLimits
 from wasabistream.forwarding.replies import NOT_RUN, build_refusal
 from wasabistream.forwarding.requests import Headers, Reply
+from wasabistream.memory_budgets import (
+    DEFAULT_MEMORY_LIMIT_BYTES,
+    MemoryBudget,
+)
 from wasabistream.platform import header_names as names
 from wasabistream.read_deadlines import read_deadlines
 
@@ -128,7 +133,7 @@
         self.conn.wfile.write(head.encode('latin-1') + body)
 
 
-class IngressConnection(HTTPConnection):
+class IngressConnection(CallerConnection):
     """Hold one connection of a caller, whose requests are read strictly."""
 
     # cheroot reads this attribute.
@@ -155,7 +160,7 @@
         length_header = (('content-length', str(len(reply.body))),)
         self.begin(reply.status, reply.headers + length_header)
         if self._request.method != b'HEAD':
-            self._request.write(reply.body)
+            write_body(self._request, reply.body)
 
     def begin(self, status: int, headers: Headers) -> None:
         """Send the head of an answer whose body follows."""
@@ -206,7 +211,7 @@
 
     def respond(self) -> None:
         """Answer one request."""
-        with self.req.server.body_budget.open() as reservation:
+        with self.req.server.memory_budget.open_body() as reservation:
             try:
                 body = read_body(self.req, reservation)
             except RequestError as error:
@@ -241,7 +246,7 @@
         port: int,
         handler: IngressHandler,
         thread_count: int,
-        memory_limit_bytes: int = DEFAULT_MEMORY_LIMIT_BYTES,
+        memory_budget: MemoryBudget | None = None,
     ) -> None:
         super().__init__(
             (address, port),
@@ -254,10 +259,13 @@
         # Time for the head of a request after its first byte.
         self.head_seconds = DEFAULT_HEAD_SECONDS
         self.handler = handler
-        self.body_budget = BodyBudget(memory_limit_bytes)
+        self.memory_budget = memory_budget or MemoryBudget(
+            DEFAULT_MEMORY_LIMIT_BYTES, thread_count
+        )
         self.request_queue_size = BACKLOG_COUNT
         self.keep_alive_conn_limit = MAX_KEEP_ALIVE_CONNECTION_COUNT
         self.prepare()
+        set_receive_buffer(self.socket, IDLE_BUFFER_BYTES)
         self._connections = DrainingConnectionManager(self)
 
     @property
--- a/wasabistream/platform/node_files.py
+++ b/wasabistream/platform/node_files.py
@@ -7,12 +7,12 @@
 
 import yaml
 
-from wasabistream.body_budgets import DEFAULT_MEMORY_LIMIT_BYTES
 from wasabistream.exceptions import SettingsError
 from wasabistream.forwarding.budgets import RepeatLimit
 from wasabistream.forwarding.cold_limiters import ColdLimit
 from wasabistream.forwarding.endpoints import Endpoint, parse_endpoint
 from wasabistream.forwarding.load_trackers import DEFAULT_REUSE_SECONDS
+from wasabistream.memory_budgets import DEFAULT_MEMORY_LIMIT_BYTES
 from wasabistream.platform.decode_errors import DECODE_ERRORS
 from wasabistream.units import BYTES_PER_MEGABYTE, MILLISECONDS_PER_SECOND
 
--- a/wasabistream/platform/server_clients.py
+++ b/wasabistream/platform/server_clients.py
@@ -37,6 +37,8 @@
 # seconds while the backend server goes on with it.
 LAST_ATTEMPT_UNACKNOWLEDGED_LIMIT_MS = 10_000
 KEEPALIVE_SECONDS = 1
+# Limits the bytes of an answer that have arrived and are not read yet.
+RECEIVE_BUFFER_BYTES = 32 * 1024
 # 0 is the most urgent.
 LOWEST_URGENCY = 9
 
@@ -49,6 +51,7 @@
         KEEPALIVE_SECONDS * MILLISECONDS_PER_SECOND
     )
     return [
+        (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
         (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS),
