Play and test connections to the store that go silent for good

The stand-in store can silence the connections that are open; the watch must be replaced within the stable window, twice in a row.

The test passes without a change of the product; with a time-out of the watch beyond the window it fails.

--- a/tests/platform_stores.py
+++ b/tests/platform_stores.py
@@ -16,12 +16,18 @@
 
     protocol_version = 'HTTP/1.1'
 
+    def setup(self) -> None:
+        """Remember when the connection was opened."""
+        super().setup()
+        self.opened_at_seconds = time.monotonic()
+
     def do_GET(self) -> None:
         """Answer a read or a watch."""
         parts = urllib.parse.urlsplit(self.path)
         query = dict(urllib.parse.parse_qsl(parts.query))
         store = self.server.store  # type: ignore[attr-defined]
         status, body = store.answer(parts.path, query)
+        store.wait_if_silenced(self.opened_at_seconds)
         raw = json.dumps(body).encode()
         self.send_response(status)
         self.send_header('Content-Length', str(len(raw)))
@@ -53,6 +59,8 @@
         self.failing_status = 0
         # While true, calls are dropped: they get no answer, also later.
         self.silent = False
+        # Connections that were opened before get no further answer.
+        self.silenced_at_seconds = 0.0
         self._stopped = threading.Event()
         self.calls: list[str] = []
         self._server = _StoreServer(self)
@@ -79,6 +87,15 @@
             {'key': key, 'revision': self.revision, 'removed': True}
         )
 
+    def silence_connections(self) -> None:
+        """Answer nothing more on the connections that are open now."""
+        self.silenced_at_seconds = time.monotonic()
+
+    def wait_if_silenced(self, opened_at_seconds: float) -> None:
+        """Hold back an answer on a connection that is silent for good."""
+        if opened_at_seconds < self.silenced_at_seconds:
+            self._stopped.wait()
+
     def answer(
         self, path: str, query: dict[str, str]
     ) -> tuple[int, dict[str, Any]]:
--- a/tests/test_lost_watches.py
+++ b/tests/test_lost_watches.py
@@ -83,6 +83,17 @@
         self.change_during_silence()
         self.assertTrue(wait_for(self.is_current, STABLE_WINDOW_SECONDS))
 
+    def test_connection_silent_for_good(self) -> None:
+        """Guard against a connection that is waited for once it is dead.
+
+        A change right after it must be known within the stable window, also
+        when the next connection goes silent too.
+        """
+        for revision in (9, 10):
+            self.store.silence_connections()
+            self.store.put(build_row('op/config', revision, CONFIGURATION))
+            self.assertTrue(wait_for(self.is_current, STABLE_WINDOW_SECONDS))
+
 
 class ConfigurationServiceSilenceTest(unittest.TestCase):
     """Guard against documents that are in force later than promised."""
