Read the heads of slow callers without a thread for each

Cause: each accepted or readable connection occupied one of 128 threads until its head was read; on the product's own interface one of 64. Connections now wait on one edge-triggered poll and are handed to a thread once the head is whole. The limits on a head's time hold as before.

--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -6,7 +6,9 @@
 
 import socket
 import threading
+import time
 import unittest
+from contextlib import ExitStack
 from unittest.mock import patch
 
 from cheroot.server import HTTPRequest
@@ -18,6 +20,10 @@
 
 WAIT_SECONDS = 8
 DRIP_SECONDS = 0.1
+# More than the threads of the servers.
+SLOW_COUNT = 12
+ANSWER_SECONDS = 2
+WHOLE_HEAD = b'GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
 HEAD = b'POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n'
 LIMITS = CallerLimits(
     max_header_bytes=16384,
@@ -80,3 +86,46 @@
             received = self.drip(server.port, HEAD, b'X-A: a\r\n')
         self.assertNotIn(b' 200 ', received)
         self.assertFalse(called.is_set())
+
+    def assert_answers_others(self, port: int) -> None:
+        """Check that a whole request is answered beside slow heads."""
+        with ExitStack() as stack:
+            callers = [
+                stack.enter_context(
+                    socket.create_connection(('127.0.0.1', port))
+                )
+                for _ in range(SLOW_COUNT)
+            ]
+            for caller in callers:
+                caller.sendall(HEAD)
+            time.sleep(DRIP_SECONDS)
+            sock = stack.enter_context(
+                socket.create_connection(('127.0.0.1', port))
+            )
+            sock.settimeout(ANSWER_SECONDS)
+            sock.sendall(WHOLE_HEAD)
+            self.assertIn(b' 200 ', sock.recv(65536))
+            callers[0].sendall(b'Connection: close\r\n\r\n' + b'b' * 900)
+            callers[0].settimeout(ANSWER_SECONDS)
+            self.assertIn(b' 200 ', callers[0].recv(65536))
+
+    def test_threads_of_an_entry(self) -> None:
+        """Guard against slow heads that occupy all threads of an entry."""
+        server = IngressServer(
+            '127.0.0.1',
+            0,
+            lambda request, body: HttpCaller(request, '').reply(Reply(200)),
+            4,
+        )
+        server.run_in_thread('front')
+        self.addCleanup(server.stop_within, 1)
+        self.assert_answers_others(server.port)
+
+    def test_threads_of_own_interface(self) -> None:
+        """Guard against the same on the product's own interface."""
+        server = ApiServer(
+            '127.0.0.1', 0, lambda request, take: HttpAnswer(200), 2
+        )
+        server.run_in_thread()
+        self.addCleanup(server.stop)
+        self.assert_answers_others(server.port)
--- a/wasabistream/http_servers.py
+++ b/wasabistream/http_servers.py
@@ -6,8 +6,9 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
-from cheroot.server import Gateway, HTTPRequest, HTTPServer
+from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
 
 from wasabistream.answers import (
     JSON_TYPE,
@@ -25,6 +26,7 @@
 )
 from wasabistream.draining_connections import DrainingConnectionManager
 from wasabistream.exceptions import RequestError
+from wasabistream.head_waiters import HeadWaiter
 from wasabistream.memory_budgets import (
     DEFAULT_MEMORY_LIMIT_BYTES,
     MemoryBudget,
@@ -196,6 +198,11 @@
             DEFAULT_MEMORY_LIMIT_BYTES, thread_count
         )
         self.timeout = REQUEST_TIMEOUT_SECONDS
+        self._head_waiter = HeadWaiter(
+            partial(HTTPServer.process_conn, self),
+            lambda: REQUEST_TIMEOUT_SECONDS,
+            lambda: HEAD_LIMIT_SECONDS,
+        )
         self.request_queue_size = LISTEN_BACKLOG_COUNT
         self.prepare()
         set_receive_buffer(self.socket, IDLE_BUFFER_BYTES)
@@ -207,6 +214,15 @@
         port: int = self.bind_addr[1]
         return port
 
+    def process_conn(self, conn: HTTPConnection) -> None:
+        """Queue a connection once the head of a request is there."""
+        self._head_waiter.add(conn)
+
+    def stop(self) -> None:
+        """Answer the requests that have arrived, then stop."""
+        self._head_waiter.stop()
+        super().stop()
+
     def run_in_thread(self) -> None:
         """Start a thread that accepts connections."""
         threading.Thread(target=self.serve, name='http', daemon=True).start()
--- a/wasabistream/platform/ingress_servers.py
+++ b/wasabistream/platform/ingress_servers.py
@@ -28,6 +28,7 @@
 from wasabistream.forwarding.caller_limits import CallerLimits
 from wasabistream.forwarding.replies import NOT_RUN, build_refusal
 from wasabistream.forwarding.requests import Headers, Reply
+from wasabistream.head_waiters import HeadWaiter
 from wasabistream.memory_budgets import (
     DEFAULT_MEMORY_LIMIT_BYTES,
     MemoryBudget,
@@ -258,6 +259,9 @@
         self._growth_lock = threading.Lock()
         # Time for the head of a request after its first byte.
         self.head_seconds = DEFAULT_HEAD_SECONDS
+        self._head_waiter = HeadWaiter(
+            self._queue, lambda: self.timeout, lambda: self.head_seconds
+        )
         self.handler = handler
         self.memory_budget = memory_budget or MemoryBudget(
             DEFAULT_MEMORY_LIMIT_BYTES, thread_count
@@ -289,16 +293,13 @@
         threading.Thread(target=self.serve, name=name, daemon=True).start()
 
     def process_conn(self, conn: HTTPConnection) -> None:
-        """Queue a connection; add threads if too few are idle."""
-        super().process_conn(conn)
-        pool = self.requests
-        if len(pool._threads) >= pool.max:
-            return
-        if pool.idle - pool.qsize >= MIN_IDLE_THREAD_COUNT:
-            return
-        if self._growth_lock.acquire(blocking=False):
-            # The pool waits for its new threads, which would delay others.
-            threading.Thread(target=self._grow, name='grow').start()
+        """Queue a connection once the head of a request is there."""
+        self._head_waiter.add(conn)
+
+    def stop(self) -> None:
+        """Answer the requests that have arrived, then stop."""
+        self._head_waiter.stop()
+        super().stop()
 
     def stop_within(self, seconds: float) -> None:
         """Answer the requests that have arrived, then stop."""
@@ -312,6 +313,18 @@
         """Write a message of cheroot to the log."""
         logger.log(level, 'ingress: %s', msg, exc_info=traceback)
 
+    def _queue(self, conn: HTTPConnection) -> None:
+        """Queue a connection; add threads if too few are idle."""
+        HTTPServer.process_conn(self, conn)
+        pool = self.requests
+        if len(pool._threads) >= pool.max:
+            return
+        if pool.idle - pool.qsize >= MIN_IDLE_THREAD_COUNT:
+            return
+        if self._growth_lock.acquire(blocking=False):
+            # The pool waits for its new threads, which would delay others.
+            threading.Thread(target=self._grow, name='grow').start()
+
     def _grow(self) -> None:
         try:
             self.requests.grow(ADDED_THREAD_COUNT)
