Limit the queue of a link in bytes and the copies of its batches

A peer that has stalled may have 20,000 frames queued for it, each with up to a mebibyte, and up to 512 of them were joined into one send.

A link now queues 16 MiB at most and closes beyond that, as it does for frames; a batch ends at 256 KiB. Both tests of test_send_queues failed before (64 MiB were taken; a batch had twice the size).

--- a/wasabistream/send_queues.py
+++ b/wasabistream/send_queues.py
@@ -1,6 +1,7 @@
 """Send queue of a link, emptied by the loop of all links."""
 
 import queue
+import threading
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -8,8 +9,11 @@
 # The link is closed when more frames than this are queued because its peer has
 # stalled.
 MAX_QUEUED_FRAME_COUNT = 20000
-# Most frames that are joined into one send.
+# The same for bytes, as a document takes a mebibyte.
+MAX_QUEUED_BYTES = 16 * 1024 * 1024
+# Most frames that are joined into one send, which copies them.
 MAX_BATCH_FRAME_COUNT = 512
+MAX_BATCH_BYTES = 256 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,10 +53,16 @@
         self._queue: queue.Queue[_QueuedFrame | None] = queue.Queue(
             MAX_QUEUED_FRAME_COUNT
         )
+        self._lock = threading.Lock()
+        self._queued_bytes = 0
 
     def put(self, frame: bytes, expiry: Expiry | None = None) -> None:
         """Queue a frame; raises queue.Full."""
-        self._queue.put_nowait(_QueuedFrame(frame, expiry))
+        with self._lock:
+            if self._queued_bytes + len(frame) > MAX_QUEUED_BYTES:
+                raise queue.Full
+            self._queue.put_nowait(_QueuedFrame(frame, expiry))
+            self._queued_bytes += len(frame)
 
     def end(self, timeout_seconds: float = 0) -> None:
         """End the sending side once the queued frames have been sent.
@@ -71,14 +81,21 @@
         except queue.Empty:
             return None
         queued_frames: list[_QueuedFrame] = []
+        batch_bytes = 0
         while queued is not None:
             queued_frames.append(queued)
-            if len(queued_frames) >= MAX_BATCH_FRAME_COUNT:
+            batch_bytes += len(queued.frame)
+            if (
+                len(queued_frames) >= MAX_BATCH_FRAME_COUNT
+                or batch_bytes >= MAX_BATCH_BYTES
+            ):
                 break
             try:
                 queued = self._queue.get_nowait()
             except queue.Empty:
                 break
+        with self._lock:
+            self._queued_bytes -= batch_bytes
         return _build_batch(queued_frames, ended=queued is None)
 
 
