Hold the memory of a body until its generation ends

On the product's own interface the handler takes the connection over and returns, which freed the reservation of the body, while the generation keeps the prompt for as long as it runs: each caller could add a body of the permitted size. Found while looking for what else holds memory.

The reservation goes with the connection that was taken and ends when it is closed. test_taken_connection failed before (the second body was taken).

--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -8,6 +8,8 @@
 import threading
 import unittest
 from collections import Counter
+from collections.abc import Callable
+from contextlib import ExitStack
 from functools import partial
 from unittest.mock import patch
 
@@ -17,8 +19,9 @@
 from tests.platform_paths import answer as write_answer
 from tests.process_memory import MemoryMonitor
 from tests.test_stops import read_status
+from tests.waits import wait_for
 from wasabistream.exceptions import MemoryLimitError
-from wasabistream.http_servers import ApiServer, HttpAnswer
+from wasabistream.http_servers import ApiServer, HttpAnswer, HttpRequest
 from wasabistream.memory_budgets import UNCOUNTED_BYTES, MemoryBudget
 from wasabistream.units import BYTES_PER_MEGABYTE
 
@@ -211,6 +214,36 @@
                 sock.sendall(head % len(body) + b'\r\n' + body)
                 self.assertEqual(read_status(sock), status)
 
+    def test_taken_connection(self) -> None:
+        """Guard against prompts of open generations that count as free."""
+        taken: list[socket.socket] = []
+
+        def take_all(
+            request: HttpRequest, take: Callable[[], socket.socket]
+        ) -> None:
+            taken.append(take())
+
+        server = ApiServer('127.0.0.1', 0, take_all, 2)
+        server.run_in_thread()
+        self.addCleanup(server.stop)
+        size = server.memory_budget.shared_bytes // 2
+        raw = HEAD % b't' + b'Content-Length: %d\r\n\r\n' % size
+        with ExitStack() as stack:
+            first, second, third = (
+                stack.enter_context(
+                    socket.create_connection(('127.0.0.1', server.port))
+                )
+                for _ in range(3)
+            )
+            first.sendall(raw + b'b' * size)
+            self.assertTrue(wait_for(lambda: taken))
+            second.sendall(raw + b'b' * size)
+            self.assertEqual(read_status(second), 503)
+            taken.pop().close()
+            third.sendall(raw + b'b' * size)
+            self.assertTrue(wait_for(lambda: taken))
+            taken.pop().close()
+
 
 def build_long_configuration() -> dict[str, object]:
     """Return a configuration whose lookups may take some seconds."""
--- a/wasabistream/http_servers.py
+++ b/wasabistream/http_servers.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import os
 import socket
 import threading
 from collections.abc import Callable
@@ -75,6 +76,19 @@
 RequestHandler = Callable[[HttpRequest, TakeSocket], HttpAnswer | None]
 
 
+class TakenSocket(socket.socket):
+    """Free the memory of a request once its connection is closed."""
+
+    def __init__(self, descriptor: int, reservation: MemoryReservation) -> None:
+        super().__init__(fileno=descriptor)
+        self._reservation = reservation
+
+    def close(self) -> None:
+        """Close the socket and free the memory."""
+        super().close()
+        self._reservation.release()
+
+
 class RequestGateway(Gateway):
     """Pass each request to the handler of the server."""
 
@@ -86,7 +100,9 @@
             except RequestError as error:
                 self._refuse(error)
                 return
-            answer = self.req.server.handler(request, self._take_socket)
+            answer = self.req.server.handler(
+                request, partial(self._take_socket, reservation)
+            )
             if answer is not None:
                 self._write_answer(answer)
 
@@ -130,9 +146,12 @@
         if self.req.method != b'HEAD':
             write_body(self.req, answer.body)
 
-    def _take_socket(self) -> socket.socket:
+    def _take_socket(self, reservation: MemoryReservation) -> socket.socket:
         connection = self.req.conn
-        taken: socket.socket = connection.socket.dup()
+        taken = TakenSocket(
+            os.dup(connection.socket.fileno()), reservation.move()
+        )
+        taken.settimeout(connection.socket.gettimeout())
         # The server must neither write to the connection nor shut it down, because
         # the duplicate shares it.
         connection.linger = True
--- a/wasabistream/memory_budgets.py
+++ b/wasabistream/memory_budgets.py
@@ -49,6 +49,13 @@
         self._budget.take(after_bytes - before_bytes, self._reserve_bytes)
         self.size_bytes += size_bytes
 
+    def move(self) -> 'MemoryReservation':
+        """Return a reservation that holds the memory in place of this one."""
+        moved = MemoryReservation(self._budget, self._reserve_bytes)
+        moved.size_bytes = self.size_bytes
+        self.size_bytes = 0
+        return moved
+
     def release(self) -> None:
         """Free the memory."""
         self._budget.free(_counted_bytes(self.size_bytes))
