Free the memory of answers that broke off, and test what fits

An answer that broke off kept its memory until its request ended, also while the request was tried again.

--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -143,18 +143,35 @@
             self.assertIsNone(self.entry.process.poll())
             self.assertLess(monitor.peak_bytes, MEMORY_LIMIT_BYTES)
 
-    def send_crowd(self, body: bytes) -> None:
-        """Send a body from many callers at once."""
+    def test_bodies_that_fit(self) -> None:
+        """Guard against refusals of bodies for which there is memory.
+
+        Also after a crowd, whose memory must be free again.
+        """
+        body = b'b' * MAX_BODY_BYTES
+        first = self.send_crowd(body, FITTING_COUNT)
+        self.send_crowd(body)
+        second = self.send_crowd(body, FITTING_COUNT)
+        for answers in (first, second):
+            served = [answer for answer in answers if b' 200 ' in answer[:20]]
+            self.assertEqual(len(served), FITTING_COUNT)
+
+    def send_crowd(self, body: bytes, count: int = CROWD_COUNT) -> list[bytes]:
+        """Send a body from many callers at once and return the answers."""
+        answers: list[bytes] = []
+
+        def send(number: int) -> None:
+            answers.append(self.post(b'crowd-%d' % number, body))
+
         callers = [
-            threading.Thread(
-                target=self.post, args=(b'crowd-%d' % number, body)
-            )
-            for number in range(CROWD_COUNT)
+            threading.Thread(target=send, args=(number,))
+            for number in range(count)
         ]
         for caller in callers:
             caller.start()
         for caller in callers:
             caller.join(WAIT_SECONDS)
+        return answers
 
     def test_chunks(self) -> None:
         """Guard against malformed chunks that pass for a whole body.
--- a/wasabistream/forwarding/reply_readers.py
+++ b/wasabistream/forwarding/reply_readers.py
@@ -26,19 +26,21 @@
     buffers: AnswerBuffers,
     resources: ExitStack,
 ) -> Reply:
-    """Read a complete answer, whose memory `resources` frees.
+    """Read a complete answer; closing `resources` frees its memory.
 
     A refusal without the server's statement that the request has not run
     becomes a 502. Raises BackendError when the answer breaks off or is too
     long, or when it is a success without the seal of a backend server.
     """
     allowance = PieceAllowance()
-    buffer = buffers.open()
-    resources.callback(buffer.close)
-    while piece := exchange.read():
-        allowance.take()
-        buffer.add(piece)
-    body = buffer.finish()
+    with ExitStack() as unfinished:
+        buffer = buffers.open()
+        unfinished.callback(buffer.close)
+        while piece := exchange.read():
+            allowance.take()
+            buffer.add(piece)
+        body = buffer.finish()
+        resources.callback(unfinished.pop_all().close)
     head = exchange.head
     if head.succeeded and not head.sealed:
         raise BackendError('answer has no seal', 'head', server.endpoint)
