Repeat a trial of a banned part that no server could run

Cause: entries that know no answers cannot tell servers that end together from a part that crashes them, and try the ban after 2 s; the trial counted although no server could run it, and the next one was due 20 s later. A trial whose request has not run is taken back. A part that does crash servers gets no more trials than before, as only trials that did not run are repeated (test_trials_of_a_deadly_part_are_few).

test_trial_that_no_server_could_run failed before.

--- a/tests/test_poison_parts.py
+++ b/tests/test_poison_parts.py
@@ -285,3 +285,27 @@
         self.assertEqual(self.fleet.refusing_entries(DEADLY), [])
         self.crash_all(DEADLY)
         self.assertEqual(self.fleet.refusing_entries(DEADLY), ALL_ENTRIES)
+
+
+class PoisonTrialTest(unittest.TestCase):
+    """Guard against bans that outlast the failure of servers."""
+
+    def setUp(self) -> None:
+        """Start several entries."""
+        self.fleet = CrashFleet()
+
+    def test_trial_that_no_server_could_run(self) -> None:
+        """Guard against a long ban as all servers are down at its trial.
+
+        Entries that have just started know no answers; servers that end
+        together then ban what their requests share.
+        """
+        self.fleet.crash_together(COMMON, OTHER)
+        guard = self.fleet.guards[0]
+        for _ in range(3):
+            self.fleet.clock.advance(FIRST_CHECK_SECONDS)
+            request = self.fleet.build_request((COMMON, OTHER))
+            self.assertEqual(guard.find_refusal_reason(request), '')
+            other = self.fleet.build_request((COMMON, OTHER))
+            self.assertNotEqual(guard.find_refusal_reason(other), '')
+            guard.withdraw_trial(request)
--- a/wasabistream/forwarding/forwarders.py
+++ b/wasabistream/forwarding/forwarders.py
@@ -58,6 +58,7 @@
                 'request: caller left before it was sent',
                 extra={'request_id': request.request_id},
             )
+            self._poison_guard.withdraw_trial(request)
             caller.abort()
             return
         reply: Reply | None = None
@@ -79,10 +80,15 @@
             )
             caller.abort()
         finally:
-            self._supervisor.remove(watch)
-            watch.resources.close()
+            self._end(watch, history)
         self._log(watch, history, progress, reply, started)
 
+    def _end(self, watch: RequestWatch, history: AttemptHistory) -> None:
+        self._supervisor.remove(watch)
+        watch.resources.close()
+        if not history.may_have_run:
+            self._poison_guard.withdraw_trial(watch.request)
+
     def _log(
         self,
         watch: RequestWatch,
--- a/wasabistream/forwarding/poison_request_guards.py
+++ b/wasabistream/forwarding/poison_request_guards.py
@@ -66,6 +66,10 @@
             return 'a part of its prompt crashes servers'
         return ''
 
+    def withdraw_trial(self, request: ForwardRequest) -> None:
+        """Take back the trial of a request that no server could run."""
+        self._part_guard.withdraw_trial(request)
+
     def refuses_repeat(self, request: ForwardRequest) -> bool:
         """Return whether a request must not be sent to a further server."""
         return self._part_guard.refuses_repeat(request)
--- a/wasabistream/part_bans.py
+++ b/wasabistream/part_bans.py
@@ -18,6 +18,8 @@
     known_at_seconds: float
     trial_count: int = 0
     last_trial_at_seconds: float = 0
+    # The request that this process lets run as the last trial.
+    trial_request_id: str = ''
 
     def is_trial_due(self, now: float, *, is_doubtful: bool) -> bool:
         """Return whether a request with the part may run as a trial."""
@@ -32,3 +34,11 @@
         """Record a trial of this entry or of another one."""
         self.trial_count = max(self.trial_count, trial_count)
         self.last_trial_at_seconds = now
+
+    def withdraw_trial(self, request_id: str) -> bool:
+        """Take back a trial that has not run; return whether there was one."""
+        if self.trial_request_id != request_id:
+            return False
+        self.trial_request_id = ''
+        self.trial_count -= 1
+        return True
--- a/wasabistream/poison_part_guards.py
+++ b/wasabistream/poison_part_guards.py
@@ -55,7 +55,7 @@
         parts = request.prompt_parts
         if not self._detector.is_banned(parts):
             return False
-        trial = self._detector.start_trial(parts)
+        trial = self._detector.start_trial(parts, request.request_id)
         if trial is None:
             REFUSALS.labels('poison_part').inc()
             return True
@@ -70,6 +70,16 @@
         self._broadcast(PartBanNotice(trial.part, 0, trial.trial_count))
         return False
 
+    def withdraw_trial(self, request: PromptRequest) -> None:
+        """Take back the trial of a request that no server could run."""
+        if self._detector.withdraw_trial(
+            request.prompt_parts, request.request_id
+        ):
+            logger.info(
+                'poison part: trial has not run',
+                extra={'request_id': request.request_id},
+            )
+
     def refuses_repeat(self, request: PromptRequest) -> bool:
         """Return whether a request must not be sent to a further server."""
         return self._detector.is_banned(request.prompt_parts)
--- a/wasabistream/poison_parts.py
+++ b/wasabistream/poison_parts.py
@@ -107,7 +107,9 @@
                 for part in self._find_bans_since(parts, at_seconds)
             )
 
-    def start_trial(self, parts: Collection[str]) -> PartTrial | None:
+    def start_trial(
+        self, parts: Collection[str], request_id: str = ''
+    ) -> PartTrial | None:
         """Return the trial as which a request with a banned part may run.
 
         A request with two banned parts would not tell them apart.
@@ -126,8 +128,21 @@
             if not ban.is_trial_due(now, is_doubtful=is_doubtful):
                 return None
             ban.record_trial(ban.trial_count + 1, now)
+            ban.trial_request_id = request_id
             return PartTrial(part, ban.trial_count)
 
+    def withdraw_trial(self, parts: Iterable[str], request_id: str) -> bool:
+        """Take back a trial that no server could run, so that others follow.
+
+        Returns whether the request was a trial.
+        """
+        with self._lock:
+            return any(
+                self._bans[part].withdraw_trial(request_id)
+                for part in parts
+                if part in self._bans
+            )
+
     def adopt_ban(
         self, part: str, age_seconds: float, trial_count: int
     ) -> bool:
