--- a/wasabistream/memory_budgets.py
+++ b/wasabistream/memory_budgets.py
@@ -35,7 +35,7 @@
 
 
 class MemoryReservation:
-    """Hold the memory of one request; create with `MemoryBudget.open`."""
+    """Hold the memory of one body or answer; a `MemoryBudget` creates it."""
 
     def __init__(self, budget: 'MemoryBudget', reserve_bytes: int) -> None:
         self._budget = budget
