--- a/wasabistream/forwarding/configurations.py
+++ b/wasabistream/forwarding/configurations.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from wasabistream.forwarding.caller_limits import CallerLimits
 from wasabistream.forwarding.organisations import KeyHolder
 from wasabistream.forwarding.routes import Route
 from wasabistream.forwarding.services import Service
+from wasabistream.scheduling.deferrable_routes import find_deferrable_routes
 
 
 @dataclass(frozen=True)
@@ -20,6 +22,13 @@
     key_holders: Mapping[str, KeyHolder] | None
     limits: CallerLimits = field(default_factory=CallerLimits)
 
+    @cached_property
+    def deferrable_routes(self) -> frozenset[tuple[str, str]]:
+        """Return the pairs of service and route name that are deferrable."""
+        return find_deferrable_routes(
+            route for group in self.routes_by_host.values() for route in group
+        )
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins the path."""
         for route in self.routes_by_host.get(host, ()):
--- a/wasabistream/forwarding/load_trackers.py
+++ b/wasabistream/forwarding/load_trackers.py
@@ -49,6 +49,13 @@
     responsive: bool
     # None if the agent has not reported recently.
     report_age_seconds: float | None = None
+    # Prompt tokens that are sent and without an event yet, as announced to the
+    # agent or sent by this entry since; 0 without announcements.
+    backlog_tokens: int = 0
+    # Memory that these are expected to need beyond what is in use.
+    reserved_tokens: int = 0
+    # Tokens by which generations with events are expected to grow.
+    growth_tokens: int = 0
 
 
 class LoadTracker:
--- a/wasabistream/notices.py
+++ b/wasabistream/notices.py
@@ -47,6 +47,12 @@
     # Requests per second that the backend server takes from all entries
     # together; infinite without a limit.
     limit_per_second: float = UNKNOWN_LIMIT
+    # Prompt tokens of announced generations without an event yet.
+    backlog_tokens: int = 0
+    # Memory that these are expected to need beyond what is in use.
+    reserved_tokens: int = 0
+    # Tokens by which generations with events are expected to grow.
+    growth_tokens: int = 0
 
 
 @message(4)
--- /dev/null
+++ b/wasabistream/queueing/__init__.py
@@ -0,0 +1,1 @@
+"""Queueing of generations that may start later than others."""
--- /dev/null
+++ b/wasabistream/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the engine on which a generation starts."""
--- /dev/null
+++ b/wasabistream/spillover/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that leave their data centre, and how many."""
