Report paces and announced prompts to entries

Cause: entries choose engines from reports up to 150 ms old and do not see one another's prompts.

Change: EngineWatcher estimates the pace at each poll, holds announced prompts and reports them at most every 20 ms. AgentLinks sends PromptNotice and PromptEnd to agents that have reported a pace, and records paces. LoadTracker fills the new fields of LoadEstimate; announced requests count as unreported for 20 ms, and as reserved instead of used memory. AttemptSender announces attempts of scheduled services; no service is scheduled yet. Move targets subtract reserved memory.

--- a/tests/test_agent_links.py
+++ b/tests/test_agent_links.py
@@ -8,13 +8,20 @@
 import unittest
 from unittest.mock import Mock, patch
 
+from tests.forwarding_builders import build_request, build_route
 from tests.waits import wait_for
+from wasabistream.exceptions import LinkError
 from wasabistream.forwarding.agent_links import (
     SILENT_LINK_SECONDS,
     AgentLinks,
 )
+from wasabistream.forwarding.load_trackers import LoadTracker
 from wasabistream.forwarding.move_messages import RunSilent
+from wasabistream.forwarding.routes import RouteKind
 from wasabistream.notices import LoadReport
+from wasabistream.scheduling.engine_paces import EnginePace
+from wasabistream.scheduling.pace_boards import PaceBoard
+from wasabistream.scheduling.pace_reports import build_pace_report
 
 ENDPOINT = '10.0.0.1:8000'
 REPORT = LoadReport(0, 30000, 0, 0, 0, leaving=False)
@@ -25,7 +32,11 @@
 
     def setUp(self) -> None:
         """Open a link to one agent."""
-        self.links = AgentLinks(Mock(), 7200, Mock(), Mock(), Mock())
+        self.load_tracker = LoadTracker()
+        self.paces = PaceBoard()
+        self.links = AgentLinks(
+            Mock(), 7200, self.load_tracker, Mock(), Mock(), self.paces
+        )
         self.addCleanup(self.links.stop)
         self.link = Mock()
         self.links.on_opened(ENDPOINT, self.link)
@@ -60,6 +71,36 @@
         self.links.report_silent_run(ENDPOINT, 'r1', 3)
         new_link.send.assert_called_once_with(RunSilent('r1', 3))
 
+    def test_prompt_notices(self) -> None:
+        """Guard against notices to agents that do not know or hold them.
+
+        Requests that these do not report must count as unreported for longer.
+        """
+        request = build_request(build_route(RouteKind.streaming))
+        self.load_tracker.add_sent_request(ENDPOINT, 'request-1', 4000, 3000)
+        self.load_tracker.report(ENDPOINT, REPORT)
+        self.links.announce_prompt(ENDPOINT, request)
+        self.link.send.assert_not_called()
+        self.check_estimate(4000, 0, 0)
+        self.links.receive(
+            ENDPOINT, self.link, build_pace_report(EnginePace(0.03))
+        )
+        self.links.announce_prompt(ENDPOINT, request)
+        self.link.send.assert_called_once()
+        self.check_estimate(0, 4000, 3000)
+        self.link.send.side_effect = LinkError('link is closed', 'send')
+        self.links.end_prompt(ENDPOINT, 'request-1')
+        self.links.on_closed(ENDPOINT, self.link)
+        self.assertIsNone(self.paces.age_seconds(ENDPOINT))
+        self.check_estimate(4000, 0, 0)
+
+    def check_estimate(self, used: int, reserved: int, backlog: int) -> None:
+        """Check the estimated tokens in use, reserved and not prefilled."""
+        estimate = self.load_tracker.estimate(ENDPOINT)
+        self.assertEqual(estimate.memory_tokens, used)
+        self.assertEqual(estimate.reserved_tokens, reserved)
+        self.assertEqual(estimate.backlog_tokens, backlog)
+
     def test_links_are_watched(self) -> None:
         """Guard against a check that nothing calls."""
         with patch.object(self.links, 'close_silent_links') as close:
--- a/wasabistream/forwarding/agent_links.py
+++ b/wasabistream/forwarding/agent_links.py
@@ -20,12 +20,19 @@
 )
 from wasabistream.forwarding.move_targets import list_move_targets
 from wasabistream.forwarding.move_trackers import MoveTracker
+from wasabistream.forwarding.requests import ForwardRequest
 from wasabistream.link_loops import link_loop
 from wasabistream.link_senders import send_or_log
 from wasabistream.link_waits import Pause, Task
 from wasabistream.links import Link
 from wasabistream.messages import Message
 from wasabistream.notices import Hello, LoadReport
+from wasabistream.scheduling.pace_boards import PaceBoard
+from wasabistream.scheduling.scheduling_messages import (
+    EnginePaceReport,
+    PromptEnd,
+    PromptNotice,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -37,6 +44,8 @@
 # silent for this long is opened again, as a connection may go silent for good.
 SILENT_LINK_SECONDS = 2.5
 SILENCE_CHECK_SECONDS = 0.5
+# Larger numbers of tokens, which callers may state, cannot be encoded.
+MAX_ANNOUNCED_TOKENS = 2**31
 
 
 class AgentLinks:
@@ -49,12 +58,14 @@
         load_tracker: LoadTracker,
         moves: MoveTracker,
         advisories: AdvisoryGuard,
+        paces: PaceBoard,
     ) -> None:
         self._hello = hello
         self._link_port = link_port
         self._load_tracker = load_tracker
         self._moves = moves
         self._advisories = advisories
+        self._paces = paces
         self._lock = threading.Lock()
         self._dialers: dict[Endpoint, PeerDialer] = {}
         # Monotonic time at which each backend server left the list.
@@ -63,6 +74,8 @@
         self._open_links: dict[str, Link] = {}
         # When the agent of each open link reported last.
         self._reported_at_seconds: dict[str, float] = {}
+        # Open links to agents that understand announcements of prompts.
+        self._announcement_links: dict[str, Link] = {}
         self._stopped = False
 
     def start(self) -> None:
@@ -110,11 +123,34 @@
                 'agent link: silent generation',
             )
 
+    def announce_prompt(self, endpoint: str, request: ForwardRequest) -> None:
+        """Announce a generation that is about to be sent.
+
+        Nothing is sent without a link or to an agent of an older version.
+        """
+        link = self._announcement_links.get(endpoint)
+        if link is None or request.demand is None:
+            return
+        self._load_tracker.record_announcement(endpoint, request.request_id)
+        notice = PromptNotice(
+            request.request_id,
+            min(request.demand.prompt_tokens, MAX_ANNOUNCED_TOKENS),
+            min(request.demand.expected_tokens, MAX_ANNOUNCED_TOKENS),
+        )
+        send_or_log(link, notice, 'agent link: prompt notice')
+
+    def end_prompt(self, endpoint: str, request_id: str) -> None:
+        """State that it has its first event, or ended without one."""
+        link = self._announcement_links.get(endpoint)
+        if link is not None:
+            send_or_log(link, PromptEnd(request_id), 'agent link: prompt end')
+
     def on_opened(self, endpoint: str, link: Link) -> None:
         """Use a link to the agent of an engine."""
         with self._lock:
             self._open_links[endpoint] = link
             self._reported_at_seconds.pop(endpoint, None)
+            self._drop_announcements(endpoint)
 
     def on_closed(self, endpoint: str, link: Link) -> None:
         """Forget a link that has ended."""
@@ -122,6 +158,7 @@
             if self._open_links.get(endpoint) is link:
                 self._open_links.pop(endpoint)
                 self._reported_at_seconds.pop(endpoint, None)
+                self._drop_announcements(endpoint)
 
     def receive(self, endpoint: str, link: Link, notice: Message) -> None:
         """Handle one message from an agent."""
@@ -130,6 +167,8 @@
                 self._load_tracker.report(endpoint, notice)
                 self._reported_at_seconds[endpoint] = time.monotonic()
                 self._advisories.record_report(endpoint, notice)
+            case EnginePaceReport():
+                self._record_pace(endpoint, link, notice)
             case RunMoving():
                 self._moves.record_move_start(notice.run_id)
             case RunMoved():
@@ -150,6 +189,21 @@
             logger.warning('agent link: %s is silent', endpoint)
             link.close()
 
+    def _record_pace(
+        self, endpoint: str, link: Link, report: EnginePaceReport
+    ) -> None:
+        with self._lock:
+            # A closed link may bring its last messages after its successor
+            # was opened.
+            if self._open_links.get(endpoint) is link:
+                self._paces.report(endpoint, report)
+                self._announcement_links[endpoint] = link
+
+    def _drop_announcements(self, endpoint: str) -> None:
+        self._announcement_links.pop(endpoint, None)
+        self._paces.drop(endpoint)
+        self._load_tracker.forget_announcements(endpoint)
+
     def _watch_silence(self) -> Task:
         while not self._stopped:
             yield Pause(SILENCE_CHECK_SECONDS)
--- a/wasabistream/forwarding/attempts.py
+++ b/wasabistream/forwarding/attempts.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import AbstractContextManager, contextmanager, nullcontext
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -21,6 +21,7 @@
 from wasabistream.forwarding.poison_request_guards import PoisonRequestGuard
 from wasabistream.forwarding.requests import Continuation, ForwardRequest
 from wasabistream.forwarding.supervisors import RequestWatch
+from wasabistream.scheduling.prompt_announcers import PromptAnnouncer
 
 # Attempts that backend servers turn away without running them do not count
 # against the route's attempt limit; no more attempts are made after this many.
@@ -59,6 +60,7 @@
         cold: ColdLimiter,
         poison_guard: PoisonRequestGuard,
         advisories: AdvisoryGuard,
+        announcer: PromptAnnouncer | None = None,
     ) -> None:
         self._client = client
         self._load_tracker = load_tracker
@@ -67,6 +69,7 @@
         self._cold = cold
         self._poison_guard = poison_guard
         self._advisories = advisories
+        self._announcer = announcer
 
     def may_send(self, watch: RequestWatch, history: AttemptHistory) -> bool:
         """Return whether to send an attempt; a further one uses the budget."""
@@ -115,7 +118,10 @@
         history.endpoints.append(server.endpoint)
         history.has_begun = False
         self._cold.add_sent_request(server)
-        with self._track_load(server.endpoint, watch):
+        with (
+            self._track_load(server.endpoint, watch),
+            self._announce(server, watch, continuation),
+        ):
             exchange = self._open(server, watch, history, continuation)
             try:
                 yield exchange
@@ -123,12 +129,25 @@
                 watch.attach('', None)
                 exchange.close()
 
+    def _announce(
+        self,
+        server: BackendServer,
+        watch: RequestWatch,
+        continuation: Continuation | None,
+    ) -> AbstractContextManager[None]:
+        if self._announcer is None:
+            return nullcontext()
+        return self._announcer.announce(server.endpoint, watch, continuation)
+
     @contextmanager
     def _track_load(self, endpoint: str, watch: RequestWatch) -> Iterator[None]:
         request = watch.request
-        tokens = request.demand.expected_tokens if request.demand else 0
+        demand = request.demand
         self._load_tracker.add_sent_request(
-            endpoint, request.request_id, tokens
+            endpoint,
+            request.request_id,
+            demand.expected_tokens if demand else 0,
+            demand.prompt_tokens if demand else 0,
         )
         try:
             yield
--- a/wasabistream/forwarding/load_trackers.py
+++ b/wasabistream/forwarding/load_trackers.py
@@ -11,6 +11,9 @@
 # A report includes the requests that were sent at least this long before it
 # arrived; the entry adds later ones to the reported load itself.
 REPORT_DELAY_SECONDS = 0.15
+# The same for a request that was announced to the agent, which reports it
+# before the engine has it.
+ANNOUNCED_REPORT_DELAY_SECONDS = 0.02
 # Older reports are ignored.
 REPORT_AGE_LIMIT_SECONDS = 3.0
 # Time after the end of a server in which its address is not assigned again.
@@ -25,6 +28,9 @@
 
     sent_at_seconds: float
     tokens: int
+    prompt_tokens: int = 0
+    # Whether it was announced over the link that is open now.
+    announced: bool = False
 
 
 @dataclass
@@ -72,12 +78,34 @@
         self._loads: dict[str, ServerLoad] = {}
 
     def add_sent_request(
-        self, endpoint: str, request_id: str, tokens: int
+        self,
+        endpoint: str,
+        request_id: str,
+        tokens: int,
+        prompt_tokens: int = 0,
     ) -> None:
         """Record a request that is about to be sent."""
         with self._lock:
             load = self._loads.setdefault(endpoint, ServerLoad())
-            load.requests[request_id] = SentRequest(self._clock(), tokens)
+            load.requests[request_id] = SentRequest(
+                self._clock(), tokens, prompt_tokens
+            )
+
+    def record_announcement(self, endpoint: str, request_id: str) -> None:
+        """Record that the agent is told of a request that is about to run."""
+        with self._lock:
+            load = self._loads.get(endpoint)
+            request = load and load.requests.get(request_id)
+            if request:
+                request.announced = True
+
+    def forget_announcements(self, endpoint: str) -> None:
+        """Count all requests as not announced, as the link has closed."""
+        with self._lock:
+            load = self._loads.get(endpoint)
+            if load is not None:
+                for request in load.requests.values():
+                    request.announced = False
 
     def remove_sent_request(self, endpoint: str, request_id: str) -> None:
         """Remove a request that has ended."""
@@ -152,20 +180,37 @@
 def _with_report(
     load: ServerLoad, report: LoadReport, now: float
 ) -> LoadEstimate:
-    unreported_after = load.received_at_seconds - REPORT_DELAY_SECONDS
     unreported = [
         request
         for request in load.requests.values()
-        if request.sent_at_seconds > unreported_after
+        if _is_unreported(request, load.received_at_seconds)
     ]
+    # These are reserved until the engine uses memory for them.
+    announced = [request for request in unreported if request.announced]
     reported_count = report.running_count + report.queued_count
     return LoadEstimate(
         request_count=max(reported_count + len(unreported), len(load.requests)),
         waiting_count=report.queued_count + len(unreported),
         memory_tokens=report.memory_used_tokens
-        + sum(request.tokens for request in unreported),
+        + sum(
+            request.tokens for request in unreported if not request.announced
+        ),
         memory_capacity_tokens=report.memory_capacity_tokens,
         leaving=report.leaving,
         responsive=report.responsive,
         report_age_seconds=now - load.received_at_seconds,
+        backlog_tokens=report.backlog_tokens
+        + sum(request.prompt_tokens for request in announced),
+        reserved_tokens=report.reserved_tokens
+        + sum(request.tokens for request in announced),
+        growth_tokens=report.growth_tokens,
+    )
+
+
+def _is_unreported(request: SentRequest, report_at_seconds: float) -> bool:
+    delay_seconds = (
+        ANNOUNCED_REPORT_DELAY_SECONDS
+        if request.announced
+        else REPORT_DELAY_SECONDS
     )
+    return request.sent_at_seconds > report_at_seconds - delay_seconds
--- a/wasabistream/forwarding/move_targets.py
+++ b/wasabistream/forwarding/move_targets.py
@@ -48,7 +48,9 @@
             [
                 server.endpoint,
                 server.data_centre,
-                estimate.memory_capacity_tokens - estimate.memory_tokens,
+                estimate.memory_capacity_tokens
+                - estimate.memory_tokens
+                - estimate.reserved_tokens,
                 estimate.request_count,
             ]
         )
--- a/wasabistream/forwarding/server_trackers.py
+++ b/wasabistream/forwarding/server_trackers.py
@@ -13,6 +13,9 @@
 from wasabistream.forwarding.load_trackers import LoadTracker
 from wasabistream.forwarding.peer_links import PeerLinks
 from wasabistream.forwarding.rate_limits import RateLimits
+from wasabistream.scheduling.interfaces import PromptNotifier
+from wasabistream.scheduling.pace_boards import PaceBoard
+from wasabistream.scheduling.prompt_announcers import PromptAnnouncer
 
 
 class ServerTrackers:
@@ -27,6 +30,7 @@
         self.load = LoadTracker(reuse_seconds=reuse_seconds)
         self.failure_rates = FailureRates()
         self.paces = FirstEventPaces()
+        self.engine_paces = PaceBoard()
         self.cold = ColdLimiter(cold_limit, peer_links.entry_count)
         self.advisories = AdvisoryGuard(
             RateLimits(
@@ -42,6 +46,10 @@
             self.advisories.describe,
         )
 
+    def build_announcer(self, notifier: PromptNotifier) -> PromptAnnouncer:
+        """Return what announces the prompts of scheduled services."""
+        return PromptAnnouncer(notifier)
+
     def on_fleet_changed(self, fleet: Fleet) -> None:
         """Forget servers that are no longer listed."""
         endpoints = frozenset(
@@ -49,5 +57,6 @@
         )
         self.load.keep_only(endpoints)
         self.failure_rates.keep_only(endpoints)
+        self.engine_paces.keep_only(fleet.servers.values())
         self.cold.on_fleet_changed(fleet)
         self.advisories.on_fleet_changed(fleet)
--- a/wasabistream/forwarding/supervisors.py
+++ b/wasabistream/forwarding/supervisors.py
@@ -84,6 +84,8 @@
         self._progressed_at_seconds = time.monotonic()
         # Events of the stream that have been passed on.
         self.event_count = 0
+        # Called at the first event of the current attempt.
+        self._on_first_event: Callable[[], None] | None = None
         self._silence_reported_at_seconds = -math.inf
         self._exchange: Cancellable | None = None
         # Closed once the answer has been sent.
@@ -108,6 +110,18 @@
         """Record an event that was passed on to the caller."""
         self.event_count += 1
         self.record_progress()
+        self.end_first_event_wait()
+
+    def begin_first_event_wait(self, on_end: Callable[[], None]) -> None:
+        """Call `on_end` at the next event or at the end of the attempt."""
+        self._on_first_event = on_end
+
+    def end_first_event_wait(self) -> None:
+        """Call the function that waits for the first event, if any."""
+        on_end = self._on_first_event
+        self._on_first_event = None
+        if on_end is not None:
+            on_end()
 
     def take_silence_report(self) -> bool:
         """Return whether to report a silent stream now, once per interval."""
--- a/wasabistream/metrics.py
+++ b/wasabistream/metrics.py
@@ -72,6 +72,21 @@
 MOVES = Counter(
     'wasabi_moves', 'Generations moved to another engine', ['outcome']
 )
+ENGINE_EVENT_SECONDS = Gauge(
+    'wasabi_engine_event_seconds',
+    'Time between two events of a generation without a prefill',
+)
+ENGINE_PROMPT_EVENT_SECONDS = Gauge(
+    'wasabi_engine_prompt_event_seconds',
+    'Time between two events of a generation beside a prefill',
+)
+ENGINE_PROMPT_TOKEN_RATE = Gauge(
+    'wasabi_engine_prompt_tokens_per_second',
+    'Prompt tokens that the engine prefills per second',
+)
+BACKLOG_TOKENS = Gauge(
+    'wasabi_backlog_tokens', 'Tokens of announced prompts without an event'
+)
 STORE_LOST = Gauge('wasabi_store_lost', 'Whether the store does not answer')
 STORE_ANSWER_AGE = Gauge(
     'wasabi_store_answer_age_seconds',
--- a/wasabistream/platform/agent_applications.py
+++ b/wasabistream/platform/agent_applications.py
@@ -21,9 +21,18 @@
     ProcessOptions,
 )
 from wasabistream.platform.node_files import NodeSettings
+from wasabistream.scheduling.pace_reports import build_pace_report
+from wasabistream.scheduling.scheduling_messages import (
+    EnginePaceReport,
+    PromptEnd,
+    PromptNotice,
+)
 
 logger = logging.getLogger(__name__)
 
+# Reports that are sent often, so that a lost one is not worth a log line.
+FREQUENT_REPORTS = (LoadReport, EnginePaceReport)
+
 
 class PlatformAgent(NodeApplication):
     """Report the engine's load; move its generations before it leaves."""
@@ -77,17 +86,24 @@
             link.close()
 
     def on_opened(self, link: Link) -> None:
-        """Send the latest load report to a newly linked entry."""
+        """Send the latest load and pace to a newly linked entry."""
         with self._links_lock:
             self._links.add(link)
         last = self._watcher.last
         if last is not None:
             _send(link, last)
+        # Also while the pace is unknown: from it the entry knows that this
+        # agent understands announcements of prompts.
+        _send(link, build_pace_report(self._watcher.pace))
 
     def on_messages(self, link: Link, received: Sequence[Message]) -> None:
-        """Handle reports of move targets and of silent generations."""
+        """Handle announced prompts, move targets and silent generations."""
         for notice in received:
             match notice:
+                case PromptNotice():
+                    self._watcher.announce_prompt(link, notice)
+                case PromptEnd():
+                    self._watcher.end_prompt(link, notice.request_id)
                 case MoveTargetReport():
                     self._target_finder.on_report(notice)
                 case RunSilent():
@@ -103,6 +119,7 @@
         """Remove the link of an entry."""
         with self._links_lock:
             self._links.discard(link)
+        self._watcher.drop_link(link)
         logger.info('agent: link to %s ended: %s', link.peer.peer_id, reason)
 
     def _is_serving(self) -> bool:
@@ -124,5 +141,6 @@
 
 
 def _send(link: Link, notice: Message) -> None:
-    level = logging.DEBUG if isinstance(notice, LoadReport) else logging.INFO
+    frequent = isinstance(notice, FREQUENT_REPORTS)
+    level = logging.DEBUG if frequent else logging.INFO
     send_or_log(link, notice, 'agent: message', level)
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -105,6 +105,7 @@
             self._servers.load,
             move_tracker,
             self._servers.advisories,
+            self._servers.engine_paces,
         )
         poll_limits = build_long_poll_limits(
             node_settings.bounds.recovery_seconds
@@ -253,6 +254,7 @@
             servers.cold,
             poison_guard,
             servers.advisories,
+            servers.build_announcer(self._agent_links),
         )
         buffers = AnswerBuffers(
             build_answer_limits(self.node_settings.memory_limit_bytes),
