Count very low prompt rates as none

Cause: on an idle engine the estimated rate of new generations falls for ever, so that its agent reported the pace each second.

Change: rates below 0.01 per second are 0.

--- a/tests/test_engine_paces.py
+++ b/tests/test_engine_paces.py
@@ -78,6 +78,8 @@
                 pace.prompts_per_second,
             ):
                 self.assertAlmostEqual(ratio, 1, delta=0.2)
+            self.engine.poll(self.estimator, 20)
+            self.assertEqual(self.estimator.pace.prompts_per_second, 0)
 
     def test_short_generations(self) -> None:
         """Guard against prompts that no poll sees as they end at once."""
--- a/wasabistream/scheduling/pace_estimators.py
+++ b/wasabistream/scheduling/pace_estimators.py
@@ -16,6 +16,9 @@
 # As many generations do not end within one poll interval unless the engine
 # restarts; fewer may.
 RESTART_RUN_COUNT = 3
+# Lower rates count as 0. On an idle engine the estimate falls for ever, and
+# each tenth of it would be reported.
+MIN_PROMPTS_PER_SECOND = 0.01
 # Announced prompts are forgotten after this time.
 PROMPT_AGE_LIMIT_SECONDS = 10.0
 # An announced generation that ends earlier was turned away, not prefilled.
@@ -100,13 +103,16 @@
     @property
     def pace(self) -> EnginePace:
         """Return the estimates; 0 for those that are not known."""
+        prompts_per_second = self._prompt_count.ratio
+        if prompts_per_second < MIN_PROMPTS_PER_SECOND:
+            prompts_per_second = 0
         return EnginePace(
             event_seconds=self._plain_events.inverse,
             prompt_event_seconds=self._prompt_events.inverse,
             prompt_tokens_per_second=self._prompt_tokens.ratio,
             output_tokens_per_second=self._output_tokens.ratio,
             output_tokens=self._mean_event_count() * self.event_tokens,
-            prompts_per_second=self._prompt_count.ratio,
+            prompts_per_second=prompts_per_second,
         )
 
     @property
