Tell engines which requests of a priority are deferrable

Cause: engines admit a digest that could start 3 s later before a tag that has the same priority and must start now. Change: requests carry an urgency: for services with a deferrable route twice the priority, plus 1 for deferrable routes, at most 9. For all others, and for requests without an urgency, the priority is sent as before. Result: tests.test_platform_decoders passes.

--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -1,6 +1,7 @@
 """Tests of the decoders of the platform adapter."""
 
 import unittest
+from unittest.mock import Mock
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -9,10 +10,12 @@
 from wasabistream.exceptions import BackendError, SettingsError
 from wasabistream.forwarding.routes import RouteKind
 from wasabistream.forwarding.server_advisories import NO_LIMIT
+from wasabistream.platform import header_names as names
 from wasabistream.platform.advisory_decoders import decode_advisory
 from wasabistream.platform.decode_errors import DECODE_ERRORS
 from wasabistream.platform.engine_clients import decode_state
 from wasabistream.platform.node_files import decode_node, read_node_file
+from wasabistream.platform.request_decoders import decode_request
 from wasabistream.platform.store_decoders import (
     decode_configuration,
     decode_server,
@@ -66,6 +69,39 @@
         services = {route.draw_service() for _ in range(50)} if route else set()
         self.assertEqual(services, {'desk'})
 
+    def test_urgency(self) -> None:
+        """Guard against digests that engines admit before urgent streams."""
+        chat = CONFIGURATION['routes'][0]
+        digests = {
+            **chat,
+            'name': 'digests',
+            'prefix': '/digests/',
+            'target_latency_ms': 4000,
+            'priority': 2,
+        }
+        expected = {'/chat/': (2, 1), '/digests/': (3, 1)}
+        for path, urgencies in expected.items():
+            received = Mock(
+                method=b'POST',
+                uri=path.encode(),
+                inheaders={
+                    b'Host': b'host.example',
+                    b'Authorization': b'Bearer key-1',
+                    names.REQUEST_ID.encode(): b'request-1',
+                },
+            )
+            # Without the other route, neither is deferrable.
+            for routes, urgency in zip(
+                ([chat, digests], [{**digests, 'prefix': path}]),
+                urgencies,
+                strict=True,
+            ):
+                configuration = decode_configuration(
+                    {**CONFIGURATION, 'routes': routes}
+                )
+                request = decode_request(configuration, received, b'')
+                self.assertEqual(request.engine_urgency, urgency)
+
     def test_server_fields(self) -> None:
         """Guard against a wrong address or cold time of a server."""
         server = decode_server('s1', SERVER)
--- a/wasabistream/forwarding/configurations.py
+++ b/wasabistream/forwarding/configurations.py
@@ -29,6 +29,11 @@
             route for group in self.routes_by_host.values() for route in group
         )
 
+    @cached_property
+    def deferrable_services(self) -> frozenset[str]:
+        """Return the services that have a deferrable route."""
+        return frozenset(service for service, _ in self.deferrable_routes)
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins the path."""
         for route in self.routes_by_host.get(host, ()):
--- a/wasabistream/forwarding/requests.py
+++ b/wasabistream/forwarding/requests.py
@@ -7,6 +7,9 @@
 
 Headers = tuple[tuple[str, str], ...]
 
+# Urgency of a request that is as urgent as its priority states.
+PRIORITY_URGENCY = -1
+
 
 @dataclass(frozen=True, slots=True)
 class GenerationDemand:
@@ -48,6 +51,16 @@
     fingerprint: int
     # Ids of the parts of its prompt that other requests may share, in order.
     prompt_parts: tuple[str, ...] = ()
+    # Order in which engines admit it, 0 first; PRIORITY_URGENCY stands for the
+    # priority.
+    urgency: int = PRIORITY_URGENCY
+
+    @property
+    def engine_urgency(self) -> int:
+        """Return the urgency that engines are told."""
+        if self.urgency == PRIORITY_URGENCY:
+            return self.priority
+        return self.urgency
 
 
 @dataclass(frozen=True, slots=True)
--- a/wasabistream/platform/request_decoders.py
+++ b/wasabistream/platform/request_decoders.py
@@ -17,6 +17,7 @@
 from wasabistream.platform import header_names as names
 from wasabistream.prompt_parts import limit_parts
 from wasabistream.retries import Deadline
+from wasabistream.scheduling.urgencies import find_urgency
 from wasabistream.units import MILLISECONDS_PER_SECOND
 
 BEARER = 'bearer'
@@ -50,6 +51,7 @@
     priority = route.priority
     if holder is not None and holder.priority is not None:
         priority = holder.priority
+    service = route.draw_service()
     return ForwardRequest(
         request_id=request_id,
         method=request.method.decode('latin-1'),
@@ -59,12 +61,13 @@
         deadline=Deadline(_remaining_seconds(headers, route)),
         route=route,
         version=configuration.version,
-        service=route.draw_service(),
+        service=service,
         organisation=holder.name if holder else '',
         priority=priority,
         demand=_decode_demand(headers),
         fingerprint=hash64_with_body(body, api_key, target),
         prompt_parts=_decode_shared_parts(headers),
+        urgency=find_urgency(configuration, service, route.name, priority),
     )
 
 
--- a/wasabistream/platform/server_clients.py
+++ b/wasabistream/platform/server_clients.py
@@ -19,6 +19,7 @@
 from wasabistream.limited_responses import LimitedResponse
 from wasabistream.platform import header_names as names
 from wasabistream.platform.advisory_decoders import decode_advisory
+from wasabistream.scheduling.urgencies import LOWEST_URGENCY
 from wasabistream.units import MILLISECONDS_PER_SECOND
 
 # A connection within a region takes a few milliseconds. Waiting longer does
@@ -39,8 +40,6 @@
 KEEPALIVE_SECONDS = 1
 # Limits the bytes of an answer that have arrived and are not read yet.
 RECEIVE_BUFFER_BYTES = 32 * 1024
-# 0 is the most urgent.
-LOWEST_URGENCY = 9
 
 SocketOptions = list[tuple[int, int, int | bytes]]
 
@@ -255,7 +254,9 @@
         headers[names.ORGANISATION] = request.organisation
     # Only generations have a demand and an urgency.
     if request.demand is not None:
-        headers[names.URGENCY] = str(min(request.priority, LOWEST_URGENCY))
+        headers[names.URGENCY] = str(
+            min(request.engine_urgency, LOWEST_URGENCY)
+        )
     continuation = options.continuation
     if continuation is not None:
         if continuation.handle:
