Place generations of scheduled services by predicted loss

Change: for generations of scheduled services, ServerChooser delegates to ScheduledChooser after its filters; predict_all() and take_from() are for the start queue and the route command. Requests that no engine can start in time are refused with the shortest wait (no_start_in_time). `stream: sent` and wasabi_first_event_error_seconds show the prediction and its error. The wiring of the chooser moves to platform/chooser_builders.py.

--- a/wasabistream/forwarding/refusals.py
+++ b/wasabistream/forwarding/refusals.py
@@ -1,6 +1,7 @@
 """Refusals of requests that no backend server takes."""
 
 import logging
+from collections.abc import Callable
 from types import MappingProxyType
 
 from wasabistream.forwarding.advisory_guards import AdvisoryGuard
@@ -17,6 +18,8 @@
         'server_advisory': 'no server takes it before the stated wait',
         # None is reachable and can begin it in time, or some turned it away.
         'no_server': 'no server took it',
+        # Each engine of its scheduled service has too long a backlog.
+        'no_start_in_time': 'no engine can start it in time',
     }
 )
 
@@ -24,9 +27,17 @@
 class Refuser:
     """Refuse requests that have not run and state when to come back."""
 
-    def __init__(self, fleet: FleetHolder, advisories: AdvisoryGuard) -> None:
+    def __init__(
+        self,
+        fleet: FleetHolder,
+        advisories: AdvisoryGuard,
+        start_wait_seconds: Callable[[ForwardRequest], float] | None = None,
+    ) -> None:
         self._fleet = fleet
         self._advisories = advisories
+        # Returns the shortest expected wait of a request that no engine can
+        # start in time; 0 for others.
+        self._start_wait_seconds = start_wait_seconds
 
     def refuse(self, request: ForwardRequest) -> Reply:
         """Return the refusal of a request and log its reason."""
@@ -34,6 +45,11 @@
         usable = self._fleet.current.usable_servers(request.service)
         wait_seconds = self._advisories.wait_seconds(usable)
         reason = 'server_advisory' if wait_seconds else 'no_server'
+        if self._start_wait_seconds is not None:
+            start_wait_seconds = self._start_wait_seconds(request)
+            if start_wait_seconds:
+                reason = 'no_start_in_time'
+                wait_seconds = start_wait_seconds
         REFUSALS.labels(reason).inc()
         logger.info(
             'request: refused: %s',
--- a/wasabistream/forwarding/server_choosers.py
+++ b/wasabistream/forwarding/server_choosers.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
 from wasabistream.forwarding.advisory_guards import AdvisoryGuard
 from wasabistream.forwarding.backend_servers import BackendServer
@@ -12,6 +12,16 @@
 from wasabistream.forwarding.fleets import FleetHolder
 from wasabistream.forwarding.load_trackers import LoadEstimate, LoadTracker
 from wasabistream.forwarding.requests import ForwardRequest
+from wasabistream.scheduling.engine_outlooks import EngineOutlook
+from wasabistream.scheduling.scheduled_choosers import (
+    DEFAULT_MEMORY_TOKENS,
+    ScheduledChooser,
+    can_start_in_time,
+)
+from wasabistream.scheduling.scheduling_parts import (
+    NOT_SCHEDULED,
+    SchedulingParts,
+)
 
 # Cost of a failure rate of 1, in requests in progress.
 FAILURE_COST = 12.0
@@ -35,8 +45,6 @@
 # twice as long to move when it leaves, so it gets fewer.
 SOLE_SERVER_COST = 0.16
 REMOTE_ENGINE_COST = 0.03
-# Assumed memory of an engine whose agent has not reported.
-DEFAULT_MEMORY_TOKENS = 32768
 
 
 class ServerChooser:
@@ -51,6 +59,8 @@
         advisories: AdvisoryGuard,
         paces: FirstEventPaces,
         data_centre: str,
+        *,
+        scheduling: SchedulingParts = NOT_SCHEDULED,
     ) -> None:
         self._fleet = fleet
         self._load_tracker = load_tracker
@@ -59,32 +69,29 @@
         self._advisories = advisories
         self._paces = paces
         self._data_centre = data_centre
+        self._scheduled = ScheduledChooser(
+            failure_rates, cold, advisories, scheduling
+        )
 
     def choose(
         self, request: ForwardRequest, excluded: Collection[str] = ()
     ) -> BackendServer | None:
-        """Return the best backend server, or None if none is available."""
-        fleet = self._fleet.current
-        service = fleet.find_service(request.service)
-        cold_rate = service.cold_requests_per_second if service else 0
-        servers = [
-            server
-            for server in fleet.usable_servers(request.service)
-            if server.endpoint not in excluded
-            and self._cold.admits(server, cold_rate)
-            and self._advisories.admits(server)
-            and self._load_tracker.has_certain_address(server)
-        ]
-        reachable = [
-            server
-            for server in servers
-            if not self._failure_rates.is_unreachable(server.endpoint)
-        ]
-        # If no server is reachable, the first attempt tries one anyway to
-        # detect a recovery; further attempts would only delay the refusal.
-        if not reachable and not excluded:
-            reachable = servers
-        candidates = self._find_available(request, reachable)
+        """Return the best backend server, or None if none is available.
+
+        For a generation of a scheduled service it is sampled by expected loss.
+        """
+        if self._scheduled.applies(request):
+            selected = self._scheduled.select(
+                self.predict_all(request, excluded)
+            )
+            return selected.server if selected else None
+        candidates = {
+            server: estimate
+            for server, estimate in self._find_available(
+                request, excluded
+            ).items()
+            if self._can_begin_in_time(request, estimate)
+        }
         if not candidates:
             return None
         data_centres = Counter(server.data_centre for server in candidates)
@@ -98,16 +105,78 @@
             ),
         )
 
+    def predict_all(
+        self, request: ForwardRequest, excluded: Collection[str] = ()
+    ) -> list[EngineOutlook]:
+        """Return the engines that can start a generation in time.
+
+        Changes nothing. Returns none for a request that is no generation.
+        """
+        available = self._find_available(request, excluded)
+        return [
+            outlook
+            for outlook in self._scheduled.predict(request, available)
+            if can_start_in_time(request, outlook, available[outlook.server])
+        ]
+
+    def predict_taken(
+        self, request: ForwardRequest, server: BackendServer
+    ) -> EngineOutlook | None:
+        """Return what happens at the engine that a generation is sent to.
+
+        To be called before it is sent. Returns None for requests that are not
+        scheduled.
+        """
+        if not self._scheduled.applies(request):
+            return None
+        estimate = self._load_tracker.estimate(server.endpoint)
+        usable = self._fleet.current.usable_servers(request.service)
+        outlooks = self._scheduled.predict(
+            request,
+            {server: estimate},
+            Counter(other.data_centre for other in usable),
+        )
+        return outlooks[0] if outlooks else None
+
+    def start_wait_seconds(self, request: ForwardRequest) -> float:
+        """Return the shortest wait of a generation that cannot start in time.
+
+        Returns 0 if an engine can start it in time, if none is available, and
+        for requests that are not scheduled.
+        """
+        if not self._scheduled.applies(request):
+            return 0
+        available = self._find_available(request, ())
+        outlooks = self._scheduled.predict(request, available)
+        if any(
+            can_start_in_time(request, outlook, available[outlook.server])
+            for outlook in outlooks
+        ):
+            return 0
+        return min(
+            (outlook.first_event_seconds for outlook in outlooks), default=0
+        )
+
     def take(
         self, request: ForwardRequest, excluded: Collection[str] = ()
     ) -> BackendServer | None:
         """Choose a backend server and count the request at its limit."""
+        if self._scheduled.applies(request):
+            outlooks = self.predict_all(request, excluded)
+            taken = self.take_from(request, outlooks)
+            return taken.server if taken else None
         while True:
             server = self.choose(request, excluded)
             # Another request may have used the server's limit meanwhile.
             if server is None or self._advisories.try_take(server):
                 return server
 
+    def take_from(
+        self, request: ForwardRequest, outlooks: Iterable[EngineOutlook]
+    ) -> EngineOutlook | None:
+        """Sample one of these engines and count the request at its limit."""
+        return self._scheduled.take_from(request, outlooks)
+
     def has_other(
         self, request: ForwardRequest, excluded: Collection[str]
     ) -> bool:
@@ -124,11 +193,13 @@
         """Record that a generation began `seconds` after it was sent."""
         self._paces.record(request.service, waiting_count, seconds)
 
-    def describe(self, server: BackendServer) -> dict[str, object]:
+    def describe(
+        self, server: BackendServer, outlook: EngineOutlook | None = None
+    ) -> dict[str, object]:
         """Return what a choice of a server rests on, as log fields."""
         estimate = self._load_tracker.estimate(server.endpoint)
         age_seconds = estimate.report_age_seconds
-        return {
+        fields: dict[str, object] = {
             'server_running_count': estimate.request_count,
             'server_waiting_count': estimate.waiting_count,
             'server_memory_tokens': estimate.memory_tokens,
@@ -136,20 +207,45 @@
                 None if age_seconds is None else round(age_seconds, 3)
             ),
         }
+        if outlook is not None:
+            fields['predicted_first_event_seconds'] = round(
+                outlook.first_event_seconds, 3
+            )
+            fields['loss'] = round(outlook.loss, 3)
+            fields['server_backlog_tokens'] = estimate.backlog_tokens
+        return fields
 
     def _find_available(
-        self, request: ForwardRequest, servers: list[BackendServer]
+        self, request: ForwardRequest, excluded: Collection[str]
     ) -> dict[BackendServer, LoadEstimate]:
+        fleet = self._fleet.current
+        service = fleet.find_service(request.service)
+        cold_rate = service.cold_requests_per_second if service else 0
+        servers = [
+            server
+            for server in fleet.usable_servers(request.service)
+            if server.endpoint not in excluded
+            and self._cold.admits(server, cold_rate)
+            and self._advisories.admits(server)
+            and self._load_tracker.has_certain_address(server)
+        ]
+        reachable = [
+            server
+            for server in servers
+            if not self._failure_rates.is_unreachable(server.endpoint)
+        ]
+        # If no server is reachable, the first attempt tries one anyway to
+        # detect a recovery; further attempts would only delay the refusal.
+        if not reachable and not excluded:
+            reachable = servers
         estimates = {
             server: self._load_tracker.estimate(server.endpoint)
-            for server in servers
+            for server in reachable
         }
         return {
             server: estimate
             for server, estimate in estimates.items()
-            if not estimate.leaving
-            and estimate.responsive
-            and self._can_begin_in_time(request, estimate)
+            if not estimate.leaving and estimate.responsive
         }
 
     def _can_begin_in_time(
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -235,6 +235,7 @@
                 progress.waiting_count,
                 watch.silent_seconds,
             )
+            progress.observe_prediction(watch.silent_seconds)
         progress.count_event(event.event_id)
         watch.record_event()
         watch.stall_limits = _build_stall_limits(watch.request.route)
@@ -280,6 +281,10 @@
         progress: StreamProgress,
     ) -> None:
         request = watch.request
+        outlook = self._chooser.predict_taken(request, server)
+        progress.predicted_seconds = (
+            outlook.first_event_seconds if outlook else None
+        )
         logger.info(
             'stream: sent',
             extra={
@@ -288,7 +293,7 @@
                 'kind': request.route.kind.value,
                 'servers': [server.endpoint],
                 'event_count': progress.event_count,
-                **self._chooser.describe(server),
+                **self._chooser.describe(server, outlook),
             },
         )
 
--- a/wasabistream/forwarding/stream_progress.py
+++ b/wasabistream/forwarding/stream_progress.py
@@ -3,7 +3,10 @@
 import time
 from dataclasses import dataclass, field
 
-from wasabistream.metrics import FIRST_TOKEN_SECONDS
+from wasabistream.metrics import (
+    FIRST_EVENT_ERROR_SECONDS,
+    FIRST_TOKEN_SECONDS,
+)
 
 
 @dataclass
@@ -16,6 +19,9 @@
     move_count: int = 0
     # Prompts that waited at the engine when the last attempt was sent there.
     waiting_count: int = 0
+    # Time to the first event, as predicted when the last attempt was sent;
+    # None for requests that are not scheduled.
+    predicted_seconds: float | None = None
     complete: bool = False
     started_seconds: float = field(default_factory=time.monotonic)
     first_event_seconds: float = 0
@@ -40,6 +46,16 @@
         self.last_event_id = event_id or self.last_event_id
         self.event_count += 1
 
+    def observe_prediction(self, measured_seconds: float) -> None:
+        """Observe the error of the prediction at the first event.
+
+        After a move, the first event comes from another engine than predicted.
+        """
+        if self.predicted_seconds is not None and not self.move_count:
+            FIRST_EVENT_ERROR_SECONDS.observe(
+                measured_seconds - self.predicted_seconds
+            )
+
     @property
     def is_continuable(self) -> bool:
         """Return whether another generation may continue the stream.
--- a/wasabistream/metrics.py
+++ b/wasabistream/metrics.py
@@ -51,6 +51,11 @@
 DROPPED_LOG_LINES = Counter(
     'wasabi_dropped_log_lines', 'Log lines that were not written'
 )
+FIRST_EVENT_ERROR_SECONDS = Histogram(
+    'wasabi_first_event_error_seconds',
+    'Measured minus predicted time to the first event of a generation',
+    buckets=(-2, -1, -0.5, -0.2, -0.1, -0.05, 0, 0.05, 0.1, 0.2, 0.5, 1, 2),
+)
 FORWARD_SECONDS = Histogram(
     'wasabi_forward_seconds',
     'Time from a request to the end of its answer, by kind of route',
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -21,7 +21,6 @@
 from wasabistream.forwarding.poison_request_guards import PoisonRequestGuard
 from wasabistream.forwarding.refusals import Refuser
 from wasabistream.forwarding.requests import ForwardRequest, Reply
-from wasabistream.forwarding.server_choosers import ServerChooser
 from wasabistream.forwarding.server_trackers import ServerTrackers
 from wasabistream.forwarding.stream_forwarders import StreamForwarder
 from wasabistream.forwarding.supervisors import RequestSupervisor
@@ -29,6 +28,7 @@
 from wasabistream.listeners import LinkListener
 from wasabistream.long_polls import build_long_poll_limits
 from wasabistream.memory_budgets import MemoryBudget
+from wasabistream.platform.chooser_builders import build_chooser
 from wasabistream.platform.ingress_servers import HttpCaller, IngressServer
 from wasabistream.platform.node_applications import (
     NodeApplication,
@@ -225,16 +225,12 @@
 
     def _build_forwarder(self, move_tracker: MoveTracker) -> Forwarder:
         servers = self._servers
-        chooser = ServerChooser(
-            self.fleet,
-            servers.load,
-            servers.failure_rates,
-            servers.cold,
-            servers.advisories,
-            servers.paces,
-            self.node_settings.data_centre,
+        chooser = build_chooser(
+            self.fleet, servers, self.node_settings.data_centre
+        )
+        refuser = Refuser(
+            self.fleet, servers.advisories, chooser.start_wait_seconds
         )
-        refuser = Refuser(self.fleet, servers.advisories)
         client = HttpServerClient()
         poison_guard = PoisonRequestGuard(
             client, self._peer_links.broadcast, self.poison_parts
