Use the reported speeds and announce prompts of scheduled services

Cause: the selection knew no speeds yet, and nothing was announced. Change: one ScheduledServices decides for the selection and the announcements; the test double of announced loads is gone, as the load tracker has them.

--- a/tests/scheduling_builders.py
+++ b/tests/scheduling_builders.py
@@ -23,11 +23,10 @@
 from wasabistream.forwarding.failure_rates import FailureRates
 from wasabistream.forwarding.first_event_paces import FirstEventPaces
 from wasabistream.forwarding.fleets import FleetHolder
-from wasabistream.forwarding.load_trackers import LoadEstimate, LoadTracker
+from wasabistream.forwarding.load_trackers import LoadTracker
 from wasabistream.forwarding.requests import ForwardRequest, GenerationDemand
 from wasabistream.forwarding.routes import Route, RouteKind
 from wasabistream.forwarding.server_choosers import ServerChooser
-from wasabistream.notices import LoadReport
 from wasabistream.retries import Deadline
 from wasabistream.scheduling.engine_paces import UNKNOWN_PACE, EnginePace
 from wasabistream.scheduling.scheduled_services import ScheduledServices
@@ -125,29 +124,6 @@
         self.dispatched.append(server.server_id)
 
 
-class AnnouncedLoadTracker(LoadTracker):
-    """A tracker that passes on what agents report of announced prompts."""
-
-    def __init__(self, clock: Clock) -> None:
-        super().__init__(clock)
-        self._reports: dict[str, LoadReport] = {}
-
-    def report(self, endpoint: str, report: LoadReport) -> None:
-        """Record an agent's newest load report."""
-        super().report(endpoint, report)
-        self._reports[endpoint] = report
-
-    def estimate(self, endpoint: str) -> LoadEstimate:
-        """Return the estimated load with the reported announcements."""
-        report = self._reports[endpoint]
-        return dataclasses.replace(
-            super().estimate(endpoint),
-            backlog_tokens=report.backlog_tokens,
-            reserved_tokens=report.reserved_tokens,
-            growth_tokens=report.growth_tokens,
-        )
-
-
 @dataclasses.dataclass
 class SchedulingEntry:
     """An entry with its own view of the load of engines."""
@@ -176,7 +152,7 @@
         )
         self.cold.on_fleet_changed(self.holder.current)
         self.advisories.on_fleet_changed(self.holder.current)
-        self.load = AnnouncedLoadTracker(self.clock)
+        self.load = LoadTracker(self.clock)
         self.paces = FakePaces(
             {engine.endpoint: USUAL_PACE for engine in self.engines}
         )
--- a/wasabistream/forwarding/server_trackers.py
+++ b/wasabistream/forwarding/server_trackers.py
@@ -1,5 +1,6 @@
 """What an entry tracks about backend servers, beyond their list."""
 
+from collections.abc import Callable
 from functools import partial
 
 from wasabistream.forwarding.advisory_guards import AdvisoryGuard
@@ -46,9 +47,11 @@
             self.advisories.describe,
         )
 
-    def build_announcer(self, notifier: PromptNotifier) -> PromptAnnouncer:
+    def build_announcer(
+        self, notifier: PromptNotifier, is_scheduled: Callable[[str], bool]
+    ) -> PromptAnnouncer:
         """Return what announces the prompts of scheduled services."""
-        return PromptAnnouncer(notifier)
+        return PromptAnnouncer(notifier, is_scheduled)
 
     def on_fleet_changed(self, fleet: Fleet) -> None:
         """Forget servers that are no longer listed."""
--- a/wasabistream/platform/chooser_builders.py
+++ b/wasabistream/platform/chooser_builders.py
@@ -5,14 +5,15 @@
 from wasabistream.forwarding.server_trackers import ServerTrackers
 from wasabistream.scheduling.scheduled_services import ScheduledServices
 from wasabistream.scheduling.scheduling_parts import SchedulingParts
-from wasabistream.scheduling.unknown_sources import UnknownPaces
 
 
 def build_chooser(
-    fleet: FleetHolder, servers: ServerTrackers, data_centre: str
+    fleet: FleetHolder,
+    servers: ServerTrackers,
+    scheduled_services: ScheduledServices,
+    data_centre: str,
 ) -> ServerChooser:
     """Return the chooser of an entry."""
-    pace_source = UnknownPaces()
     return ServerChooser(
         fleet,
         servers.load,
@@ -22,7 +23,14 @@
         servers.paces,
         data_centre,
         scheduling=SchedulingParts(
-            pace_source=pace_source,
-            scheduled_services=ScheduledServices(fleet, pace_source),
+            pace_source=servers.engine_paces,
+            scheduled_services=scheduled_services,
         ),
     )
+
+
+def build_scheduled_services(
+    fleet: FleetHolder, servers: ServerTrackers
+) -> ScheduledServices:
+    """Return what decides which services are scheduled."""
+    return ScheduledServices(fleet, servers.engine_paces)
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -28,7 +28,10 @@
 from wasabistream.listeners import LinkListener
 from wasabistream.long_polls import build_long_poll_limits
 from wasabistream.memory_budgets import MemoryBudget
-from wasabistream.platform.chooser_builders import build_chooser
+from wasabistream.platform.chooser_builders import (
+    build_chooser,
+    build_scheduled_services,
+)
 from wasabistream.platform.ingress_servers import HttpCaller, IngressServer
 from wasabistream.platform.node_applications import (
     NodeApplication,
@@ -226,8 +229,12 @@
 
     def _build_forwarder(self, move_tracker: MoveTracker) -> Forwarder:
         servers = self._servers
+        scheduled_services = build_scheduled_services(self.fleet, servers)
         chooser = build_chooser(
-            self.fleet, servers, self.node_settings.data_centre
+            self.fleet,
+            servers,
+            scheduled_services,
+            self.node_settings.data_centre,
         )
         refuser = Refuser(
             self.fleet, servers.advisories, chooser.start_wait_seconds
@@ -250,7 +257,9 @@
             servers.cold,
             poison_guard,
             servers.advisories,
-            servers.build_announcer(self._agent_links),
+            servers.build_announcer(
+                self._agent_links, scheduled_services.is_scheduled
+            ),
         )
         buffers = AnswerBuffers(
             build_answer_limits(self.node_settings.memory_limit_bytes),
