Let parts of an entry observe requests and address data centres

Cause: spillover needs the arrivals and the bytes of answers at an entry, and messages that go once to each entry of some data centres and whose receiver knows the sender.

Change: Forwarder takes an optional RequestObserver; StreamProgress counts the bytes of events. PeerLinks.send_to_data_centres sends once per peer; subscriptions moved to NoticeSubscriptions, which can also pass the sender.

--- a/wasabistream/forwarding/forwarders.py
+++ b/wasabistream/forwarding/forwarders.py
@@ -7,6 +7,10 @@
 from wasabistream.forwarding.interfaces import Caller
 from wasabistream.forwarding.poison_request_guards import PoisonRequestGuard
 from wasabistream.forwarding.replies import build_refusal
+from wasabistream.forwarding.request_observers import (
+    NO_OBSERVER,
+    RequestObserver,
+)
 from wasabistream.forwarding.requests import ForwardRequest, Reply
 from wasabistream.forwarding.routes import RouteKind
 from wasabistream.forwarding.stream_forwarders import StreamForwarder
@@ -27,11 +31,13 @@
         unary: UnaryForwarder,
         streams: StreamForwarder,
         poison_guard: PoisonRequestGuard,
+        observer: RequestObserver = NO_OBSERVER,
     ) -> None:
         self._supervisor = supervisor
         self._unary = unary
         self._streams = streams
         self._poison_guard = poison_guard
+        self._observer = observer
 
     def forward(self, request: ForwardRequest, caller: Caller) -> None:
         """Forward a request and send its answer or a refusal to the caller."""
@@ -62,6 +68,7 @@
             caller.abort()
             return
         reply: Reply | None = None
+        self._observer.on_arrival(request)
         self._supervisor.add(watch)
         try:
             if request.route.kind == RouteKind.streaming:
@@ -81,6 +88,8 @@
             caller.abort()
         finally:
             self._end(watch, history)
+        if progress.complete:
+            self._observer.on_complete_stream(request, progress.byte_count)
         self._log(watch, history, progress, reply, started)
 
     def _end(self, watch: RequestWatch, history: AttemptHistory) -> None:
--- a/wasabistream/forwarding/peer_links.py
+++ b/wasabistream/forwarding/peer_links.py
@@ -6,7 +6,6 @@
 import threading
 import time
 from collections.abc import Callable, Sequence
-from typing import TypeVar
 
 from wasabistream.dialers import PeerDialer
 from wasabistream.forwarding.announced_engines import (
@@ -18,6 +17,10 @@
 from wasabistream.forwarding.live_entries import LiveEntries
 from wasabistream.forwarding.mirror_exchanges import MirrorExchange
 from wasabistream.forwarding.mirrors import MirrorDifference, StoreMirror
+from wasabistream.forwarding.notice_subscriptions import (
+    NoticeSubscriptions,
+    NoticeT,
+)
 from wasabistream.forwarding.peer_messages import (
     MirrorPart,
     MirrorQuery,
@@ -51,18 +54,6 @@
 RELAY_VERSION = 2
 
 
-NoticeT = TypeVar('NoticeT', bound=Message)
-
-
-@dataclasses.dataclass(frozen=True)
-class Subscription:
-    """Hold who handles a type of notices and describes them to new peers."""
-
-    message_type: type[Message]
-    handler: Callable[..., None]
-    describe: Callable[[], Sequence[Message]]
-
-
 class PeerLinks:
     """Discover the other entries and read the store through them.
 
@@ -108,7 +99,7 @@
             apply_seconds,
         )
         mirror.subscribe_differences(self._pass_on)
-        self._subscriptions: list[Subscription] = []
+        self.subscriptions = NoticeSubscriptions()
         # True once this entry shuts down.
         self.draining = False
         self._created_at_seconds = time.monotonic()
@@ -150,9 +141,17 @@
 
         `describe` returns the notices for an entry that is linked anew.
         """
-        self._subscriptions.append(
-            Subscription(message_type, handler, describe)
-        )
+        self.subscriptions.add(message_type, handler, describe)
+
+    def send_to_data_centres(
+        self, notice: Message, is_receiver: Callable[[str], bool]
+    ) -> None:
+        """Send a message once to each linked entry of some data centres."""
+        with self._lock:
+            links = {link.peer.peer_id: link for link in self._links}
+        for link in links.values():
+            if is_receiver(link.peer.data_centre):
+                _send(link, notice)
 
     def broadcast(
         self, notice: Message, *, once_per_peer: bool = False
@@ -193,9 +192,8 @@
             with self._lock:
                 self._links[link] = None
             self._send_notice(link, self._build_notice())
-            for subscription in self._subscriptions:
-                for notice in subscription.describe():
-                    _send(link, notice)
+            for notice in self.subscriptions.describe():
+                _send(link, notice)
 
     def on_messages(self, link: Link, received: Sequence[Message]) -> None:
         """Handle messages from a peer or an agent."""
@@ -215,7 +213,7 @@
                     if self._exchange.apply_update(notice):
                         self._query(link)
                 case _:
-                    self._notify_subscribers(notice)
+                    self.subscriptions.notify(link.peer, notice)
 
     def on_closed(self, link: Link, reason: str) -> None:
         """Remove a closed link."""
@@ -227,11 +225,6 @@
             self._exchange.discard_parts(link)
         logger.info('peer: link to %s ended: %s', link.peer.peer_id, reason)
 
-    def _notify_subscribers(self, notice: Message) -> None:
-        for subscription in self._subscriptions:
-            if isinstance(notice, subscription.message_type):
-                subscription.handler(notice)
-
     def _run(self) -> None:
         while not self._stopped.is_set():
             self._dial()
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -235,7 +235,7 @@
                 progress.waiting_count,
                 watch.silent_seconds,
             )
-        progress.count_event(event.event_id)
+        progress.count_event(event.event_id, len(event.raw))
         watch.record_event()
         watch.stall_limits = _build_stall_limits(watch.request.route)
         return True
--- a/wasabistream/forwarding/stream_progress.py
+++ b/wasabistream/forwarding/stream_progress.py
@@ -13,6 +13,8 @@
     has_begun: bool = False
     last_event_id: str = ''
     event_count: int = 0
+    # Bytes of the events.
+    byte_count: int = 0
     move_count: int = 0
     # Prompts that waited at the engine when the last attempt was sent there.
     waiting_count: int = 0
@@ -22,7 +24,7 @@
     last_event_at_seconds: float = 0
     longest_gap_seconds: float = 0
 
-    def count_event(self, event_id: str) -> None:
+    def count_event(self, event_id: str, byte_count: int = 0) -> None:
         """Record an event that was sent to the caller.
 
         The id of the last event stays in force after one without an id.
@@ -39,6 +41,7 @@
         self.last_event_at_seconds = now
         self.last_event_id = event_id or self.last_event_id
         self.event_count += 1
+        self.byte_count += byte_count
 
     @property
     def is_continuable(self) -> bool:
