Plan how many requests may leave a data centre

Cause: the choice between data centres was a constant cost. Nothing decided by demand and capacity how much traffic leaves, or when it pays.

Agents are told which data centres are full, in a new field of MoveTargetReport: a further column of its rows would make agents of earlier versions refuse the whole report. Costs come from the environment and are checked before any socket is open.

--- a/wasabistream/forwarding/agent_links.py
+++ b/wasabistream/forwarding/agent_links.py
@@ -3,7 +3,7 @@
 import logging
 import threading
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from wasabistream.dialers import PeerDialer
 from wasabistream.forwarding.advisory_guards import AdvisoryGuard
@@ -39,6 +39,10 @@
 SILENCE_CHECK_SECONDS = 0.5
 
 
+def _list_none(service: str) -> list[str]:
+    return []
+
+
 class AgentLinks:
     """Keep one link to the agent of each engine."""
 
@@ -49,12 +53,15 @@
         load_tracker: LoadTracker,
         moves: MoveTracker,
         advisories: AdvisoryGuard,
+        list_full_data_centres: Callable[[str], list[str]] = _list_none,
     ) -> None:
         self._hello = hello
         self._link_port = link_port
         self._load_tracker = load_tracker
         self._moves = moves
         self._advisories = advisories
+        # Data centres to which no agent should move generations of others.
+        self._list_full_data_centres = list_full_data_centres
         self._lock = threading.Lock()
         self._dialers: dict[Endpoint, PeerDialer] = {}
         # Monotonic time at which each backend server left the list.
@@ -180,7 +187,9 @@
         )
         # A lost reply is harmless: the agent asks all entries, repeatedly.
         send_or_log(
-            link, MoveTargetReport(rows), 'agent link: move target report'
+            link,
+            MoveTargetReport(rows, self._list_full_data_centres(query.service)),
+            'agent link: move target report',
         )
 
 
--- a/wasabistream/forwarding/move_messages.py
+++ b/wasabistream/forwarding/move_messages.py
@@ -1,6 +1,6 @@
 """Messages between entries and agents about moves of generations."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from wasabistream.messages import Message, message
 
@@ -55,3 +55,6 @@
     """
 
     rows: list
+    # Data centres that should get no generations of others. A further column
+    # of the rows would make agents of earlier versions refuse all of them.
+    full_data_centres: list = field(default_factory=list)
--- a/wasabistream/forwarding/move_target_finders.py
+++ b/wasabistream/forwarding/move_target_finders.py
@@ -44,7 +44,7 @@
     def on_report(self, report: MoveTargetReport) -> None:
         """Use the targets in a report unless a recent one lists more."""
         try:
-            targets = decode_move_targets(report.rows)
+            targets = decode_move_targets(report.rows, report.full_data_centres)
         except (TypeError, ValueError) as error:
             logger.warning('mover: move target report is malformed: %r', error)
             return
--- a/wasabistream/forwarding/move_targets.py
+++ b/wasabistream/forwarding/move_targets.py
@@ -1,7 +1,7 @@
 """Move targets: backend servers that can take over generations."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from wasabistream.forwarding.backend_servers import BackendServer
@@ -26,6 +26,8 @@
     data_centre: str
     free_tokens: int
     request_count: int
+    # Whether its data centre should get no generations of others.
+    in_full_data_centre: bool = False
 
 
 def list_move_targets(
@@ -55,10 +57,18 @@
     return rows
 
 
-def decode_move_targets(rows: list) -> list[MoveTarget]:
+def decode_move_targets(
+    rows: list, full_data_centres: Collection[str] = ()
+) -> list[MoveTarget]:
     """Decode the rows of a report; raises ValueError and TypeError."""
     return [
-        MoveTarget(str(endpoint), str(data_centre), int(free), int(count))
+        MoveTarget(
+            str(endpoint),
+            str(data_centre),
+            int(free),
+            int(count),
+            data_centre in full_data_centres,
+        )
         for endpoint, data_centre, free, count in rows
     ]
 
@@ -77,10 +87,15 @@
     fitting = [target for target in targets if target.free_tokens >= tokens]
     if not fitting:
         return None
+    with_room = [
+        target
+        for target in fitting
+        if target.data_centre == data_centre or not target.in_full_data_centre
+    ]
     # The source engine is not counted, as it is about to leave.
     server_counts = Counter(target.data_centre for target in targets)
     best = min(
-        fitting,
+        with_room or fitting,
         key=lambda target: _target_cost(
             target,
             1 if target.data_centre == data_centre else remote_ratio,
--- a/wasabistream/metrics.py
+++ b/wasabistream/metrics.py
@@ -87,6 +87,16 @@
     'wasabi_configuration_version', 'Version of the routes in force'
 )
 KNOWN_ENTRIES = Gauge('wasabi_known_entries', 'Entries alive, this included')
+SPILLOVER_SHARE = Gauge(
+    'wasabi_spillover_share',
+    'Share of requests that may leave, by service and data centre',
+    ['service', 'data_centre'],
+)
+REMOTE_REQUESTS = Counter(
+    'wasabi_remote_requests',
+    'Requests sent to another data centre, by service and data centre',
+    ['service', 'data_centre'],
+)
 LEASE_HELD = Gauge(
     'wasabi_lease_held', 'Whether this agent may run calls of its keys'
 )
--- a/wasabistream/platform/daemons.py
+++ b/wasabistream/platform/daemons.py
@@ -39,16 +39,12 @@
     Options that are not given come from the environment.
     """
     try:
-        port = read_metrics_port() if metrics_port is None else metrics_port
-        path = os.environ.get(NODE_FILE_VARIABLE, DEFAULT_NODE_FILE)
-        node_settings = read_node_file(path)
+        application = _build(build_application, log_level, metrics_port)
     except SettingsError as error:
         for problem in error.problems:
             sys.stderr.write(f'{problem}\n')
         return EXIT_BAD_SETTINGS
-    level = log_level or os.environ.get(LOG_LEVEL_VARIABLE, DEFAULT_LOG_LEVEL)
-    configure_logs(level, node_settings.process_id)
-    return build_application(node_settings, ProcessOptions(path, port)).run()
+    return application.run()
 
 
 def read_metrics_port() -> int:
@@ -57,3 +53,17 @@
     if not text.isdecimal() or not 0 < int(text) <= MAX_PORT:
         raise SettingsError((f'{METRICS_PORT_VARIABLE}: {text!r} is no port',))
     return int(text)
+
+
+def _build(
+    build_application: ApplicationFactory,
+    log_level: str,
+    metrics_port: int | None,
+) -> NodeApplication:
+    port = read_metrics_port() if metrics_port is None else metrics_port
+    path = os.environ.get(NODE_FILE_VARIABLE, DEFAULT_NODE_FILE)
+    node_settings = read_node_file(path)
+    level = log_level or os.environ.get(LOG_LEVEL_VARIABLE, DEFAULT_LOG_LEVEL)
+    configure_logs(level, node_settings.process_id)
+    # Applications check settings of their own before they open any socket.
+    return build_application(node_settings, ProcessOptions(path, port))
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -27,7 +27,6 @@
 from wasabistream.forwarding.supervisors import RequestSupervisor
 from wasabistream.forwarding.unary_forwarders import UnaryForwarder
 from wasabistream.listeners import LinkListener
-from wasabistream.long_polls import build_long_poll_limits
 from wasabistream.memory_budgets import MemoryBudget
 from wasabistream.platform.ingress_servers import HttpCaller, IngressServer
 from wasabistream.platform.node_applications import (
@@ -37,10 +36,10 @@
 from wasabistream.platform.node_files import NodeSettings
 from wasabistream.platform.request_handlers import RequestHandler
 from wasabistream.platform.server_clients import HttpServerClient
-from wasabistream.platform.store_clients import StoreClient
 from wasabistream.platform.store_decoders import FleetDecoder
-from wasabistream.platform.store_followers import StoreFollower
+from wasabistream.platform.store_followers import build_store_follower
 from wasabistream.poison_parts import PoisonPartDetector
+from wasabistream.spillover.spillover_parts import build_spillover
 
 # Maximum number of requests in progress; each occupies a thread.
 REQUEST_THREAD_COUNT = 128
@@ -97,6 +96,13 @@
             node_settings.bounds.cold_limit,
             node_settings.bounds.reuse_seconds,
         )
+        # Also checks its settings, before any socket is open.
+        self._spillover = build_spillover(
+            node_settings.data_centre,
+            self._peer_links,
+            self.fleet,
+            self._servers,
+        )
         # Agents accept links at the link port; this entry accepts them at its
         # control address.
         self._agent_links = AgentLinks(
@@ -105,14 +111,12 @@
             self._servers.load,
             move_tracker,
             self._servers.advisories,
+            self._spillover.controller.full_data_centres,
         )
-        poll_limits = build_long_poll_limits(
-            node_settings.bounds.recovery_seconds
-        )
-        self.follower = StoreFollower(
-            StoreClient(node_settings.store, poll_limits.timeout_seconds),
+        self.follower = build_store_follower(
+            node_settings.store,
+            node_settings.bounds.recovery_seconds,
             self.mirror,
-            poll_limits,
             self._fleet_updater.refresh,
             self._peer_links.relays.is_updated_by_relays,
         )
@@ -179,6 +183,7 @@
         self._listener.start()
         self._peer_links.start()
         self._agent_links.start()
+        self._spillover.controller.start()
         self._front_server.run_in_thread('front')
         self._readiness_server.run_in_thread('ready')
 
@@ -210,6 +215,7 @@
             lambda: self._readiness_server.stop_within(MIN_STOP_SECONDS),
         )
         self.stop_part('store', self.follower.stop)
+        self.stop_part('spillover', self._spillover.controller.stop)
         self.stop_part('listener', self._listener.stop)
         self.stop_part('peer links', self._peer_links.stop)
         self.stop_part('supervisor', self._request_supervisor.stop)
@@ -279,6 +285,7 @@
                 refuser,
             ),
             poison_guard,
+            self._spillover,
         )
 
     def _answer_readiness_probe(
--- a/wasabistream/platform/store_followers.py
+++ b/wasabistream/platform/store_followers.py
@@ -6,9 +6,14 @@
 from collections.abc import Callable
 
 from wasabistream.exceptions import HistoryLostError, StoreError
+from wasabistream.forwarding.endpoints import Endpoint
 from wasabistream.forwarding.expiry_guards import ExpiryGuard
 from wasabistream.forwarding.mirrors import StoreMirror
-from wasabistream.long_polls import LongPollLimits, LongPollPacer
+from wasabistream.long_polls import (
+    LongPollLimits,
+    LongPollPacer,
+    build_long_poll_limits,
+)
 from wasabistream.metrics import STORE_ANSWER_AGE, STORE_LOST
 from wasabistream.platform.store_clients import StoreClient
 
@@ -156,3 +161,21 @@
             self.lost_at_seconds = None
             STORE_LOST.set(0)
             self._on_reachability_change()
+
+
+def build_store_follower(
+    store: Endpoint,
+    recovery_seconds: float,
+    mirror: StoreMirror,
+    on_reachability_change: Callable[[], None],
+    is_updated_by_relays: Callable[[], bool],
+) -> StoreFollower:
+    """Return a follower of the store whose polls end in the recovery time."""
+    limits = build_long_poll_limits(recovery_seconds)
+    return StoreFollower(
+        StoreClient(store, limits.timeout_seconds),
+        mirror,
+        limits,
+        on_reachability_change,
+        is_updated_by_relays,
+    )
--- a/wasabistream/spillover/__init__.py
+++ b/wasabistream/spillover/__init__.py
@@ -1,1 +1,1 @@
-"""Requests that leave their data centre, and how many."""
+"""Share of the requests that may go to other data centres."""
--- /dev/null
+++ b/wasabistream/spillover/spillover_parts.py
@@ -0,0 +1,99 @@
+"""Wiring of what decides on requests to other data centres."""
+
+import os
+from collections.abc import Callable
+
+from wasabistream.forwarding.fleets import FleetHolder
+from wasabistream.forwarding.peer_links import PeerLinks
+from wasabistream.forwarding.request_observers import RequestObserver
+from wasabistream.forwarding.requests import ForwardRequest
+from wasabistream.forwarding.server_trackers import ServerTrackers
+from wasabistream.scheduling.engine_paces import UNKNOWN_PACE, EnginePace
+from wasabistream.scheduling.interfaces import PaceSource
+from wasabistream.spillover.capacity_views import CapacityView
+from wasabistream.spillover.remote_losses import RemoteCosts, SpilloverLosses
+from wasabistream.spillover.remote_settings import read_remote_costs
+from wasabistream.spillover.spillover_controllers import SpilloverController
+from wasabistream.spillover.spillover_messages import (
+    DataCentreDemand,
+    DemandNotice,
+)
+
+
+class Spillover(RequestObserver):
+    """Hold the controller and the losses of one entry."""
+
+    def __init__(
+        self,
+        data_centre: str,
+        peer_links: PeerLinks,
+        fleet: FleetHolder,
+        servers: ServerTrackers,
+        costs: RemoteCosts,
+        paces: PaceSource,
+        is_scheduled: Callable[[str], bool],
+    ) -> None:
+        self.controller = SpilloverController(
+            data_centre,
+            peer_links,
+            peer_links.relays.is_relay,
+            CapacityView(fleet, servers.load, paces, servers.cold.is_cold),
+            is_scheduled,
+        )
+        self.losses = SpilloverLosses(
+            data_centre, costs, self.controller.find_plan
+        )
+        board = self.controller.board
+        peer_links.subscriptions.add_with_sender(DemandNotice, board.on_notice)
+        peer_links.subscriptions.add_with_sender(
+            DataCentreDemand, board.on_report
+        )
+
+    def on_arrival(self, request: ForwardRequest) -> None:
+        """Count a generation as demand."""
+        self.controller.record_arrival(request)
+
+    def on_complete_stream(
+        self, request: ForwardRequest, byte_count: int
+    ) -> None:
+        """Learn the bytes of an answer."""
+        self.losses.record_answer(request, byte_count)
+
+
+class UnknownPaces:
+    """Know no pace."""
+
+    def pace(self, endpoint: str) -> EnginePace:
+        """Return no pace."""
+        return UNKNOWN_PACE
+
+
+NO_PACES = UnknownPaces()
+
+
+def is_never_scheduled(service: str) -> bool:
+    """Return that a service is not scheduled."""
+    return False
+
+
+def build_spillover(
+    data_centre: str,
+    peer_links: PeerLinks,
+    fleet: FleetHolder,
+    servers: ServerTrackers,
+    paces: PaceSource = NO_PACES,
+    is_scheduled: Callable[[str], bool] = is_never_scheduled,
+) -> Spillover:
+    """Return the parts with the costs of the environment.
+
+    Raises SettingsError.
+    """
+    return Spillover(
+        data_centre,
+        peer_links,
+        fleet,
+        servers,
+        read_remote_costs(os.environ),
+        paces,
+        is_scheduled,
+    )
