--- a/tests/test_copy_paces.py
+++ b/tests/test_copy_paces.py
@@ -8,10 +8,12 @@
 
 from wasabistream.forwarding.copy_rate_estimators import CopyRateEstimator
 from wasabistream.forwarding.engine_states import EngineRun
+from wasabistream.forwarding.move_messages import MoveTargetReport
 from wasabistream.forwarding.move_targets import (
     choose_move_target,
     decode_move_targets,
 )
+from wasabistream.messages import decode_message
 
 LOCAL = '10.0.0.2:8000'
 REMOTE = '10.0.0.3:8000'
@@ -50,6 +52,30 @@
         self.assertEqual(remote.endpoint if remote else '', REMOTE)
         self.assertEqual(local.endpoint if local else '', LOCAL)
 
+    def test_full_data_centre_is_avoided(self) -> None:
+        """Guard against moves to a data centre that is short of capacity.
+
+        Pattern: its engine looks idle, as its callers' requests are on the way.
+        An earlier entry states no full data centres, and an earlier agent
+        reads the rows as before.
+        """
+        rows = [[LOCAL, 'dc-a', 20000, 4], [REMOTE, 'dc-b', 20000, 1]]
+        for full, free, expected in (
+            ([], 20000, REMOTE),
+            (['dc-b'], 20000, LOCAL),
+            (['dc-b'], 100, REMOTE),
+            (['dc-a'], 20000, REMOTE),
+        ):
+            rows[0][2] = free
+            targets = decode_move_targets(rows, full)
+            target = choose_move_target(
+                targets, 'dc-a', 4000, remote_affordable=True
+            )
+            self.assertEqual(target.endpoint if target else '', expected)
+        self.assertEqual(
+            decode_message([83, rows], 'entry'), MoveTargetReport(rows, [])
+        )
+
     def test_sole_engine_gets_fewer(self) -> None:
         """Guard against overloading the only engine of a data centre.
 
--- /dev/null
+++ b/tests/test_demand_boards.py
@@ -0,0 +1,204 @@
+"""Tests of the exchange of demands between entries.
+
+Load patterns: entries and relays that end or pause, malformed, repeated and
+late messages, entries of the previous version and a large fleet.
+"""
+
+import unittest
+from unittest.mock import Mock
+
+from tests.forwarding_builders import (
+    ENGINE_SERVICE,
+    Clock,
+    build_holder,
+    build_request,
+    build_route,
+    build_server,
+)
+from tests.spillover_builders import build_hello
+from wasabistream.forwarding.load_trackers import LoadTracker
+from wasabistream.forwarding.routes import RouteKind
+from wasabistream.frames import FrameReader, encode_frame
+from wasabistream.scheduling.engine_paces import UNKNOWN_PACE
+from wasabistream.spillover.capacity_views import CapacityView
+from wasabistream.spillover.demand_boards import DemandBoard, build_rows
+from wasabistream.spillover.demand_meters import ServiceDemand
+from wasabistream.spillover.spillover_controllers import SpilloverController
+from wasabistream.spillover.spillover_messages import (
+    DataCentreDemand,
+    DemandNotice,
+)
+
+OWN = 'dc-a'
+OTHER = 'dc-b'
+ROWS = [['writer', 100, 200, 3]]
+RELAY = build_hello('relay-1', OTHER)
+SECOND_RELAY = build_hello('relay-2', OTHER)
+BYTE_BUDGET = 8000
+
+
+class DemandBoardTest(unittest.TestCase):
+    """Guard against plans that rest on demand that is not there."""
+
+    def setUp(self) -> None:
+        """Create the board of one entry."""
+        self.clock = Clock()
+        self.board = DemandBoard(OWN, self.clock)
+
+    def own_rate(self) -> float:
+        """Return the prompt tokens per second of the own data centre."""
+        demand = self.board.own_report().demands.get('writer', ServiceDemand())
+        return demand.prompt_tokens_per_second
+
+    def other_rate(self) -> float | None:
+        """Return the prompt tokens per second of the other data centre."""
+        report = self.board.other_reports().get(OTHER)
+        if report is None:
+            return None
+        return report.demands['writer'].prompt_tokens_per_second
+
+    def send(
+        self, sequence: int, rate: float, relay: object = RELAY, age_ms: int = 0
+    ) -> None:
+        """Receive a report of a relay of the other data centre."""
+        self.board.on_report(
+            relay,  # type: ignore[arg-type]
+            DataCentreDemand(OTHER, sequence, [['writer', rate, 0, 0]], age_ms),
+        )
+
+    def test_entries_that_end(self) -> None:
+        """Guard against demand of an entry that has ended.
+
+        Pattern: of three entries, one ends and one is of the previous version
+        and sends nothing.
+        """
+        self.board.record_own({'writer': ServiceDemand(50, 60, 1)})
+        self.board.on_notice(build_hello('e2', OWN), DemandNotice(ROWS))
+        self.clock.advance(1)
+        self.assertEqual(self.own_rate(), 150)
+        # The own demand is new, and the other one a second old.
+        self.assertEqual(self.board.own_report().age_seconds, 0.5)
+        self.clock.advance(2.1)
+        self.assertEqual(self.own_rate(), 50)
+
+    def test_paused_relay(self) -> None:
+        """Guard against a data centre that is forgotten with one relay.
+
+        Pattern: one relay pauses, then the other one; a partition between two
+        data centres looks the same.
+        """
+        self.send(1, 100)
+        self.send(1, 110, SECOND_RELAY)
+        self.assertEqual(self.other_rate(), 110)
+        for sequence in (2, 3, 4):
+            self.clock.advance(1)
+            self.send(sequence, 120, SECOND_RELAY)
+        self.assertEqual(self.other_rate(), 120)
+        self.clock.advance(3.1)
+        self.assertIsNone(self.other_rate())
+
+    def test_repeated_and_late_messages(self) -> None:
+        """Guard against a demand that an older message replaces.
+
+        Pattern: messages of one relay are repeated or arrive late, also after
+        its report has expired; a restarted relay begins again at 1.
+        """
+        self.send(5, 100)
+        self.send(5, 200)
+        self.send(4, 300)
+        self.assertEqual(self.other_rate(), 100)
+        self.clock.advance(5)
+        self.send(5, 300)
+        self.assertIsNone(self.other_rate())
+        self.send(1, 400, build_hello('relay-1', OTHER, 'restarted'))
+        self.assertEqual(self.other_rate(), 400)
+        self.send(6, 500, age_ms=2000)
+        self.assertEqual(self.board.other_reports()[OTHER].age_seconds, 2)
+
+    def test_malformed_messages(self) -> None:
+        """Guard against one bad row that hides all others, or stops the link.
+
+        Pattern: rows of unknown or damaged entries, and senders that speak for
+        another data centre.
+        """
+        rows = [7, [], {}, ['x'], [None, 1, 1, 1], ['y', 'z', 1, 1]]
+        rows += [['w', -1, 0, 0], ['v', float('nan'), 0, 0], *ROWS]
+        with self.assertLogs('wasabistream.spillover', 'WARNING'):
+            self.board.on_notice(build_hello('e2', OWN), DemandNotice(rows))
+            self.board.on_notice(RELAY, DemandNotice(ROWS))
+            self.send(1, 1, build_hello('e9', 'dc-z'))
+            self.send(1, 1, build_hello('agent', OTHER, role='agent'))
+        self.assertEqual(set(self.board.own_report().demands), {'writer'})
+        self.assertEqual(self.own_rate(), 100)
+        self.assertIsNone(self.other_rate())
+
+    def test_byte_budget(self) -> None:
+        """Guard against demand reports that use up the budget of a daemon.
+
+        Pattern: 24 data centres with two relays each and six services, at the
+        demand of 4,700 engines.
+        """
+        demand = ServiceDemand(250_000, 300_000, -90_000)
+        rows = build_rows({f'service{number}': demand for number in range(6)})
+        report = DataCentreDemand('dc-12', 100_000, rows, 1500)
+        frame = encode_frame(report)
+        self.assertLess(len(frame) * 2 * 23, BYTE_BUDGET)
+        self.assertEqual(FrameReader('peer').feed(frame), [report])
+
+
+class SpilloverControllerTest(unittest.TestCase):
+    """Guard against messages that nobody needs, and plans out of date."""
+
+    def setUp(self) -> None:
+        """Create the controller of an entry beside one of two engines."""
+        self.clock = Clock()
+        self.links = Mock()
+        self.is_relay = Mock(return_value=False)
+        self.is_scheduled = Mock(return_value=True)
+        servers = [
+            build_server(number, service=ENGINE_SERVICE, data_centre=name)
+            for number, name in enumerate((OWN, OTHER))
+        ]
+        self.controller = SpilloverController(
+            OWN,
+            self.links,
+            self.is_relay,
+            CapacityView(
+                build_holder(*servers),
+                LoadTracker(self.clock),
+                Mock(pace=lambda endpoint: UNKNOWN_PACE),
+                lambda server: False,
+            ),
+            self.is_scheduled,
+            self.clock,
+        )
+
+    def test_messages_and_plans(self) -> None:
+        """Guard against sums of each entry, and a service that stays planned.
+
+        Pattern: twice the capacity arrives, while the service is scheduled.
+        """
+        request = build_request(build_route(RouteKind.streaming))
+        for second in range(6):
+            self.is_relay.return_value = second == 5
+            for _ in range(5):
+                self.controller.record_arrival(request)
+                self.clock.advance(0.2)
+            rows = [[ENGINE_SERVICE, 1000, 0, 0]]
+            self.controller.board.on_report(
+                RELAY, DataCentreDemand(OTHER, second, rows, 0)
+            )
+            self.controller.update()
+        sends = self.links.send_to_data_centres
+        *notices, (report, goes_to) = [call.args for call in sends.mock_calls]
+        self.assertEqual(len(notices), 6)
+        self.assertTrue(all(is_own(OWN) for _, is_own in notices))
+        self.assertEqual((goes_to(OWN), goes_to(OTHER)), (False, True))
+        self.assertAlmostEqual(report.rows[0][1], 15_000, delta=1500)
+        plan = self.controller.find_plan(ENGINE_SERVICE)
+        self.assertGreater(plan.share(OTHER) if plan else 0, 0.3)
+        self.is_scheduled.return_value = False
+        sends.reset_mock()
+        self.controller.update()
+        sends.assert_not_called()
+        self.assertIsNone(self.controller.find_plan(ENGINE_SERVICE))
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -44,6 +44,7 @@
 )
 from wasabistream.notices import Hello
 from wasabistream.part_notices import PartBanNotice
+from wasabistream.spillover.spillover_messages import DemandNotice
 
 ADDRESS = '127.0.0.1'
 # Time for a second copy of a message to arrive.
@@ -150,6 +151,24 @@
             told, [LimitedSendNotice('one'), LimitedSendNotice('last')]
         )
 
+    def test_messages_to_data_centres(self) -> None:
+        """Guard against demand that counts for another entry or twice."""
+        sender = self.start('a', [])
+        receiver = self.start('b', [sender.endpoint])
+        told: list[tuple[str, Message]] = []
+        receiver.links.subscriptions.add_with_sender(
+            DemandNotice,
+            lambda hello, notice: told.append((hello.peer_id, notice)),
+        )
+        self.assertTrue(wait_for(lambda: _links(sender)))
+        for data_centre in ('dc-z', 'dc', 'dc-z'):
+            sender.links.send_to_data_centres(
+                DemandNotice([[data_centre]]), data_centre.__eq__
+            )
+        self.assertTrue(wait_for(lambda: told))
+        time.sleep(SETTLING_SECONDS)
+        self.assertEqual(told, [('a', DemandNotice([['dc']]))])
+
     def test_store_is_read_through_a_peer(self) -> None:
         """Guard against an entry with an outdated configuration."""
         reader = self.start('a', [])
