Tighten the tests of spillover

Cause: the bound on traffic both ways was twice what the model measures, and the tests of the board used an untyped sender.

--- a/tests/test_demand_boards.py
+++ b/tests/test_demand_boards.py
@@ -19,6 +19,7 @@
 from wasabistream.forwarding.load_trackers import LoadTracker
 from wasabistream.forwarding.routes import RouteKind
 from wasabistream.frames import FrameReader, encode_frame
+from wasabistream.notices import Hello
 from wasabistream.scheduling.engine_paces import UNKNOWN_PACE
 from wasabistream.spillover.capacity_views import CapacityView
 from wasabistream.spillover.demand_boards import DemandBoard, build_rows
@@ -47,25 +48,23 @@
 
     def own_rate(self) -> float:
         """Return the prompt tokens per second of the own data centre."""
-        demand = self.board.own_report().demands.get('writer', ServiceDemand())
-        return demand.prompt_tokens_per_second
-
-    def other_rate(self) -> float | None:
-        """Return the prompt tokens per second of the other data centre."""
-        report = self.board.other_reports().get(OTHER)
-        if report is None:
-            return None
-        return report.demands['writer'].prompt_tokens_per_second
-
-    def send(
-        self, sequence: int, rate: float, relay: object = RELAY, age_ms: int = 0
-    ) -> None:
-        """Receive a report of a relay of the other data centre."""
-        self.board.on_report(
-            relay,  # type: ignore[arg-type]
-            DataCentreDemand(OTHER, sequence, [['writer', rate, 0, 0]], age_ms),
+        return (
+            self.board.own_report().demands['writer'].prompt_tokens_per_second
         )
 
+    def other_rates(self) -> list[float]:
+        """Return the prompt tokens per second of the others."""
+        return [
+            report.demands['writer'].prompt_tokens_per_second
+            for report in self.board.other_reports().values()
+        ]
+
+    def send(self, sequence: int, rate: float, relay: Hello = RELAY) -> None:
+        """Receive a report of a relay of the other data centre."""
+        rows = [['writer', rate, 0, 0]]
+        report = DataCentreDemand(OTHER, sequence, rows, age_ms=500)
+        self.board.on_report(relay, report)
+
     def test_entries_that_end(self) -> None:
         """Guard against demand of an entry that has ended.
 
@@ -88,14 +87,13 @@
         data centres looks the same.
         """
         self.send(1, 100)
-        self.send(1, 110, SECOND_RELAY)
-        self.assertEqual(self.other_rate(), 110)
-        for sequence in (2, 3, 4):
-            self.clock.advance(1)
+        for sequence in (1, 2, 3, 4):
             self.send(sequence, 120, SECOND_RELAY)
-        self.assertEqual(self.other_rate(), 120)
-        self.clock.advance(3.1)
-        self.assertIsNone(self.other_rate())
+            self.clock.advance(1)
+        self.assertEqual(self.other_rates(), [120])
+        self.assertEqual(self.board.other_reports()[OTHER].age_seconds, 1.5)
+        self.clock.advance(1.6)
+        self.assertEqual(self.other_rates(), [])
 
     def test_repeated_and_late_messages(self) -> None:
         """Guard against a demand that an older message replaces.
@@ -103,17 +101,14 @@
         Pattern: messages of one relay are repeated or arrive late, also after
         its report has expired; a restarted relay begins again at 1.
         """
-        self.send(5, 100)
-        self.send(5, 200)
-        self.send(4, 300)
-        self.assertEqual(self.other_rate(), 100)
+        for sequence, rate in ((5, 100), (5, 200), (4, 300)):
+            self.send(sequence, rate)
+        self.assertEqual(self.other_rates(), [100])
         self.clock.advance(5)
         self.send(5, 300)
-        self.assertIsNone(self.other_rate())
+        self.assertEqual(self.other_rates(), [])
         self.send(1, 400, build_hello('relay-1', OTHER, 'restarted'))
-        self.assertEqual(self.other_rate(), 400)
-        self.send(6, 500, age_ms=2000)
-        self.assertEqual(self.board.other_reports()[OTHER].age_seconds, 2)
+        self.assertEqual(self.other_rates(), [400])
 
     def test_malformed_messages(self) -> None:
         """Guard against one bad row that hides all others, or stops the link.
@@ -130,7 +125,7 @@
             self.send(1, 1, build_hello('agent', OTHER, role='agent'))
         self.assertEqual(set(self.board.own_report().demands), {'writer'})
         self.assertEqual(self.own_rate(), 100)
-        self.assertIsNone(self.other_rate())
+        self.assertEqual(self.other_rates(), [])
 
     def test_byte_budget(self) -> None:
         """Guard against demand reports that use up the budget of a daemon.
--- a/tests/test_spillover_plans.py
+++ b/tests/test_spillover_plans.py
@@ -105,12 +105,10 @@
             for second in range(MEASURED_COUNT):
                 world.run_second()
                 # All that may pass each way, in parts of a capacity.
-                first = world.plans['dc0'].share('dc1') * world.ratio('dc0')
-                second_way = world.plans['dc1'].share('dc0') * world.ratio(
-                    'dc1'
-                )
+                away = world.plans['dc0'].share('dc1') * world.ratio('dc0')
+                back = world.plans['dc1'].share('dc0') * world.ratio('dc1')
                 if second >= SETTLING_COUNT:
-                    self.assertLess(min(first, second_way), 0.1)
+                    self.assertLess(min(away, back), 0.06)
 
     def test_lost_room(self) -> None:
         """Guard against a receiver that is filled for seconds more.
