Merge the spillover between data centres

Cause: a constant cost for another data centre decided nothing about how much leaves, nor about the receivers' own demand. Change: part 4 of docs/scheduling.md, with the speeds of the pace board and the scheduled services plugged in.

--- a/wasabistream/platform/chooser_builders.py
+++ b/wasabistream/platform/chooser_builders.py
@@ -3,6 +3,7 @@
 from wasabistream.forwarding.fleets import FleetHolder
 from wasabistream.forwarding.server_choosers import ServerChooser
 from wasabistream.forwarding.server_trackers import ServerTrackers
+from wasabistream.scheduling.interfaces import RemoteLosses
 from wasabistream.scheduling.scheduled_services import ScheduledServices
 from wasabistream.scheduling.scheduling_parts import SchedulingParts
 
@@ -11,6 +12,7 @@
     fleet: FleetHolder,
     servers: ServerTrackers,
     scheduled_services: ScheduledServices,
+    remote_losses: RemoteLosses,
     data_centre: str,
 ) -> ServerChooser:
     """Return the chooser of an entry."""
@@ -25,6 +27,7 @@
         scheduling=SchedulingParts(
             pace_source=servers.engine_paces,
             scheduled_services=scheduled_services,
+            remote_losses=remote_losses,
         ),
     )
 
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -26,7 +26,6 @@
 from wasabistream.forwarding.supervisors import RequestSupervisor
 from wasabistream.forwarding.unary_forwarders import UnaryForwarder
 from wasabistream.listeners import LinkListener
-from wasabistream.long_polls import build_long_poll_limits
 from wasabistream.memory_budgets import MemoryBudget
 from wasabistream.platform.chooser_builders import (
     build_chooser,
@@ -40,10 +39,10 @@
 from wasabistream.platform.node_files import NodeSettings
 from wasabistream.platform.request_handlers import RequestHandler
 from wasabistream.platform.server_clients import HttpServerClient
-from wasabistream.platform.store_clients import StoreClient
 from wasabistream.platform.store_decoders import FleetDecoder
-from wasabistream.platform.store_followers import StoreFollower
+from wasabistream.platform.store_followers import build_store_follower
 from wasabistream.poison_parts import PoisonPartDetector
+from wasabistream.spillover.spillover_parts import build_spillover
 
 # Maximum number of requests in progress; each occupies a thread.
 REQUEST_THREAD_COUNT = 128
@@ -100,6 +99,17 @@
             node_settings.bounds.cold_limit,
             node_settings.bounds.reuse_seconds,
         )
+        self._scheduled_services = build_scheduled_services(
+            self.fleet, self._servers
+        )
+        # Also checks its settings, before any socket is open.
+        self._spillover = build_spillover(
+            node_settings.data_centre,
+            self._peer_links,
+            self.fleet,
+            self._servers,
+            self._scheduled_services.is_scheduled,
+        )
         # Agents accept links at the link port; this entry accepts them at its
         # control address.
         self._agent_links = AgentLinks(
@@ -109,14 +119,12 @@
             move_tracker,
             self._servers.advisories,
             self._servers.engine_paces,
+            self._spillover.controller.full_data_centres,
         )
-        poll_limits = build_long_poll_limits(
-            node_settings.bounds.recovery_seconds
-        )
-        self.follower = StoreFollower(
-            StoreClient(node_settings.store, poll_limits.timeout_seconds),
+        self.follower = build_store_follower(
+            node_settings.store,
+            node_settings.bounds.recovery_seconds,
             self.mirror,
-            poll_limits,
             self._fleet_updater.refresh,
             self._peer_links.relays.is_updated_by_relays,
         )
@@ -183,6 +191,7 @@
         self._listener.start()
         self._peer_links.start()
         self._agent_links.start()
+        self._spillover.controller.start()
         self._front_server.run_in_thread('front')
         self._readiness_server.run_in_thread('ready')
 
@@ -214,6 +223,7 @@
             lambda: self._readiness_server.stop_within(MIN_STOP_SECONDS),
         )
         self.stop_part('store', self.follower.stop)
+        self.stop_part('spillover', self._spillover.controller.stop)
         self.stop_part('listener', self._listener.stop)
         self.stop_part('peer links', self._peer_links.stop)
         self.stop_part('supervisor', self._request_supervisor.stop)
@@ -229,11 +239,11 @@
 
     def _build_forwarder(self, move_tracker: MoveTracker) -> Forwarder:
         servers = self._servers
-        scheduled_services = build_scheduled_services(self.fleet, servers)
         chooser = build_chooser(
             self.fleet,
             servers,
-            scheduled_services,
+            self._scheduled_services,
+            self._spillover.losses,
             self.node_settings.data_centre,
         )
         refuser = Refuser(
@@ -258,7 +268,7 @@
             poison_guard,
             servers.advisories,
             servers.build_announcer(
-                self._agent_links, scheduled_services.is_scheduled
+                self._agent_links, self._scheduled_services.is_scheduled
             ),
         )
         buffers = AnswerBuffers(
@@ -286,6 +296,7 @@
                 refuser,
             ),
             poison_guard,
+            self._spillover,
         )
 
     def _answer_readiness_probe(
