Sample move targets when several engines may leave at once

Cause: agents of engines that leave together choose the same target; copies queue behind one another there. Change: an agent to which entries announce prompts samples among the targets that cost little more than the cheapest; all others choose as before.

--- a/tests/test_copy_paces.py
+++ b/tests/test_copy_paces.py
@@ -4,7 +4,9 @@
 that generations moved to a local engine have to move again.
 """
 
+import random
 import unittest
+from collections import Counter
 
 from wasabistream.forwarding.copy_rate_estimators import CopyRateEstimator
 from wasabistream.forwarding.engine_states import EngineRun
@@ -52,6 +54,39 @@
         self.assertEqual(remote.endpoint if remote else '', REMOTE)
         self.assertEqual(local.endpoint if local else '', LOCAL)
 
+    def test_engines_that_leave_together(self) -> None:
+        """Guard against copies of several engines that queue at one target.
+
+        Pattern: one engine in six is taken away at the same moment; their
+        agents have the same list of targets.
+        """
+        rows: list[list[object]] = [
+            [f'10.0.0.{number}:8000', 'dc-a', 20000, number // 4]
+            for number in range(8)
+        ]
+        cheapest, sampled = (
+            Counter(
+                target.endpoint
+                for generator in generators
+                if (
+                    target := choose_move_target(
+                        decode_move_targets(rows),
+                        'dc-a',
+                        4000,
+                        remote_affordable=True,
+                        generator=generator,
+                    )
+                )
+            )
+            for generators in (
+                [None for _ in range(5)],
+                [random.Random(seed) for seed in range(5)],
+            )
+        )
+        self.assertEqual(cheapest, {'10.0.0.0:8000': 5})
+        self.assertEqual(sampled.total(), 5)
+        self.assertLessEqual(max(sampled.values()), 2)
+
     def test_full_data_centre_is_avoided(self) -> None:
         """Guard against moves to a data centre that is short of capacity.
 
--- a/wasabistream/forwarding/engine_watchers.py
+++ b/wasabistream/forwarding/engine_watchers.py
@@ -90,6 +90,11 @@
         """Return the estimated pace of the engine."""
         return self._pace
 
+    @property
+    def has_announcing_entries(self) -> bool:
+        """Return whether linked entries announce prompts."""
+        return self._backlog.has_announcing_links
+
     def announce_prompt(self, link: Hashable, notice: PromptNotice) -> None:
         """Add a prompt that an entry is about to send to the engine."""
         with self._lock:
--- a/wasabistream/forwarding/move_target_finders.py
+++ b/wasabistream/forwarding/move_target_finders.py
@@ -1,6 +1,7 @@
 """Search for move targets: engines that can take over generations."""
 
 import logging
+import random
 import threading
 import time
 from collections.abc import Callable
@@ -25,6 +26,10 @@
 REPORT_MAX_AGE_SECONDS = 0.3
 
 
+def _never() -> bool:
+    return False
+
+
 class MoveTargetFinder:
     """Find move targets from the reports of the entries."""
 
@@ -33,8 +38,12 @@
         service: str,
         data_centre: str,
         broadcast: Callable[[Message], None],
+        spreads_targets: Callable[[], bool] = _never,
     ) -> None:
         self._service = service
+        # Returns whether to sample targets, as for scheduled services.
+        self._spreads_targets = spreads_targets
+        self._generator = random.Random()
         self._data_centre = data_centre
         self._broadcast = broadcast
         self._targets: list[MoveTarget] = []
@@ -70,6 +79,7 @@
             self._data_centre,
             run.memory_tokens + reserve_tokens,
             remote_affordable=remote_affordable,
+            generator=self._generator if self._spreads_targets() else None,
         )
 
     def _is_outdated(self) -> bool:
--- a/wasabistream/forwarding/move_targets.py
+++ b/wasabistream/forwarding/move_targets.py
@@ -1,5 +1,6 @@
 """Move targets: backend servers that can take over generations."""
 
+import random
 from collections import Counter
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
@@ -16,6 +17,10 @@
 # Factor on the cost of the only target in its data centre: if it leaves later,
 # its generations take twice as long to move, as all copies are remote.
 SOLE_SERVER_COST_RATIO = 2.0
+# Several engines often leave at the same time and get the same list of targets.
+# Copies to one target queue behind one another, which lengthens the pause of the
+# stream, so targets that cost at most this much more are taken as well.
+SPREAD_COST = 1.0
 
 
 @dataclass
@@ -81,8 +86,13 @@
     tokens: int,
     *,
     remote_affordable: bool,
+    generator: random.Random | None = None,
 ) -> MoveTarget | None:
-    """Return the cheapest target and reserve memory and a request on it."""
+    """Return a cheap target and reserve memory and a request on it.
+
+    With a generator it is sampled among the targets that cost little more than
+    the cheapest one.
+    """
     remote_ratio = (
         REMOTE_COST_RATIO if remote_affordable else URGENT_REMOTE_COST_RATIO
     )
@@ -96,19 +106,31 @@
     ]
     # The source engine is not counted, as it is about to leave.
     server_counts = Counter(target.data_centre for target in targets)
-    best = min(
-        with_room or fitting,
-        key=lambda target: _target_cost(
+    costs = [
+        _target_cost(
             target,
             1 if target.data_centre == data_centre else remote_ratio,
             is_sole_server=server_counts[target.data_centre] == 1,
-        ),
-    )
+        )
+        for target in with_room or fitting
+    ]
+    best = _select(list(zip(costs, with_room or fitting)), generator)
     best.free_tokens -= tokens
     best.request_count += 1
     return best
 
 
+def _select(
+    rated: list[tuple[float, MoveTarget]], generator: random.Random | None
+) -> MoveTarget:
+    least_cost = min(cost for cost, _ in rated)
+    if generator is None:
+        return next(target for cost, target in rated if cost == least_cost)
+    return generator.choice(
+        [target for cost, target in rated if cost <= least_cost + SPREAD_COST]
+    )
+
+
 def _target_cost(
     target: MoveTarget, distance_ratio: float, *, is_sole_server: bool
 ) -> float:
--- a/wasabistream/platform/agent_applications.py
+++ b/wasabistream/platform/agent_applications.py
@@ -51,7 +51,10 @@
         engine = EngineClient(backend)
         endpoint = str(backend)
         self._target_finder = MoveTargetFinder(
-            node_settings.service, node_settings.data_centre, self._broadcast
+            node_settings.service,
+            node_settings.data_centre,
+            self._broadcast,
+            lambda: self._watcher.has_announcing_entries,
         )
         self._mover = RunMover(
             engine, endpoint, self._target_finder, self._broadcast
--- a/wasabistream/scheduling/prompt_backlogs.py
+++ b/wasabistream/scheduling/prompt_backlogs.py
@@ -37,6 +37,11 @@
         # Open links over which a notice has come.
         self._links: set[Hashable] = set()
 
+    @property
+    def has_announcing_links(self) -> bool:
+        """Return whether a notice has come over a link that is open."""
+        return bool(self._links)
+
     def add(
         self, link: Hashable, notice: PromptNotice, now_seconds: float
     ) -> None:
