--- a/wasabistream/metrics.py
+++ b/wasabistream/metrics.py
@@ -57,6 +57,19 @@
     ['kind'],
     buckets=(0.02, 0.05, 0.125, 0.3, 0.8, 1.8, 4, 10, 40),
 )
+START_QUEUE_WAITING = Gauge(
+    'wasabi_start_queue_waiting', 'Deferrable requests that wait for room'
+)
+START_QUEUE_SECONDS = Histogram(
+    'wasabi_start_queue_seconds',
+    'Time that deferrable requests waited, those sent at once included',
+    buckets=(0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16),
+)
+START_QUEUE_ENDS = Counter(
+    'wasabi_start_queue_ends',
+    'Waits of deferrable requests that ended, by reason',
+    ['reason'],
+)
 LIMITED_SERVERS = Gauge(
     'wasabi_limited_servers', 'Backend servers that state a rate limit'
 )
