Name waits and refusals of the start queue among the causes of losses

Cause: `losses` would list requests that the start queue delayed or refused as late first events or other refusals.

Change: causes `waited for room` (in time without its wait) and `refused, no room in time`. `explain` shows the queue's line, as it names the request; a test covers it.

--- a/tests/test_inspection_commands.py
+++ b/tests/test_inspection_commands.py
@@ -23,6 +23,12 @@
 
 LEAVING = build_line('engine: state changed', 9, endpoint=ENGINE, leaving=True)
 
+LATE = build_stream_end('r1', first_event_seconds=2.0)
+
+
+def _build_wait(seconds: float) -> str:
+    return build_line('queue: waited', 5, request_id='r1', seconds=seconds)
+
 
 class InspectionTest(unittest.TestCase):
     """Guard an on-call engineer against a loss without a cause."""
@@ -125,6 +131,17 @@
                     build_call_end('r1', status=503),
                 ),
             ),
+            (
+                'refused, no room in time',
+                (
+                    build_line(
+                        'request: refused: no room in time', request_id='r1'
+                    ),
+                    build_stream_end('r1', outcome='answered', status=503),
+                ),
+            ),
+            ('waited for room', (_build_wait(1.5), LATE)),
+            ('waited for the first event', (_build_wait(0.1), LATE)),
             ('answered late', (build_call_end('r1', seconds=0.5),)),
             ('deadline passed', (build_call_end('r1', status=504),)),
         )
@@ -189,6 +206,7 @@
         path = self.write(
             build_stream_end('r1', outcome='cut'),
             build_stream_end('r2'),
+            _build_wait(1.5),
             LEAVING,
             build_line('engine: state changed', 9, endpoint='other'),
         )
@@ -200,6 +218,7 @@
         self.assertEqual(
             [row['message'] for row in rows],
             [
+                'queue: waited',
                 'engine: state changed',
                 'engine: state changed',
                 'request: ended',
--- a/wasabistream/inspection/loss_causes.py
+++ b/wasabistream/inspection/loss_causes.py
@@ -1,42 +1,19 @@
 """Causes of requests that were not served in time, in order of precedence."""
 
-from collections.abc import Callable
-from dataclasses import dataclass
-
 from wasabistream.inspection.loss_contexts import LossContext
+from wasabistream.inspection.loss_registry import (
+    LossCause,
+    list_causes,
+    loss_cause,
+)
 from wasabistream.inspection.request_records import RequestRecord
 
-Condition = Callable[[RequestRecord, LossContext], bool]
-
-
-@dataclass(frozen=True, slots=True)
-class LossCause:
-    """Name one cause and tell which requests it applies to."""
-
-    name: str
-    # False if no system could have served the request.
-    avoidable: bool
-    applies: Condition
-
-
-_causes: list[LossCause] = []
-
-
-def loss_cause(
-    name: str, *, avoidable: bool = True
-) -> Callable[[Condition], Condition]:
-    """Return a decorator that registers a cause after the earlier ones."""
-
-    def register(condition: Condition) -> Condition:
-        _causes.append(LossCause(name, avoidable, condition))
-        return condition
-
-    return register
-
 
 def find_cause(record: RequestRecord, context: LossContext) -> LossCause:
     """Return the first cause that applies; the last one always does."""
-    return next(cause for cause in _causes if cause.applies(record, context))
+    return next(
+        cause for cause in list_causes() if cause.applies(record, context)
+    )
 
 
 @loss_cause('entry ended with the request', avoidable=False)
@@ -69,6 +46,11 @@
     return record.request_id in context.waiting_request_ids
 
 
+@loss_cause('refused, no room in time')
+def _no_room_in_time(record: RequestRecord, context: LossContext) -> bool:
+    return record.request_id in context.no_room_request_ids
+
+
 @loss_cause('refused, not run')
 def _refused(record: RequestRecord, context: LossContext) -> bool:
     return record.status in {429, 503}
@@ -101,6 +83,11 @@
     return record.is_broken
 
 
+@loss_cause('waited for room')
+def _waited_for_room(record: RequestRecord, context: LossContext) -> bool:
+    return record.is_stream and context.is_late_by_queue(record)
+
+
 @loss_cause('waited for the first event')
 def _waited(record: RequestRecord, context: LossContext) -> bool:
     return record.is_stream and record.is_late
--- a/wasabistream/inspection/loss_contexts.py
+++ b/wasabistream/inspection/loss_contexts.py
@@ -18,6 +18,10 @@
     move_messages: dict[str, str] = field(default_factory=dict)
     # Requests that were refused as no server took one before a stated wait.
     waiting_request_ids: set[str] = field(default_factory=set)
+    # Requests that were refused as none of the engines would have room in time.
+    no_room_request_ids: set[str] = field(default_factory=set)
+    # Time that requests waited at their entry for room at an engine.
+    queue_seconds: dict[str, float] = field(default_factory=dict)
 
     def had_notice(self, record: RequestRecord) -> bool:
         """Return whether a server of the request left shortly before."""
@@ -26,3 +30,9 @@
             for server in record.servers
             for left_at in self.leave_times_seconds.get(server, ())
         )
+
+    def is_late_by_queue(self, record: RequestRecord) -> bool:
+        """Return whether a request would be in time without its wait."""
+        waited_seconds = self.queue_seconds.get(record.request_id, 0)
+        begun_seconds = record.first_event_seconds - waited_seconds
+        return record.is_late and begun_seconds <= record.target_seconds
--- a/wasabistream/inspection/loss_tables.py
+++ b/wasabistream/inspection/loss_tables.py
@@ -5,14 +5,17 @@
 from dataclasses import dataclass
 
 from wasabistream.inspection.log_lines import LogLine
-from wasabistream.inspection.loss_causes import LossCause, find_cause
+from wasabistream.inspection.loss_causes import find_cause
 from wasabistream.inspection.loss_contexts import LossContext
+from wasabistream.inspection.loss_registry import LossCause
 from wasabistream.inspection.outdated_refusals import OutdatedRefusals
 from wasabistream.inspection.request_records import RequestRecord, build_record
 
 MOVE_PREFIX = 'mover: '
 REFUSED_PREFIX = 'request: refused: '
 WAITING_MESSAGE = 'request: refused: no server takes it before the stated wait'
+NO_ROOM_MESSAGE = 'request: refused: no room in time'
+QUEUE_MESSAGE = 'queue: waited'
 # The lines of refused requests name no route.
 OUTDATED_CAUSE = 'refused by an outdated configuration'
 UNKNOWN_ROUTE = ''
@@ -68,8 +71,12 @@
                     self._add_engine_state(line)
                 case message if message.startswith(MOVE_PREFIX):
                     self._add_move(line)
+                case message if message == QUEUE_MESSAGE:
+                    self._add_queued(line)
                 case message if message == WAITING_MESSAGE:
-                    self._add_waiting(line)
+                    self._add_refused(line, self._context.waiting_request_ids)
+                case message if message == NO_ROOM_MESSAGE:
+                    self._add_refused(line, self._context.no_room_request_ids)
                 case message if message.startswith(REFUSED_PREFIX):
                     self._outdated_refusals.add_refusal(line)
 
@@ -141,8 +148,15 @@
             times = self._context.leave_times_seconds.setdefault(endpoint, [])
             times.append(line.time_seconds)
 
-    def _add_waiting(self, line: LogLine) -> None:
-        request_ids = self._context.waiting_request_ids
+    def _add_queued(self, line: LogLine) -> None:
+        seconds = line.fields.get('seconds')
+        queue_seconds = self._context.queue_seconds
+        if len(queue_seconds) < MAX_RECORD_COUNT and isinstance(
+            seconds, int | float
+        ):
+            queue_seconds[line.request_id] = seconds
+
+    def _add_refused(self, line: LogLine, request_ids: set[str]) -> None:
         if len(request_ids) < MAX_RECORD_COUNT:
             request_ids.add(line.request_id)
 
