Queue deferrable requests at entries before their first attempt

Cause: the start queue had no users.

Change: StreamForwarder asks a StartGate before the first attempt; without a queue each request starts at once as before. A refusal states the expected wait (`no room in time`, `no_room_in_time`). Load reports wake the queue, a drain releases it. ServerChooser gets placeholders of predict_all and take_from without predictions, which the engine selection replaces; with them each request goes to the usual selection. The test of large requests among small ones frees memory in steps, so that it fails without the limit to overtaking.

Measured: tests.test_start_queues, test_stream_forwarders, test_agent_links, test_platform_path, test_server_choosers, test_supervisors, test_forwarders, test_back_offs, test_rate_limits, test_daemon_imports, test_drain_processes, test_drains and test_cold_start pass. One of 33 runs of test_stream_forwarders on the busy machine failed; which test failed was not recorded, and it did not happen again.

--- a/tests/test_agent_links.py
+++ b/tests/test_agent_links.py
@@ -13,7 +13,7 @@
     SILENT_LINK_SECONDS,
     AgentLinks,
 )
-from wasabistream.forwarding.move_messages import RunSilent
+from wasabistream.forwarding.move_messages import RunMoving, RunSilent
 from wasabistream.notices import LoadReport
 
 ENDPOINT = '10.0.0.1:8000'
@@ -44,6 +44,14 @@
         self.pass_time(SILENT_LINK_SECONDS + 1)
         self.link.close.assert_called_once()
 
+    def test_report(self) -> None:
+        """Guard against requests that wait for room after a report of it."""
+        self.links.on_load_report = Mock()
+        self.links.receive(ENDPOINT, self.link, RunMoving('r1'))
+        self.links.on_load_report.assert_not_called()
+        self.links.receive(ENDPOINT, self.link, REPORT)
+        self.links.on_load_report.assert_called_once()
+
     def test_link_without_reports(self) -> None:
         """Guard against closing the link to an agent whose engine starts."""
         self.pass_time(SILENT_LINK_SECONDS + 1)
--- a/tests/test_start_queues.py
+++ b/tests/test_start_queues.py
@@ -135,8 +135,9 @@
         """Guard against small requests that starve a large one."""
         case = QueueCase(run_seconds=1)
         case.fleet.occupy(MEMORY_TOKENS - 9000)
-        for _ in range(9):
+        for _ in range(10):
             case.add(1000)
+            case.step(0.1)
         large = case.add(8000)
         for _ in range(100):
             case.add(1000)
--- a/tests/test_stream_forwarders.py
+++ b/tests/test_stream_forwarders.py
@@ -5,6 +5,8 @@
 
 import threading
 import unittest
+from contextlib import nullcontext
+from unittest.mock import Mock
 
 from tests.forwarding_builders import (
     ENGINE_SERVICE,
@@ -36,6 +38,7 @@
 from wasabistream.forwarding.stream_forwarders import StreamForwarder
 from wasabistream.forwarding.stream_progress import StreamProgress
 from wasabistream.forwarding.supervisors import CutReason, RequestWatch
+from wasabistream.queueing.starts import DIRECT_START, Start, StartReason
 
 STREAM_ROUTE = build_route(RouteKind.streaming, max_attempt_count=1)
 RESUMABLE_ROUTE = build_route(RouteKind.streaming, resumable=True)
@@ -58,6 +61,7 @@
         self.caller = FakeCaller()
         self.progress = StreamProgress()
         self.banned_parts: tuple[str, ...] = ()
+        self.start = DIRECT_START
 
     def forward(
         self, route: Route, *script: FakeExchange | BackendError
@@ -82,6 +86,8 @@
             build_answer_buffers(),
             parts.refuser,
         )
+        forwarder.starts = Mock()
+        forwarder.starts.wait_for_start.return_value = nullcontext(self.start)
         for part in self.banned_parts:
             parts.poison_parts.adopt_ban(part, 0, 0)
         request = build_request(route, prompt_parts=PROMPT_PARTS)
@@ -98,6 +104,21 @@
         self.forward(RESUMABLE_ROUTE, no_answer(), stream(events(1, 3)))
         self.assertEqual(len(self.client.sent), 1)
 
+    def test_start_that_the_queue_selected(self) -> None:
+        """Guard against another engine than the one with room, or for all."""
+        chosen = build_server(9, service=ENGINE_SERVICE)
+        self.start = Start(StartReason.room, chosen)
+        self.forward(RESUMABLE_ROUTE, not_run_error(), stream(events(1, 1)))
+        self.assertEqual(self.client.endpoints[0], chosen.endpoint)
+        self.assertNotEqual(self.client.endpoints[1], chosen.endpoint)
+
+    def test_refusal_by_the_queue(self) -> None:
+        """Guard against a refusal after something was sent."""
+        self.start = Start(StartReason.refused, retry_after_seconds=12)
+        reply = self.forward(STREAM_ROUTE)
+        self.assertEqual(reply, Reply(503, (('retry-after', '12.00'),)))
+        self.assertFalse(self.client.sent)
+
     def test_whole_stream(self) -> None:
         """Guard against modifying events."""
         self.forward(STREAM_ROUTE, stream(events(1, 3)))
--- a/wasabistream/forwarding/agent_links.py
+++ b/wasabistream/forwarding/agent_links.py
@@ -3,7 +3,7 @@
 import logging
 import threading
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from wasabistream.dialers import PeerDialer
 from wasabistream.forwarding.advisory_guards import AdvisoryGuard
@@ -64,6 +64,8 @@
         # When the agent of each open link reported last.
         self._reported_at_seconds: dict[str, float] = {}
         self._stopped = False
+        # Called on the link thread after each load report.
+        self.on_load_report: Callable[[], None] = _ignore_report
 
     def start(self) -> None:
         """Start looking for silent links."""
@@ -130,6 +132,7 @@
                 self._load_tracker.report(endpoint, notice)
                 self._reported_at_seconds[endpoint] = time.monotonic()
                 self._advisories.record_report(endpoint, notice)
+                self.on_load_report()
             case RunMoving():
                 self._moves.record_move_start(notice.run_id)
             case RunMoved():
@@ -210,3 +213,7 @@
 def _has_engine(fleet: Fleet, server: BackendServer) -> bool:
     service = fleet.find_service(server.service)
     return service is not None and service.engine is not None
+
+
+def _ignore_report() -> None:
+    """Do nothing."""
--- a/wasabistream/forwarding/refusals.py
+++ b/wasabistream/forwarding/refusals.py
@@ -17,6 +17,8 @@
         'server_advisory': 'no server takes it before the stated wait',
         # None is reachable and can begin it in time, or some turned it away.
         'no_server': 'no server took it',
+        # The queue of deferrable requests is too long.
+        'no_room_in_time': 'no room in time',
     }
 )
 
@@ -30,10 +32,22 @@
 
     def refuse(self, request: ForwardRequest) -> Reply:
         """Return the refusal of a request and log its reason."""
-        remaining_seconds = request.deadline.remaining_seconds
         usable = self._fleet.current.usable_servers(request.service)
         wait_seconds = self._advisories.wait_seconds(usable)
         reason = 'server_advisory' if wait_seconds else 'no_server'
+        return self._refuse(request, reason, wait_seconds)
+
+    def refuse_without_room(
+        self, request: ForwardRequest, wait_seconds: float
+    ) -> Reply:
+        """Return the refusal of a request that would wait for too long."""
+        return self._refuse(request, 'no_room_in_time', wait_seconds)
+
+    def _refuse(
+        self, request: ForwardRequest, reason: str, wait_seconds: float
+    ) -> Reply:
+        remaining_seconds = request.deadline.remaining_seconds
+        usable = self._fleet.current.usable_servers(request.service)
         REFUSALS.labels(reason).inc()
         logger.info(
             'request: refused: %s',
--- a/wasabistream/forwarding/server_choosers.py
+++ b/wasabistream/forwarding/server_choosers.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 
 from wasabistream.forwarding.advisory_guards import AdvisoryGuard
 from wasabistream.forwarding.backend_servers import BackendServer
@@ -12,6 +12,7 @@
 from wasabistream.forwarding.fleets import FleetHolder
 from wasabistream.forwarding.load_trackers import LoadEstimate, LoadTracker
 from wasabistream.forwarding.requests import ForwardRequest
+from wasabistream.scheduling.engine_outlooks import EngineOutlook
 
 # Cost of a failure rate of 1, in requests in progress.
 FAILURE_COST = 12.0
@@ -108,6 +109,18 @@
             if server is None or self._advisories.try_take(server):
                 return server
 
+    def predict_all(
+        self, request: ForwardRequest, excluded: Collection[str] = ()
+    ) -> list[EngineOutlook]:
+        """Return the outlooks of all candidates; none without predictions."""
+        return list[EngineOutlook]()
+
+    def take_from(
+        self, request: ForwardRequest, outlooks: Sequence[EngineOutlook]
+    ) -> EngineOutlook | None:
+        """Select an engine and count the request at its stated limit."""
+        return next(iter(outlooks), None)
+
     def has_other(
         self, request: ForwardRequest, excluded: Collection[str]
     ) -> bool:
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -37,6 +37,7 @@
 from wasabistream.forwarding.server_choosers import ServerChooser
 from wasabistream.forwarding.stream_progress import StreamProgress
 from wasabistream.forwarding.supervisors import RequestWatch, StallLimits
+from wasabistream.queueing.interfaces import DirectStarts, StartGate
 
 logger = logging.getLogger(__name__)
 
@@ -82,6 +83,8 @@
         self._poison_guard = poison_guard
         self._buffers = buffers
         self._refuser = refuser
+        # Decides when the first attempt of a generation is made.
+        self.starts: StartGate = DirectStarts()
 
     def forward(
         self,
@@ -90,13 +93,30 @@
         progress: StreamProgress,
     ) -> Reply | None:
         """Forward a stream; return a reply if no stream has begun."""
+        with self.starts.wait_for_start(watch) as start:
+            if start.is_refused:
+                return self._refuser.refuse_without_room(
+                    watch.request, start.retry_after_seconds
+                )
+            return self._forward(watch, history, progress, start.server)
+
+    def _forward(
+        self,
+        watch: RequestWatch,
+        history: AttemptHistory,
+        progress: StreamProgress,
+        first_server: BackendServer | None,
+    ) -> Reply | None:
         failure: Reply | None = None
         watch.may_move_on = lambda: (
             self._sender.may_repeat(watch.request, history)
             and self._chooser.has_other(watch.request, history.endpoints[-1:])
         )
         while not watch.is_ended and progress.is_continuable:
-            server = self._chooser.take(watch.request, history.endpoints[-1:])
+            server = first_server or self._chooser.take(
+                watch.request, history.endpoints[-1:]
+            )
+            first_server = None
             if server is None or not self._sender.may_send(watch, history):
                 break
             progress.waiting_count = self._chooser.count_waiting(server)
--- a/wasabistream/forwarding/supervisors.py
+++ b/wasabistream/forwarding/supervisors.py
@@ -4,6 +4,7 @@
 import math
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 from contextlib import ExitStack
 from dataclasses import dataclass
@@ -204,6 +205,17 @@
         with self._lock:
             return [watch.request.request_id for watch in self._watches]
 
+    def running_tokens(self) -> Counter[str]:
+        """Return the expected tokens at engines by organisation."""
+        with self._lock:
+            watches = list(self._watches)
+        tokens: Counter[str] = Counter()
+        for watch in watches:
+            demand = watch.request.demand
+            if watch.endpoint and demand is not None:
+                tokens[watch.request.organisation] += demand.expected_tokens
+        return tokens
+
     def _run(self) -> None:
         while not self._stopped.wait(POLL_INTERVAL_SECONDS):
             with self._lock:
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -7,8 +7,7 @@
 from wasabistream.crash_notices import CrashMessage
 from wasabistream.forwarding.agent_links import AgentLinks
 from wasabistream.forwarding.announced_engines import AnnouncedEngines
-from wasabistream.forwarding.answer_buffers import AnswerBuffers
-from wasabistream.forwarding.answer_limits import build_answer_limits
+from wasabistream.forwarding.answer_buffers import build_answer_buffers
 from wasabistream.forwarding.attempts import AttemptSender
 from wasabistream.forwarding.budgets import RepeatBudgets
 from wasabistream.forwarding.drain_gates import DrainGate
@@ -41,6 +40,7 @@
 from wasabistream.platform.store_decoders import FleetDecoder
 from wasabistream.platform.store_followers import StoreFollower
 from wasabistream.poison_parts import PoisonPartDetector
+from wasabistream.queueing.entry_queues import build_start_queue
 
 # Maximum number of requests in progress; each occupies a thread.
 REQUEST_THREAD_COUNT = 128
@@ -191,6 +191,7 @@
         self._peer_links.send_peer_notice()
         self._drain_gate.close(self.settings.drain_limit_seconds)
         self._request_supervisor.end_requests_at(self._stop_at_seconds)
+        self._start_queue.release_all()
 
     def on_reload(self, node_settings: NodeSettings) -> None:
         """Look for the other entries at the seeds of changed settings."""
@@ -209,6 +210,7 @@
             'readiness server',
             lambda: self._readiness_server.stop_within(MIN_STOP_SECONDS),
         )
+        self.stop_part('start queue', self._start_queue.stop)
         self.stop_part('store', self.follower.stop)
         self.stop_part('listener', self._listener.stop)
         self.stop_part('peer links', self._peer_links.stop)
@@ -234,6 +236,14 @@
             servers.paces,
             self.node_settings.data_centre,
         )
+        self._start_queue = build_start_queue(
+            self.fleet,
+            chooser,
+            servers,
+            self._peer_links.entry_count,
+            self._request_supervisor.running_tokens,
+            self._agent_links,
+        )
         refuser = Refuser(self.fleet, servers.advisories)
         client = HttpServerClient()
         poison_guard = PoisonRequestGuard(
@@ -254,10 +264,20 @@
             poison_guard,
             servers.advisories,
         )
-        buffers = AnswerBuffers(
-            build_answer_limits(self.node_settings.memory_limit_bytes),
-            self._memory,
+        buffers = build_answer_buffers(
+            self.node_settings.memory_limit_bytes, self._memory
+        )
+        streams = StreamForwarder(
+            self.fleet,
+            chooser,
+            sender,
+            servers.failure_rates,
+            move_tracker,
+            poison_guard,
+            buffers,
+            refuser,
         )
+        streams.starts = self._start_queue
         return Forwarder(
             self._request_supervisor,
             UnaryForwarder(
@@ -268,16 +288,7 @@
                 buffers,
                 refuser,
             ),
-            StreamForwarder(
-                self.fleet,
-                chooser,
-                sender,
-                servers.failure_rates,
-                move_tracker,
-                poison_guard,
-                buffers,
-                refuser,
-            ),
+            streams,
             poison_guard,
         )
 
