Merge the start queue for deferrable requests

Change: part 3 of docs/scheduling.md; of the room that all entries see, each takes only its part in one scan.

--- a/tests/test_agent_links.py
+++ b/tests/test_agent_links.py
@@ -16,7 +16,7 @@
     AgentLinks,
 )
 from wasabistream.forwarding.load_trackers import LoadTracker
-from wasabistream.forwarding.move_messages import RunSilent
+from wasabistream.forwarding.move_messages import RunMoving, RunSilent
 from wasabistream.forwarding.routes import RouteKind
 from wasabistream.notices import LoadReport
 from wasabistream.scheduling.engine_paces import EnginePace
@@ -55,6 +55,14 @@
         self.pass_time(SILENT_LINK_SECONDS + 1)
         self.link.close.assert_called_once()
 
+    def test_report(self) -> None:
+        """Guard against requests that wait for room after a report of it."""
+        self.links.on_load_report = Mock()
+        self.links.receive(ENDPOINT, self.link, RunMoving('r1'))
+        self.links.on_load_report.assert_not_called()
+        self.links.receive(ENDPOINT, self.link, REPORT)
+        self.links.on_load_report.assert_called_once()
+
     def test_link_without_reports(self) -> None:
         """Guard against closing the link to an agent whose engine starts."""
         self.pass_time(SILENT_LINK_SECONDS + 1)
--- a/wasabistream/forwarding/agent_links.py
+++ b/wasabistream/forwarding/agent_links.py
@@ -84,6 +84,8 @@
         # Open links to agents that understand announcements of prompts.
         self._announcement_links: dict[str, Link] = {}
         self._stopped = False
+        # Called on the link thread after each load report.
+        self.on_load_report: Callable[[], None] = _ignore_report
 
     def start(self) -> None:
         """Start looking for silent links."""
@@ -174,6 +176,7 @@
                 self._load_tracker.report(endpoint, notice)
                 self._reported_at_seconds[endpoint] = time.monotonic()
                 self._advisories.record_report(endpoint, notice)
+                self.on_load_report()
             case EnginePaceReport():
                 self._record_pace(endpoint, link, notice)
             case RunMoving():
@@ -273,3 +276,7 @@
 def _has_engine(fleet: Fleet, server: BackendServer) -> bool:
     service = fleet.find_service(server.service)
     return service is not None and service.engine is not None
+
+
+def _ignore_report() -> None:
+    """Do nothing."""
--- a/wasabistream/forwarding/refusals.py
+++ b/wasabistream/forwarding/refusals.py
@@ -20,6 +20,8 @@
         'no_server': 'no server took it',
         # Each engine of its scheduled service has too long a backlog.
         'no_start_in_time': 'no engine can start it in time',
+        # The queue of deferrable requests is too long.
+        'no_room_in_time': 'no room in time',
     }
 )
 
@@ -41,7 +43,6 @@
 
     def refuse(self, request: ForwardRequest) -> Reply:
         """Return the refusal of a request and log its reason."""
-        remaining_seconds = request.deadline.remaining_seconds
         usable = self._fleet.current.usable_servers(request.service)
         wait_seconds = self._advisories.wait_seconds(usable)
         reason = 'server_advisory' if wait_seconds else 'no_server'
@@ -50,6 +51,19 @@
             if start_wait_seconds:
                 reason = 'no_start_in_time'
                 wait_seconds = start_wait_seconds
+        return self._refuse(request, reason, wait_seconds)
+
+    def refuse_without_room(
+        self, request: ForwardRequest, wait_seconds: float
+    ) -> Reply:
+        """Return the refusal of a request that would wait for too long."""
+        return self._refuse(request, 'no_room_in_time', wait_seconds)
+
+    def _refuse(
+        self, request: ForwardRequest, reason: str, wait_seconds: float
+    ) -> Reply:
+        remaining_seconds = request.deadline.remaining_seconds
+        usable = self._fleet.current.usable_servers(request.service)
         REFUSALS.labels(reason).inc()
         logger.info(
             'request: refused: %s',
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -7,8 +7,7 @@
 from wasabistream.crash_notices import CrashMessage
 from wasabistream.forwarding.agent_links import AgentLinks
 from wasabistream.forwarding.announced_engines import AnnouncedEngines
-from wasabistream.forwarding.answer_buffers import AnswerBuffers
-from wasabistream.forwarding.answer_limits import build_answer_limits
+from wasabistream.forwarding.answer_buffers import build_answer_buffers
 from wasabistream.forwarding.attempts import AttemptSender
 from wasabistream.forwarding.budgets import RepeatBudgets
 from wasabistream.forwarding.drain_gates import DrainGate
@@ -42,6 +41,7 @@
 from wasabistream.platform.store_decoders import FleetDecoder
 from wasabistream.platform.store_followers import build_store_follower
 from wasabistream.poison_parts import PoisonPartDetector
+from wasabistream.queueing.entry_queues import build_start_queue
 from wasabistream.spillover.spillover_parts import build_spillover
 
 # Maximum number of requests in progress; each occupies a thread.
@@ -204,6 +204,7 @@
         self._peer_links.send_peer_notice()
         self._drain_gate.close(self.settings.drain_limit_seconds)
         self._request_supervisor.end_requests_at(self._stop_at_seconds)
+        self._start_queue.release_all()
 
     def on_reload(self, node_settings: NodeSettings) -> None:
         """Look for the other entries at the seeds of changed settings."""
@@ -222,6 +223,7 @@
             'readiness server',
             lambda: self._readiness_server.stop_within(MIN_STOP_SECONDS),
         )
+        self.stop_part('start queue', self._start_queue.stop)
         self.stop_part('store', self.follower.stop)
         self.stop_part('spillover', self._spillover.controller.stop)
         self.stop_part('listener', self._listener.stop)
@@ -246,6 +248,14 @@
             self._spillover.losses,
             self.node_settings.data_centre,
         )
+        self._start_queue = build_start_queue(
+            self.fleet,
+            chooser,
+            servers,
+            self._peer_links.entry_count,
+            self._request_supervisor.running_tokens,
+            self._agent_links,
+        )
         refuser = Refuser(
             self.fleet, servers.advisories, chooser.start_wait_seconds
         )
@@ -271,10 +281,20 @@
                 self._agent_links, self._scheduled_services.is_scheduled
             ),
         )
-        buffers = AnswerBuffers(
-            build_answer_limits(self.node_settings.memory_limit_bytes),
-            self._memory,
+        buffers = build_answer_buffers(
+            self.node_settings.memory_limit_bytes, self._memory
+        )
+        streams = StreamForwarder(
+            self.fleet,
+            chooser,
+            sender,
+            servers.failure_rates,
+            move_tracker,
+            poison_guard,
+            buffers,
+            refuser,
         )
+        streams.starts = self._start_queue
         return Forwarder(
             self._request_supervisor,
             UnaryForwarder(
@@ -285,16 +305,7 @@
                 buffers,
                 refuser,
             ),
-            StreamForwarder(
-                self.fleet,
-                chooser,
-                sender,
-                servers.failure_rates,
-                move_tracker,
-                poison_guard,
-                buffers,
-                refuser,
-            ),
+            streams,
             poison_guard,
             self._spillover,
         )
