--- a/tests/test_engine_paces.py
+++ b/tests/test_engine_paces.py
@@ -108,6 +108,19 @@
         self.estimator.observe(build_state({'d': 9}), now + 0.1)
         self.assertEqual(self.estimator.pace.output_tokens, 9)
 
+    def test_growth_of_long_among_short(self) -> None:
+        """Guard against expecting little growth where most answers are short.
+
+        Pattern: three tags of two events for each letter of 187 events; the
+        mean of all would let letters outgrow the memory.
+        """
+        for number in range(40):
+            event_count = 2 if number % 4 else 187
+            self.engine.runs = {'other': 10, str(number): event_count}
+            self.engine.poll(self.estimator, 0.05)
+        mean_tokens = self.estimator.pace.output_tokens
+        self.assertGreater(self.estimator.remaining_tokens, 1.5 * mean_tokens)
+
 
 class PaceReportTest(unittest.TestCase):
     """Guard against paces that outlive their engine or are sent too often."""
--- a/tests/test_prompt_backlogs.py
+++ b/tests/test_prompt_backlogs.py
@@ -16,7 +16,6 @@
 from wasabistream.forwarding.routes import RouteKind
 from wasabistream.forwarding.supervisors import RequestWatch
 from wasabistream.notices import LoadReport
-from wasabistream.scheduling.engine_paces import UNKNOWN_PACE, EnginePace
 from wasabistream.scheduling.prompt_announcers import PromptAnnouncer
 from wasabistream.scheduling.prompt_backlogs import (
     BacklogTokens,
@@ -43,7 +42,7 @@
 
     def prompt_tokens(self) -> int:
         """Return the prompt tokens of the backlog."""
-        tokens = self.backlog.measure(build_state({}), UNKNOWN_PACE)
+        tokens = self.backlog.measure(build_state({}), 0)
         return tokens.backlog_tokens
 
     def test_removal(self) -> None:
@@ -63,7 +62,7 @@
         """Guard against memory that is counted as used and as reserved."""
         # Of the memory in use, generation c without events has 1000 tokens.
         state = build_state({'c': 0, 'd': 100, 'e': 390})
-        tokens = self.backlog.measure(state, EnginePace(output_tokens=400))
+        tokens = self.backlog.measure(state, 200)
         self.assertEqual(tokens, BacklogTokens(6000, 7000, 400))
 
 
--- a/wasabistream/forwarding/engine_watchers.py
+++ b/wasabistream/forwarding/engine_watchers.py
@@ -148,9 +148,7 @@
                 self.on_state(state)
 
     def _build_report(self, state: EngineState) -> LoadReport:
-        tokens = self._backlog.measure(
-            state, self._pace, self._estimator.event_tokens
-        )
+        tokens = self._backlog.measure(state, self._estimator.remaining_tokens)
         return replace(
             _build_load_report(state),
             backlog_tokens=tokens.backlog_tokens,
--- a/wasabistream/scheduling/pace_estimators.py
+++ b/wasabistream/scheduling/pace_estimators.py
@@ -120,6 +120,19 @@
         """Return the number of tokens in an event; 1 if it is not known."""
         return self._event_tokens.ratio or 1
 
+    @property
+    def remaining_tokens(self) -> float:
+        """Return what a running generation is expected to produce still.
+
+        Long generations are seen running more often than short ones. At a
+        random moment half of the length, weighted by itself, remains. While
+        none has ended, as much is expected as has been produced.
+        """
+        remaining_events = self._ended_lengths.ratio / 2
+        return (
+            remaining_events or self._mean_event_count()
+        ) * self.event_tokens
+
     def _reset_ratios(self) -> None:
         self._plain_events = DecayingRatio(MIN_OBSERVED_SECONDS)
         self._prompt_events = DecayingRatio(MIN_OBSERVED_SECONDS)
@@ -129,6 +142,8 @@
         # Weighed by events and by generations.
         self._event_tokens = DecayingRatio(1)
         self._ended_events = DecayingRatio(1)
+        # Squares of event counts, by events.
+        self._ended_lengths = DecayingRatio(1)
 
     def _decay(self, seconds: float) -> None:
         factor = math.exp(-seconds / DECAY_SECONDS)
@@ -140,6 +155,7 @@
             self._prompt_count,
             self._event_tokens,
             self._ended_events,
+            self._ended_lengths,
         ):
             ratio.decay(factor)
 
@@ -192,7 +208,9 @@
 
     def _add_ended(self, before: _Poll, after: _Poll) -> None:
         for run_id in before.runs.keys() - after.runs.keys():
-            self._ended_events.add(before.runs[run_id].event_count, 1)
+            event_count = before.runs[run_id].event_count
+            self._ended_events.add(event_count, 1)
+            self._ended_lengths.add(event_count**2, event_count)
 
     def _finish_prompts(self, after: _Poll) -> None:
         for run_id in after.runs.keys() & self._prompts.keys():
--- a/wasabistream/scheduling/prompt_backlogs.py
+++ b/wasabistream/scheduling/prompt_backlogs.py
@@ -4,13 +4,10 @@
 from dataclasses import dataclass
 
 from wasabistream.forwarding.engine_states import EngineState
-from wasabistream.scheduling.engine_paces import EnginePace
 from wasabistream.scheduling.scheduling_messages import PromptNotice
 
 # A prompt whose end was lost is removed after this time.
 PROMPT_AGE_LIMIT_SECONDS = 10.0
-# A generation is expected to grow by at least this part of the mean output.
-MIN_GROWTH_RATIO = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,9 +73,12 @@
         }
 
     def measure(
-        self, state: EngineState, pace: EnginePace, event_tokens: float = 1
+        self, state: EngineState, remaining_tokens: float
     ) -> BacklogTokens:
-        """Return the tokens needed; all 0 while no linked entry announces."""
+        """Return the tokens needed; all 0 while no linked entry announces.
+
+        `remaining_tokens` is what each running generation is expected to grow.
+        """
         if not self._links:
             return BacklogTokens()
         notices = [prompt.notice for prompt in self._prompts.values()]
@@ -87,15 +87,8 @@
             run.memory_tokens for run in runs
         )
         expected_tokens = sum(notice.expected_tokens for notice in notices)
-        growth_tokens = sum(
-            max(
-                pace.output_tokens - run.event_count * event_tokens,
-                pace.output_tokens * MIN_GROWTH_RATIO,
-            )
-            for run in runs
-        )
         return BacklogTokens(
             sum(notice.prompt_tokens for notice in notices),
             max(expected_tokens - max(prompt_memory_tokens, 0), 0),
-            round(growth_tokens),
+            round(remaining_tokens * len(runs)),
         )
