Return the verdict of a selection on each server

Cause: a choice of a server leaves out servers in several places and tells only which one it chose, so that nothing can explain it without a second copy of its filters.

Change: `ServerChooser.explain` returns each server of a service with its cost or its exclusion. `choose` uses the same filters and costs (`_examine`, `_find_costs`). `AdvisoryGuard.find_exclusion` and `Fleet.unusable_servers` name the reason; `admits` and `usable_servers` rest on them. `Route` names its main service, and the function that names a refusal is public.

--- a/wasabistream/forwarding/advisory_guards.py
+++ b/wasabistream/forwarding/advisory_guards.py
@@ -11,6 +11,7 @@
 from wasabistream.forwarding.server_advisories import ServerAdvisory
 from wasabistream.messages import Message
 from wasabistream.notices import UNKNOWN_LIMIT, LoadReport
+from wasabistream.route_queries.server_verdicts import Exclusion
 
 
 class AdvisoryGuard:
@@ -28,7 +29,17 @@
 
     def admits(self, server: BackendServer) -> bool:
         """Return whether a server takes one more request now."""
-        return self._wants_requests(server) and self._rate_limits.admits(server)
+        return self.find_exclusion(server) is None
+
+    def find_exclusion(self, server: BackendServer) -> Exclusion | None:
+        """Return why a server takes no request now, or None if it takes one."""
+        if self._leaving_servers.is_leaving(server):
+            return Exclusion.leaving
+        if self._back_offs.wait_seconds(server):
+            return Exclusion.back_off
+        if not self._rate_limits.admits(server):
+            return Exclusion.stated_limit
+        return None
 
     def try_take(self, server: BackendServer) -> bool:
         """Count a request that is about to be sent, if the server takes it."""
--- a/wasabistream/forwarding/answer_buffers.py
+++ b/wasabistream/forwarding/answer_buffers.py
@@ -5,7 +5,10 @@
 import time
 
 from wasabistream.exceptions import BackendError, MemoryLimitError
-from wasabistream.forwarding.answer_limits import AnswerLimits
+from wasabistream.forwarding.answer_limits import (
+    AnswerLimits,
+    build_answer_limits,
+)
 from wasabistream.memory_budgets import MemoryBudget, MemoryReservation
 
 # Time in which other requests may end and free their memory, before an answer
@@ -119,6 +122,13 @@
         buffer.reservation.release()
 
 
+def build_answer_buffers(
+    memory_limit_bytes: int, memory: MemoryBudget
+) -> AnswerBuffers:
+    """Return the buffers of a process with this much memory."""
+    return AnswerBuffers(build_answer_limits(memory_limit_bytes), memory)
+
+
 def _check(buffer: AnswerBuffer) -> None:
     if buffer.evicted:
         raise _too_long('answers in progress use too much memory')
--- a/wasabistream/forwarding/fleets.py
+++ b/wasabistream/forwarding/fleets.py
@@ -7,6 +7,7 @@
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.configurations import RoutingConfiguration
 from wasabistream.forwarding.services import Service
+from wasabistream.route_queries.server_verdicts import Exclusion
 
 
 @dataclass(frozen=True)
@@ -33,10 +34,27 @@
             server
             for server in self.servers.values()
             if server.service == service
-            and not server.draining
-            and server.data_centre not in self.data_centres_out
+            and self._find_exclusion(server) is None
         ]
 
+    def unusable_servers(
+        self, service: str
+    ) -> list[tuple[BackendServer, Exclusion]]:
+        """Return the other backend servers of a service and why."""
+        return [
+            (server, exclusion)
+            for server in self.servers.values()
+            if server.service == service
+            and (exclusion := self._find_exclusion(server)) is not None
+        ]
+
+    def _find_exclusion(self, server: BackendServer) -> Exclusion | None:
+        if server.draining:
+            return Exclusion.draining
+        if server.data_centre in self.data_centres_out:
+            return Exclusion.data_centre_out
+        return None
+
 
 class FleetHolder:
     """Hold the newest view, which is only replaced as a whole."""
--- a/wasabistream/forwarding/refusals.py
+++ b/wasabistream/forwarding/refusals.py
@@ -21,6 +21,11 @@
 )
 
 
+def name_refusal(wait_seconds: float) -> str:
+    """Return the key of the reason when all servers want such a wait."""
+    return 'server_advisory' if wait_seconds else 'no_server'
+
+
 class Refuser:
     """Refuse requests that have not run and state when to come back."""
 
@@ -33,7 +38,7 @@
         remaining_seconds = request.deadline.remaining_seconds
         usable = self._fleet.current.usable_servers(request.service)
         wait_seconds = self._advisories.wait_seconds(usable)
-        reason = 'server_advisory' if wait_seconds else 'no_server'
+        reason = name_refusal(wait_seconds)
         REFUSALS.labels(reason).inc()
         logger.info(
             'request: refused: %s',
--- a/wasabistream/forwarding/routes.py
+++ b/wasabistream/forwarding/routes.py
@@ -52,3 +52,9 @@
         weights = [destination.weight for destination in self.destinations]
         chosen = random.choices(self.destinations, weights)
         return chosen[0].service
+
+    def main_service(self) -> str:
+        """Return the service with the largest traffic share."""
+        return max(
+            self.destinations, key=lambda destination: destination.weight
+        ).service
--- a/wasabistream/forwarding/server_choosers.py
+++ b/wasabistream/forwarding/server_choosers.py
@@ -1,17 +1,19 @@
 """Load balancing: choice of the backend server for a request."""
 
+import dataclasses
 import random
 from collections import Counter
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
 from wasabistream.forwarding.advisory_guards import AdvisoryGuard
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.cold_limiters import ColdLimiter
 from wasabistream.forwarding.failure_rates import FailureRates
 from wasabistream.forwarding.first_event_paces import FirstEventPaces
-from wasabistream.forwarding.fleets import FleetHolder
+from wasabistream.forwarding.fleets import Fleet, FleetHolder
 from wasabistream.forwarding.load_trackers import LoadEstimate, LoadTracker
 from wasabistream.forwarding.requests import ForwardRequest
+from wasabistream.route_queries.server_verdicts import Exclusion, ServerVerdict
 
 # Cost of a failure rate of 1, in requests in progress.
 FAILURE_COST = 12.0
@@ -65,38 +67,48 @@
     ) -> BackendServer | None:
         """Return the best backend server, or None if none is available."""
         fleet = self._fleet.current
-        service = fleet.find_service(request.service)
-        cold_rate = service.cold_requests_per_second if service else 0
-        servers = [
+        usable = [
             server
             for server in fleet.usable_servers(request.service)
             if server.endpoint not in excluded
-            and self._cold.admits(server, cold_rate)
-            and self._advisories.admits(server)
-            and self._load_tracker.has_certain_address(server)
-        ]
-        reachable = [
-            server
-            for server in servers
-            if not self._failure_rates.is_unreachable(server.endpoint)
         ]
-        # If no server is reachable, the first attempt tries one anyway to
-        # detect a recovery; further attempts would only delay the refusal.
-        if not reachable and not excluded:
-            reachable = servers
-        candidates = self._find_available(request, reachable)
-        if not candidates:
-            return None
-        data_centres = Counter(server.data_centre for server in candidates)
-        return min(
-            candidates,
-            key=lambda server: self._cost(
+        verdicts = self._examine(
+            fleet, request, usable, try_unreachable=not excluded
+        )
+        costs = self._find_costs(request, _select_candidates(verdicts))
+        return min(costs, key=costs.__getitem__) if costs else None
+
+    def explain(self, request: ForwardRequest) -> list[ServerVerdict]:
+        """Return each server of the service with its cost or its exclusion.
+
+        The filters and the cost are those of a first attempt in `choose`;
+        nothing is counted.
+        """
+        fleet = self._fleet.current
+        verdicts = self._examine(
+            fleet,
+            request,
+            fleet.usable_servers(request.service),
+            try_unreachable=True,
+        )
+        costs = self._find_costs(request, _select_candidates(verdicts))
+        unusable = [
+            ServerVerdict(
                 server,
-                candidates[server],
-                request,
-                is_sole_server=data_centres[server.data_centre] == 1,
+                self._load_tracker.estimate(server.endpoint),
+                exclusion,
+            )
+            for server, exclusion in fleet.unusable_servers(request.service)
+        ]
+        return [
+            *(
+                dataclasses.replace(verdict, cost=costs[verdict.server][0])
+                if verdict.exclusion is None
+                else verdict
+                for verdict in verdicts
             ),
-        )
+            *unusable,
+        ]
 
     def take(
         self, request: ForwardRequest, excluded: Collection[str] = ()
@@ -137,19 +149,78 @@
             ),
         }
 
-    def _find_available(
-        self, request: ForwardRequest, servers: list[BackendServer]
-    ) -> dict[BackendServer, LoadEstimate]:
-        estimates = {
-            server: self._load_tracker.estimate(server.endpoint)
-            for server in servers
-        }
+    def _examine(
+        self,
+        fleet: Fleet,
+        request: ForwardRequest,
+        servers: list[BackendServer],
+        *,
+        try_unreachable: bool,
+    ) -> list[ServerVerdict]:
+        """Return which of the usable servers are candidates, without costs."""
+        service = fleet.find_service(request.service)
+        cold_rate = service.cold_requests_per_second if service else 0
+        exclusions = [
+            self._find_server_exclusion(server, cold_rate) for server in servers
+        ]
+        # If no server is reachable, the first attempt tries one anyway to
+        # detect a recovery; further attempts would only delay the refusal.
+        if try_unreachable and None not in exclusions:
+            exclusions = [
+                None if exclusion == Exclusion.unreachable else exclusion
+                for exclusion in exclusions
+            ]
+        verdicts = []
+        for server, exclusion in zip(servers, exclusions):
+            estimate = self._load_tracker.estimate(server.endpoint)
+            verdicts.append(
+                ServerVerdict(
+                    server,
+                    estimate,
+                    exclusion or self._find_load_exclusion(request, estimate),
+                )
+            )
+        return verdicts
+
+    def _find_server_exclusion(
+        self, server: BackendServer, cold_rate: float
+    ) -> Exclusion | None:
+        if not self._cold.admits(server, cold_rate):
+            return Exclusion.cold_rate
+        advised = self._advisories.find_exclusion(server)
+        if advised is not None:
+            return advised
+        if not self._load_tracker.has_certain_address(server):
+            return Exclusion.uncertain_address
+        if self._failure_rates.is_unreachable(server.endpoint):
+            return Exclusion.unreachable
+        return None
+
+    def _find_load_exclusion(
+        self, request: ForwardRequest, estimate: LoadEstimate
+    ) -> Exclusion | None:
+        if estimate.leaving:
+            return Exclusion.leaving
+        if not estimate.responsive:
+            return Exclusion.silent
+        if not self._can_begin_in_time(request, estimate):
+            return Exclusion.too_late
+        return None
+
+    def _find_costs(
+        self,
+        request: ForwardRequest,
+        candidates: dict[BackendServer, LoadEstimate],
+    ) -> dict[BackendServer, tuple[float, float]]:
+        data_centres = Counter(server.data_centre for server in candidates)
         return {
-            server: estimate
-            for server, estimate in estimates.items()
-            if not estimate.leaving
-            and estimate.responsive
-            and self._can_begin_in_time(request, estimate)
+            server: self._cost(
+                server,
+                estimate,
+                request,
+                is_sole_server=data_centres[server.data_centre] == 1,
+            )
+            for server, estimate in candidates.items()
         }
 
     def _can_begin_in_time(
@@ -186,6 +257,16 @@
         return cost, random.random()
 
 
+def _select_candidates(
+    verdicts: Iterable[ServerVerdict],
+) -> dict[BackendServer, LoadEstimate]:
+    return {
+        verdict.server: verdict.estimate
+        for verdict in verdicts
+        if verdict.exclusion is None
+    }
+
+
 def _engine_cost(
     estimate: LoadEstimate, server: BackendServer, tokens: int
 ) -> float:
--- /dev/null
+++ b/wasabistream/route_queries/__init__.py
@@ -0,0 +1,1 @@
+"""Explanation of where a request would go, without sending it."""
