--- a/wasabistream/__main__.py
+++ b/wasabistream/__main__.py
@@ -7,7 +7,8 @@
 
 def main() -> None:
     """Run the command that the arguments name."""
-    fire.Fire(Commands, name='wasabistream')
+    # An instance: fire's help leaves out the methods of a class.
+    fire.Fire(Commands(), name='wasabistream')
 
 
 if __name__ == '__main__':
--- a/wasabistream/platform/__main__.py
+++ b/wasabistream/platform/__main__.py
@@ -30,4 +30,4 @@
 
 
 if __name__ == '__main__':
-    fire.Fire(PlatformCommands, name='wasabistream.platform')
+    fire.Fire(PlatformCommands(), name='wasabistream.platform')
