Explain where a request would go, and ask for it with a command

Cause: an operator can see from log lines which server a request went to, but only after it, and not why the others were left out.

Change: an entry on the platform answers `GET /route` at its metrics address, from a WSGI server that bounds the number, size and time of requests; other paths serve the metrics as before, and agents are unchanged. The package route_queries checks the query, decodes it like a request, and builds the answer from the verdicts of `ServerChooser.explain`. The caller's API key comes in the header Wasabistream-Caller-Key, and WASABISTREAM_OPERATOR_KEY makes the page need a key. `wasabistream route` asks entries and says whether they agree. Scheduling joins through `SelectionParts.predict_all`.

Result: tests.test_route_queries, test_route_command and test_help pass.

--- a/tests/daemon_processes.py
+++ b/tests/daemon_processes.py
@@ -31,6 +31,7 @@
     front_port: int
     ready_port: int
     log_path: Path
+    metrics_port: int
 
     def is_ready(self) -> bool:
         """Return whether the readiness probe is answered with 200."""
@@ -72,6 +73,7 @@
 ) -> DaemonProcess:
     """Start a daemon with these settings besides the usual ones."""
     ports = {use: free_port() for use in ('front', 'ready', 'control')}
+    metrics_port = free_port()
     node = {
         **NODE,
         'listen': {use: f'127.0.0.1:{port}' for use, port in ports.items()},
@@ -89,12 +91,14 @@
             env={
                 **os.environ,
                 'WASABISTREAM_NODE_FILE': str(node_path),
-                'WASABISTREAM_METRICS_PORT': str(free_port()),
+                'WASABISTREAM_METRICS_PORT': str(metrics_port),
             },
             stdout=log,
             stderr=log,
         )
-    return DaemonProcess(process, ports['front'], ports['ready'], log_path)
+    return DaemonProcess(
+        process, ports['front'], ports['ready'], log_path, metrics_port
+    )
 
 
 class DaemonCase(unittest.TestCase):
--- a/wasabistream/commands.py
+++ b/wasabistream/commands.py
@@ -4,7 +4,9 @@
 import sys
 from typing import Any
 
-from wasabistream import daemon_commands, document_commands
+from fire.decorators import SetParseFn
+
+from wasabistream import daemon_commands, document_commands, route_commands
 from wasabistream.agents import AgentApplication
 from wasabistream.applications import EXIT_BAD_SETTINGS, EXIT_DONE, Application
 from wasabistream.entries import EntryApplication
@@ -12,6 +14,7 @@
 from wasabistream.inspection import log_commands
 from wasabistream.logs import configure_logs
 from wasabistream.measure_commands import MeasureCommands
+from wasabistream.route_queries.queries import FIELD_NAMES
 from wasabistream.settings import (
     AgentSettings,
     EntrySettings,
@@ -22,12 +25,15 @@
 # fire passes all flags to a command that accepts any, so such a command prints
 # its help itself.
 HELP_FLAGS = frozenset(('help', 'h'))
+# Options of `route` that are texts, whatever they look like.
+ROUTE_OPTIONS = ('urls', 'key', 'operator_key', *FIELD_NAMES)
 
 
 class Commands:
     """Run and inspect wasabistream."""
 
-    measure = MeasureCommands
+    # An instance: fire's help leaves out the methods of a class.
+    measure = MeasureCommands()
 
     def entry(self, **flags: Any) -> None:
         """Run an entry daemon; settings are flags or WASABI_ variables."""
@@ -49,6 +55,27 @@
         """Print the audit trails of the daemons at comma-separated URLs."""
         sys.exit(daemon_commands.audit(urls, as_json=json))
 
+    # Without it, the parser would turn the key `12e3` into a number.
+    @SetParseFn(str, *ROUTE_OPTIONS)
+    def route(
+        self,
+        urls: str,
+        host: str,
+        path: str,
+        json: bool = False,
+        **options: Any,
+    ) -> None:
+        """Print where a request would go now, from entries at these URLs.
+
+        Nothing is sent to a server. Options: `key` is the API key of the
+        caller, `prompt_tokens` and `output_tokens` state the size of a
+        generation, `parts` are the ids of shared parts of its prompt,
+        separated by commas, `operator_key` is the key of the entries (or
+        WASABISTREAM_OPERATOR_KEY).
+        """
+        query_options = {'host': host, 'path': path, **options}
+        sys.exit(route_commands.route(urls, query_options, as_json=json))
+
     def check(self, document: str, json: bool = False) -> None:
         """Validate a configuration document file and print its digest."""
         document_commands.check(document, as_json=json)
--- a/wasabistream/daemon_commands.py
+++ b/wasabistream/daemon_commands.py
@@ -25,7 +25,7 @@
 def status(urls: str, as_json: bool) -> int:
     """Print readiness and document digest of daemons; returns the exit code."""
     rows = []
-    for url in _split_urls(urls):
+    for url in split_urls(urls):
         report, error = _fetch_json(url, '/readyz')
         report = {**report, 'error': error} if error else report
         columns = {name: report.get(name, '') for name in STATUS_FIELDS}
@@ -38,7 +38,7 @@
     """Print the audit records of all daemons by time; returns the exit code."""
     rows: list[dict[str, Any]] = []
     failed = False
-    for url in _split_urls(urls):
+    for url in split_urls(urls):
         records, error = _fetch_json(url, '/audit')
         if error:
             failed = True
@@ -52,7 +52,8 @@
     return EXIT_FAILED if failed else EXIT_DONE
 
 
-def _split_urls(urls: str | tuple[str, ...]) -> list[str]:
+def split_urls(urls: str | tuple[str, ...]) -> list[str]:
+    """Return the URLs of a comma-separated list, without closing slashes."""
     # The parser of the command line turns a comma-separated list into a tuple.
     parts = urls.split(',') if isinstance(urls, str) else urls
     return [part.strip().rstrip('/') for part in parts]
--- a/wasabistream/platform/daemons.py
+++ b/wasabistream/platform/daemons.py
@@ -21,6 +21,8 @@
 NODE_FILE_VARIABLE = 'WASABISTREAM_NODE_FILE'
 LOG_LEVEL_VARIABLE = 'WASABISTREAM_LOG_LEVEL'
 METRICS_PORT_VARIABLE = 'WASABISTREAM_METRICS_PORT'
+# Used by entries only.
+OPERATOR_KEY_VARIABLE = 'WASABISTREAM_OPERATOR_KEY'
 DEFAULT_NODE_FILE = '/etc/wasabistream/boot.yaml'
 DEFAULT_LOG_LEVEL = 'INFO'
 # The deployment file names the same port.
@@ -48,7 +50,10 @@
         return EXIT_BAD_SETTINGS
     level = log_level or os.environ.get(LOG_LEVEL_VARIABLE, DEFAULT_LOG_LEVEL)
     configure_logs(level, node_settings.process_id)
-    return build_application(node_settings, ProcessOptions(path, port)).run()
+    options = ProcessOptions(
+        path, port, os.environ.get(OPERATOR_KEY_VARIABLE, '')
+    )
+    return build_application(node_settings, options).run()
 
 
 def read_metrics_port() -> int:
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -7,8 +7,7 @@
 from wasabistream.crash_notices import CrashMessage
 from wasabistream.forwarding.agent_links import AgentLinks
 from wasabistream.forwarding.announced_engines import AnnouncedEngines
-from wasabistream.forwarding.answer_buffers import AnswerBuffers
-from wasabistream.forwarding.answer_limits import build_answer_limits
+from wasabistream.forwarding.answer_buffers import build_answer_buffers
 from wasabistream.forwarding.attempts import AttemptSender
 from wasabistream.forwarding.budgets import RepeatBudgets
 from wasabistream.forwarding.drain_gates import DrainGate
@@ -30,6 +29,11 @@
 from wasabistream.long_polls import build_long_poll_limits
 from wasabistream.memory_budgets import MemoryBudget
 from wasabistream.platform.ingress_servers import HttpCaller, IngressServer
+from wasabistream.platform.metrics_servers import (
+    MetricsServer,
+    SelectionParts,
+    build_metrics_server,
+)
 from wasabistream.platform.node_applications import (
     NodeApplication,
     ProcessOptions,
@@ -130,6 +134,7 @@
             node_settings.memory_limit_bytes,
             REQUEST_THREAD_COUNT + READINESS_THREAD_COUNT,
         )
+        self._chooser = self._build_chooser()
         handler = RequestHandler(
             self.fleet,
             self._drain_gate,
@@ -223,9 +228,30 @@
         """Return the ids of requests whose callers still wait."""
         return self._request_supervisor.request_ids()
 
-    def _build_forwarder(self, move_tracker: MoveTracker) -> Forwarder:
+    def start_metrics_server(self, address: str, port: int) -> None:
+        """Serve the metrics and the explanations of selections."""
+        self.build_metrics_server(address, port).start()
+
+    def build_metrics_server(self, address: str, port: int) -> MetricsServer:
+        """Return a server for the metrics and `/route`."""
+        parts = SelectionParts(
+            self.fleet,
+            self._drain_gate,
+            self.poison_parts,
+            self._chooser,
+            self._servers.advisories,
+        )
+        return build_metrics_server(
+            address,
+            port,
+            self.node_settings.process_id,
+            parts,
+            self._options.operator_key,
+        )
+
+    def _build_chooser(self) -> ServerChooser:
         servers = self._servers
-        chooser = ServerChooser(
+        return ServerChooser(
             self.fleet,
             servers.load,
             servers.failure_rates,
@@ -234,6 +260,10 @@
             servers.paces,
             self.node_settings.data_centre,
         )
+
+    def _build_forwarder(self, move_tracker: MoveTracker) -> Forwarder:
+        servers = self._servers
+        chooser = self._chooser
         refuser = Refuser(self.fleet, servers.advisories)
         client = HttpServerClient()
         poison_guard = PoisonRequestGuard(
@@ -254,9 +284,8 @@
             poison_guard,
             servers.advisories,
         )
-        buffers = AnswerBuffers(
-            build_answer_limits(self.node_settings.memory_limit_bytes),
-            self._memory,
+        buffers = build_answer_buffers(
+            self.node_settings.memory_limit_bytes, self._memory
         )
         return Forwarder(
             self._request_supervisor,
--- a/wasabistream/platform/header_names.py
+++ b/wasabistream/platform/header_names.py
@@ -32,6 +32,10 @@
 LEAVING = 'server-leaving'
 RETRY_AFTER = 'retry-after'
 
+# API key of the caller whose request `/route` explains. A header, as query
+# strings get into logs; Authorization carries the operator's key there.
+CALLER_KEY = 'wasabistream-caller-key'
+
 # Headers that only the system may set; dropped from callers' requests.
 SYSTEM_ONLY = frozenset(
     (
--- a/wasabistream/platform/node_applications.py
+++ b/wasabistream/platform/node_applications.py
@@ -4,7 +4,7 @@
 import secrets
 import signal
 import threading
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from types import FrameType
 
 from prometheus_client import start_http_server
@@ -33,6 +33,8 @@
 
     settings_path: str
     metrics_port: int
+    # Key that operators send to explain a selection; empty if none is needed.
+    operator_key: str = field(default='', repr=False)
 
 
 class NodeApplication(Application):
@@ -72,11 +74,15 @@
         threading.Thread(
             target=self._watch_settings, name='settings', daemon=True
         ).start()
-        start_http_server(
-            self._options.metrics_port, self.node_settings.address
+        self.start_metrics_server(
+            self.node_settings.address, self._options.metrics_port
         )
         return super().run()
 
+    def start_metrics_server(self, address: str, port: int) -> None:
+        """Serve the metrics."""
+        start_http_server(port, address)
+
     def stop_limit_seconds(self) -> float:
         """Return the time for the stop, which SIGKILL would cut off."""
         return (
--- a/wasabistream/platform/request_decoders.py
+++ b/wasabistream/platform/request_decoders.py
@@ -1,6 +1,7 @@
 """Decode callers' requests with the configuration in force."""
 
 import re
+from collections.abc import Callable
 
 from cheroot.server import HTTPRequest
 
@@ -17,9 +18,12 @@
 from wasabistream.platform import header_names as names
 from wasabistream.prompt_parts import limit_parts
 from wasabistream.retries import Deadline
+from wasabistream.route_queries.queries import SelectionQuery
 from wasabistream.units import MILLISECONDS_PER_SECOND
 
 BEARER = 'bearer'
+# Id of requests that are only explained.
+QUERY_REQUEST_ID = 'route-query'
 VISIBLE_ASCII = re.compile(rb'[\x21-\x7e]+')
 # Headers that are not copied from the caller; the adapter writes its own
 # value or sends none.
@@ -39,8 +43,52 @@
     configuration: RoutingConfiguration, request: HTTPRequest, body: bytes
 ) -> ForwardRequest:
     """Return a request with its route; raises RequestError."""
-    headers = _decode_headers(request)
-    target = _decode_target(request)
+    return _build_request(
+        configuration,
+        method=request.method.decode('latin-1'),
+        target=_decode_target(request),
+        headers=_decode_headers(request),
+        body=body,
+        choose_service=Route.draw_service,
+    )
+
+
+def decode_selection_query(
+    configuration: RoutingConfiguration, query: SelectionQuery
+) -> ForwardRequest:
+    """Return the request that a query describes; raises RequestError.
+
+    It has the route's whole timeout left and goes to the service that gets
+    most of the route's traffic.
+    """
+    headers = {'host': query.host, names.REQUEST_ID: QUERY_REQUEST_ID}
+    if query.api_key:
+        headers['authorization'] = f'{BEARER} {query.api_key}'
+    if query.prompt_tokens is not None:
+        headers[names.TOKENS] = f'{query.prompt_tokens},{query.output_tokens}'
+    if query.parts:
+        # The last part belongs to the request and is not shared.
+        own_part = f'{QUERY_REQUEST_ID}:0'
+        headers[names.PROMPT_PARTS] = ','.join((*query.parts, own_part))
+    return _build_request(
+        configuration,
+        method='POST',
+        target=query.path,
+        headers=headers,
+        body=b'',
+        choose_service=Route.main_service,
+    )
+
+
+def _build_request(
+    configuration: RoutingConfiguration,
+    *,
+    method: str,
+    target: str,
+    headers: dict[str, str],
+    body: bytes,
+    choose_service: Callable[[Route], str],
+) -> ForwardRequest:
     route = _find_route(configuration, headers, target)
     holder = _find_key_holder(configuration, route, headers)
     request_id = headers.get(names.REQUEST_ID, '')
@@ -52,14 +100,14 @@
         priority = holder.priority
     return ForwardRequest(
         request_id=request_id,
-        method=request.method.decode('latin-1'),
+        method=method,
         target=target,
         headers=_select_forwarded_headers(headers),
         body=body,
         deadline=Deadline(_remaining_seconds(headers, route)),
         route=route,
         version=configuration.version,
-        service=route.draw_service(),
+        service=choose_service(route),
         organisation=holder.name if holder else '',
         priority=priority,
         demand=_decode_demand(headers),
