Explain a choice on the product's own interface

Cause: entries of the product's own interface choose by a routing policy, and no page tells what it would choose.

Change: `/route?model=...` or `?service=...` at an entry lists the known servers with the load that the policy compares and why each is left out, and names the most probable one. Routing policies preview a choice without taking a turn; `Router.route` and the page share `find_exclusion` and the split by data centre. The check of the operator's key is shared with the platform's page.

--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -10,6 +10,7 @@
 
 from tests.builders import wait_until
 from tests.caller_fleets import (
+    AGENT_ID,
     CREDENTIAL,
     caller_document,
     open_chat,
@@ -77,6 +78,19 @@
         for path in ('/audit', '/metrics', '/readyz'):
             self.assertNotIn(CREDENTIAL, self.page(path, 'entry-a'))
 
+    def test_chosen_server(self) -> None:
+        """Guard against an entry that does not tell where a request goes."""
+        # Entry a opens links to the engines, which are elsewhere, on demand.
+        for query, name, server in (
+            ('service=booking', 'entry-a', 'booking-1'),
+            ('model=assistant', 'entry-b', AGENT_ID),
+        ):
+            answer = json.loads(self.page(f'/route?{query}', name))
+            self.assertEqual(
+                (answer['process_id'], answer['decision'], answer['server']),
+                (name, 'send', server),
+            )
+
     def test_cut_by_second_signal(self) -> None:
         """Guard the exit code after a second signal, which cuts requests."""
         response = open_chat(self.fleet, 'entry-a', 'hello [[length=9000]]')
--- a/tests/test_routers.py
+++ b/tests/test_routers.py
@@ -1,5 +1,6 @@
 """Tests of the routing of requests to backend servers."""
 
+import json
 import unittest
 
 from tests.builders import build_vm
@@ -7,7 +8,9 @@
 from wasabistream.cache_reporters import build_cache_report
 from wasabistream.digests import hash64
 from wasabistream.engines import EngineState
+from wasabistream.http_servers import HttpRequest
 from wasabistream.notices import LoadReport, ServingReport
+from wasabistream.route_queries.router_pages import RouterPage
 from wasabistream.routers import (
     MAX_AFFINITY_UNREPORTED_COUNT,
     RouteQuery,
@@ -93,3 +96,41 @@
         returned.load = LoadReport(0, 1, 0, 0, 1, leaving=True)
         returned.report(IDLE_REPORT)
         self.assertIs(self.router.route([returned, steady], self.query), steady)
+
+
+class RouterPageTest(unittest.TestCase):
+    """Guard the page that explains a choice."""
+
+    def test_queries_tell_the_next_choice(self) -> None:
+        """Guard against queries that take a turn, and a wrong server."""
+        views = [build_view(name) for name in 'abc']
+        views[0].suspect = True
+        views[1].pending_count = 2
+        for policy, load in (('round_robin', 0), ('least_requests', 2)):
+            router = Router(policy)
+            page = RouterPage(
+                'entry', 'dc-a', policy, router, views.copy, 'key-1'
+            )
+            answers = {self.ask(page, 'model=assistant') for _ in range(20)}
+            chosen = router.route(views, RouteQuery('dc-a', 'assistant'))
+            assert chosen is not None
+            answer = json.loads(answers.pop())
+            self.assertEqual(
+                (len(answers), answer['server']), (0, chosen.vm.id)
+            )
+            rows = answer['servers']
+            self.assertEqual(
+                [row['excluded'] for row in rows], ['suspect', '', '']
+            )
+            self.assertEqual(rows[1]['load'], load)
+            other = json.loads(self.ask(page, 'service=desk'))
+            self.assertEqual(other['decision'], 'wait')
+            for text in ('', 'model=a&service=b', 'model=a&model=b', 'x=1'):
+                self.assertIn('error', json.loads(self.ask(page, text)))
+        self.assertIn(b'403', self.ask(page, 'model=assistant', key='other'))
+
+    def ask(self, page: RouterPage, query: str, key: str = 'key-1') -> bytes:
+        """Return status and body of an answer."""
+        headers = {'authorization': f'Bearer {key}'}
+        answer = page.answer(HttpRequest('GET', '/route', query, headers, b''))
+        return answer.body if answer.status < 403 else b'403'
--- a/wasabistream/entries.py
+++ b/wasabistream/entries.py
@@ -3,6 +3,7 @@
 import itertools
 import logging
 import math
+import os
 import secrets
 import time
 from collections.abc import Sequence
@@ -45,6 +46,8 @@
 from wasabistream.operator_pages import OperatorPages
 from wasabistream.owner_call_senders import OwnerCallSender
 from wasabistream.peer_monitors import PeerMonitor
+from wasabistream.route_queries.operator_keys import OPERATOR_KEY_VARIABLE
+from wasabistream.route_queries.router_pages import RouterPage
 from wasabistream.routers import Router
 from wasabistream.service_views import ServiceView, build_service_view
 from wasabistream.settings import EntrySettings
@@ -93,8 +96,9 @@
         self._request_quarantine = EntryQuarantine(
             lambda: [view.link for view in self.directory.views() if view.link]
         )
+        router = Router(settings.routing_policy)
         self._dispatcher = Dispatcher(
-            Router(settings.routing_policy),
+            router,
             self.directory,
             self.attempts,
             self._make_request_id,
@@ -117,7 +121,15 @@
             self._hangups,
             lambda: self._end_seconds - time.monotonic(),
         )
-        self._pages = OperatorPages(self._build_readiness)
+        route_page = RouterPage(
+            settings.process_id,
+            settings.data_centre,
+            settings.routing_policy,
+            router,
+            self.directory.views,
+            os.environ.get(OPERATOR_KEY_VARIABLE, ''),
+        )
+        self._pages = OperatorPages(self._build_readiness, route_page.answer)
         self.server = ApiServer(
             settings.address,
             settings.http_port,
--- a/wasabistream/operator_pages.py
+++ b/wasabistream/operator_pages.py
@@ -24,8 +24,14 @@
 class OperatorPages:
     """Answer requests for health, readiness, metrics and the audit trail."""
 
-    def __init__(self, get_status: Callable[[], dict[str, Any]]) -> None:
+    def __init__(
+        self,
+        get_status: Callable[[], dict[str, Any]],
+        explain_route: Callable[[HttpRequest], HttpAnswer] | None = None,
+    ) -> None:
         self._get_status = get_status
+        # None at a daemon that chooses no servers.
+        self._explain_route = explain_route
         self.audit_trail = AuditTrail()
 
     def answer(self, request: HttpRequest) -> HttpAnswer | None:
@@ -40,6 +46,8 @@
                 return HttpAnswer(200, generate_latest(), CONTENT_TYPE_LATEST)
             case '/audit':
                 return json_answer(200, self.audit_trail.rows())
+            case '/route' if self._explain_route is not None:
+                return self._explain_route(request)
         return None
 
     def serve(self, address: str, port: int) -> ApiServer:
--- a/wasabistream/platform/daemons.py
+++ b/wasabistream/platform/daemons.py
@@ -16,13 +16,12 @@
     ProcessOptions,
 )
 from wasabistream.platform.node_files import NodeSettings, read_node_file
+from wasabistream.route_queries.operator_keys import OPERATOR_KEY_VARIABLE
 from wasabistream.units import MAX_PORT
 
 NODE_FILE_VARIABLE = 'WASABISTREAM_NODE_FILE'
 LOG_LEVEL_VARIABLE = 'WASABISTREAM_LOG_LEVEL'
 METRICS_PORT_VARIABLE = 'WASABISTREAM_METRICS_PORT'
-# Used by entries only.
-OPERATOR_KEY_VARIABLE = 'WASABISTREAM_OPERATOR_KEY'
 DEFAULT_NODE_FILE = '/etc/wasabistream/boot.yaml'
 DEFAULT_LOG_LEVEL = 'INFO'
 # The deployment file names the same port.
--- a/wasabistream/route_commands.py
+++ b/wasabistream/route_commands.py
@@ -12,8 +12,8 @@
 from wasabistream.applications import EXIT_BAD_SETTINGS, EXIT_DONE, EXIT_FAILED
 from wasabistream.daemon_commands import TIMEOUT_SECONDS, split_urls
 from wasabistream.exceptions import RequestError
-from wasabistream.platform.daemons import OPERATOR_KEY_VARIABLE
 from wasabistream.platform.header_names import CALLER_KEY
+from wasabistream.route_queries.operator_keys import OPERATOR_KEY_VARIABLE
 from wasabistream.route_queries.pages import DONE_STATUS, ROUTE_PATH
 from wasabistream.route_queries.queries import (
     BAD_QUERY_STATUS,
--- a/wasabistream/route_queries/pages.py
+++ b/wasabistream/route_queries/pages.py
@@ -1,12 +1,12 @@
 """Page at which an entry explains where a request would go."""
 
-import hmac
 import json
 import logging
 from collections.abc import Callable
 
 from wasabistream.exceptions import RequestError
 from wasabistream.route_queries.answers import RouteAnswer, encode_answer
+from wasabistream.route_queries.operator_keys import is_operator
 from wasabistream.route_queries.queries import SelectionQuery, decode_query
 
 logger = logging.getLogger(__name__)
@@ -16,7 +16,6 @@
 NOT_ALLOWED_STATUS = 403
 WRONG_METHOD_STATUS = 405
 FAILED_STATUS = 500
-BEARER = 'bearer'
 
 
 class RoutePage:
@@ -40,7 +39,7 @@
                 raise RequestError(
                     'use GET here', WRONG_METHOD_STATUS, 'method'
                 )
-            if not self._is_allowed(authorization):
+            if not is_operator(self._operator_key, authorization):
                 # 401 is left for an API key of a caller that is not valid.
                 raise RequestError(
                     "the operator's key is missing or not valid",
@@ -56,14 +55,6 @@
             return FAILED_STATUS, _encode_error('internal error', 'internal')
         return DONE_STATUS, encode_answer(answer)
 
-    def _is_allowed(self, authorization: str) -> bool:
-        if not self._operator_key:
-            return True
-        scheme, _, key = authorization.partition(' ')
-        return scheme.lower() == BEARER and hmac.compare_digest(
-            key.strip().encode(), self._operator_key.encode()
-        )
-
 
 def _encode_error(reason: str, code: str) -> bytes:
     return json.dumps({'error': reason, 'code': code}).encode()
--- a/wasabistream/routers.py
+++ b/wasabistream/routers.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from wasabistream.backends import BackendView
+from wasabistream.notices import ServingReport
 
 # Roles of engines to which entries send generations; '' stands for an engine
 # that states no role.
@@ -50,6 +51,14 @@
     ) -> BackendView:
         """Return one of the candidates; the sequence is never empty."""
 
+    def load(self, view: BackendView) -> float:
+        """Return the load by which candidates are compared; 0 for none."""
+
+    def preview(
+        self, candidates: Sequence[BackendView], query: RouteQuery
+    ) -> BackendView:
+        """Return the most probable choice; changes nothing."""
+
 
 _policies: dict[str, Callable[[], RoutingPolicy]] = {}
 
@@ -109,6 +118,16 @@
                     return preferred
         return _choose_less_loaded(candidates)
 
+    def load(self, view: BackendView) -> float:
+        """Return the estimated load."""
+        return estimate_load(view)
+
+    def preview(
+        self, candidates: Sequence[BackendView], query: RouteQuery
+    ) -> BackendView:
+        """Return the least loaded candidate; ignores cached prefixes."""
+        return min(candidates, key=estimate_load)
+
 
 def _choose_less_loaded(candidates: Sequence[BackendView]) -> BackendView:
     if len(candidates) == 1:
@@ -135,13 +154,32 @@
 
     def __init__(self) -> None:
         self._counter = itertools.count()
+        self._last_number = -1
 
     def choose(
         self, candidates: Sequence[BackendView], query: RouteQuery
     ) -> BackendView:
         """Return one of the candidates."""
-        ordered = sorted(candidates, key=lambda view: view.vm.id)
-        return ordered[next(self._counter) % len(ordered)]
+        number = next(self._counter)
+        self._last_number = number
+        return _pick_in_turn(candidates, number)
+
+    def load(self, view: BackendView) -> float:
+        """Return 0, as loads are not compared."""
+        return 0
+
+    def preview(
+        self, candidates: Sequence[BackendView], query: RouteQuery
+    ) -> BackendView:
+        """Return the candidate whose turn it is."""
+        return _pick_in_turn(candidates, self._last_number + 1)
+
+
+def _pick_in_turn(
+    candidates: Sequence[BackendView], number: int
+) -> BackendView:
+    ordered = sorted(candidates, key=lambda view: view.vm.id)
+    return ordered[number % len(ordered)]
 
 
 @routing_policy('least_requests')
@@ -152,7 +190,17 @@
         self, candidates: Sequence[BackendView], query: RouteQuery
     ) -> BackendView:
         """Return one of the candidates."""
-        return min(candidates, key=lambda view: view.pending_count)
+        return min(candidates, key=self.load)
+
+    def load(self, view: BackendView) -> float:
+        """Return the number of open attempts of this entry."""
+        return view.pending_count
+
+    def preview(
+        self, candidates: Sequence[BackendView], query: RouteQuery
+    ) -> BackendView:
+        """Return the candidate that is chosen."""
+        return self.choose(candidates, query)
 
 
 class Router:
@@ -170,29 +218,44 @@
         self, views: Sequence[BackendView], query: RouteQuery
     ) -> BackendView | None:
         """Return a backend server, or None if none can serve the query."""
-        candidates = [view for view in views if _matches(view, query)]
-        if not candidates:
-            return None
-        local = [
-            view
-            for view in candidates
-            if view.vm.data_centre == query.data_centre
-        ]
-        remote = [
-            view
-            for view in candidates
-            if view.vm.data_centre != query.data_centre
-        ]
-        preferred, fallback = (
-            (remote, local) if query.prefer_remote else (local, remote)
-        )
+        preferred, fallback = _split_candidates(views, query)
         eligible = (
             _sample_by_slow_start(preferred)
             or _sample_by_slow_start(fallback)
             or preferred
             or fallback
         )
-        return self._policy.choose(eligible, query)
+        return self._policy.choose(eligible, query) if eligible else None
+
+    def preview(
+        self, views: Sequence[BackendView], query: RouteQuery
+    ) -> BackendView | None:
+        """Return the most probable choice of `route`; changes nothing."""
+        preferred, fallback = _split_candidates(views, query)
+        now = time.monotonic()
+        eligible = (
+            [view for view in preferred if view.slow_start_share(now) == 1]
+            or preferred
+            or fallback
+        )
+        return self._policy.preview(eligible, query) if eligible else None
+
+    def load(self, view: BackendView) -> float:
+        """Return the load by which the policy compares backend servers."""
+        return self._policy.load(view)
+
+
+def _split_candidates(
+    views: Sequence[BackendView], query: RouteQuery
+) -> tuple[list[BackendView], list[BackendView]]:
+    """Return the preferred servers and the others that can serve a query."""
+    local: list[BackendView] = []
+    remote: list[BackendView] = []
+    for view in views:
+        if not find_exclusion(view, query):
+            is_local = view.vm.data_centre == query.data_centre
+            (local if is_local else remote).append(view)
+    return (remote, local) if query.prefer_remote else (local, remote)
 
 
 def _sample_by_slow_start(views: Sequence[BackendView]) -> list[BackendView]:
@@ -204,10 +267,25 @@
     ]
 
 
-def _matches(view: BackendView, query: RouteQuery) -> bool:
+def find_exclusion(view: BackendView, query: RouteQuery) -> str:
+    """Return why a server cannot serve a query; empty if it can."""
     serving = view.serving
-    if not view.usable or serving is None or view.vm.id in query.excluded:
-        return False
+    if serving is None or not _serves(serving, query):
+        return 'does not serve it'
+    if not view.usable:
+        return _find_unusable_reason(view)
+    return 'had an attempt' if view.vm.id in query.excluded else ''
+
+
+def _find_unusable_reason(view: BackendView) -> str:
+    if not view.connected:
+        return 'not linked'
+    if view.leaving:
+        return 'leaving'
+    return 'suspect' if view.suspect else 'not ready'
+
+
+def _serves(serving: ServingReport, query: RouteQuery) -> bool:
     if query.service:
         return serving.service == query.service
     if query.adapter and query.adapter not in serving.adapters:
