Choose a server without hashing all candidates

The metrics server logged a traceback for each connection that sent nothing.

Change: costs are kept in the order of the candidates, and endpoints are compared only if some are excluded. A request that cannot be read is logged in one line.

--- a/wasabistream/forwarding/server_choosers.py
+++ b/wasabistream/forwarding/server_choosers.py
@@ -70,13 +70,16 @@
         usable = [
             server
             for server in fleet.usable_servers(request.service)
-            if server.endpoint not in excluded
+            if not excluded or server.endpoint not in excluded
         ]
         verdicts = self._examine(
             fleet, request, usable, try_unreachable=not excluded
         )
-        costs = self._find_costs(request, _select_candidates(verdicts))
-        return min(costs, key=costs.__getitem__) if costs else None
+        candidates = _select_candidates(verdicts)
+        if not candidates:
+            return None
+        costs = self._find_costs(request, candidates)
+        return candidates[costs.index(min(costs))].server
 
     def explain(self, request: ForwardRequest) -> list[ServerVerdict]:
         """Return each server of the service with its cost or its exclusion.
@@ -91,7 +94,8 @@
             fleet.usable_servers(request.service),
             try_unreachable=True,
         )
-        costs = self._find_costs(request, _select_candidates(verdicts))
+        candidates = _select_candidates(verdicts)
+        costs = self._find_costs(request, candidates)
         unusable = [
             ServerVerdict(
                 server,
@@ -102,11 +106,10 @@
         ]
         return [
             *(
-                dataclasses.replace(verdict, cost=costs[verdict.server][0])
-                if verdict.exclusion is None
-                else verdict
-                for verdict in verdicts
+                dataclasses.replace(candidate, cost=cost)
+                for candidate, (cost, _) in zip(candidates, costs)
             ),
+            *(verdict for verdict in verdicts if verdict.exclusion),
             *unusable,
         ]
 
@@ -208,20 +211,20 @@
         return None
 
     def _find_costs(
-        self,
-        request: ForwardRequest,
-        candidates: dict[BackendServer, LoadEstimate],
-    ) -> dict[BackendServer, tuple[float, float]]:
-        data_centres = Counter(server.data_centre for server in candidates)
-        return {
-            server: self._cost(
-                server,
-                estimate,
+        self, request: ForwardRequest, candidates: list[ServerVerdict]
+    ) -> list[tuple[float, float]]:
+        data_centres = Counter(
+            candidate.server.data_centre for candidate in candidates
+        )
+        return [
+            self._cost(
+                candidate.server,
+                candidate.estimate,
                 request,
-                is_sole_server=data_centres[server.data_centre] == 1,
+                is_sole_server=data_centres[candidate.server.data_centre] == 1,
             )
-            for server, estimate in candidates.items()
-        }
+            for candidate in candidates
+        ]
 
     def _can_begin_in_time(
         self, request: ForwardRequest, estimate: LoadEstimate
@@ -259,12 +262,8 @@
 
 def _select_candidates(
     verdicts: Iterable[ServerVerdict],
-) -> dict[BackendServer, LoadEstimate]:
-    return {
-        verdict.server: verdict.estimate
-        for verdict in verdicts
-        if verdict.exclusion is None
-    }
+) -> list[ServerVerdict]:
+    return [verdict for verdict in verdicts if verdict.exclusion is None]
 
 
 def _engine_cost(
--- a/wasabistream/platform/metrics_servers.py
+++ b/wasabistream/platform/metrics_servers.py
@@ -3,6 +3,7 @@
 import http.client
 import logging
 import socket
+import sys
 import threading
 from collections.abc import Callable, Iterable
 from io import BufferedIOBase
@@ -168,7 +169,7 @@
     def handle_error(self, request: Any, client_address: Any) -> None:
         """Log a request that could not be read or answered."""
         logger.info(
-            'metrics: request failed',
+            'metrics: request failed: %r',
+            sys.exc_info()[1],
             extra={'peer': str(client_address[0])},
-            exc_info=True,
         )
