--- a/wasabistream/forwarding/refusals.py
+++ b/wasabistream/forwarding/refusals.py
@@ -26,6 +26,11 @@
 )
 
 
+def name_refusal(wait_seconds: float) -> str:
+    """Return the key of the reason when all servers want such a wait."""
+    return 'server_advisory' if wait_seconds else 'no_server'
+
+
 class Refuser:
     """Refuse requests that have not run and state when to come back."""
 
@@ -45,7 +50,7 @@
         """Return the refusal of a request and log its reason."""
         usable = self._fleet.current.usable_servers(request.service)
         wait_seconds = self._advisories.wait_seconds(usable)
-        reason = 'server_advisory' if wait_seconds else 'no_server'
+        reason = name_refusal(wait_seconds)
         if self._start_wait_seconds is not None:
             start_wait_seconds = self._start_wait_seconds(request)
             if start_wait_seconds:
--- a/wasabistream/forwarding/server_choosers.py
+++ b/wasabistream/forwarding/server_choosers.py
@@ -1,5 +1,6 @@
 """Load balancing: choice of the backend server for a request."""
 
+import dataclasses
 import random
 from collections import Counter
 from collections.abc import Collection, Iterable
@@ -9,9 +10,10 @@
 from wasabistream.forwarding.cold_limiters import ColdLimiter
 from wasabistream.forwarding.failure_rates import FailureRates
 from wasabistream.forwarding.first_event_paces import FirstEventPaces
-from wasabistream.forwarding.fleets import FleetHolder
+from wasabistream.forwarding.fleets import Fleet, FleetHolder
 from wasabistream.forwarding.load_trackers import LoadEstimate, LoadTracker
 from wasabistream.forwarding.requests import ForwardRequest
+from wasabistream.route_queries.server_verdicts import Exclusion, ServerVerdict
 from wasabistream.scheduling.engine_outlooks import EngineOutlook
 from wasabistream.scheduling.scheduled_choosers import (
     DEFAULT_MEMORY_TOKENS,
@@ -85,25 +87,11 @@
                 self.predict_all(request, excluded)
             )
             return selected.server if selected else None
-        candidates = {
-            server: estimate
-            for server, estimate in self._find_available(
-                request, excluded
-            ).items()
-            if self._can_begin_in_time(request, estimate)
-        }
+        candidates = self._find_candidates(request, excluded)
         if not candidates:
             return None
-        data_centres = Counter(server.data_centre for server in candidates)
-        return min(
-            candidates,
-            key=lambda server: self._cost(
-                server,
-                candidates[server],
-                request,
-                is_sole_server=data_centres[server.data_centre] == 1,
-            ),
-        )
+        costs = self._find_costs(request, candidates)
+        return candidates[costs.index(min(costs))].server
 
     def predict_all(
         self, request: ForwardRequest, excluded: Collection[str] = ()
@@ -157,6 +145,40 @@
             (outlook.first_event_seconds for outlook in outlooks), default=0
         )
 
+    def explain(self, request: ForwardRequest) -> list[ServerVerdict]:
+        """Return each server of the service with its cost or its exclusion.
+
+        The filters and the cost are those of a first attempt in `choose`;
+        nothing is counted.
+        """
+        fleet = self._fleet.current
+        verdicts = self._examine(
+            fleet,
+            request,
+            fleet.usable_servers(request.service),
+            try_unreachable=True,
+        )
+        if self._scheduled.applies(request):
+            verdicts = self._exclude_too_late(request, verdicts)
+        candidates = _select_candidates(verdicts)
+        costs = self._find_costs(request, candidates)
+        unusable = [
+            ServerVerdict(
+                server,
+                self._load_tracker.estimate(server.endpoint),
+                exclusion,
+            )
+            for server, exclusion in fleet.unusable_servers(request.service)
+        ]
+        return [
+            *(
+                dataclasses.replace(candidate, cost=cost)
+                for candidate, (cost, _) in zip(candidates, costs)
+            ),
+            *(verdict for verdict in verdicts if verdict.exclusion),
+            *unusable,
+        ]
+
     def take(
         self, request: ForwardRequest, excluded: Collection[str] = ()
     ) -> BackendServer | None:
@@ -215,38 +237,122 @@
             fields['server_backlog_tokens'] = estimate.backlog_tokens
         return fields
 
-    def _find_available(
+    def _find_candidates(
         self, request: ForwardRequest, excluded: Collection[str]
-    ) -> dict[BackendServer, LoadEstimate]:
+    ) -> list[ServerVerdict]:
         fleet = self._fleet.current
-        service = fleet.find_service(request.service)
-        cold_rate = service.cold_requests_per_second if service else 0
-        servers = [
+        usable = [
             server
             for server in fleet.usable_servers(request.service)
-            if server.endpoint not in excluded
-            and self._cold.admits(server, cold_rate)
-            and self._advisories.admits(server)
-            and self._load_tracker.has_certain_address(server)
+            if not excluded or server.endpoint not in excluded
         ]
-        reachable = [
-            server
-            for server in servers
-            if not self._failure_rates.is_unreachable(server.endpoint)
+        return _select_candidates(
+            self._examine(fleet, request, usable, try_unreachable=not excluded)
+        )
+
+    def _find_available(
+        self, request: ForwardRequest, excluded: Collection[str]
+    ) -> dict[BackendServer, LoadEstimate]:
+        return {
+            candidate.server: candidate.estimate
+            for candidate in self._find_candidates(request, excluded)
+        }
+
+    def _exclude_too_late(
+        self, request: ForwardRequest, verdicts: list[ServerVerdict]
+    ) -> list[ServerVerdict]:
+        in_time = {
+            outlook.server.endpoint for outlook in self.predict_all(request)
+        }
+        return [
+            verdict
+            if verdict.exclusion or verdict.server.endpoint in in_time
+            else dataclasses.replace(verdict, exclusion=Exclusion.too_late)
+            for verdict in verdicts
+        ]
+
+    def _examine(
+        self,
+        fleet: Fleet,
+        request: ForwardRequest,
+        servers: list[BackendServer],
+        *,
+        try_unreachable: bool,
+    ) -> list[ServerVerdict]:
+        """Return which of the usable servers are candidates, without costs."""
+        service = fleet.find_service(request.service)
+        cold_rate = service.cold_requests_per_second if service else 0
+        exclusions = [
+            self._find_server_exclusion(server, cold_rate) for server in servers
         ]
         # If no server is reachable, the first attempt tries one anyway to
         # detect a recovery; further attempts would only delay the refusal.
-        if not reachable and not excluded:
-            reachable = servers
-        estimates = {
-            server: self._load_tracker.estimate(server.endpoint)
-            for server in reachable
-        }
-        return {
-            server: estimate
-            for server, estimate in estimates.items()
-            if not estimate.leaving and estimate.responsive
-        }
+        if try_unreachable and None not in exclusions:
+            exclusions = [
+                None if exclusion == Exclusion.unreachable else exclusion
+                for exclusion in exclusions
+            ]
+        is_scheduled = self._scheduled.applies(request)
+        verdicts = []
+        for server, exclusion in zip(servers, exclusions):
+            estimate = self._load_tracker.estimate(server.endpoint)
+            verdicts.append(
+                ServerVerdict(
+                    server,
+                    estimate,
+                    exclusion
+                    or self._find_load_exclusion(
+                        request, estimate, is_scheduled=is_scheduled
+                    ),
+                )
+            )
+        return verdicts
+
+    def _find_server_exclusion(
+        self, server: BackendServer, cold_rate: float
+    ) -> Exclusion | None:
+        if not self._cold.admits(server, cold_rate):
+            return Exclusion.cold_rate
+        advised = self._advisories.find_exclusion(server)
+        if advised is not None:
+            return advised
+        if not self._load_tracker.has_certain_address(server):
+            return Exclusion.uncertain_address
+        if self._failure_rates.is_unreachable(server.endpoint):
+            return Exclusion.unreachable
+        return None
+
+    def _find_load_exclusion(
+        self,
+        request: ForwardRequest,
+        estimate: LoadEstimate,
+        *,
+        is_scheduled: bool,
+    ) -> Exclusion | None:
+        if estimate.leaving:
+            return Exclusion.leaving
+        if not estimate.responsive:
+            return Exclusion.silent
+        # The start of a scheduled generation is predicted for all candidates.
+        if not (is_scheduled or self._can_begin_in_time(request, estimate)):
+            return Exclusion.too_late
+        return None
+
+    def _find_costs(
+        self, request: ForwardRequest, candidates: list[ServerVerdict]
+    ) -> list[tuple[float, float]]:
+        data_centres = Counter(
+            candidate.server.data_centre for candidate in candidates
+        )
+        return [
+            self._cost(
+                candidate.server,
+                candidate.estimate,
+                request,
+                is_sole_server=data_centres[candidate.server.data_centre] == 1,
+            )
+            for candidate in candidates
+        ]
 
     def _can_begin_in_time(
         self, request: ForwardRequest, estimate: LoadEstimate
@@ -282,6 +388,12 @@
         return cost, random.random()
 
 
+def _select_candidates(
+    verdicts: Iterable[ServerVerdict],
+) -> list[ServerVerdict]:
+    return [verdict for verdict in verdicts if verdict.exclusion is None]
+
+
 def _engine_cost(
     estimate: LoadEstimate, server: BackendServer, tokens: int
 ) -> float:
--- a/wasabistream/platform/daemons.py
+++ b/wasabistream/platform/daemons.py
@@ -16,6 +16,7 @@
     ProcessOptions,
 )
 from wasabistream.platform.node_files import NodeSettings, read_node_file
+from wasabistream.route_queries.operator_keys import OPERATOR_KEY_VARIABLE
 from wasabistream.units import MAX_PORT
 
 NODE_FILE_VARIABLE = 'WASABISTREAM_NODE_FILE'
@@ -66,4 +67,7 @@
     level = log_level or os.environ.get(LOG_LEVEL_VARIABLE, DEFAULT_LOG_LEVEL)
     configure_logs(level, node_settings.process_id)
     # Applications check settings of their own before they open any socket.
-    return build_application(node_settings, ProcessOptions(path, port))
+    options = ProcessOptions(
+        path, port, os.environ.get(OPERATOR_KEY_VARIABLE, '')
+    )
+    return build_application(node_settings, options)
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -29,8 +29,14 @@
 from wasabistream.platform.chooser_builders import (
     build_chooser,
     build_scheduled_services,
+    build_scheduling_explainer,
 )
 from wasabistream.platform.ingress_servers import HttpCaller, IngressServer
+from wasabistream.platform.metrics_servers import (
+    MetricsServer,
+    SelectionParts,
+    build_metrics_server,
+)
 from wasabistream.platform.node_applications import (
     NodeApplication,
     ProcessOptions,
@@ -142,6 +148,7 @@
             node_settings.memory_limit_bytes,
             REQUEST_THREAD_COUNT + READINESS_THREAD_COUNT,
         )
+        self._build_chooser()
         handler = RequestHandler(
             self.fleet,
             self._drain_gate,
@@ -239,9 +246,37 @@
         """Return the ids of requests whose callers still wait."""
         return self._request_supervisor.request_ids()
 
-    def _build_forwarder(self, move_tracker: MoveTracker) -> Forwarder:
+    def start_metrics_server(self, address: str, port: int) -> None:
+        """Serve the metrics and the explanations of selections."""
+        self.build_metrics_server(address, port).start()
+
+    def build_metrics_server(self, address: str, port: int) -> MetricsServer:
+        """Return a server for the metrics and `/route`."""
+        parts = SelectionParts(
+            self.fleet,
+            self._drain_gate,
+            self.poison_parts,
+            self._chooser,
+            self._servers.advisories,
+            build_scheduling_explainer(
+                self._scheduled_services,
+                self._chooser,
+                self._start_queue,
+                self._spillover,
+                self._servers,
+            ).explain,
+        )
+        return build_metrics_server(
+            address,
+            port,
+            self.node_settings.process_id,
+            parts,
+            self._options.operator_key,
+        )
+
+    def _build_chooser(self) -> None:
         servers = self._servers
-        chooser = build_chooser(
+        self._chooser = build_chooser(
             self.fleet,
             servers,
             self._scheduled_services,
@@ -250,12 +285,16 @@
         )
         self._start_queue = build_start_queue(
             self.fleet,
-            chooser,
+            self._chooser,
             servers,
             self._peer_links.entry_count,
             self._request_supervisor.running_tokens,
             self._agent_links,
         )
+
+    def _build_forwarder(self, move_tracker: MoveTracker) -> Forwarder:
+        servers = self._servers
+        chooser = self._chooser
         refuser = Refuser(
             self.fleet, servers.advisories, chooser.start_wait_seconds
         )
--- a/wasabistream/queueing/start_lines.py
+++ b/wasabistream/queueing/start_lines.py
@@ -2,7 +2,7 @@
 
 import threading
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from wasabistream.forwarding.requests import ForwardRequest
@@ -126,6 +126,25 @@
         if ticket.start is None:
             self._end(ticket, Start(reason), now_seconds)
 
+    def find_wait_reason(
+        self,
+        request: ForwardRequest,
+        outlooks: Sequence[EngineOutlook],
+        now_seconds: float,
+    ) -> str:
+        """Return what a request would wait for now; changes nothing."""
+        facts = build_waiting_request(request, now_seconds)
+        decision = decide_start(
+            facts,
+            outlooks,
+            self._find_headroom_tokens(facts, now_seconds),
+            now_seconds,
+            may_take_room=not self._tickets,
+        )
+        if decision.action != StartAction.wait:
+            return ''
+        return f'no room yet: {decision.shortage}'
+
     def pick_up(self, ticket: StartTicket) -> None:
         """Note that the thread of a started request is about to send it."""
         self._unsent.discard(ticket)
--- a/wasabistream/queueing/start_queues.py
+++ b/wasabistream/queueing/start_queues.py
@@ -4,16 +4,18 @@
 import random
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 
 from wasabistream.exceptions import WasabiError
+from wasabistream.forwarding.requests import ForwardRequest
 from wasabistream.forwarding.supervisors import CutReason, RequestWatch
 from wasabistream.metrics import CUT_REQUESTS, START_QUEUE_WAITING
 from wasabistream.queueing.interfaces import StartFleet
 from wasabistream.queueing.start_lines import StartLine, StartTicket
 from wasabistream.queueing.starts import DIRECT_START, Start, StartReason
 from wasabistream.queueing.urgent_arrivals import UrgentArrivals
+from wasabistream.scheduling.engine_outlooks import EngineOutlook
 
 logger = logging.getLogger(__name__)
 
@@ -64,6 +66,17 @@
             if start.server is not None:
                 self._fleet.remove_sent_request(start.server, watch.request)
 
+    def find_wait_reason(
+        self, request: ForwardRequest, outlooks: Sequence[EngineOutlook]
+    ) -> str:
+        """Return what a request would wait for; empty if it would not wait."""
+        if not self._fleet.is_deferrable(request):
+            return ''
+        with self._lock:
+            if self._released or not self._fleet.has_fresh_reports():
+                return ''
+            return self._line.find_wait_reason(request, outlooks, self._clock())
+
     def on_load_report(self) -> None:
         """Look for room soon, as the load of an engine has changed."""
         if len(self._line):
