Limit the token counts of callers in the demand of spillover

Cause: the header with the tokens of a generation may hold any number. More than a float holds raised OverflowError in DemandMeter.record_arrival, before the request was forwarded, also for services that are not scheduled, and in AnswerSizes.record after its stream. More than 2^64 could not be encoded, so that no plan was made until the rate had decayed.

Change: both count at most 2^20 tokens for a request and at least 0.

--- a/tests/test_demand_boards.py
+++ b/tests/test_demand_boards.py
@@ -4,6 +4,7 @@
 late messages, entries of the previous version and a large fleet.
 """
 
+import dataclasses
 import unittest
 from unittest.mock import Mock
 
@@ -17,6 +18,7 @@
 )
 from tests.spillover_builders import build_hello
 from wasabistream.forwarding.load_trackers import LoadTracker
+from wasabistream.forwarding.requests import GenerationDemand
 from wasabistream.forwarding.routes import RouteKind
 from wasabistream.frames import FrameReader, encode_frame
 from wasabistream.notices import Hello
@@ -197,3 +199,23 @@
         self.controller.update()
         sends.assert_not_called()
         self.assertIsNone(self.controller.find_plan(ENGINE_SERVICE))
+
+    def test_token_counts_of_callers(self) -> None:
+        """Guard against refused requests, and plans that are never renewed.
+
+        Pattern: a caller states more tokens than a float or a message holds,
+        or fewer than none.
+        """
+        request = build_request(build_route(RouteKind.streaming))
+        for tokens in (10**400, 10**30, -(10**30)):
+            demand = GenerationDemand(tokens, tokens, 0)
+            self.controller.record_arrival(
+                dataclasses.replace(request, demand=demand)
+            )
+            self.clock.advance(1)
+            self.controller.update()
+            notice = self.links.send_to_data_centres.call_args.args[0]
+            self.assertEqual(
+                FrameReader('p').feed(encode_frame(notice)), [notice]
+            )
+            self.assertGreaterEqual(notice.rows[0][1], 0)
--- a/tests/test_remote_losses.py
+++ b/tests/test_remote_losses.py
@@ -101,6 +101,17 @@
         self.plan = None
         self.assertGreater(self.losses.remote_loss(self.short, OTHER), 0.2)
 
+    def test_token_counts_of_callers(self) -> None:
+        """Guard against requests of a route that fail after a strange one.
+
+        Pattern: callers state negative or endless numbers of output tokens.
+        """
+        for output_tokens in (19, -20, 10**400):
+            request = build_generation('tag', output_tokens)
+            self.losses.record_answer(request, 100)
+            self.assertGreater(self.losses.remote_loss(request, OTHER), 0)
+            self.assertGreater(self.losses.remote_loss(self.short, OTHER), 0)
+
     def _gap(self) -> float:
         return self.losses.remote_loss(
             self.long, OTHER
--- a/wasabistream/spillover/demand_meters.py
+++ b/wasabistream/spillover/demand_meters.py
@@ -20,6 +20,9 @@
 # Least time over which a rate is taken, so that the first request after a
 # start does not count as an endless rate.
 MIN_RATE_SECONDS = 0.5
+# Callers may state any number of tokens. Larger ones count as this: they would
+# overflow the rates, or could not be encoded in a notice.
+MAX_REQUEST_TOKENS = 2**20
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,8 +73,8 @@
         """Count one request."""
         with self._lock:
             arrivals = self._find(service)
-            arrivals.prompt_tokens += demand.prompt_tokens
-            arrivals.expected_tokens += demand.expected_tokens
+            arrivals.prompt_tokens += limit_tokens(demand.prompt_tokens)
+            arrivals.expected_tokens += limit_tokens(demand.expected_tokens)
             arrivals.request_count += 1
 
     def read(self, service: str) -> ServiceDemand:
@@ -103,6 +106,11 @@
         return arrivals
 
 
+def limit_tokens(tokens: int) -> int:
+    """Return a number of tokens that a caller states, within its limits."""
+    return min(max(tokens, 0), MAX_REQUEST_TOKENS)
+
+
 def _take_slope(
     samples: deque[tuple[float, float]], now: float, rate: float
 ) -> float:
--- a/wasabistream/spillover/remote_losses.py
+++ b/wasabistream/spillover/remote_losses.py
@@ -9,6 +9,7 @@
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.requests import ForwardRequest
 from wasabistream.metrics import REMOTE_REQUESTS
+from wasabistream.spillover.demand_meters import limit_tokens
 from wasabistream.spillover.spillover_plans import SpilloverPlan
 
 # Time over which dispatches are compared with the shares.
@@ -155,4 +156,6 @@
 def expected_output_tokens(request: ForwardRequest) -> int:
     """Return the output tokens that a request is expected to need."""
     demand = request.demand
-    return demand.expected_tokens - demand.prompt_tokens if demand else 0
+    if demand is None:
+        return 0
+    return limit_tokens(demand.expected_tokens - demand.prompt_tokens)
