Refuse rates of other entries beyond 10^12 tokens per second

Cause: rows with finite but very large rates were accepted. Their sums became infinite and the ratios of these NaN. One such message gave a data centre the share NaN, which damping kept for good: no request was ever beyond it.

Change: rates and slopes beyond 10^12 are malformed, as NaN is.

Result: the extended test of malformed messages failed before and passes; tests.test_demand_boards passes.

--- a/tests/test_demand_boards.py
+++ b/tests/test_demand_boards.py
@@ -115,11 +115,12 @@
     def test_malformed_messages(self) -> None:
         """Guard against one bad row that hides all others, or stops the link.
 
-        Pattern: rows of unknown or damaged entries, and senders that speak for
-        another data centre.
+        Pattern: rows of unknown or damaged entries, rates whose sum would be
+        infinite, and senders that speak for another data centre.
         """
         rows = [7, [], {}, ['x'], [None, 1, 1, 1], ['y', 'z', 1, 1]]
-        rows += [['w', -1, 0, 0], ['v', float('nan'), 0, 0], *ROWS]
+        rows += [['w', -1, 0, 0], ['v', float('nan'), 0, 0]]
+        rows += [['u', 1e308, 0, 0], ['t', 0, 0, float('-inf')], *ROWS]
         with self.assertLogs('wasabistream.spillover', 'WARNING'):
             self.board.on_notice(build_hello('e2', OWN), DemandNotice(rows))
             self.board.on_notice(RELAY, DemandNotice(ROWS))
--- a/wasabistream/spillover/demand_boards.py
+++ b/wasabistream/spillover/demand_boards.py
@@ -1,7 +1,6 @@
 """Demand of all data centres as one entry knows it."""
 
 import logging
-import math
 import threading
 import time
 from collections.abc import Callable, Mapping
@@ -23,6 +22,9 @@
 # on a link does not count once the report it precedes has expired.
 SEQUENCE_AGE_LIMIT_SECONDS = 60.0
 ENTRY_ROLE = 'entry'
+# Larger rates and slopes are malformed. Sums and ratios of such numbers can
+# become infinite or NaN, and damping would keep a share of NaN for good.
+MAX_RATE = 10.0**12
 
 Demands = Mapping[str, ServiceDemand]
 
@@ -179,7 +181,9 @@
     if not isinstance(service, str):
         raise TypeError(f'service is {type(service).__name__}')
     rates = (float(prompt_rate), float(expected_rate), float(slope))
-    if not all(map(math.isfinite, rates)) or min(rates[:2]) < 0:
+    # NaN fails any comparison.
+    in_range = all(abs(rate) <= MAX_RATE for rate in rates)
+    if not in_range or min(rates[:2]) < 0:
         raise ValueError(f'rates are {rates}')
     return service, ServiceDemand(*rates)
 
