Ignore the own notice of an entry that is linked to itself

Cause: an entry that is listed among its own seeds under another address, such as a host name, links to itself and gets its own DemandNotice back. Its demand then counted twice in the sum of its data centre, by its meter and its notice.

Change: the board knows the id of its entry and ignores notices under it.

Result: the new test failed without the check and passes with it; tests.test_demand_boards passes.

--- a/tests/test_demand_boards.py
+++ b/tests/test_demand_boards.py
@@ -35,6 +35,7 @@
 OWN = 'dc-a'
 OTHER = 'dc-b'
 ROWS = [['writer', 100, 200, 3]]
+ENTRY = build_hello('e1', OWN)
 RELAY = build_hello('relay-1', OTHER)
 SECOND_RELAY = build_hello('relay-2', OTHER)
 BYTE_BUDGET = 8000
@@ -46,7 +47,7 @@
     def setUp(self) -> None:
         """Create the board of one entry."""
         self.clock = Clock()
-        self.board = DemandBoard(OWN, self.clock)
+        self.board = DemandBoard(ENTRY, self.clock)
 
     def own_rate(self) -> float:
         """Return the prompt tokens per second of the own data centre."""
@@ -82,6 +83,15 @@
         self.clock.advance(2.1)
         self.assertEqual(self.own_rate(), 50)
 
+    def test_own_notice(self) -> None:
+        """Guard against own demand that counts twice.
+
+        Pattern: a seed is another address of the entry, which links to itself.
+        """
+        self.board.record_own({'writer': ServiceDemand(50, 60, 1)})
+        self.board.on_notice(ENTRY, DemandNotice(ROWS))
+        self.assertEqual(self.own_rate(), 50)
+
     def test_paused_relay(self) -> None:
         """Guard against a data centre that is forgotten with one relay.
 
@@ -158,7 +168,7 @@
             for number, name in enumerate((OWN, OTHER))
         ]
         self.controller = SpilloverController(
-            OWN,
+            ENTRY,
             self.links,
             self.is_relay,
             CapacityView(
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -104,7 +104,7 @@
         )
         # Also checks its settings, before any socket is open.
         self._spillover = build_spillover(
-            node_settings.data_centre,
+            self.hello,
             self._peer_links,
             self.fleet,
             self._servers,
--- a/wasabistream/spillover/demand_boards.py
+++ b/wasabistream/spillover/demand_boards.py
@@ -48,10 +48,11 @@
 
     def __init__(
         self,
-        data_centre: str,
+        entry: Hello,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self._data_centre = data_centre
+        self._entry_id = entry.peer_id
+        self._data_centre = entry.data_centre
         self._clock = clock
         self._lock = threading.Lock()
         self._own_demands: Demands = {}
@@ -70,6 +71,9 @@
         """Record the notice of an entry of the own data centre."""
         if not self._is_entry(sender, self._data_centre):
             return
+        # A seed that is another address of this entry links it to itself.
+        if sender.peer_id == self._entry_id:
+            return
         demands = _decode_rows(notice.rows, sender)
         with self._lock:
             self._notices[sender.peer_id] = _Record(demands, self._clock())
--- a/wasabistream/spillover/spillover_controllers.py
+++ b/wasabistream/spillover/spillover_controllers.py
@@ -9,6 +9,7 @@
 from wasabistream.forwarding.requests import ForwardRequest
 from wasabistream.messages import Message
 from wasabistream.metrics import SPILLOVER_SHARE
+from wasabistream.notices import Hello
 from wasabistream.spillover.capacity_views import CapacityView
 from wasabistream.spillover.demand_boards import (
     DemandBoard,
@@ -51,21 +52,21 @@
 
     def __init__(
         self,
-        data_centre: str,
+        entry: Hello,
         links: DemandLinks,
         is_relay: Callable[[], bool],
         capacities: CapacityView,
         is_scheduled: Callable[[str], bool],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self._data_centre = data_centre
+        self._data_centre = entry.data_centre
         self._links = links
         self._is_relay = is_relay
         self._capacities = capacities
         self._is_scheduled = is_scheduled
         self._clock = clock
         self._meter = DemandMeter(clock)
-        self.board = DemandBoard(data_centre, clock)
+        self.board = DemandBoard(entry, clock)
         # Replaced as a whole.
         self._plans: dict[str, SpilloverPlan] = {}
         self._logged: dict[str, SpilloverPlan] = {}
--- a/wasabistream/spillover/spillover_parts.py
+++ b/wasabistream/spillover/spillover_parts.py
@@ -8,6 +8,7 @@
 from wasabistream.forwarding.request_observers import RequestObserver
 from wasabistream.forwarding.requests import ForwardRequest
 from wasabistream.forwarding.server_trackers import ServerTrackers
+from wasabistream.notices import Hello
 from wasabistream.spillover.capacity_views import CapacityView
 from wasabistream.spillover.remote_losses import RemoteCosts, SpilloverLosses
 from wasabistream.spillover.remote_settings import read_remote_costs
@@ -23,7 +24,7 @@
 
     def __init__(
         self,
-        data_centre: str,
+        entry: Hello,
         peer_links: PeerLinks,
         fleet: FleetHolder,
         servers: ServerTrackers,
@@ -31,7 +32,7 @@
         is_scheduled: Callable[[str], bool],
     ) -> None:
         self.controller = SpilloverController(
-            data_centre,
+            entry,
             peer_links,
             peer_links.relays.is_relay,
             CapacityView(
@@ -40,7 +41,7 @@
             is_scheduled,
         )
         self.losses = SpilloverLosses(
-            data_centre, costs, self.controller.find_plan
+            entry.data_centre, costs, self.controller.find_plan
         )
         board = self.controller.board
         peer_links.subscriptions.add_with_sender(DemandNotice, board.on_notice)
@@ -60,7 +61,7 @@
 
 
 def build_spillover(
-    data_centre: str,
+    entry: Hello,
     peer_links: PeerLinks,
     fleet: FleetHolder,
     servers: ServerTrackers,
@@ -71,7 +72,7 @@
     Raises SettingsError.
     """
     return Spillover(
-        data_centre,
+        entry,
         peer_links,
         fleet,
         servers,
