Divide the sending of demand sums among the entries of a data centre

Cause: each of the two relays of a data centre sent its sum to all entries of the others, 61 KB/s at 380 entries in 24 data centres by calculation, and an entry received 7,682 bytes of sums and 1,755 of notices per second. The budget is 8 KB/s. A relay that had just started or resumed also sent a sum without the notices of its neighbours, which replaced a correct one, and a relay of the previous version sends none.

Change: all entries with a notice newer than 1.5 s divide the receivers by rendezvous hash, so that each receiver gets one sum per second from each other data centre. No sum is sent in the first update after a start or a pause.

--- a/tests/spillover_builders.py
+++ b/tests/spillover_builders.py
@@ -1,13 +1,27 @@
 """Builders of test data for the spillover package."""
 
+import dataclasses
 import math
-from collections.abc import Mapping
-
-from tests.forwarding_builders import ENGINE_SERVICE, Clock
+from collections.abc import Callable, Collection, Mapping, Sequence
+from unittest.mock import Mock
+
+from tests.forwarding_builders import (
+    ENGINE_SERVICE,
+    Clock,
+    build_request,
+    build_route,
+)
 from wasabistream.forwarding.requests import GenerationDemand
+from wasabistream.forwarding.routes import RouteKind
+from wasabistream.messages import Message
 from wasabistream.notices import Hello
 from wasabistream.spillover.demand_boards import DemandReport
 from wasabistream.spillover.demand_meters import DemandMeter, ServiceDemand
+from wasabistream.spillover.spillover_controllers import SpilloverController
+from wasabistream.spillover.spillover_messages import (
+    DataCentreDemand,
+    DemandNotice,
+)
 from wasabistream.spillover.spillover_plans import (
     DataCentreCapacity,
     SpilloverInputs,
@@ -59,6 +73,82 @@
     )
 
 
+class SendingDataCentre:
+    """Run the controllers of all entries of one data centre."""
+
+    def __init__(
+        self, own: Sequence[Hello], others: Sequence[Hello], service_count: int
+    ) -> None:
+        self._services = [f'service{number}' for number in range(service_count)]
+        self._clock = Clock()
+        self._peers = [*own, *others]
+        self._controllers: dict[str, SpilloverController] = {}
+        self._frozen: Collection[str] = ()
+        # Of the last second, with the sender's and the receiver's id.
+        self.notices: list[tuple[str, str, DemandNotice]] = []
+        self.sums: list[tuple[str, str, DataCentreDemand]] = []
+        # Time since each receiver got a sum.
+        self.silent_seconds: dict[str, float] = {}
+        for entry in own:
+            links = Mock(send_to_some=self._build_send(entry))
+            capacities = Mock(measure=lambda service: {})
+            capacities.list_services.return_value = self._services
+            self._controllers[entry.peer_id] = SpilloverController(
+                entry, links, capacities, lambda service: True, self._clock
+            )
+
+    def run_second(
+        self, tokens_per_second: int, frozen: Collection[str] = ()
+    ) -> None:
+        """Update all entries in turn, spread over a second."""
+        self._frozen = frozen
+        self.notices.clear()
+        self.sums.clear()
+        seconds = 1 / len(self._controllers)
+        for entry_id, controller in self._controllers.items():
+            self._clock.advance(seconds)
+            for receiver in self.silent_seconds:
+                self.silent_seconds[receiver] += seconds
+            if entry_id not in frozen:
+                self._record_arrivals(controller, tokens_per_second)
+                controller.update()
+
+    def _record_arrivals(
+        self, controller: SpilloverController, tokens: int
+    ) -> None:
+        request = build_request(build_route(RouteKind.streaming))
+        for service in self._services:
+            controller.record_arrival(
+                dataclasses.replace(
+                    request,
+                    service=service,
+                    demand=GenerationDemand(tokens, 0, 0),
+                )
+            )
+
+    def _build_send(
+        self, sender: Hello
+    ) -> Callable[[Message, Callable[[Hello], bool]], None]:
+        def send(
+            message: Message, is_receiver: Callable[[Hello], bool]
+        ) -> None:
+            for peer in self._peers:
+                if peer != sender and is_receiver(peer):
+                    self._deliver(sender, peer, message)
+
+        return send
+
+    def _deliver(self, sender: Hello, peer: Hello, message: Message) -> None:
+        if isinstance(message, DemandNotice):
+            if peer.peer_id not in self._frozen:
+                controller = self._controllers[peer.peer_id]
+                controller.board.on_notice(sender, message)
+            self.notices.append((sender.peer_id, peer.peer_id, message))
+        elif isinstance(message, DataCentreDemand):
+            self.sums.append((sender.peer_id, peer.peer_id, message))
+            self.silent_seconds[peer.peer_id] = 0
+
+
 class SwingingWorld:
     """Run data centres whose demand swings, each with its own plan."""
 
--- a/tests/test_demand_boards.py
+++ b/tests/test_demand_boards.py
@@ -1,11 +1,12 @@
 """Tests of the exchange of demands between entries.
 
-Load patterns: entries and relays that end or pause, malformed, repeated and
+Load patterns: entries that end or pause, malformed, repeated and
 late messages, entries of the previous version and a large fleet.
 """
 
 import dataclasses
 import unittest
+from collections import Counter
 from unittest.mock import Mock
 
 from tests.forwarding_builders import (
@@ -16,7 +17,7 @@
     build_route,
     build_server,
 )
-from tests.spillover_builders import build_hello
+from tests.spillover_builders import SendingDataCentre, build_hello
 from wasabistream.forwarding.load_trackers import LoadTracker
 from wasabistream.forwarding.requests import GenerationDemand
 from wasabistream.forwarding.routes import RouteKind
@@ -31,14 +32,20 @@
     DataCentreDemand,
     DemandNotice,
 )
+from wasabistream.spillover.spillover_plans import REPORT_AGE_LIMIT_SECONDS
 
 OWN = 'dc-a'
 OTHER = 'dc-b'
 ROWS = [['writer', 100, 200, 3]]
 ENTRY = build_hello('e1', OWN)
-RELAY = build_hello('relay-1', OTHER)
-SECOND_RELAY = build_hello('relay-2', OTHER)
+SENDER = build_hello('sender-1', OTHER)
+SECOND_SENDER = build_hello('sender-2', OTHER)
+# Of a daemon, in each second.
 BYTE_BUDGET = 8000
+DATA_CENTRE_COUNT = 24
+ENTRY_COUNT = 380
+# Of each service at each entry; a data centre has 250,000.
+TOKENS_PER_SECOND = 15_625
 
 
 class DemandBoardTest(unittest.TestCase):
@@ -62,11 +69,11 @@
             for report in self.board.other_reports().values()
         ]
 
-    def send(self, sequence: int, rate: float, relay: Hello = RELAY) -> None:
-        """Receive a report of a relay of the other data centre."""
+    def send(self, sequence: int, rate: float, sender: Hello = SENDER) -> None:
+        """Receive a report of an entry of the other data centre."""
         rows = [['writer', rate, 0, 0]]
         report = DataCentreDemand(OTHER, sequence, rows, age_ms=500)
-        self.board.on_report(relay, report)
+        self.board.on_report(sender, report)
 
     def test_entries_that_end(self) -> None:
         """Guard against demand of an entry that has ended.
@@ -92,15 +99,15 @@
         self.board.on_notice(ENTRY, DemandNotice(ROWS))
         self.assertEqual(self.own_rate(), 50)
 
-    def test_paused_relay(self) -> None:
-        """Guard against a data centre that is forgotten with one relay.
+    def test_paused_sender(self) -> None:
+        """Guard against a data centre that is forgotten with one entry.
 
-        Pattern: one relay pauses, then the other one; a partition between two
+        Pattern: one sender pauses, then the other one; a partition between two
         data centres looks the same.
         """
         self.send(1, 100)
         for sequence in (1, 2, 3, 4):
-            self.send(sequence, 120, SECOND_RELAY)
+            self.send(sequence, 120, SECOND_SENDER)
             self.clock.advance(1)
         self.assertEqual(self.other_rates(), [120])
         self.assertEqual(self.board.other_reports()[OTHER].age_seconds, 1.5)
@@ -110,8 +117,8 @@
     def test_repeated_and_late_messages(self) -> None:
         """Guard against a demand that an older message replaces.
 
-        Pattern: messages of one relay are repeated or arrive late, also after
-        its report has expired; a restarted relay begins again at 1.
+        Pattern: messages of one entry are repeated or arrive late, also after
+        its report has expired; a restarted one begins again at 1.
         """
         for sequence, rate in ((5, 100), (5, 200), (4, 300)):
             self.send(sequence, rate)
@@ -119,7 +126,7 @@
         self.clock.advance(5)
         self.send(5, 300)
         self.assertEqual(self.other_rates(), [])
-        self.send(1, 400, build_hello('relay-1', OTHER, 'restarted'))
+        self.send(1, 400, build_hello('sender-1', OTHER, 'restarted'))
         self.assertEqual(self.other_rates(), [400])
 
     def test_malformed_messages(self) -> None:
@@ -133,27 +140,80 @@
         rows += [['u', 1e308, 0, 0], ['t', 0, 0, float('-inf')], *ROWS]
         with self.assertLogs('wasabistream.spillover', 'WARNING'):
             self.board.on_notice(build_hello('e2', OWN), DemandNotice(rows))
-            self.board.on_notice(RELAY, DemandNotice(ROWS))
+            self.board.on_notice(SENDER, DemandNotice(ROWS))
             self.send(1, 1, build_hello('e9', 'dc-z'))
             self.send(1, 1, build_hello('agent', OTHER, role='agent'))
         self.assertEqual(set(self.board.own_report().demands), {'writer'})
         self.assertEqual(self.own_rate(), 100)
         self.assertEqual(self.other_rates(), [])
 
-    def test_byte_budget(self) -> None:
-        """Guard against demand reports that use up the budget of a daemon.
-
-        Pattern: 24 data centres with two relays each and six services, at the
-        demand of 4,700 engines.
-        """
+    def test_largest_messages(self) -> None:
+        """Guard against messages that others cannot read."""
         demand = ServiceDemand(250_000, 300_000, -90_000)
         rows = build_rows({f'service{number}': demand for number in range(6)})
         report = DataCentreDemand('dc-12', 100_000, rows, 1500)
         frame = encode_frame(report)
-        self.assertLess(len(frame) * 2 * 23, BYTE_BUDGET)
         self.assertEqual(FrameReader('peer').feed(frame), [report])
 
 
+class DemandTrafficTest(unittest.TestCase):
+    """Guard against sums that cost too much, are wrong or do not arrive."""
+
+    def setUp(self) -> None:
+        """Create the entries of one of 24 data centres, with 380 entries."""
+        entries = [
+            build_hello(f'entry-{number}', f'dc-{number % DATA_CENTRE_COUNT}')
+            for number in range(ENTRY_COUNT)
+        ]
+        own = [entry for entry in entries if entry.data_centre == 'dc-1']
+        others = [entry for entry in entries if entry not in own]
+        self.receiver_ids = sorted(entry.peer_id for entry in others)
+        self.senders = SendingDataCentre(own, others, service_count=6)
+        for _ in range(5):
+            self.senders.run_second(TOKENS_PER_SECOND)
+
+    def received_ids(self) -> list[str]:
+        """Return the receivers of the sums of the last second."""
+        return sorted(receiver for _, receiver, _ in self.senders.sums)
+
+    def test_byte_budget(self) -> None:
+        """Guard against demand reports that use up the budget of a daemon.
+
+        Pattern: six services at the demand of 4,700 engines.
+        """
+        self.assertEqual(self.received_ids(), self.receiver_ids)
+        sent: Counter[str] = Counter()
+        for sender, _, message in self.senders.notices + self.senders.sums:
+            sent[sender] += len(encode_frame(message))
+        self.assertLess(max(sent.values()), BYTE_BUDGET)
+        received_bytes = (DATA_CENTRE_COUNT - 1) * max(
+            len(encode_frame(report)) for _, _, report in self.senders.sums
+        )
+        for _, receiver, message in self.senders.notices:
+            if receiver == 'entry-1':
+                received_bytes += len(encode_frame(message))
+        self.assertLess(received_bytes, BYTE_BUDGET)
+
+    def test_frozen_entry(self) -> None:
+        """Guard against receivers that lose the sum with one entry.
+
+        Pattern: an entry freezes and resumes, and then knows only its own
+        demand. The sums that it sends have a mean age of half a second.
+        """
+        for _ in range(5):
+            self.senders.run_second(TOKENS_PER_SECOND, frozen=('entry-25',))
+            silent_seconds = max(self.senders.silent_seconds.values())
+            self.assertLess(silent_seconds + 0.5, REPORT_AGE_LIMIT_SECONDS)
+        self.assertEqual(self.received_ids(), self.receiver_ids)
+        for _ in range(5):
+            self.senders.run_second(TOKENS_PER_SECOND)
+            for _, _, message in self.senders.sums:
+                self.assertGreater(
+                    message.rows[0][1], 0.8 * 16 * TOKENS_PER_SECOND
+                )
+        self.assertEqual(self.received_ids(), self.receiver_ids)
+
+
 class SpilloverControllerTest(unittest.TestCase):
     """Guard against messages that nobody needs, and plans out of date."""
 
@@ -161,7 +221,6 @@
         """Create the controller of an entry beside one of two engines."""
         self.clock = Clock()
         self.links = Mock()
-        self.is_relay = Mock(return_value=False)
         self.is_scheduled = Mock(return_value=True)
         servers = [
             build_server(number, service=ENGINE_SERVICE, data_centre=name)
@@ -170,7 +229,6 @@
         self.controller = SpilloverController(
             ENTRY,
             self.links,
-            self.is_relay,
             CapacityView(
                 build_holder(*servers),
                 LoadTracker(self.clock),
@@ -182,26 +240,31 @@
         )
 
     def test_messages_and_plans(self) -> None:
-        """Guard against sums of each entry, and a service that stays planned.
+        """Guard against partial sums, and a service that stays planned.
 
         Pattern: twice the capacity arrives, while the service is scheduled.
         """
         request = build_request(build_route(RouteKind.streaming))
         for second in range(6):
-            self.is_relay.return_value = second == 5
             for _ in range(5):
                 self.controller.record_arrival(request)
                 self.clock.advance(0.2)
             rows = [[ENGINE_SERVICE, 1000, 0, 0]]
             self.controller.board.on_report(
-                RELAY, DataCentreDemand(OTHER, second, rows, 0)
+                SENDER, DataCentreDemand(OTHER, second, rows, 0)
             )
             self.controller.update()
-        sends = self.links.send_to_data_centres
-        *notices, (report, goes_to) = [call.args for call in sends.mock_calls]
+        sends = self.links.send_to_some
+        messages = [call.args for call in sends.mock_calls]
+        notices = [
+            sent for sent in messages if isinstance(sent[0], DemandNotice)
+        ]
         self.assertEqual(len(notices), 6)
-        self.assertTrue(all(is_own(OWN) for _, is_own in notices))
-        self.assertEqual((goes_to(OWN), goes_to(OTHER)), (False, True))
+        self.assertTrue(all(is_own(ENTRY) for _, is_own in notices))
+        # The first update may lack the notices of others.
+        self.assertEqual(len(messages), 6 + 5)
+        report, goes_to = messages[-1]
+        self.assertEqual((goes_to(ENTRY), goes_to(SENDER)), (False, True))
         self.assertAlmostEqual(report.rows[0][1], 15_000, delta=1500)
         plan = self.controller.find_plan(ENGINE_SERVICE)
         self.assertGreater(plan.share(OTHER) if plan else 0, 0.3)
@@ -225,8 +288,9 @@
             )
             self.clock.advance(1)
             self.controller.update()
-            notice = self.links.send_to_data_centres.call_args.args[0]
-            self.assertEqual(
-                FrameReader('p').feed(encode_frame(notice)), [notice]
-            )
-            self.assertGreaterEqual(notice.rows[0][1], 0)
+            for call in self.links.send_to_some.mock_calls:
+                message = call.args[0]
+                self.assertEqual(
+                    FrameReader('p').feed(encode_frame(message)), [message]
+                )
+                self.assertGreaterEqual(message.rows[0][1], 0)
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -6,7 +6,7 @@
 
 import time
 import unittest
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import astuple, replace
 from typing import Any
 from unittest.mock import patch
@@ -162,8 +162,8 @@
         )
         self.assertTrue(wait_for(lambda: _links(sender)))
         for data_centre in ('dc-z', 'dc', 'dc-z'):
-            sender.links.send_to_data_centres(
-                DemandNotice([[data_centre]]), data_centre.__eq__
+            sender.links.send_to_some(
+                DemandNotice([[data_centre]]), _build_filter(data_centre)
             )
         self.assertTrue(wait_for(lambda: told))
         time.sleep(SETTLING_SECONDS)
@@ -408,6 +408,10 @@
     return bool(notice.lists_unchanged) and not notice.engines
 
 
+def _build_filter(data_centre: str) -> Callable[[Hello], bool]:
+    return lambda peer: peer.data_centre == data_centre
+
+
 def _links(entry: Entry) -> list:
     wait_for(lambda: entry.links.entry_count() == 2)
     return list(entry.links._links)  # noqa: SLF001
--- a/wasabistream/forwarding/peer_links.py
+++ b/wasabistream/forwarding/peer_links.py
@@ -143,14 +143,14 @@
         """
         self.subscriptions.add(message_type, handler, describe)
 
-    def send_to_data_centres(
-        self, notice: Message, is_receiver: Callable[[str], bool]
+    def send_to_some(
+        self, notice: Message, is_receiver: Callable[[Hello], bool]
     ) -> None:
-        """Send a message once to each linked entry of some data centres."""
+        """Send a message once to some of the linked entries."""
         with self._lock:
             links = {link.peer.peer_id: link for link in self._links}
         for link in links.values():
-            if is_receiver(link.peer.data_centre):
+            if is_receiver(link.peer):
                 _send(link, notice)
 
     def broadcast(
--- a/wasabistream/spillover/demand_boards.py
+++ b/wasabistream/spillover/demand_boards.py
@@ -18,6 +18,9 @@
 
 # An older notice no longer counts: its entry has ended or is not reachable.
 NOTICE_AGE_LIMIT_SECONDS = 3.0
+# An entry whose last notice is older sends no sums. Its receivers get the next
+# one from another entry before the last one counts for nothing.
+SENDER_AGE_LIMIT_SECONDS = 1.5
 # Sequences are kept for longer than reports, so that a message that is delayed
 # on a link does not count once the report it precedes has expired.
 SEQUENCE_AGE_LIMIT_SECONDS = 60.0
@@ -59,7 +62,7 @@
         # By id of the entry; a restarted entry replaces its earlier notices.
         self._notices: dict[str, _Record] = {}
         self._reports: dict[str, _Record] = {}
-        # Last sequence and its time, by id and incarnation of the relay.
+        # Last sequence and its time, by id and incarnation of the sender.
         self._sequences: dict[tuple[str, str], tuple[int, float]] = {}
 
     def record_own(self, demands: Demands) -> None:
@@ -86,12 +89,12 @@
         now = self._clock()
         demands = _decode_rows(report.rows, sender)
         age_seconds = max(report.age_ms, 0) / MILLISECONDS_PER_SECOND
-        relay = (sender.peer_id, sender.incarnation)
+        source = (sender.peer_id, sender.incarnation)
         with self._lock:
-            last_sequence, _ = self._sequences.get(relay, (-1, now))
+            last_sequence, _ = self._sequences.get(source, (-1, now))
             if report.sequence <= last_sequence:
                 return
-            self._sequences[relay] = (report.sequence, now)
+            self._sequences[source] = (report.sequence, now)
             self._reports[report.data_centre] = _Record(
                 demands, now - age_seconds
             )
@@ -117,6 +120,22 @@
             sum(ages_seconds) / len(ages_seconds),
         )
 
+    def sender_ids(self) -> list[str]:
+        """Return the ids of the entries of the own data centre that send sums.
+
+        Entries of earlier versions send no notices, and no sums either.
+        """
+        with self._lock:
+            oldest = self._clock() - SENDER_AGE_LIMIT_SECONDS
+            return [
+                self._entry_id,
+                *(
+                    peer_id
+                    for peer_id, record in self._notices.items()
+                    if record.measured_at_seconds >= oldest
+                ),
+            ]
+
     def other_reports(self) -> dict[str, DemandReport]:
         """Return the newest demand of each other data centre."""
         with self._lock:
@@ -147,9 +166,9 @@
                 if records[key].measured_at_seconds < oldest:
                     records.pop(key)
         oldest_sequence = now - SEQUENCE_AGE_LIMIT_SECONDS
-        for relay, (_, received_at_seconds) in list(self._sequences.items()):
+        for source, (_, received_at_seconds) in list(self._sequences.items()):
             if received_at_seconds < oldest_sequence:
-                self._sequences.pop(relay)
+                self._sequences.pop(source)
 
 
 def build_rows(demands: Demands) -> list[list[object]]:
--- a/wasabistream/spillover/spillover_controllers.py
+++ b/wasabistream/spillover/spillover_controllers.py
@@ -1,6 +1,7 @@
 """Process that exchanges demands and keeps the plans up to date."""
 
 import logging
+import math
 import threading
 import time
 from collections.abc import Callable, Mapping
@@ -10,8 +11,10 @@
 from wasabistream.messages import Message
 from wasabistream.metrics import SPILLOVER_SHARE
 from wasabistream.notices import Hello
+from wasabistream.owners import owner_of
 from wasabistream.spillover.capacity_views import CapacityView
 from wasabistream.spillover.demand_boards import (
+    NOTICE_AGE_LIMIT_SECONDS,
     DemandBoard,
     DemandReport,
     Demands,
@@ -41,10 +44,10 @@
 class DemandLinks(Protocol):
     """Send messages to other entries."""
 
-    def send_to_data_centres(
-        self, notice: Message, is_receiver: Callable[[str], bool]
+    def send_to_some(
+        self, notice: Message, is_receiver: Callable[[Hello], bool]
     ) -> None:
-        """Send a message once to each linked entry of some data centres."""
+        """Send a message once to some of the linked entries."""
 
 
 class SpilloverController:
@@ -54,14 +57,13 @@
         self,
         entry: Hello,
         links: DemandLinks,
-        is_relay: Callable[[], bool],
         capacities: CapacityView,
         is_scheduled: Callable[[str], bool],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self._entry_id = entry.peer_id
         self._data_centre = entry.data_centre
         self._links = links
-        self._is_relay = is_relay
         self._capacities = capacities
         self._is_scheduled = is_scheduled
         self._clock = clock
@@ -71,6 +73,7 @@
         self._plans: dict[str, SpilloverPlan] = {}
         self._logged: dict[str, SpilloverPlan] = {}
         self._sequence = 0
+        self._updated_seconds = -math.inf
         self._stopped = threading.Event()
 
     def start(self) -> None:
@@ -115,8 +118,13 @@
             },
             own_report.age_seconds,
         )
+        now = self._clock()
+        # After a start or a pause, the notices of the other entries are missing,
+        # and a sum of the rest would replace a correct one.
+        has_notices = now - self._updated_seconds <= NOTICE_AGE_LIMIT_SECONDS
+        self._updated_seconds = now
         if services:
-            self._send(demands, own_report)
+            self._send(demands, own_report, has_notices=has_notices)
         reports = self.board.other_reports()
         reports[self._data_centre] = own_report
         self._replace_plans(
@@ -131,22 +139,31 @@
                 # The old plans stay in use; the next update may succeed.
                 logger.exception('spillover: update failed')
 
-    def _send(self, demands: Demands, own_report: DemandReport) -> None:
-        self._links.send_to_data_centres(
+    def _send(
+        self, demands: Demands, own_report: DemandReport, *, has_notices: bool
+    ) -> None:
+        self._links.send_to_some(
             DemandNotice(build_rows(demands)),
-            lambda data_centre: data_centre == self._data_centre,
+            lambda peer: peer.data_centre == self._data_centre,
+        )
+        if not has_notices:
+            return
+        self._sequence += 1
+        # Each entry of another data centre gets the sum from one entry of this
+        # one, so that no entry sends to all of them.
+        sender_ids = self.board.sender_ids()
+        self._links.send_to_some(
+            DataCentreDemand(
+                self._data_centre,
+                self._sequence,
+                build_rows(own_report.demands),
+                round(own_report.age_seconds * MILLISECONDS_PER_SECOND),
+            ),
+            lambda peer: (
+                peer.data_centre != self._data_centre
+                and owner_of(peer.peer_id, sender_ids) == self._entry_id
+            ),
         )
-        if self._is_relay():
-            self._sequence += 1
-            self._links.send_to_data_centres(
-                DataCentreDemand(
-                    self._data_centre,
-                    self._sequence,
-                    build_rows(own_report.demands),
-                    round(own_report.age_seconds * MILLISECONDS_PER_SECOND),
-                ),
-                lambda data_centre: data_centre != self._data_centre,
-            )
 
     def _plan(
         self, service: str, reports: dict[str, DemandReport]
--- a/wasabistream/spillover/spillover_messages.py
+++ b/wasabistream/spillover/spillover_messages.py
@@ -26,7 +26,7 @@
     """
 
     data_centre: str
-    # Grows with each message of one relay.
+    # Grows with each message of one sender.
     sequence: int
     rows: list
     # Mean age of the notices in the sum.
--- a/wasabistream/spillover/spillover_parts.py
+++ b/wasabistream/spillover/spillover_parts.py
@@ -34,7 +34,6 @@
         self.controller = SpilloverController(
             entry,
             peer_links,
-            peer_links.relays.is_relay,
             CapacityView(
                 fleet, servers.load, servers.engine_paces, servers.cold.is_cold
             ),
