End the share of a data centre that has no spare capacity any more

Cause: a share whose new value is 0 was halved each second and stayed above 0 for minutes. The first request of an entry in 2 s is within any share above 0, so entries with few requests went on as if there were a share.

Change: on its way to 0, a share ends below 0.01.

Result: the new test failed before (0.00014 after 10 s) and passes; tests.test_spillover_plans passes (9 tests).

--- a/tests/test_spillover_plans.py
+++ b/tests/test_spillover_plans.py
@@ -126,6 +126,19 @@
         )
         self.assertAlmostEqual(damped.shares['c'], self.before.shares['c'] / 2)
 
+    def test_spare_capacity_that_stays_used(self) -> None:
+        """Guard against a share that is halved each second and never ends.
+
+        Pattern: demand is even for 10 s after a burst. An entry with few
+        requests takes its first one in 2 s to be within any share above 0.
+        """
+        plan = self.before
+        for second in range(1, 11):
+            plan = plan_spillover(
+                build_inputs('a', EVEN, previous=plan), second
+            )
+        self.assertEqual(set(plan.shares.values()), {0})
+
     def test_lost_engines_and_reports(self) -> None:
         """Guard against requests for a data centre that cannot serve them.
 
--- a/wasabistream/spillover/spillover_plans.py
+++ b/wasabistream/spillover/spillover_plans.py
@@ -23,6 +23,9 @@
 REPORT_AGE_LIMIT_SECONDS = 3.0
 # Part of the way that is left after each second.
 DAMPING_RATIO = 0.5
+# A share on its way to 0 ends below this. Half of a share is left each second,
+# and the first request of an entry in a while is within any share above 0.
+MIN_DAMPED_SHARE = 0.01
 # Lower demands are counted as this, which gives the first request after a
 # pause a share.
 MIN_DEMAND_TOKENS_PER_SECOND = 1.0
@@ -255,7 +258,13 @@
 ) -> dict[str, float]:
     elapsed_seconds = max(now - previous.made_at_seconds, 0)
     left = math.pow(DAMPING_RATIO, elapsed_seconds)
-    return {
+    damped = {
         data_centre: share + (previous.share(data_centre) - share) * left
         for data_centre, share in shares.items()
     }
+    return {
+        data_centre: (
+            share if shares[data_centre] or share >= MIN_DAMPED_SHARE else 0
+        )
+        for data_centre, share in damped.items()
+    }
