Use no plan of spillover that is older than 3 s

Cause: a plan stayed in use without limit while updates failed, or after the process had paused, with shares for data centres that may be full or gone.

Change: find_plan returns none older than 3 s, the age at which the reports that it rests on count for nothing. Without a plan no share is known to be free.

Result: the new test failed before and passes; tests.test_demand_boards and tests.test_remote_losses pass.

--- a/tests/test_demand_boards.py
+++ b/tests/test_demand_boards.py
@@ -274,6 +274,24 @@
         sends.assert_not_called()
         self.assertIsNone(self.controller.find_plan(ENGINE_SERVICE))
 
+    def test_failed_updates(self) -> None:
+        """Guard against a plan that stays in use for good.
+
+        Pattern: updates fail for some seconds, or the process pauses.
+        """
+        self.controller.update()
+        self.is_scheduled.side_effect = ValueError
+        for _ in range(3):
+            self.clock.advance(1)
+            with self.assertRaises(ValueError):
+                self.controller.update()
+        self.assertIsNotNone(self.controller.find_plan(ENGINE_SERVICE))
+        self.clock.advance(0.1)
+        self.assertIsNone(self.controller.find_plan(ENGINE_SERVICE))
+        self.is_scheduled.side_effect = None
+        self.controller.update()
+        self.assertIsNotNone(self.controller.find_plan(ENGINE_SERVICE))
+
     def test_token_counts_of_callers(self) -> None:
         """Guard against refused requests, and plans that are never renewed.
 
--- a/wasabistream/spillover/spillover_controllers.py
+++ b/wasabistream/spillover/spillover_controllers.py
@@ -35,6 +35,8 @@
 logger = logging.getLogger(__name__)
 
 PLAN_INTERVAL_SECONDS = 1.0
+# An older plan is no longer used: the reports that it rests on count for nothing.
+PLAN_AGE_LIMIT_SECONDS = 3.0
 # A plan is logged if a share differs by at least this much from the last one
 # that was logged, or a reason has changed.
 LOGGED_SHARE_CHANGE = 0.05
@@ -92,8 +94,15 @@
             self._meter.record_arrival(request.service, request.demand)
 
     def find_plan(self, service: str) -> SpilloverPlan | None:
-        """Return the newest plan; None for a service that is not scheduled."""
-        return self._plans.get(service)
+        """Return the newest plan.
+
+        None for a service that is not scheduled, and if updates have failed.
+        """
+        plan = self._plans.get(service)
+        if plan is None:
+            return None
+        age_seconds = self._clock() - plan.made_at_seconds
+        return plan if age_seconds <= PLAN_AGE_LIMIT_SECONDS else None
 
     def full_data_centres(self, service: str) -> list[str]:
         """Return the data centres that have no room for a service."""
@@ -136,7 +145,8 @@
             try:
                 self.update()
             except Exception:
-                # The old plans stay in use; the next update may succeed.
+                # The old plans stay in use for a while; the next update may
+                # succeed.
                 logger.exception('spillover: update failed')
 
     def _send(
