Limit the memory of an engine in the capacity of spillover

Cause: until an engine reports a request, an entry counts the tokens that its caller states, which may be any number. One such request made the division of the sums overflow, so that no plan was made, or made a whole data centre look full to spillover and moves.

Change: the memory of an engine counts as used up to twice its capacity.

--- a/tests/test_spillover_plans.py
+++ b/tests/test_spillover_plans.py
@@ -28,6 +28,7 @@
     NO_REPORTS,
     NO_ROOM,
     NO_SPARE_CAPACITY,
+    SpilloverInputs,
     plan_spillover,
 )
 
@@ -210,3 +211,29 @@
         self.assertEqual(capacities['a'].prompt_tokens_per_second, 1500)
         self.assertEqual(capacities['b'].prompt_tokens_per_second, 1000)
         self.assertEqual(capacities['a'].memory_tokens, 6000)
+
+    def test_token_counts_of_callers(self) -> None:
+        """Guard against plans that fail, or a data centre that one fills.
+
+        Pattern: a caller states endless tokens for a request to one of ten
+        engines, which count until its agent reports.
+        """
+        servers = [
+            build_server(number, service=ENGINE_SERVICE, data_centre='a')
+            for number in range(10)
+        ]
+        load_tracker = LoadTracker()
+        load_tracker.add_sent_request(servers[0].endpoint, 'r', 10**400)
+        for listed in servers:
+            load_tracker.report(listed.endpoint, build_report(used_tokens=0))
+        view = CapacityView(
+            build_holder(*servers),
+            load_tracker,
+            Mock(pace=lambda endpoint: EnginePace()),
+            lambda server: False,
+        )
+        plan = plan_spillover(
+            SpilloverInputs(ENGINE_SERVICE, 'a', view.measure(ENGINE_SERVICE)),
+            0,
+        )
+        self.assertEqual(plan.list_full_data_centres(), [])
--- a/wasabistream/spillover/capacity_views.py
+++ b/wasabistream/spillover/capacity_views.py
@@ -15,6 +15,10 @@
 
 # Assumed rate while no engine of a service has a known one.
 DEFAULT_PROMPT_TOKENS_PER_SECOND = 7000.0
+# An engine's memory counts as used up to this multiple of its capacity. Until an
+# engine reports a request, it counts with the tokens that its caller states,
+# which may be any number.
+MAX_MEMORY_RATIO = 2
 # A cold engine prefills at half speed.
 COLD_RATIO = 0.5
 # Engines that are read per second at most, on average over the services. One
@@ -104,9 +108,12 @@
         return {
             data_centre: DataCentreCapacity(
                 sum(self._prompt_rate(engine, typical) for engine in members),
-                sum(_memory_tokens(engine.estimate) for engine in members),
                 sum(
-                    engine.estimate.memory_capacity_tokens or listed_tokens
+                    _memory_tokens(engine.estimate, listed_tokens)
+                    for engine in members
+                ),
+                sum(
+                    _capacity_tokens(engine.estimate, listed_tokens)
                     for engine in members
                 ),
             )
@@ -137,12 +144,18 @@
         return rate * COLD_RATIO if self._is_cold(engine.server) else rate
 
 
-def _memory_tokens(estimate: LoadEstimate) -> int:
-    return (
+def _capacity_tokens(estimate: LoadEstimate, listed_tokens: int) -> int:
+    return estimate.memory_capacity_tokens or listed_tokens
+
+
+def _memory_tokens(estimate: LoadEstimate, listed_tokens: int) -> int:
+    tokens = (
         estimate.memory_tokens
         + estimate.reserved_tokens
         + estimate.growth_tokens
     )
+    limit = MAX_MEMORY_RATIO * _capacity_tokens(estimate, listed_tokens)
+    return min(tokens, limit)
 
 
 def _known_median(values: list[float], default: float) -> float:
