--- a/tests/test_spillover_plans.py
+++ b/tests/test_spillover_plans.py
@@ -28,6 +28,7 @@
     NO_REPORTS,
     NO_ROOM,
     NO_SPARE_CAPACITY,
+    SpilloverInputs,
     plan_spillover,
 )
 
@@ -126,6 +127,19 @@
         )
         self.assertAlmostEqual(damped.shares['c'], self.before.shares['c'] / 2)
 
+    def test_spare_capacity_that_stays_used(self) -> None:
+        """Guard against a share that is halved each second and never ends.
+
+        Pattern: demand is even for 10 s after a burst. An entry with few
+        requests takes its first one in 2 s to be within any share above 0.
+        """
+        plan = self.before
+        for second in range(1, 11):
+            plan = plan_spillover(
+                build_inputs('a', EVEN, previous=plan), second
+            )
+        self.assertEqual(set(plan.shares.values()), {0})
+
     def test_lost_engines_and_reports(self) -> None:
         """Guard against requests for a data centre that cannot serve them.
 
@@ -197,3 +211,29 @@
         self.assertEqual(capacities['a'].prompt_tokens_per_second, 1500)
         self.assertEqual(capacities['b'].prompt_tokens_per_second, 1000)
         self.assertEqual(capacities['a'].memory_tokens, 6000)
+
+    def test_token_counts_of_callers(self) -> None:
+        """Guard against plans that fail, or a data centre that one fills.
+
+        Pattern: a caller states endless tokens for a request to one of ten
+        engines, which count until its agent reports.
+        """
+        servers = [
+            build_server(number, service=ENGINE_SERVICE, data_centre='a')
+            for number in range(10)
+        ]
+        load_tracker = LoadTracker()
+        load_tracker.add_sent_request(servers[0].endpoint, 'r', 10**400)
+        for listed in servers:
+            load_tracker.report(listed.endpoint, build_report(used_tokens=0))
+        view = CapacityView(
+            build_holder(*servers),
+            load_tracker,
+            Mock(pace=lambda endpoint: EnginePace()),
+            lambda server: False,
+        )
+        plan = plan_spillover(
+            SpilloverInputs(ENGINE_SERVICE, 'a', view.measure(ENGINE_SERVICE)),
+            0,
+        )
+        self.assertEqual(plan.list_full_data_centres(), [])
--- a/wasabistream/spillover/demand_boards.py
+++ b/wasabistream/spillover/demand_boards.py
@@ -1,7 +1,6 @@
 """Demand of all data centres as one entry knows it."""
 
 import logging
-import math
 import threading
 import time
 from collections.abc import Callable, Mapping
@@ -19,10 +18,16 @@
 
 # An older notice no longer counts: its entry has ended or is not reachable.
 NOTICE_AGE_LIMIT_SECONDS = 3.0
+# An entry whose last notice is older sends no sums. Its receivers get the next
+# one from another entry before the last one counts for nothing.
+SENDER_AGE_LIMIT_SECONDS = 1.5
 # Sequences are kept for longer than reports, so that a message that is delayed
 # on a link does not count once the report it precedes has expired.
 SEQUENCE_AGE_LIMIT_SECONDS = 60.0
 ENTRY_ROLE = 'entry'
+# Larger rates and slopes are malformed. Sums and ratios of such numbers can
+# become infinite or NaN, and damping would keep a share of NaN for good.
+MAX_RATE = 10.0**12
 
 Demands = Mapping[str, ServiceDemand]
 
@@ -46,17 +51,18 @@
 
     def __init__(
         self,
-        data_centre: str,
+        entry: Hello,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self._data_centre = data_centre
+        self._entry_id = entry.peer_id
+        self._data_centre = entry.data_centre
         self._clock = clock
         self._lock = threading.Lock()
         self._own_demands: Demands = {}
         # By id of the entry; a restarted entry replaces its earlier notices.
         self._notices: dict[str, _Record] = {}
         self._reports: dict[str, _Record] = {}
-        # Last sequence and its time, by id and incarnation of the relay.
+        # Last sequence and its time, by id and incarnation of the sender.
         self._sequences: dict[tuple[str, str], tuple[int, float]] = {}
 
     def record_own(self, demands: Demands) -> None:
@@ -68,6 +74,9 @@
         """Record the notice of an entry of the own data centre."""
         if not self._is_entry(sender, self._data_centre):
             return
+        # A seed that is another address of this entry links it to itself.
+        if sender.peer_id == self._entry_id:
+            return
         demands = _decode_rows(notice.rows, sender)
         with self._lock:
             self._notices[sender.peer_id] = _Record(demands, self._clock())
@@ -80,12 +89,12 @@
         now = self._clock()
         demands = _decode_rows(report.rows, sender)
         age_seconds = max(report.age_ms, 0) / MILLISECONDS_PER_SECOND
-        relay = (sender.peer_id, sender.incarnation)
+        source = (sender.peer_id, sender.incarnation)
         with self._lock:
-            last_sequence, _ = self._sequences.get(relay, (-1, now))
+            last_sequence, _ = self._sequences.get(source, (-1, now))
             if report.sequence <= last_sequence:
                 return
-            self._sequences[relay] = (report.sequence, now)
+            self._sequences[source] = (report.sequence, now)
             self._reports[report.data_centre] = _Record(
                 demands, now - age_seconds
             )
@@ -111,6 +120,22 @@
             sum(ages_seconds) / len(ages_seconds),
         )
 
+    def sender_ids(self) -> list[str]:
+        """Return the ids of the entries of the own data centre that send sums.
+
+        Entries of earlier versions send no notices, and no sums either.
+        """
+        with self._lock:
+            oldest = self._clock() - SENDER_AGE_LIMIT_SECONDS
+            return [
+                self._entry_id,
+                *(
+                    peer_id
+                    for peer_id, record in self._notices.items()
+                    if record.measured_at_seconds >= oldest
+                ),
+            ]
+
     def other_reports(self) -> dict[str, DemandReport]:
         """Return the newest demand of each other data centre."""
         with self._lock:
@@ -141,9 +166,9 @@
                 if records[key].measured_at_seconds < oldest:
                     records.pop(key)
         oldest_sequence = now - SEQUENCE_AGE_LIMIT_SECONDS
-        for relay, (_, received_at_seconds) in list(self._sequences.items()):
+        for source, (_, received_at_seconds) in list(self._sequences.items()):
             if received_at_seconds < oldest_sequence:
-                self._sequences.pop(relay)
+                self._sequences.pop(source)
 
 
 def build_rows(demands: Demands) -> list[list[object]]:
@@ -161,15 +186,21 @@
 
 def _decode_rows(rows: list, sender: Hello) -> Demands:
     demands: dict[str, ServiceDemand] = {}
+    errors: list[Exception] = []
     for row in rows:
         try:
             service, demand = _decode_row(row)
         except (LookupError, TypeError, ValueError) as error:
-            logger.warning(
-                'spillover: row of %s is malformed: %r', sender.peer_id, error
-            )
+            errors.append(error)
         else:
             demands[service] = demand
+    if errors:
+        logger.warning(
+            'spillover: %d rows of %s are malformed, the first: %r',
+            len(errors),
+            sender.peer_id,
+            errors[0],
+        )
     return demands
 
 
@@ -179,7 +210,9 @@
     if not isinstance(service, str):
         raise TypeError(f'service is {type(service).__name__}')
     rates = (float(prompt_rate), float(expected_rate), float(slope))
-    if not all(map(math.isfinite, rates)) or min(rates[:2]) < 0:
+    # NaN fails any comparison.
+    in_range = all(abs(rate) <= MAX_RATE for rate in rates)
+    if not in_range or min(rates[:2]) < 0:
         raise ValueError(f'rates are {rates}')
     return service, ServiceDemand(*rates)
 
