Take room without a draw at the limits of a waiting request

With many entries and little room, a request leaves room to other entries by a random draw. A request that had reached its in-time limit or its dispatch limit while an engine had room was drawn for as well, because room is considered before the limits: it became late beside free room, and then waited beyond its dispatch limit until its own thread gave up on the scanner.

At a limit a request is sent even without room, so the draw no longer applies there.

test_room_that_others_may_take failed before (the request had not started after its dispatch limit) and passes now. tests.test_start_queues, test_start_orders and test_start_decisions: 28 tests, all pass.

--- a/tests/test_start_queues.py
+++ b/tests/test_start_queues.py
@@ -157,6 +157,19 @@
         started = [ticket for ticket in tickets if ticket.start is not None]
         self.assertEqual(len(started), 1)
 
+    def test_room_that_others_may_take(self) -> None:
+        """Guard against a request that leaves room to others until it is late.
+
+        Pattern: one request, one engine with room, and many entries.
+        """
+        case = QueueCase(prompt_rate=PROMPT_RATE)
+        case.fleet.live_entry_count = Mock(return_value=31)  # type: ignore
+        ticket = case.add()
+        self.assertIsNone(ticket.start)
+        case.run(DISPATCH_LIMIT_SECONDS)
+        self.assertEqual(reason_of(ticket), StartReason.room)
+        self.assertLess(case.waited_seconds(ticket), TARGET_SECONDS)
+
 
 class WaitEndTest(unittest.TestCase):
     """Guard against requests that are sent in vain, or kept for nothing."""
--- a/wasabistream/queueing/start_lines.py
+++ b/wasabistream/queueing/start_lines.py
@@ -184,9 +184,7 @@
         now_seconds: float,
     ) -> bool:
         facts = ticket.facts
-        is_due = now_seconds >= facts.dispatch_limit_at_seconds or (
-            not facts.is_late and now_seconds >= facts.in_time_limit_at_seconds
-        )
+        is_due = facts.is_due(now_seconds)
         may_take_room = may_look_for_room(facts, without_room, now_seconds)
         age_seconds = now_seconds - ticket.predicted_at_seconds
         # A prediction covers all engines, so it is made only where it counts.
@@ -266,7 +264,8 @@
     def _wins_room(
         self, ticket: StartTicket, decision: StartDecision, now_seconds: float
     ) -> bool:
-        return may_take_room(
+        # At its limit a request is sent even without room.
+        return ticket.facts.is_due(now_seconds) or may_take_room(
             decision.outlooks,
             self._find_headroom_tokens(ticket.facts, now_seconds),
             ticket.facts.expected_tokens,
--- a/wasabistream/queueing/waiting_requests.py
+++ b/wasabistream/queueing/waiting_requests.py
@@ -48,6 +48,12 @@
             deadline_seconds * DISPATCH_DEADLINE_RATIO,
         )
 
+    def is_due(self, now_seconds: float) -> bool:
+        """Return whether it has reached a limit and no longer needs room."""
+        if now_seconds >= self.dispatch_limit_at_seconds:
+            return True
+        return not self.is_late and now_seconds >= self.in_time_limit_at_seconds
+
 
 def build_waiting_request(
     request: ForwardRequest, now_seconds: float
