Keep scanning the start queue after any error

The scanner only caught OSError and WasabiError. Any other error in a prediction ended its thread, and no request was decided until another one arrived or the dispatch limit passed. An error in the decision on one request also ended the scan for those behind it, at each scan. If no thread could be started for the scanner, the error ended the arriving request but left its ticket in the queue: a later scan counted it at an engine for ever.

An error is now logged for the request that causes it and the others are decided; the scanner logs any error and goes on.

--- a/tests/test_start_queues.py
+++ b/tests/test_start_queues.py
@@ -10,8 +10,10 @@
 import threading
 import time
 import unittest
+from collections.abc import Collection
 from dataclasses import replace
-from unittest.mock import Mock
+from itertools import chain, repeat
+from unittest.mock import DEFAULT, Mock, patch
 
 from tests.forwarding_builders import (
     ENGINE_SERVICE,
@@ -37,11 +39,13 @@
 )
 from wasabistream.exceptions import BackendError
 from wasabistream.forwarding.fleets import Fleet
+from wasabistream.forwarding.requests import ForwardRequest
 from wasabistream.forwarding.supervisors import CutReason, RequestWatch
 from wasabistream.queueing.start_fleets import EntryStartFleet
 from wasabistream.queueing.start_lines import MAX_WAITING_COUNT
 from wasabistream.queueing.start_queues import StartQueue
 from wasabistream.queueing.starts import DIRECT_START, Start, StartReason
+from wasabistream.scheduling.engine_outlooks import EngineOutlook
 
 # Long requests cannot be in time.
 SLOW_PROMPT_RATE = 700
@@ -225,6 +229,27 @@
         sent = self.case.add()
         self.assertEqual(reason_of(sent), StartReason.room)
 
+    def test_decision_that_fails(self) -> None:
+        """Guard against one request for which no other one starts.
+
+        Pattern: a prediction raises an error that is none of this project.
+        """
+        failing, other = (self.case.add() for _ in range(2))
+        self.case.fleet.occupy(0)
+        predict_all = self.case.fleet.predict_all
+
+        def fail(
+            request: ForwardRequest, excluded: Collection[str] = ()
+        ) -> list[EngineOutlook]:
+            if request is failing.request:
+                raise ValueError('math domain error')
+            return predict_all(request, excluded)
+
+        self.case.fleet.predict_all = fail  # type: ignore
+        self.case.step()
+        self.assertIsNone(failing.start)
+        self.assertEqual(reason_of(other), StartReason.room)
+
     def test_cold_engine(self) -> None:
         """Guard against exceeding the rate of a cold engine in one scan."""
         tickets = [self.case.add() for _ in range(2)]
@@ -308,6 +333,28 @@
         self.fleet.predict_all = Mock(side_effect=error)  # type: ignore
         self.assertEqual(self.join(), StartReason.dispatch_limit)
 
+    def test_scan_with_an_unexpected_error(self) -> None:
+        """Guard against a scanner that ends while requests wait."""
+        self.start_thread()
+        self.fleet.load.has_fresh_reports.side_effect = chain(
+            [ValueError('unexpected')], repeat(True)
+        )
+        self.fleet.occupy(0)
+        self.assertEqual(self.join(), StartReason.room)
+
+    def test_scanner_that_cannot_start(self) -> None:
+        """Guard against a lost request if the process has many threads."""
+        failing = Mock()
+        failing.start.side_effect = RuntimeError("can't start new thread")
+        scanner_class = Mock(
+            side_effect=chain([failing], repeat(DEFAULT)),
+            wraps=threading.Thread,
+        )
+        with patch.object(threading, 'Thread', scanner_class):
+            self.start_thread()
+            self.fleet.occupy(0)
+            self.assertEqual(self.join(), StartReason.room)
+
     def test_routes_that_are_not_deferrable(self) -> None:
         """Guard against queueing where no route or another is deferrable."""
         holder = build_holder()
--- a/wasabistream/queueing/start_lines.py
+++ b/wasabistream/queueing/start_lines.py
@@ -1,5 +1,6 @@
 """State of the requests that wait for a start."""
 
+import logging
 import threading
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Mapping
@@ -26,6 +27,8 @@
 )
 from wasabistream.scheduling.engine_outlooks import EngineOutlook
 
+logger = logging.getLogger(__name__)
+
 # An entry has 128 threads for requests; the others remain for urgent ones.
 MAX_WAITING_COUNT = 32
 # Age of the last prediction after which another one is made, for the in-time
@@ -107,7 +110,14 @@
         without_room: list[WaitingRequest] = []
         while ordered:
             ticket = ordered.pop(0)
-            if self._try_start(ticket, without_room, now_seconds):
+            try:
+                has_started = self._try_start(ticket, without_room, now_seconds)
+            except Exception as error:
+                # The others must not wait for it. Its own thread ends its wait
+                # after its dispatch limit.
+                logger.warning('queue: decision failed: %r', error)
+                continue
+            if has_started:
                 organisation = ticket.facts.organisation
                 running_tokens[organisation] += ticket.facts.expected_tokens
                 ordered = _order(ordered, running_tokens)
--- a/wasabistream/queueing/start_queues.py
+++ b/wasabistream/queueing/start_queues.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from wasabistream.exceptions import WasabiError
 from wasabistream.forwarding.supervisors import CutReason, RequestWatch
 from wasabistream.metrics import CUT_REQUESTS, START_QUEUE_WAITING
 from wasabistream.queueing.interfaces import StartFleet
@@ -103,7 +102,7 @@
 
     def _wait(self, ticket: StartTicket, watch: RequestWatch) -> Start:
         while not ticket.decided.wait(CHECK_INTERVAL_SECONDS):
-            self._release_overdue(ticket)
+            self._check_scanner(ticket)
         with self._lock:
             self._line.pick_up(ticket)
         start = ticket.start or DIRECT_START
@@ -117,7 +116,7 @@
             self._fleet.remove_sent_request(start.server, watch.request)
         return Start(StartReason.ended)
 
-    def _release_overdue(self, ticket: StartTicket) -> None:
+    def _check_scanner(self, ticket: StartTicket) -> None:
         overdue_at_seconds = (
             ticket.facts.dispatch_limit_at_seconds + OVERDUE_SECONDS
         )
@@ -127,13 +126,22 @@
                 self._line.release(
                     ticket, StartReason.dispatch_limit, now_seconds
                 )
+            elif ticket.start is None:
+                self._ensure_scanner()
 
     def _ensure_scanner(self) -> None:
-        if self._scanner is None or not self._scanner.is_alive():
-            self._scanner = threading.Thread(
-                target=self._run, name='start queue', daemon=True
-            )
-            self._scanner.start()
+        if self._scanner is not None and self._scanner.is_alive():
+            return
+        scanner = threading.Thread(
+            target=self._run, name='start queue', daemon=True
+        )
+        try:
+            scanner.start()
+        except RuntimeError as error:
+            # The process has too many threads; those that wait try again.
+            logger.warning('queue: no thread for scans: %r', error)
+            return
+        self._scanner = scanner
 
     def _run(self) -> None:
         report_seconds = MAX_SCAN_INTERVAL_SECONDS - MIN_SCAN_INTERVAL_SECONDS
@@ -143,7 +151,7 @@
             self._reported.clear()
             try:
                 self._scan()
-            except (OSError, WasabiError) as error:
+            except Exception as error:
                 logger.warning('queue: scan failed: %r', error)
 
     def _scan(self) -> None:
