Don't treat routes of plain services as deferrable

Deferrable routes followed from priorities and target latencies alone, so a plain service with two streaming routes could become a scheduled one: its requests with a statement of tokens would wait for room in a memory that no agent reports, and carry another urgency.

Only services with an engine have deferrable routes now.

--- a/tests/test_deferrable_routes.py
+++ b/tests/test_deferrable_routes.py
@@ -5,6 +5,7 @@
 
 from tests.forwarding_builders import (
     ENGINE_SERVICE,
+    PLAIN_SERVICE,
     build_configuration,
     build_route,
 )
@@ -60,3 +61,20 @@
         )
         configuration = build_configuration(tags, digests)
         self.assertEqual(configuration.deferrable_routes, frozenset())
+
+    def test_plain_service(self) -> None:
+        """Guard against queueing where no engine reports its load."""
+        routes = [
+            dataclasses.replace(
+                _build_stream_route(name, priority, target_seconds),
+                destinations=build_route(
+                    RouteKind.streaming, service=PLAIN_SERVICE
+                ).destinations,
+            )
+            for name, priority, target_seconds in (
+                ('tags', 0, 1.5),
+                ('digests', 2, 4),
+            )
+        ]
+        configuration = build_configuration(*routes)
+        self.assertEqual(configuration.deferrable_routes, frozenset())
--- a/wasabistream/forwarding/configurations.py
+++ b/wasabistream/forwarding/configurations.py
@@ -25,9 +25,16 @@
     @cached_property
     def deferrable_routes(self) -> frozenset[tuple[str, str]]:
         """Return the pairs of service and route name that are deferrable."""
-        return find_deferrable_routes(
+        pairs = find_deferrable_routes(
             route for group in self.routes_by_host.values() for route in group
         )
+        # Nothing is known of the memory and the prompts of plain services.
+        return frozenset(
+            (service, route_name)
+            for service, route_name in pairs
+            if service in self.services
+            and self.services[service].engine is not None
+        )
 
     @cached_property
     def deferrable_services(self) -> frozenset[str]:
