Bound the tokens that callers state in predictions and notices

Callers state the tokens of a generation in a header, and any numbers are taken. A negative output raised a ValueError in the prediction for an engine at which each prefill pauses a stream. A number beyond the range of a float, once recorded as an arrival of an urgent route, failed each decision of the start queue for 10 s. A negative prompt was announced to the agent, which reported too small a backlog to all entries.

The prediction takes a negative output as none, arrivals are recorded with 0 to 2^31 tokens, and so are announcements. What is not scheduled is unchanged.

--- a/tests/test_agent_links.py
+++ b/tests/test_agent_links.py
@@ -6,6 +6,7 @@
 
 import time
 import unittest
+from dataclasses import replace
 from unittest.mock import Mock, patch
 
 from tests.forwarding_builders import build_request, build_route
@@ -17,11 +18,13 @@
 )
 from wasabistream.forwarding.load_trackers import LoadTracker
 from wasabistream.forwarding.move_messages import RunMoving, RunSilent
+from wasabistream.forwarding.requests import GenerationDemand
 from wasabistream.forwarding.routes import RouteKind
 from wasabistream.notices import LoadReport
 from wasabistream.scheduling.engine_paces import EnginePace
 from wasabistream.scheduling.pace_boards import PaceBoard
 from wasabistream.scheduling.pace_reports import build_pace_report
+from wasabistream.scheduling.scheduling_messages import PromptNotice
 
 ENDPOINT = '10.0.0.1:8000'
 REPORT = LoadReport(0, 30000, 0, 0, 0, leaving=False)
@@ -102,6 +105,21 @@
         self.assertIsNone(self.paces.age_seconds(ENDPOINT))
         self.check_estimate(4000, 0, 0)
 
+    def test_stated_tokens(self) -> None:
+        """Guard against numbers of callers that others would count on."""
+        self.links.receive(
+            ENDPOINT, self.link, build_pace_report(EnginePace(0.03))
+        )
+        request = build_request(build_route(RouteKind.streaming))
+        for tokens, announced in ((-3000, 0), (2**40, 2**31)):
+            demand = GenerationDemand(tokens, 0, 0)
+            self.links.announce_prompt(
+                ENDPOINT, replace(request, demand=demand)
+            )
+            self.link.send.assert_called_with(
+                PromptNotice('request-1', announced, announced)
+            )
+
     def check_estimate(self, used: int, reserved: int, backlog: int) -> None:
         """Check the estimated tokens in use, reserved and not prefilled."""
         estimate = self.load_tracker.estimate(ENDPOINT)
--- a/tests/test_engine_selection.py
+++ b/tests/test_engine_selection.py
@@ -21,11 +21,13 @@
 )
 from tests.forwarding_fakes import FakeCaller, FakeClient, events, stream
 from tests.scheduling_builders import (
+    DIGEST_ROUTE,
     LETTER_ROUTE,
     USUAL_PACE,
     FakeRemoteLosses,
     SchedulingEntry,
     build_engines,
+    build_generation,
     build_letter,
     build_tag,
     scale_pace,
@@ -308,6 +310,18 @@
         )
         self.assertEqual(count_backlog_tokens(estimate, USUAL_PACE, 3000), 900)
 
+    def test_negative_tokens(self) -> None:
+        """Guard against stated tokens for which no prediction is possible.
+
+        Pattern: each prefill pauses a stream, and the output is negative.
+        """
+        for engine in self.entry.engines:
+            self.entry.paces.paces[engine.endpoint] = dataclasses.replace(
+                USUAL_PACE, prompt_event_seconds=0.18
+            )
+        request = build_generation(DIGEST_ROUTE, 3000, -1)
+        self.assertIsNotNone(self.entry.chooser.take(request))
+
     def test_unscheduled_service_is_unchanged(self) -> None:
         """Guard against a different choice for services that need none.
 
--- a/tests/test_start_decisions.py
+++ b/tests/test_start_decisions.py
@@ -19,6 +19,7 @@
     build_outlook,
     build_waiting,
 )
+from wasabistream.forwarding.requests import GenerationDemand
 from wasabistream.queueing.engine_rooms import Shortage, find_headroom_tokens
 from wasabistream.queueing.expected_waits import RoomRate, spread_wait
 from wasabistream.queueing.start_decisions import (
@@ -118,6 +119,19 @@
         )
         self.assertFalse(arrivals.need(ENGINE_SERVICE, 2, 114).request_tokens)
 
+    def test_stated_tokens(self) -> None:
+        """Guard against numbers of callers that fail all later decisions."""
+        arrivals = UrgentArrivals()
+        for tokens in (-(10**400), 10**400):
+            demand = GenerationDemand(tokens, 0, 0)
+            request = dataclasses.replace(
+                build_request(URGENT_ROUTE), demand=demand
+            )
+            arrivals.record(request, 100)
+            need = arrivals.need(ENGINE_SERVICE, 2, 100)
+            self.assertGreaterEqual(need.tokens, 0)
+            self.assertLess(need.tokens, math.inf)
+
     def test_expected_wait(self) -> None:
         """Guard against refusals at the beginning of a burst."""
         rate = RoomRate()
--- a/wasabistream/forwarding/agent_links.py
+++ b/wasabistream/forwarding/agent_links.py
@@ -48,6 +48,11 @@
 MAX_ANNOUNCED_TOKENS = 2**31
 
 
+def _limit_tokens(tokens: int) -> int:
+    # Callers may state any numbers; others count on what is announced.
+    return min(max(tokens, 0), MAX_ANNOUNCED_TOKENS)
+
+
 def _list_none(service: str) -> list[str]:
     return []
 
@@ -143,8 +148,8 @@
         self._load_tracker.record_announcement(endpoint, request.request_id)
         notice = PromptNotice(
             request.request_id,
-            min(request.demand.prompt_tokens, MAX_ANNOUNCED_TOKENS),
-            min(request.demand.expected_tokens, MAX_ANNOUNCED_TOKENS),
+            _limit_tokens(request.demand.prompt_tokens),
+            _limit_tokens(request.demand.expected_tokens),
         )
         send_or_log(link, notice, 'agent link: prompt notice')
 
--- a/wasabistream/queueing/urgent_arrivals.py
+++ b/wasabistream/queueing/urgent_arrivals.py
@@ -14,6 +14,8 @@
 MAX_ENGINE_SECONDS = 1.0
 # Bounds the memory of a route; 10 s at 400 requests per second.
 MAX_ARRIVAL_COUNT = 4096
+# Callers may state any number of tokens; sums of larger ones exceed a float.
+MAX_REQUEST_TOKENS = 2**31
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +70,7 @@
         if request.demand is None:
             return
         route = request.route
-        arrival = (now_seconds, request.demand.expected_tokens)
+        tokens = min(max(request.demand.expected_tokens, 0), MAX_REQUEST_TOKENS)
         with self._lock:
             group = self._routes.setdefault(
                 (request.service, route.name), _RouteArrivals()
@@ -79,7 +81,7 @@
                 route.target_latency_seconds, MAX_ENGINE_SECONDS
             )
             group.trim(now_seconds)
-            group.arrivals.append(arrival)
+            group.arrivals.append((now_seconds, tokens))
 
     def need(
         self, service: str, route_priority: int, now_seconds: float
--- a/wasabistream/scheduling/predictions.py
+++ b/wasabistream/scheduling/predictions.py
@@ -98,7 +98,8 @@
     own_pause_chance = _predict_own_pause_chance(
         pause_chance,
         engine.pace,
-        demand.expected_tokens - demand.prompt_tokens,
+        # Callers may state any numbers.
+        max(demand.expected_tokens - demand.prompt_tokens, 0),
     )
     disturbed_count = estimate.request_count * pause_chance * DISTURBED_RATIO
     capacity = estimate.memory_capacity_tokens or default_memory_tokens
