Stop counting announced prompts twice after 50 ms

An agent often reports a notice within a few milliseconds. As this report arrives less than 20 ms after the request was sent, the entry counted the request itself as well, until the next report: 100 ms later if the state of the engine changes, and a second later if it does not.

From 50 ms after a request was sent, any report that has arrived since then counts as one that includes it: if it was sent before the notice arrived, the agent has reported again 20 ms later.

test_report_right_after_the_notice failed before (6,000 tokens instead of 3,000) and passes now. tests.test_prompt_backlogs, test_server_choosers, test_agent_links, test_engine_selection, test_unlisted_engines and test_rate_limits: 76 tests, all pass.

--- a/tests/test_prompt_backlogs.py
+++ b/tests/test_prompt_backlogs.py
@@ -134,6 +134,29 @@
             self.assertEqual(estimate.backlog_tokens, 30 * 3000)
             self.assertEqual(estimate.reserved_tokens, 30 * 4000)
 
+    def test_report_right_after_the_notice(self) -> None:
+        """Guard against counting a prompt twice until the next report.
+
+        Pattern: the agent reports a notice at once, and then nothing changes.
+        """
+        self.clock.advance(0.021)
+        tracker = LoadTracker(self.clock)
+        tracker.report(ENDPOINT, self.reports[-1])
+        tracker.add_sent_request(ENDPOINT, 'a', 4000, 3000)
+        tracker.record_announcement(ENDPOINT, 'a')
+        # Without a report since then, only the entry counts the prompt.
+        self.clock.advance(0.051)
+        self.assertEqual(tracker.estimate(ENDPOINT).backlog_tokens, 3000)
+        tracker.add_sent_request(ENDPOINT, 'a', 4000, 3000)
+        tracker.record_announcement(ENDPOINT, 'a')
+        self.watcher.announce_prompt('link', build_notice('a'))
+        self.clock.advance(0.002)
+        tracker.report(ENDPOINT, self.reports[-1])
+        self.clock.advance(0.049)
+        estimate = tracker.estimate(ENDPOINT)
+        self.assertEqual(estimate.backlog_tokens, 3000)
+        self.assertEqual(estimate.reserved_tokens, 4000)
+
 
 class PromptAnnouncerTest(unittest.TestCase):
     """Guard against prompts that are announced wrongly or never end."""
--- a/wasabistream/forwarding/load_trackers.py
+++ b/wasabistream/forwarding/load_trackers.py
@@ -14,6 +14,10 @@
 # The same for a request that was announced to the agent, which reports it
 # before the engine has it.
 ANNOUNCED_REPORT_DELAY_SECONDS = 0.02
+# The agent reports an announced request within 20 ms, often at once, and then
+# perhaps not again for a second. From this time after a request was sent, any
+# report that has arrived since is taken to include it.
+ANNOUNCED_WAIT_SECONDS = 0.05
 # Older reports are ignored.
 REPORT_AGE_LIMIT_SECONDS = 3.0
 # Time after the end of a server in which its address is not assigned again.
@@ -183,7 +187,7 @@
     unreported = [
         request
         for request in load.requests.values()
-        if _is_unreported(request, load.received_at_seconds)
+        if _is_unreported(request, load.received_at_seconds, now)
     ]
     # These are reserved until the engine uses memory for them.
     announced = [request for request in unreported if request.announced]
@@ -207,10 +211,12 @@
     )
 
 
-def _is_unreported(request: SentRequest, report_at_seconds: float) -> bool:
-    delay_seconds = (
-        ANNOUNCED_REPORT_DELAY_SECONDS
-        if request.announced
-        else REPORT_DELAY_SECONDS
-    )
-    return request.sent_at_seconds > report_at_seconds - delay_seconds
+def _is_unreported(
+    request: SentRequest, report_at_seconds: float, now: float
+) -> bool:
+    sent_at_seconds = request.sent_at_seconds
+    if not request.announced:
+        return sent_at_seconds > report_at_seconds - REPORT_DELAY_SECONDS
+    if now - sent_at_seconds > ANNOUNCED_WAIT_SECONDS:
+        return sent_at_seconds >= report_at_seconds
+    return sent_at_seconds > report_at_seconds - ANNOUNCED_REPORT_DELAY_SECONDS
