Make the test of a second move independent of the time it takes

test_generation_that_moves_twice recorded the second move 30 ms after its start. If building the parts took longer, this notice replaced that of the first move and the second stream was not continued; if the timer was late by more than 0.1 s, the forwarder gave up. With a delay of 50 ms in build_parts the test failed, as it once did on a busy machine.

The second move is now recorded by another thread as soon as the forwarder waits for it, and the wait is not limited to 0.1 s. The streams, the two moves and the expected events are the same.

The test passes without a delay and with delays of 50 and 200 ms in build_parts; tests.test_stream_forwarders passed in five runs of five.

--- a/tests/test_stream_forwarders.py
+++ b/tests/test_stream_forwarders.py
@@ -45,6 +45,8 @@
 REQUEST_ID = 'request-1'
 PROMPT_PARTS = ('common', 'deadly')
 DESTINATION = '10.0.0.2:8000'
+# Longer than another thread takes to start on a busy machine.
+MAX_WAIT_SECONDS = 10.0
 
 
 def build_move(endpoint: str = DESTINATION) -> RunMoved:
@@ -52,6 +54,29 @@
     return RunMoved(REQUEST_ID, endpoint, '10.0.0.1:8000', 'handle-1')
 
 
+class SecondMoveTracker(MoveTracker):
+    """Record another move once the second stream has been cut.
+
+    A notice at a fixed time may replace that of the first move or come too
+    late, so the second one is sent when it is waited for.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._wait_count = 0
+
+    def wait_for_move(
+        self, run_id: str, notice_seconds: float, copy_seconds: float
+    ) -> RunMoved | None:
+        """Wait for a move as long as the test may take."""
+        self._wait_count += 1
+        if self._wait_count == 2:
+            threading.Thread(
+                target=self.record_move, args=[build_move()]
+            ).start()
+        return super().wait_for_move(run_id, MAX_WAIT_SECONDS, MAX_WAIT_SECONDS)
+
+
 class StreamForwarderCase(unittest.TestCase):
     """Forward streams from engines that follow a script."""
 
@@ -200,9 +225,8 @@
 
     def test_generation_that_moves_twice(self) -> None:
         """Guard against counting moves as attempts."""
+        self.moves = SecondMoveTracker()
         self.moves.record_move(build_move())
-        timer = threading.Timer(0.03, self.moves.record_move, [build_move()])
-        timer.start()
         self.forward(
             STREAM_ROUTE,
             stream(events(1, 2), cut=True),
