Refuse a queued request that was banned while it waited

Bans on requests that crash their servers were checked on arrival and before a repeat. A deferrable request may now wait for seconds between its arrival and its first attempt; if the same request, or one with a part of its prompt, crashed two engines meanwhile, it was still sent and could crash a third. (The supervisor only ends requests whose part is banned with certainty.)

A request that was queued is checked once more when its wait ends. Requests that are not queued are unchanged.

test_ban_during_the_wait failed before and passes now. tests.test_stream_forwarders, test_poison_requests, test_poison_parts, test_quarantines and test_start_queues: 81 tests, all pass.

--- a/tests/test_stream_forwarders.py
+++ b/tests/test_stream_forwarders.py
@@ -5,7 +5,7 @@
 
 import threading
 import unittest
-from contextlib import nullcontext
+from contextlib import AbstractContextManager, nullcontext
 from unittest.mock import Mock
 
 from tests.forwarding_builders import (
@@ -28,6 +28,7 @@
     turned_away,
     whole,
 )
+from wasabistream.crash_notices import CrashNotice
 from wasabistream.exceptions import BackendError
 from wasabistream.forwarding.attempts import AttemptHistory
 from wasabistream.forwarding.move_messages import RunMoved
@@ -87,6 +88,8 @@
         self.progress = StreamProgress()
         self.banned_parts: tuple[str, ...] = ()
         self.start = DIRECT_START
+        # Crashes of servers by the same request during its wait for a start.
+        self.crash_count = 0
 
     def forward(
         self, route: Route, *script: FakeExchange | BackendError
@@ -112,13 +115,25 @@
             parts.refuser,
         )
         forwarder.starts = Mock()
-        forwarder.starts.wait_for_start.return_value = nullcontext(self.start)
+        forwarder.starts.wait_for_start.side_effect = self.wait_for_start
         for part in self.banned_parts:
             parts.poison_parts.adopt_ban(part, 0, 0)
+        self.poison_guard = parts.poison_guard
         request = build_request(route, prompt_parts=PROMPT_PARTS)
         self.watch = RequestWatch(request, self.caller)
         return forwarder.forward(self.watch, AttemptHistory(), self.progress)
 
+    def wait_for_start(
+        self, watch: RequestWatch
+    ) -> AbstractContextManager[Start]:
+        """Return the start that the test has set; crashes come before it."""
+        for number in range(self.crash_count):
+            fingerprints = [watch.request.fingerprint]
+            self.poison_guard.on_crash_notice(
+                CrashNotice(f'crash-{number}', fingerprints)
+            )
+        return nullcontext(self.start)
+
 
 class StreamForwarderTest(StreamForwarderCase):
     """Guard against lost, repeated or mixed-up events."""
@@ -137,6 +152,14 @@
         self.assertEqual(self.client.endpoints[0], chosen.endpoint)
         self.assertNotEqual(self.client.endpoints[1], chosen.endpoint)
 
+    def test_ban_during_the_wait(self) -> None:
+        """Guard against a queued request that crashes one more engine."""
+        self.start = Start(StartReason.room, build_server(1))
+        self.crash_count = 2
+        reply = self.forward(STREAM_ROUTE, stream(events(1, 1)))
+        self.assertEqual(reply.status if reply else 0, 503)
+        self.assertFalse(self.client.sent)
+
     def test_refusal_by_the_queue(self) -> None:
         """Guard against a refusal after something was sent."""
         self.start = Start(StartReason.refused, retry_after_seconds=12)
--- a/wasabistream/forwarding/poison_request_guards.py
+++ b/wasabistream/forwarding/poison_request_guards.py
@@ -66,6 +66,15 @@
             return 'a part of its prompt crashes servers'
         return ''
 
+    def refuses_since(self, request: ForwardRequest, at_seconds: float) -> bool:
+        """Return whether a request was banned after a monotonic time.
+
+        For a request that was admitted at this time and has not been sent yet.
+        """
+        return self._quarantine.is_banned(
+            request.fingerprint
+        ) or self._part_guard.refuses_since(request, at_seconds)
+
     def withdraw_trial(self, request: ForwardRequest) -> None:
         """Take back the trial of a request that no server could run."""
         self._part_guard.withdraw_trial(request)
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -98,8 +98,25 @@
                 return self._refuser.refuse_without_room(
                     watch.request, start.retry_after_seconds
                 )
+            if start.reason is not None and self._is_banned(watch):
+                return build_refusal(watch.request.deadline.remaining_seconds)
             return self._forward(watch, history, progress, start.server)
 
+    def _is_banned(self, watch: RequestWatch) -> bool:
+        # Others may have crashed their servers while this one waited.
+        if not self._poison_guard.refuses_since(
+            watch.request, watch.admitted_at_seconds
+        ):
+            return False
+        logger.warning(
+            'request: refused: it was banned while it waited',
+            extra={
+                'request_id': watch.request.request_id,
+                'prompt_parts': list(watch.request.prompt_parts),
+            },
+        )
+        return True
+
     def _forward(
         self,
         watch: RequestWatch,
--- a/wasabistream/quarantines.py
+++ b/wasabistream/quarantines.py
@@ -120,6 +120,16 @@
                 return QuarantineDecision.clear
             return QuarantineDecision.suspect
 
+    def is_banned(self, fingerprint: int) -> bool:
+        """Return whether a request is banned; trials are no longer banned."""
+        now = time.monotonic()
+        with self._lock:
+            history = self._histories.get(fingerprint)
+            return (
+                history is not None
+                and now < history.banned_until_monotonic_seconds
+            )
+
     def _add_crash(
         self, fingerprint: int, crash_share: float, now: float
     ) -> None:
