Limit the times between events that agents estimate and report

While a generation is listed but produces nothing, the estimated time between its events grows exponentially. After 130 s (measured with the estimator alone, from 20 events per second) it exceeded what a message can carry: the encoding raised an OverflowError in the thread that polls the engine, which ended, so that entries lost the load reports of an engine of any service, scheduled or not. Links opened afterwards failed in the same way.

The estimates are limited to 60 s, which no selection tells from longer ones.

test_stuck_generation failed before and passes now. tests.test_engine_paces, test_prompt_backlogs and test_scheduled_services: 25 tests, all pass.

--- a/tests/test_engine_paces.py
+++ b/tests/test_engine_paces.py
@@ -10,6 +10,7 @@
 
 from tests.forwarding_builders import Clock, build_server
 from tests.simulated_engines import SimulatedEngine, build_state
+from wasabistream.frames import encode_frame
 from wasabistream.scheduling.engine_paces import UNKNOWN_PACE, EnginePace
 from wasabistream.scheduling.pace_boards import PaceBoard
 from wasabistream.scheduling.pace_estimators import PaceEstimator
@@ -81,6 +82,18 @@
             self.engine.poll(self.estimator, 20)
             self.assertEqual(self.estimator.pace.prompts_per_second, 0)
 
+    def test_stuck_generation(self) -> None:
+        """Guard against an agent that fails to encode what it reports.
+
+        Pattern: a generation produces nothing for minutes.
+        """
+        self.engine.poll(self.estimator, 2)
+        for poll in range(6000):
+            self.estimator.observe(build_state({'a': 100}), 1000 + poll / 20)
+        report = build_pace_report(self.estimator.pace)
+        self.assertTrue(encode_frame(report))
+        self.assertGreater(report.event_microseconds, 10_000_000)
+
     def test_short_generations(self) -> None:
         """Guard against prompts that no poll sees as they end at once."""
         for number in range(20):
--- a/wasabistream/scheduling/pace_estimators.py
+++ b/wasabistream/scheduling/pace_estimators.py
@@ -19,6 +19,10 @@
 # Lower rates count as 0. On an idle engine the estimate falls for ever, and
 # each tenth of it would be reported.
 MIN_PROMPTS_PER_SECOND = 0.01
+# Longer times between events are stated as this one. The estimate grows
+# exponentially while a generation produces nothing, beyond what a message
+# can carry after two minutes.
+MAX_EVENT_SECONDS = 60.0
 # Announced prompts are forgotten after this time.
 PROMPT_AGE_LIMIT_SECONDS = 10.0
 # An announced generation that ends earlier was turned away, not prefilled.
@@ -107,8 +111,10 @@
         if prompts_per_second < MIN_PROMPTS_PER_SECOND:
             prompts_per_second = 0
         return EnginePace(
-            event_seconds=self._plain_events.inverse,
-            prompt_event_seconds=self._prompt_events.inverse,
+            event_seconds=min(self._plain_events.inverse, MAX_EVENT_SECONDS),
+            prompt_event_seconds=min(
+                self._prompt_events.inverse, MAX_EVENT_SECONDS
+            ),
             prompt_tokens_per_second=self._prompt_tokens.ratio,
             output_tokens_per_second=self._output_tokens.ratio,
             output_tokens=self._mean_event_count() * self.event_tokens,
