Bound the tokens that callers state in the spillover

Each arriving request that states tokens is counted as demand, also those of services that are not scheduled, and each complete stream teaches the bytes per token. A number beyond the range of a float raised an OverflowError in both: before the request was forwarded, and after its stream had ended.

Demand counts 0 to 2^31 tokens for a request, and so does the expected output.

--- a/tests/test_remote_losses.py
+++ b/tests/test_remote_losses.py
@@ -22,6 +22,7 @@
 from wasabistream.forwarding.requests import ForwardRequest, GenerationDemand
 from wasabistream.forwarding.routes import RouteKind
 from wasabistream.platform.daemons import run_daemon
+from wasabistream.spillover.demand_meters import DemandMeter
 from wasabistream.spillover.remote_losses import RemoteCosts, SpilloverLosses
 from wasabistream.spillover.remote_settings import (
     DELAY_VARIABLE,
@@ -81,6 +82,25 @@
             self.losses.record_answer(self.short, 8 * 50)
         self.assertGreater(self._gap(), 3 * gap)
 
+    def test_stated_tokens(self) -> None:
+        """Guard against stated numbers that draw all traffic away, or fail."""
+        own_loss = self.losses.remote_loss(self.long, OWN)
+        for tokens in (-5, 10**400):
+            request = build_generation(self.long.route.name, tokens)
+            self.losses.record_answer(request, 100)
+            self.assertGreater(
+                self.losses.remote_loss(self.long, OTHER), own_loss
+            )
+
+    def test_arrival_with_stated_tokens(self) -> None:
+        """Guard against stated numbers that fail a request of any service."""
+        meter = DemandMeter(self.clock)
+        for tokens in (-(10**400), 10**400):
+            demand = GenerationDemand(tokens, 0, 0)
+            meter.record_arrival(ENGINE_SERVICE, demand)
+            rate = meter.read(ENGINE_SERVICE).prompt_tokens_per_second
+            self.assertGreaterEqual(rate, 0)
+
     def test_used_share(self) -> None:
         """Guard against more requests than the receiver has room for.
 
--- a/wasabistream/spillover/demand_meters.py
+++ b/wasabistream/spillover/demand_meters.py
@@ -20,6 +20,8 @@
 # Least time over which a rate is taken, so that the first request after a
 # start does not count as an endless rate.
 MIN_RATE_SECONDS = 0.5
+# Most tokens that one request counts for.
+MAX_REQUEST_TOKENS = 2**31
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,8 +72,8 @@
         """Count one request."""
         with self._lock:
             arrivals = self._find(service)
-            arrivals.prompt_tokens += demand.prompt_tokens
-            arrivals.expected_tokens += demand.expected_tokens
+            arrivals.prompt_tokens += _limit_tokens(demand.prompt_tokens)
+            arrivals.expected_tokens += _limit_tokens(demand.expected_tokens)
             arrivals.request_count += 1
 
     def read(self, service: str) -> ServiceDemand:
@@ -103,6 +105,11 @@
         return arrivals
 
 
+def _limit_tokens(tokens: int) -> int:
+    # Callers may state any numbers; larger ones exceed a float.
+    return min(max(tokens, 0), MAX_REQUEST_TOKENS)
+
+
 def _take_slope(
     samples: deque[tuple[float, float]], now: float, rate: float
 ) -> float:
--- a/wasabistream/spillover/remote_losses.py
+++ b/wasabistream/spillover/remote_losses.py
@@ -22,6 +22,8 @@
 BYTES_PER_GIGABYTE = 10**9
 # A route with a target latency of 0 must not divide by it.
 MIN_TARGET_SECONDS = 0.001
+# Sums of larger numbers, which callers may state, exceed a float.
+MAX_OUTPUT_TOKENS = 2**31
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,4 +157,8 @@
 def expected_output_tokens(request: ForwardRequest) -> int:
     """Return the output tokens that a request is expected to need."""
     demand = request.demand
-    return demand.expected_tokens - demand.prompt_tokens if demand else 0
+    if demand is None:
+        return 0
+    # Callers may state any numbers.
+    tokens = demand.expected_tokens - demand.prompt_tokens
+    return min(max(tokens, 0), MAX_OUTPUT_TOKENS)
