Look for the load reports of a request's own service

Without load reports room cannot be determined, and deferrable requests are sent at once. The start queue looked for a report of any agent, so that requests of a service whose agents were all out of reach waited as long as the agent of another service reported. Their engines were predicted by this entry's own requests, all of which count as waiting then: a few running streams made idle engines look busy until the dispatch limit.

The queue now looks for reports of the service's usable engines. Without any usable engine, reports of all agents count, as before.

--- a/tests/test_start_queues.py
+++ b/tests/test_start_queues.py
@@ -20,6 +20,7 @@
     MEMORY_TOKENS,
     build_configuration,
     build_holder,
+    build_report,
     build_request,
 )
 from tests.forwarding_fakes import FakeCaller
@@ -39,6 +40,7 @@
 )
 from wasabistream.exceptions import BackendError
 from wasabistream.forwarding.fleets import Fleet
+from wasabistream.forwarding.load_trackers import LoadTracker
 from wasabistream.forwarding.requests import ForwardRequest
 from wasabistream.forwarding.supervisors import CutReason, RequestWatch
 from wasabistream.queueing.start_fleets import EntryStartFleet
@@ -191,6 +193,23 @@
         for ticket in (waiting, self.case.add()):
             self.assertEqual(ticket.start, Start(StartReason.no_reports))
 
+    def test_no_reports_of_the_service(self) -> None:
+        """Guard against waiting for room while only other agents report."""
+        fleet = self.case.fleet
+        tracker = LoadTracker()
+        fleet.load.has_fresh_reports = tracker.has_fresh_reports
+        report = build_report()
+        tracker.report(fleet.servers[0].endpoint, report)
+        waiting = self.case.add()
+        self.case.step()
+        self.assertIsNone(waiting.start)
+        tracker = LoadTracker()
+        tracker.report('10.9.9.9:8000', report)
+        fleet.load.has_fresh_reports = tracker.has_fresh_reports
+        self.case.step()
+        for ticket in (waiting, self.case.add()):
+            self.assertEqual(ticket.start, Start(StartReason.no_reports))
+
     def test_further_request_is_sent_at_once(self) -> None:
         """Guard against a queue that occupies all threads of the entry."""
         for _ in range(MAX_WAITING_COUNT):
--- a/wasabistream/forwarding/load_trackers.py
+++ b/wasabistream/forwarding/load_trackers.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 from wasabistream.forwarding.backend_servers import BackendServer
@@ -147,13 +147,25 @@
             and age_seconds < self._reuse_seconds - SEND_MARGIN_SECONDS
         )
 
-    def has_fresh_reports(self) -> bool:
-        """Return whether any agent has reported recently."""
+    def has_fresh_reports(
+        self, endpoints: Collection[str] | None = None
+    ) -> bool:
+        """Return whether the agent of any of these has reported recently.
+
+        Without endpoints, those of all backend servers count.
+        """
         oldest = self._clock() - REPORT_AGE_LIMIT_SECONDS
         with self._lock:
+            loads = (
+                self._loads.values()
+                if endpoints is None
+                else map(self._loads.get, endpoints)
+            )
             return any(
-                load.report is not None and load.received_at_seconds > oldest
-                for load in self._loads.values()
+                load is not None
+                and load.report is not None
+                and load.received_at_seconds > oldest
+                for load in loads
             )
 
     def estimate(self, endpoint: str) -> LoadEstimate:
--- a/wasabistream/queueing/interfaces.py
+++ b/wasabistream/queueing/interfaces.py
@@ -56,8 +56,8 @@
     def is_deferrable(self, request: ForwardRequest) -> bool:
         """Return whether a request may start later than others."""
 
-    def has_fresh_reports(self) -> bool:
-        """Return whether the load of engines is known."""
+    def has_fresh_reports(self, service: str) -> bool:
+        """Return whether the load of a service's engines is known."""
 
     def is_cold(self, server: BackendServer) -> bool:
         """Return whether the rate of requests to an engine is limited."""
--- a/wasabistream/queueing/start_fleets.py
+++ b/wasabistream/queueing/start_fleets.py
@@ -61,9 +61,14 @@
         pair = (request.service, request.route.name)
         return request.demand is not None and pair in self._deferrable_routes
 
-    def has_fresh_reports(self) -> bool:
-        """Return whether any agent has reported recently."""
-        return self._servers.load.has_fresh_reports()
+    def has_fresh_reports(self, service: str) -> bool:
+        """Return whether any agent of a service has reported recently.
+
+        Without any engine, whether any agent at all has.
+        """
+        usable = self._fleet.current.usable_servers(service)
+        endpoints = [server.endpoint for server in usable]
+        return self._servers.load.has_fresh_reports(endpoints or None)
 
     def is_cold(self, server: BackendServer) -> bool:
         """Return whether the rate of requests to an engine is limited."""
--- a/wasabistream/queueing/start_lines.py
+++ b/wasabistream/queueing/start_lines.py
@@ -90,7 +90,7 @@
         ticket = StartTicket(
             request, build_waiting_request(request, now_seconds), is_ended
         )
-        reason = self._find_bypass_reason(is_ended)
+        reason = self._find_bypass_reason(request.service, is_ended)
         if reason is None:
             self._decide_arrival(ticket, now_seconds)
         else:
@@ -100,11 +100,9 @@
     def scan(self, now_seconds: float) -> None:
         """Decide on all waiting requests in their order."""
         self._end_useless(now_seconds)
+        self._release_unreported(now_seconds)
         if not self._tickets:
             return
-        if not self._fleet.has_fresh_reports():
-            self.release_all(StartReason.no_reports, now_seconds)
-            return
         running_tokens = self._count_running_tokens()
         ordered = _order(self._tickets, running_tokens)
         without_room: list[WaitingRequest] = []
@@ -141,13 +139,13 @@
         self._unsent.discard(ticket)
 
     def _find_bypass_reason(
-        self, is_ended: Callable[[], bool]
+        self, service: str, is_ended: Callable[[], bool]
     ) -> StartReason | None:
         if is_ended():
             return StartReason.ended
         if len(self._tickets) >= MAX_WAITING_COUNT:
             return StartReason.full
-        if self._fleet.has_fresh_reports():
+        if self._fleet.has_fresh_reports(service):
             return None
         return StartReason.no_reports
 
@@ -283,6 +281,17 @@
             self._draw_ratio,
         )
 
+    def _release_unreported(self, now_seconds: float) -> None:
+        services = {ticket.facts.service for ticket in self._tickets}
+        for service in services:
+            if self._fleet.has_fresh_reports(service):
+                continue
+            for ticket in list(self._tickets):
+                if ticket.facts.service == service:
+                    self._end(
+                        ticket, Start(StartReason.no_reports), now_seconds
+                    )
+
     def _end_useless(self, now_seconds: float) -> None:
         for ticket in list(self._tickets):
             expired = now_seconds >= ticket.facts.deadline_at_seconds
