--- a/wasabistream/queueing/start_lines.py
+++ b/wasabistream/queueing/start_lines.py
@@ -1,5 +1,6 @@
 """State of the requests that wait for a start."""
 
+import logging
 import threading
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Mapping, Sequence
@@ -26,6 +27,8 @@
 )
 from wasabistream.scheduling.engine_outlooks import EngineOutlook
 
+logger = logging.getLogger(__name__)
+
 # An entry has 128 threads for requests; the others remain for urgent ones.
 MAX_WAITING_COUNT = 32
 # Age of the last prediction after which another one is made, for the in-time
@@ -87,7 +90,7 @@
         ticket = StartTicket(
             request, build_waiting_request(request, now_seconds), is_ended
         )
-        reason = self._find_bypass_reason(is_ended)
+        reason = self._find_bypass_reason(request.service, is_ended)
         if reason is None:
             self._decide_arrival(ticket, now_seconds)
         else:
@@ -97,17 +100,22 @@
     def scan(self, now_seconds: float) -> None:
         """Decide on all waiting requests in their order."""
         self._end_useless(now_seconds)
+        self._release_unreported(now_seconds)
         if not self._tickets:
             return
-        if not self._fleet.has_fresh_reports():
-            self.release_all(StartReason.no_reports, now_seconds)
-            return
         running_tokens = self._count_running_tokens()
         ordered = _order(self._tickets, running_tokens)
         without_room: list[WaitingRequest] = []
         while ordered:
             ticket = ordered.pop(0)
-            if self._try_start(ticket, without_room, now_seconds):
+            try:
+                has_started = self._try_start(ticket, without_room, now_seconds)
+            except Exception as error:
+                # The others must not wait for it. Its own thread ends its wait
+                # after its dispatch limit.
+                logger.warning('queue: decision failed: %r', error)
+                continue
+            if has_started:
                 organisation = ticket.facts.organisation
                 running_tokens[organisation] += ticket.facts.expected_tokens
                 ordered = _order(ordered, running_tokens)
@@ -150,13 +158,13 @@
         self._unsent.discard(ticket)
 
     def _find_bypass_reason(
-        self, is_ended: Callable[[], bool]
+        self, service: str, is_ended: Callable[[], bool]
     ) -> StartReason | None:
         if is_ended():
             return StartReason.ended
         if len(self._tickets) >= MAX_WAITING_COUNT:
             return StartReason.full
-        if self._fleet.has_fresh_reports():
+        if self._fleet.has_fresh_reports(service):
             return None
         return StartReason.no_reports
 
@@ -195,9 +203,7 @@
         now_seconds: float,
     ) -> bool:
         facts = ticket.facts
-        is_due = now_seconds >= facts.dispatch_limit_at_seconds or (
-            not facts.is_late and now_seconds >= facts.in_time_limit_at_seconds
-        )
+        is_due = facts.is_due(now_seconds)
         may_take_room = may_look_for_room(facts, without_room, now_seconds)
         age_seconds = now_seconds - ticket.predicted_at_seconds
         # A prediction covers all engines, so it is made only where it counts.
@@ -291,7 +297,8 @@
     def _wins_room(
         self, ticket: StartTicket, decision: StartDecision, now_seconds: float
     ) -> bool:
-        return may_take_room(
+        # At its limit a request is sent even without room.
+        return ticket.facts.is_due(now_seconds) or may_take_room(
             decision.outlooks,
             self._find_headroom_tokens(ticket.facts, now_seconds),
             ticket.facts.expected_tokens,
@@ -299,6 +306,17 @@
             self._draw_ratio,
         )
 
+    def _release_unreported(self, now_seconds: float) -> None:
+        services = {ticket.facts.service for ticket in self._tickets}
+        for service in services:
+            if self._fleet.has_fresh_reports(service):
+                continue
+            for ticket in list(self._tickets):
+                if ticket.facts.service == service:
+                    self._end(
+                        ticket, Start(StartReason.no_reports), now_seconds
+                    )
+
     def _end_useless(self, now_seconds: float) -> None:
         for ticket in list(self._tickets):
             expired = now_seconds >= ticket.facts.deadline_at_seconds
