Take a length hint without a limit as none

Cause: a caller's hint of inf or 1e400 raised an OverflowError that nothing caught, so the request ended without an answer of its own. Change: such a hint is treated like one that is no number.

--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -102,6 +102,24 @@
                 request = decode_request(configuration, received, b'')
                 self.assertEqual(request.engine_urgency, urgency)
 
+    def test_endless_length_hint(self) -> None:
+        """Guard against a request that fails on a hint without a limit."""
+        configuration = decode_configuration(CONFIGURATION)
+        for hint in (b'inf', b'1e400', b'nan', b'-inf'):
+            received = Mock(
+                method=b'POST',
+                uri=b'/chat/',
+                inheaders={
+                    b'Host': b'host.example',
+                    b'Authorization': b'Bearer key-1',
+                    names.REQUEST_ID.encode(): b'request-1',
+                    names.TOKENS.encode(): b'3000,800',
+                    names.LENGTH_HINT.encode(): hint,
+                },
+            )
+            request = decode_request(configuration, received, b'')
+            self.assertIsNone(request.demand)
+
     def test_server_fields(self) -> None:
         """Guard against a wrong address or cold time of a server."""
         server = decode_server('s1', SERVER)
--- a/wasabistream/platform/request_decoders.py
+++ b/wasabistream/platform/request_decoders.py
@@ -175,7 +175,8 @@
     try:
         prompt_tokens, max_output_tokens = (int(text) for text in token_counts)
         hinted_output_tokens = int(float(headers.get(names.LENGTH_HINT) or 0))
-    except ValueError:
+    # A number may also be infinite.
+    except (ValueError, OverflowError):
         return None
     return GenerationDemand(
         prompt_tokens, max_output_tokens, hinted_output_tokens
