Share the builder of streaming routes among tests

Cause: test_deferrable_routes had its own copy. Change: the builder of the scheduling tests is used. Result: tests.test_deferrable_routes passes.

--- a/tests/test_deferrable_routes.py
+++ b/tests/test_deferrable_routes.py
@@ -9,18 +9,8 @@
     build_configuration,
     build_route,
 )
-from wasabistream.forwarding.routes import Route, RouteKind
-
-
-def _build_stream_route(
-    name: str, priority: int, target_seconds: float
-) -> Route:
-    return dataclasses.replace(
-        build_route(RouteKind.streaming, service=ENGINE_SERVICE),
-        name=name,
-        priority=priority,
-        target_latency_seconds=target_seconds,
-    )
+from tests.scheduling_builders import build_stream_route
+from wasabistream.forwarding.routes import RouteKind
 
 
 class DeferrableRoutesTest(unittest.TestCase):
@@ -29,8 +19,8 @@
     def test_longer_target_and_less_urgent(self) -> None:
         """Guard against digests that take the room of urgent tags."""
         configuration = build_configuration(
-            _build_stream_route('tags', 0, 1.5),
-            _build_stream_route('digests', 2, 4),
+            build_stream_route('tags', 0, 1.5),
+            build_stream_route('digests', 2, 4),
         )
         self.assertEqual(
             configuration.deferrable_routes, {(ENGINE_SERVICE, 'digests')}
@@ -39,22 +29,22 @@
     def test_similar_targets(self) -> None:
         """Guard against a change for routes that have to start alike."""
         configuration = build_configuration(
-            _build_stream_route('tags', 0, 1.5),
-            _build_stream_route('letters', 1, 1.8),
+            build_stream_route('tags', 0, 1.5),
+            build_stream_route('letters', 1, 1.8),
         )
         self.assertEqual(configuration.deferrable_routes, frozenset())
 
     def test_more_urgent_route_never_waits(self) -> None:
         """Guard against deferring the urgent route with the longer target."""
         configuration = build_configuration(
-            _build_stream_route('tags', 1, 1.5),
-            _build_stream_route('alerts', 0, 4),
+            build_stream_route('tags', 1, 1.5),
+            build_stream_route('alerts', 0, 4),
         )
         self.assertEqual(configuration.deferrable_routes, frozenset())
 
     def test_other_service(self) -> None:
         """Guard against comparing routes that share no engine."""
-        tags = _build_stream_route('tags', 0, 1.5)
+        tags = build_stream_route('tags', 0, 1.5)
         other = build_route(RouteKind.streaming, service='other')
         digests = dataclasses.replace(
             other, name='digests', priority=2, target_latency_seconds=4
@@ -66,7 +56,7 @@
         """Guard against queueing where no engine reports its load."""
         routes = [
             dataclasses.replace(
-                _build_stream_route(name, priority, target_seconds),
+                build_stream_route(name, priority, target_seconds),
                 destinations=build_route(
                     RouteKind.streaming, service=PLAIN_SERVICE
                 ).destinations,
