Give what agents measure a package of its own

Cause: wasabistream/scheduling/ had nineteen modules of two kinds. Change: six modules about speed and backlog move to wasabistream/paces/; no code changes. Result: formatter, linter, type check and 89 tests of the touched modules pass.

--- a/tests/scheduling_builders.py
+++ b/tests/scheduling_builders.py
@@ -27,8 +27,8 @@
 from wasabistream.forwarding.requests import ForwardRequest, GenerationDemand
 from wasabistream.forwarding.routes import Route, RouteKind
 from wasabistream.forwarding.server_choosers import ServerChooser
+from wasabistream.paces.engine_paces import UNKNOWN_PACE, EnginePace
 from wasabistream.retries import Deadline
-from wasabistream.scheduling.engine_paces import UNKNOWN_PACE, EnginePace
 from wasabistream.scheduling.scheduled_services import ScheduledServices
 from wasabistream.scheduling.scheduling_parts import SchedulingParts
 
--- a/tests/simulated_engines.py
+++ b/tests/simulated_engines.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from wasabistream.forwarding.engine_states import EngineRun, EngineState
-from wasabistream.scheduling.pace_estimators import PaceEstimator
+from wasabistream.paces.pace_estimators import PaceEstimator
 
 POLL_SECONDS = 0.05
 
--- a/tests/test_agent_links.py
+++ b/tests/test_agent_links.py
@@ -21,9 +21,9 @@
 from wasabistream.forwarding.requests import GenerationDemand
 from wasabistream.forwarding.routes import RouteKind
 from wasabistream.notices import LoadReport
-from wasabistream.scheduling.engine_paces import EnginePace
-from wasabistream.scheduling.pace_boards import PaceBoard
-from wasabistream.scheduling.pace_reports import build_pace_report
+from wasabistream.paces.engine_paces import EnginePace
+from wasabistream.paces.pace_boards import PaceBoard
+from wasabistream.paces.pace_reports import build_pace_report
 from wasabistream.scheduling.scheduling_messages import PromptNotice
 
 ENDPOINT = '10.0.0.1:8000'
--- a/tests/test_demand_boards.py
+++ b/tests/test_demand_boards.py
@@ -23,7 +23,7 @@
 from wasabistream.forwarding.routes import RouteKind
 from wasabistream.frames import FrameReader, encode_frame
 from wasabistream.notices import Hello
-from wasabistream.scheduling.engine_paces import UNKNOWN_PACE
+from wasabistream.paces.engine_paces import UNKNOWN_PACE
 from wasabistream.spillover.capacity_views import CapacityView
 from wasabistream.spillover.demand_boards import DemandBoard, build_rows
 from wasabistream.spillover.demand_meters import ServiceDemand
--- a/tests/test_engine_paces.py
+++ b/tests/test_engine_paces.py
@@ -11,10 +11,10 @@
 from tests.forwarding_builders import Clock, build_server
 from tests.simulated_engines import SimulatedEngine, build_state
 from wasabistream.frames import encode_frame
-from wasabistream.scheduling.engine_paces import UNKNOWN_PACE, EnginePace
-from wasabistream.scheduling.pace_boards import PaceBoard
-from wasabistream.scheduling.pace_estimators import PaceEstimator
-from wasabistream.scheduling.pace_reports import (
+from wasabistream.paces.engine_paces import UNKNOWN_PACE, EnginePace
+from wasabistream.paces.pace_boards import PaceBoard
+from wasabistream.paces.pace_estimators import PaceEstimator
+from wasabistream.paces.pace_reports import (
     PaceReporter,
     build_pace_report,
 )
--- a/tests/test_engine_selection.py
+++ b/tests/test_engine_selection.py
@@ -41,7 +41,7 @@
 from wasabistream.forwarding.stream_forwarders import StreamForwarder
 from wasabistream.forwarding.stream_progress import StreamProgress
 from wasabistream.forwarding.supervisors import RequestWatch
-from wasabistream.scheduling.engine_paces import UNKNOWN_PACE
+from wasabistream.paces.engine_paces import UNKNOWN_PACE
 from wasabistream.scheduling.predictions import count_backlog_tokens
 from wasabistream.scheduling.scheduling_parts import NOT_SCHEDULED
 
--- a/tests/test_prompt_backlogs.py
+++ b/tests/test_prompt_backlogs.py
@@ -16,11 +16,11 @@
 from wasabistream.forwarding.routes import RouteKind
 from wasabistream.forwarding.supervisors import RequestWatch
 from wasabistream.notices import LoadReport
-from wasabistream.scheduling.prompt_announcers import PromptAnnouncer
-from wasabistream.scheduling.prompt_backlogs import (
+from wasabistream.paces.prompt_backlogs import (
     BacklogTokens,
     PromptBacklog,
 )
+from wasabistream.scheduling.prompt_announcers import PromptAnnouncer
 from wasabistream.scheduling.scheduling_messages import PromptNotice
 
 ENDPOINT = f'10.0.0.1:{PORT}'
--- a/tests/test_spillover_plans.py
+++ b/tests/test_spillover_plans.py
@@ -21,7 +21,7 @@
     build_inputs,
 )
 from wasabistream.forwarding.load_trackers import LoadTracker
-from wasabistream.scheduling.engine_paces import EnginePace
+from wasabistream.paces.engine_paces import EnginePace
 from wasabistream.spillover.capacity_views import CapacityView
 from wasabistream.spillover.spillover_plans import (
     NO_ENGINE,
--- a/wasabistream/forwarding/agent_links.py
+++ b/wasabistream/forwarding/agent_links.py
@@ -27,7 +27,7 @@
 from wasabistream.links import Link
 from wasabistream.messages import Message
 from wasabistream.notices import Hello, LoadReport
-from wasabistream.scheduling.pace_boards import PaceBoard
+from wasabistream.paces.pace_boards import PaceBoard
 from wasabistream.scheduling.scheduling_messages import (
     EnginePaceReport,
     PromptEnd,
--- a/wasabistream/forwarding/engine_watchers.py
+++ b/wasabistream/forwarding/engine_watchers.py
@@ -20,10 +20,10 @@
     ENGINE_PROMPT_TOKEN_RATE,
 )
 from wasabistream.notices import UNKNOWN_LIMIT, LoadReport
-from wasabistream.scheduling.engine_paces import UNKNOWN_PACE, EnginePace
-from wasabistream.scheduling.pace_estimators import PaceEstimator
-from wasabistream.scheduling.pace_reports import PaceReporter
-from wasabistream.scheduling.prompt_backlogs import PromptBacklog
+from wasabistream.paces.engine_paces import UNKNOWN_PACE, EnginePace
+from wasabistream.paces.pace_estimators import PaceEstimator
+from wasabistream.paces.pace_reports import PaceReporter
+from wasabistream.paces.prompt_backlogs import PromptBacklog
 from wasabistream.scheduling.scheduling_messages import PromptNotice
 
 logger = logging.getLogger(__name__)
--- a/wasabistream/forwarding/server_trackers.py
+++ b/wasabistream/forwarding/server_trackers.py
@@ -14,8 +14,8 @@
 from wasabistream.forwarding.load_trackers import LoadTracker
 from wasabistream.forwarding.peer_links import PeerLinks
 from wasabistream.forwarding.rate_limits import RateLimits
+from wasabistream.paces.pace_boards import PaceBoard
 from wasabistream.scheduling.interfaces import PromptNotifier
-from wasabistream.scheduling.pace_boards import PaceBoard
 from wasabistream.scheduling.prompt_announcers import PromptAnnouncer
 
 
--- a/wasabistream/scheduling/pace_boards.py
+++ b/wasabistream/paces/pace_boards.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 
 from wasabistream.forwarding.backend_servers import BackendServer
-from wasabistream.scheduling.engine_paces import UNKNOWN_PACE, EnginePace
-from wasabistream.scheduling.pace_reports import read_pace
+from wasabistream.paces.engine_paces import UNKNOWN_PACE, EnginePace
+from wasabistream.paces.pace_reports import read_pace
 from wasabistream.scheduling.scheduling_messages import EnginePaceReport
 
 
--- a/wasabistream/scheduling/pace_estimators.py
+++ b/wasabistream/paces/pace_estimators.py
@@ -5,8 +5,8 @@
 from statistics import fmean
 
 from wasabistream.forwarding.engine_states import EngineRun, EngineState
-from wasabistream.scheduling.decaying_ratios import DecayingRatio
-from wasabistream.scheduling.engine_paces import EnginePace
+from wasabistream.paces.decaying_ratios import DecayingRatio
+from wasabistream.paces.engine_paces import EnginePace
 
 DECAY_SECONDS = 4.0
 # Nothing is learned from an interval between polls that is longer than this.
--- a/wasabistream/scheduling/pace_reports.py
+++ b/wasabistream/paces/pace_reports.py
@@ -2,7 +2,7 @@
 
 from dataclasses import astuple
 
-from wasabistream.scheduling.engine_paces import UNKNOWN_PACE, EnginePace
+from wasabistream.paces.engine_paces import UNKNOWN_PACE, EnginePace
 from wasabistream.scheduling.scheduling_messages import EnginePaceReport
 from wasabistream.units import MICROSECONDS_PER_SECOND
 
--- a/wasabistream/platform/agent_applications.py
+++ b/wasabistream/platform/agent_applications.py
@@ -15,13 +15,13 @@
 from wasabistream.listeners import LinkListener
 from wasabistream.messages import Message
 from wasabistream.notices import LoadReport
+from wasabistream.paces.pace_reports import build_pace_report
 from wasabistream.platform.engine_clients import EngineClient
 from wasabistream.platform.node_applications import (
     NodeApplication,
     ProcessOptions,
 )
 from wasabistream.platform.node_files import NodeSettings
-from wasabistream.scheduling.pace_reports import build_pace_report
 from wasabistream.scheduling.scheduling_messages import (
     EnginePaceReport,
     PromptEnd,
--- a/wasabistream/scheduling/interfaces.py
+++ b/wasabistream/scheduling/interfaces.py
@@ -4,7 +4,7 @@
 
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.requests import ForwardRequest
-from wasabistream.scheduling.engine_paces import EnginePace
+from wasabistream.paces.engine_paces import EnginePace
 
 
 class PaceSource(Protocol):
--- a/wasabistream/scheduling/predictions.py
+++ b/wasabistream/scheduling/predictions.py
@@ -6,8 +6,8 @@
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.load_trackers import LoadEstimate
 from wasabistream.forwarding.requests import ForwardRequest
+from wasabistream.paces.engine_paces import UNKNOWN_PACE, EnginePace
 from wasabistream.scheduling.engine_outlooks import EngineOutlook
-from wasabistream.scheduling.engine_paces import UNKNOWN_PACE, EnginePace
 
 # Assumed speed where neither the engine nor its service has a known one.
 DEFAULT_PROMPT_TOKENS_PER_SECOND = 7000.0
--- a/wasabistream/scheduling/scheduled_services.py
+++ b/wasabistream/scheduling/scheduled_services.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from wasabistream.forwarding.fleets import FleetHolder
-from wasabistream.scheduling.engine_paces import UNKNOWN_PACE, EnginePace
+from wasabistream.paces.engine_paces import UNKNOWN_PACE, EnginePace
 from wasabistream.scheduling.interfaces import PaceSource
 
 logger = logging.getLogger(__name__)
--- a/wasabistream/scheduling/unknown_sources.py
+++ b/wasabistream/scheduling/unknown_sources.py
@@ -2,7 +2,7 @@
 
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.requests import ForwardRequest
-from wasabistream.scheduling.engine_paces import UNKNOWN_PACE, EnginePace
+from wasabistream.paces.engine_paces import UNKNOWN_PACE, EnginePace
 
 
 class UnknownPaces:
--- a/wasabistream/spillover/capacity_views.py
+++ b/wasabistream/spillover/capacity_views.py
@@ -9,7 +9,7 @@
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.fleets import FleetHolder
 from wasabistream.forwarding.load_trackers import LoadEstimate, LoadTracker
-from wasabistream.scheduling.engine_paces import EnginePace
+from wasabistream.paces.engine_paces import EnginePace
 from wasabistream.scheduling.interfaces import PaceSource
 from wasabistream.spillover.spillover_plans import DataCentreCapacity
 
