Run a placement step at the start of the agent's load slot

Cause: PlacementRunner looked for its load slot only in its steps, 1 s apart. With 2 data centres and 600 loads per minute a slot has 0.2 s, of which the first 0.1 s is usable, and 1 s is a whole number of slots: an agent whose steps fall in the second half of the slots misses its own in every round, until the latency of the steps (about 1 to 3 ms each) has moved them into the next slot. In a slow run of the steps of test_second_model engine-2 loaded 51 s after engine-1, 3 ms after the start of a slot. Change: after a refused slot the next step runs when the agent's next slot starts, if that is within the step interval, and at least 20 ms later.

--- a/tests/test_placements.py
+++ b/tests/test_placements.py
@@ -1,6 +1,7 @@
 """Tests of model assignments, load slots, fencing tokens and engine orders."""
 
 import json
+import threading
 import unittest
 from collections import Counter
 from collections.abc import Callable
@@ -14,7 +15,10 @@
 from wasabistream.fencing import FencingTokenCounter
 from wasabistream.model_retention_peers import ModelRetentionPeers
 from wasabistream.notices import Hello
-from wasabistream.placement_runners import PlacementRunner
+from wasabistream.placement_runners import (
+    STEP_INTERVAL_SECONDS,
+    PlacementRunner,
+)
 from wasabistream.placements import assign_models
 from wasabistream.signals import order_sent
 from wasabistream.vms import Role, Vm, VmList
@@ -23,6 +27,8 @@
 
 AGENT_IDS = tuple(f'engine-{number}' for number in range(12))
 LOADS_PER_MINUTE = 600
+# By how much a thread wakes up after the end of its wait.
+WAKE_UP_LATENCY_SECONDS = 0.002
 
 
 def build_models_document(**changes: Any) -> dict[str, Any]:
@@ -71,6 +77,24 @@
             raise BackendError('status 409', 'order')
 
 
+class SimulatedStopEvent(threading.Event):
+    """Advance a simulated clock instead of waiting; set itself at an end."""
+
+    def __init__(self, start_seconds: float, end_seconds: float) -> None:
+        super().__init__()
+        self.now_seconds = start_seconds
+        self._end_seconds = end_seconds
+
+    def wait(self, timeout: float | None = None) -> bool:
+        """Advance the clock by the timeout; tell whether the end is reached."""
+        self.now_seconds += (timeout or 0) + WAKE_UP_LATENCY_SECONDS
+        return self.now_seconds >= self._end_seconds
+
+    def read_clock(self) -> float:
+        """Return the simulated time."""
+        return self.now_seconds
+
+
 class FakeRetentionPeers:
     """Stand in for peers that grant every retention, or none."""
 
@@ -194,6 +218,43 @@
             window = [at for at in load_times if start <= at < start + 10]
             self.assertLessEqual(len(window), 12)
 
+    def test_slot_between_steps(self) -> None:
+        """Guard against slots missed because no step falls in a usable part.
+
+        Steps at a fixed interval keep their position relative to the slots,
+        so that an agent may miss its slot in every round.
+        """
+        slot_seconds = 60 / LOADS_PER_MINUTE
+        round_seconds = slot_seconds * len(AGENT_IDS)
+        for number in range(48):
+            start_seconds = 1e9 + number * round_seconds / 48
+            stopped = SimulatedStopEvent(
+                start_seconds, start_seconds + 10 * round_seconds
+            )
+            stand_in = EngineStandIn(EngineOptions())
+            order_times = self._run_until(stopped, stand_in)
+            with self.subTest(start_seconds=start_seconds):
+                self.assertEqual(stand_in.models, ['drafter'])
+                self.assertLessEqual(
+                    order_times[0] - start_seconds,
+                    STEP_INTERVAL_SECONDS + round_seconds + slot_seconds,
+                )
+
+    def _run_until(
+        self, stopped: SimulatedStopEvent, stand_in: EngineStandIn
+    ) -> list[float]:
+        # Returns the times of the orders.
+        agent_id = find_agent_of('drafter')
+        engine = LocalEngine(stand_in)
+        order_times: list[float] = []
+        engine.before_order = lambda: order_times.append(stopped.now_seconds)
+        runner = build_runner(engine, agent_id)
+        runner.load_slots = WeightLoadSlots(agent_id, stopped.read_clock)
+        runner._clock = stopped.read_clock
+        runner._stopped = stopped
+        runner._run()
+        return order_times
+
 
 class OrderTest(unittest.TestCase):
     """Guard an engine against wrong, outdated and reordered orders."""
--- a/wasabistream/placement_runners.py
+++ b/wasabistream/placement_runners.py
@@ -21,6 +21,8 @@
 logger = logging.getLogger(__name__)
 
 STEP_INTERVAL_SECONDS = 1.0
+# Limits the rate of steps if all agents have their load slots within less time.
+MIN_STEP_INTERVAL_SECONDS = 0.02
 # Longest time from a read of the engine's state to an order based on it. After
 # a longer pause of the process the state may be outdated and is read again.
 MAX_STATE_AGE_SECONDS = 1.0
@@ -63,6 +65,7 @@
         self._retention_peers = retention_peers
         self._clock = clock
         self._stopped = threading.Event()
+        self._step_delay_seconds = STEP_INTERVAL_SECONDS
         self.fencing = FencingTokenCounter()
         self.load_slots = WeightLoadSlots(agent_id)
         self.vm_list: VmList | None = None
@@ -87,6 +90,7 @@
 
     def step(self) -> EngineOrder | None:
         """Send the next order, if one is due and allowed; raises BackendError."""
+        self._step_delay_seconds = STEP_INTERVAL_SECONDS
         version = self._configuration.version
         vms = self._live_vms(version.document) if version else {}
         own_vm = vms.get(self._agent_id)
@@ -117,11 +121,7 @@
         assignments: Mapping[str, Assignment],
     ) -> bool:
         if order.uses_weight_store:
-            return self.load_slots.try_take_slot(
-                list(vms),
-                document.weight_loads_per_minute,
-                len(document.data_centres) or 1,
-            )
+            return self._try_take_load_slot(document, vms)
         if order.action != 'unload':
             return True
         data_centre = vms[self._agent_id].data_centre
@@ -143,6 +143,26 @@
             order.subject
         ) and self._retention_peers.ensure_retention(order.subject, peers)
 
+    def _try_take_load_slot(
+        self, document: Document, vms: Mapping[str, Vm]
+    ) -> bool:
+        if self.load_slots.try_take_slot(
+            list(vms),
+            document.weight_loads_per_minute,
+            len(document.data_centres) or 1,
+        ):
+            return True
+        # The usable part of a slot may be shorter than the step interval, and
+        # steps at a fixed interval could then miss it in every round.
+        self._step_delay_seconds = min(
+            max(
+                self.load_slots.next_slot_delay_seconds,
+                MIN_STEP_INTERVAL_SECONDS,
+            ),
+            STEP_INTERVAL_SECONDS,
+        )
+        return False
+
     def _send(
         self, order: EngineOrder, assignment: Assignment, revision: int
     ) -> EngineOrder | None:
@@ -182,7 +202,7 @@
         }
 
     def _run(self) -> None:
-        while not self._stopped.wait(STEP_INTERVAL_SECONDS):
+        while not self._stopped.wait(self._step_delay_seconds):
             try:
                 self.step()
             except BackendError as error:
--- a/wasabistream/weight_load_slots.py
+++ b/wasabistream/weight_load_slots.py
@@ -28,6 +28,9 @@
         self._agent_id = agent_id
         self._wall_clock = wall_clock
         self._last_used_slot: float = -1
+        # Seconds from the last attempt to the start of the next slot of this
+        # agent.
+        self.next_slot_delay_seconds = 0.0
 
     def try_take_slot(
         self,
@@ -40,18 +43,18 @@
         It is not free if it belongs to another agent, if its usable part is
         over, or if it has been taken.
 
-        `agent_ids` are the agents of the data centre of this agent.
+        `agent_ids` are all agents of the data centre of this agent.
         """
         slot_seconds = (
             SECONDS_PER_MINUTE * data_centre_count / max(loads_per_minute, 1e-9)
         )
         slot, elapsed_seconds = divmod(self._wall_clock(), slot_seconds)
         turns = sorted(agent_ids, key=lambda agent_id: hash64('load', agent_id))
-        is_own_slot = turns[int(slot) % len(turns)] == self._agent_id
-        if (
-            not is_own_slot
-            or elapsed_seconds > USABLE_SLOT_RATIO * slot_seconds
-        ):
+        slots_ahead = (turns.index(self._agent_id) - int(slot)) % len(turns)
+        self.next_slot_delay_seconds = (
+            slots_ahead or len(turns)
+        ) * slot_seconds - elapsed_seconds
+        if slots_ahead or elapsed_seconds > USABLE_SLOT_RATIO * slot_seconds:
             return False
         if slot == self._last_used_slot:
             return False
