Leave memory for one urgent request at each engine

Change: the predicted excess of memory of less urgent generations includes one urgent request of the mean size. Result: the new test fails without the headroom and passes; all tests of the selection and the queue pass.

--- a/tests/test_engine_selection.py
+++ b/tests/test_engine_selection.py
@@ -9,6 +9,7 @@
 import unittest
 from collections import Counter
 from collections.abc import Callable
+from unittest.mock import patch
 
 from prometheus_client import REGISTRY
 
@@ -23,6 +24,7 @@
 from tests.scheduling_builders import (
     DIGEST_ROUTE,
     LETTER_ROUTE,
+    TAG_ROUTE,
     USUAL_PACE,
     FakeRemoteLosses,
     SchedulingEntry,
@@ -126,6 +128,29 @@
         counts = self.entry.sample(request)
         return counts['server-1'] + counts['server-2']
 
+    def test_memory_for_urgent_requests(self) -> None:
+        """Guard against fast engines that letters fill to the last token.
+
+        Pattern: letters fill the fast engines, so that all tags go to the slow
+        ones and pause the letters that run there.
+        """
+        engines = build_engines(2)
+        entry = SchedulingEntry(engines, routes=(TAG_ROUTE, LETTER_ROUTE))
+        fast, slow = engines
+        entry.paces.paces[fast.endpoint] = scale_pace(0.5)
+        entry.paces.paces[slow.endpoint] = scale_pace(1.2)
+        with patch.object(entry.scheduled, 'is_scheduled', return_value=True):
+            entry.report(slow, running_count=3)
+            used_tokens = MEMORY_TOKENS - 4000
+            entry.report(fast, running_count=6, used_tokens=used_tokens)
+            before = entry.sample(build_letter())
+            self.assertGreater(before[fast.server_id], before[slow.server_id])
+            entry.chooser.take(build_tag())
+            letters = entry.sample(build_letter())
+            tags = entry.sample(build_tag())
+        self.assertLess(letters[fast.server_id], before[fast.server_id] / 2)
+        self.assertGreater(tags[fast.server_id], tags[slow.server_id])
+
     def test_burst_at_equal_engines(self) -> None:
         """Guard against entries that all choose the engine of least cost.
 
--- a/wasabistream/queueing/engine_rooms.py
+++ b/wasabistream/queueing/engine_rooms.py
@@ -5,14 +5,13 @@
 from wasabistream.queueing.urgent_arrivals import UrgentNeed
 from wasabistream.queueing.waiting_requests import WaitingRequest
 from wasabistream.scheduling.engine_outlooks import EngineOutlook
+from wasabistream.scheduling.urgent_headrooms import MAX_HEADROOM_RATIO
 
 # The first event is predicted to be in time.
 IN_TIME_LATE_CHANCE = 0.5
 # A late request must not make others late. A more urgent route has at most this
 # part of its target latency.
 LATE_TARGET_RATIO = 0.5
-# Most of the memory that is kept free for urgent requests, as part of it.
-MAX_HEADROOM_RATIO = 0.25
 
 
 class Shortage(StrEnum):
--- a/wasabistream/scheduling/predictions.py
+++ b/wasabistream/scheduling/predictions.py
@@ -8,6 +8,7 @@
 from wasabistream.forwarding.requests import ForwardRequest
 from wasabistream.paces.engine_paces import UNKNOWN_PACE, EnginePace
 from wasabistream.scheduling.engine_outlooks import EngineOutlook
+from wasabistream.scheduling.urgent_headrooms import MAX_HEADROOM_RATIO
 
 # Assumed speed where neither the engine nor its service has a known one.
 DEFAULT_PROMPT_TOKENS_PER_SECOND = 7000.0
@@ -57,6 +58,8 @@
     is_sole_server: bool
     # Cost of its data centre, in lost requests.
     remote_loss: float
+    # Memory that the request should leave free for more urgent ones.
+    headroom_tokens: int = 0
 
 
 def request_age_seconds(request: ForwardRequest) -> float:
@@ -109,7 +112,10 @@
         + estimate.growth_tokens
         + demand.expected_tokens
     )
-    memory_excess_ratio = max(needed_tokens / capacity - 1, 0)
+    kept_tokens = needed_tokens + min(
+        engine.headroom_tokens, int(capacity * MAX_HEADROOM_RATIO)
+    )
+    memory_excess_ratio = max(kept_tokens / capacity - 1, 0)
     return EngineOutlook(
         server=engine.server,
         first_event_seconds=first_event_seconds,
--- a/wasabistream/scheduling/scheduled_choosers.py
+++ b/wasabistream/scheduling/scheduled_choosers.py
@@ -18,6 +18,7 @@
     request_age_seconds,
 )
 from wasabistream.scheduling.scheduling_parts import SchedulingParts
+from wasabistream.scheduling.urgent_headrooms import UrgentHeadroom
 
 # Assumed memory of an engine whose agent has not reported.
 DEFAULT_MEMORY_TOKENS = 32768
@@ -40,6 +41,7 @@
         self._scheduled_services = parts.scheduled_services
         self._remote_losses = parts.remote_losses
         self._generator = parts.generator
+        self._headroom = UrgentHeadroom()
 
     def applies(self, request: ForwardRequest) -> bool:
         """Return whether a request is a generation of a scheduled service."""
@@ -69,6 +71,7 @@
             for data_centre in data_centres
         }
         age_seconds = request_age_seconds(request)
+        headroom_tokens = self._headroom.find_tokens(request)
         median_pace = self._scheduled_services.median_pace(request.service)
         return [
             predict(
@@ -84,6 +87,7 @@
                         candidate_counts.get(server.data_centre) == 1
                     ),
                     remote_loss=remote_losses[server.data_centre],
+                    headroom_tokens=headroom_tokens,
                 ),
                 median_pace,
                 DEFAULT_MEMORY_TOKENS,
@@ -110,6 +114,7 @@
                 return None
             if self._advisories.try_take(selected.server):
                 self._remote_losses.record_dispatch(request, selected.server)
+                self._headroom.record(request)
                 return selected
             remaining.remove(selected)
 
