--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -102,10 +102,18 @@
                 request = decode_request(configuration, received, b'')
                 self.assertEqual(request.engine_urgency, urgency)
 
-    def test_endless_length_hint(self) -> None:
-        """Guard against a request that fails on a hint without a limit."""
+    def test_endless_tokens(self) -> None:
+        """Guard against stated tokens that fail the choices of all requests."""
         configuration = decode_configuration(CONFIGURATION)
-        for hint in (b'inf', b'1e400', b'nan', b'-inf'):
+        cases = (
+            (b'3000,800', b'inf'),
+            (b'3000,800', b'1e400'),
+            (b'3000,800', b'nan'),
+            (b'3000,800', b'-1e300'),
+            (b'3000,1%s' % (b'0' * 400), b'300'),
+            (b'-1%s,800' % (b'0' * 400), b'300'),
+        )
+        for tokens, hint in cases:
             received = Mock(
                 method=b'POST',
                 uri=b'/chat/',
@@ -113,7 +121,7 @@
                     b'Host': b'host.example',
                     b'Authorization': b'Bearer key-1',
                     names.REQUEST_ID.encode(): b'request-1',
-                    names.TOKENS.encode(): b'3000,800',
+                    names.TOKENS.encode(): tokens,
                     names.LENGTH_HINT.encode(): hint,
                 },
             )
--- a/wasabistream/platform/request_decoders.py
+++ b/wasabistream/platform/request_decoders.py
@@ -37,6 +37,9 @@
         names.NOT_EXECUTED,
     )
 )
+# No engine has memory for more. Numbers beyond the range of a float would fail
+# the choices of all requests while such a one runs.
+MAX_STATED_TOKENS = 2**31
 NOT_FORWARDED = names.SYSTEM_ONLY | names.CONNECTION_ONLY | NOT_COPIED
 
 
@@ -178,9 +181,10 @@
     # A number may also be infinite.
     except (ValueError, OverflowError):
         return None
-    return GenerationDemand(
-        prompt_tokens, max_output_tokens, hinted_output_tokens
-    )
+    stated = (prompt_tokens, max_output_tokens, hinted_output_tokens)
+    if max(map(abs, stated)) > MAX_STATED_TOKENS:
+        return None
+    return GenerationDemand(*stated)
 
 
 def _decode_shared_parts(headers: dict[str, str]) -> tuple[str, ...]:
