--- a/wasabistream/queueing/waiting_requests.py
+++ b/wasabistream/queueing/waiting_requests.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from wasabistream.forwarding.requests import ForwardRequest
+from wasabistream.scheduling.predictions import request_age_seconds
 
 # Callers leave after four times the target latency without an event.
 DISPATCH_TARGET_RATIO = 2.0
@@ -82,7 +83,6 @@
 ) -> WaitingRequest:
     """Return the facts about a request that arrives now."""
     remaining_seconds = request.deadline.remaining_seconds
-    age_seconds = max(request.route.timeout_seconds - remaining_seconds, 0)
     demand = request.demand
     return WaitingRequest(
         request_id=request.request_id,
@@ -92,7 +92,7 @@
         route_priority=request.route.priority,
         expected_tokens=demand.expected_tokens if demand else 0,
         arrived_at_seconds=now_seconds,
-        asked_at_seconds=now_seconds - age_seconds,
+        asked_at_seconds=now_seconds - request_age_seconds(request),
         target_seconds=request.route.target_latency_seconds,
         deadline_at_seconds=now_seconds + remaining_seconds,
     )
