Keep the route command beside what it asks

Cause: its module lay flat in the root of the package. Change: it moves to wasabistream/route_queries/; no code changes. Result: formatter, linter, type check and the tests of the command pass.

--- a/tests/test_route_command.py
+++ b/tests/test_route_command.py
@@ -15,8 +15,8 @@
 from tests.platform_paths import PlatformPathCase, exchange
 from wasabistream.platform.entry_applications import PlatformEntry
 from wasabistream.platform.metrics_servers import MAX_HEAD_BYTES
-from wasabistream.route_commands import route
 from wasabistream.route_queries.operator_keys import OPERATOR_KEY_VARIABLE
+from wasabistream.route_queries.route_commands import route
 from wasabistream_tools.fleet import free_port
 
 QUERY_COUNT = 20
--- a/wasabistream/commands.py
+++ b/wasabistream/commands.py
@@ -6,7 +6,7 @@
 
 from fire.decorators import SetParseFn
 
-from wasabistream import daemon_commands, document_commands, route_commands
+from wasabistream import daemon_commands, document_commands
 from wasabistream.agents import AgentApplication
 from wasabistream.applications import EXIT_BAD_SETTINGS, EXIT_DONE, Application
 from wasabistream.entries import EntryApplication
@@ -14,6 +14,7 @@
 from wasabistream.inspection import log_commands
 from wasabistream.logs import configure_logs
 from wasabistream.measure_commands import MeasureCommands
+from wasabistream.route_queries import route_commands
 from wasabistream.route_queries.queries import FIELD_NAMES
 from wasabistream.settings import (
     AgentSettings,
