Move the stand-in store to the tools and let it return from an older copy

Cause: a fault soak of the daemons needs the store that the tests use, and neither can play a store that loses what it has acknowledged. Change: the store moves to wasabistream_tools.soak; all answers state its epoch, and restore() brings back an earlier copy. A watch after a revision that it does not have gets 410.

--- a/tests/daemon_processes.py
+++ b/tests/daemon_processes.py
@@ -15,8 +15,8 @@
 from tests.builders import wait_until
 from tests.platform_builders import CONFIGURATION, NODE, SERVER, build_row
 from tests.platform_paths import READINESS_PROBE, StandInBackend, exchange
-from tests.platform_stores import StandInStore
 from wasabistream_tools.fleet import free_port
+from wasabistream_tools.soak.stores import StandInStore
 
 KIB_BYTES = 1024
 # Memory of an entry at which the platform ends it.
--- a/tests/platform_paths.py
+++ b/tests/platform_paths.py
@@ -9,10 +9,10 @@
 
 from tests.builders import wait_until
 from tests.platform_builders import CONFIGURATION, NODE, SERVER, build_row
-from tests.platform_stores import StandInStore
 from wasabistream.platform.entry_applications import PlatformEntry
 from wasabistream.platform.node_applications import ProcessOptions
 from wasabistream.platform.node_files import decode_node
+from wasabistream_tools.soak.stores import StandInStore
 
 WAIT_SECONDS = 10
 HEAD = (
--- a/tests/test_lost_watches.py
+++ b/tests/test_lost_watches.py
@@ -9,7 +9,6 @@
 from unittest.mock import Mock
 
 from tests.platform_builders import CONFIGURATION, build_row
-from tests.platform_stores import StandInStore
 from tests.waits import wait_for
 from wasabistream.entry_peers import EntryPeer
 from wasabistream.forwarding.endpoints import Endpoint
@@ -24,6 +23,7 @@
     ConfigurationFaults,
     ConfigurationStandIn,
 )
+from wasabistream_tools.soak.stores import StandInStore
 
 # Time after a disruption in which an entry must hold the newest configuration
 # again; `stable_window_ms` of the platform.
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -9,7 +9,6 @@
 from unittest.mock import patch
 
 from tests.platform_builders import CONFIGURATION, SERVER, build_row
-from tests.platform_stores import StandInStore
 from tests.waits import wait_for
 from wasabistream.exceptions import HistoryLostError, StoreError
 from wasabistream.forwarding.endpoints import Endpoint
@@ -23,6 +22,7 @@
 from wasabistream.platform.store_clients import StoreClient
 from wasabistream.platform.store_decoders import FleetDecoder
 from wasabistream.platform.store_followers import StoreFollower
+from wasabistream_tools.soak.stores import StandInStore
 
 FOLLOWER_LOGGER = 'wasabistream.platform.store_followers'
 MALFORMED_SERVERS: tuple[Any, ...] = (
--- a/tests/test_rate_limit_path.py
+++ b/tests/test_rate_limit_path.py
@@ -19,8 +19,8 @@
     build_entry,
     exchange,
 )
-from tests.platform_stores import StandInStore
 from wasabistream.platform.entry_applications import PlatformEntry
+from wasabistream_tools.soak.stores import StandInStore
 
 LIMIT_PER_SECOND = 2
 WINDOW_SECONDS = 4.0
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -22,7 +22,6 @@
     StandInBackend,
     build_entry,
 )
-from tests.platform_stores import StandInStore
 from wasabistream.forwarding.requests import Reply
 from wasabistream.http_servers import (
     ApiServer,
@@ -35,6 +34,7 @@
     HttpCaller,
     IngressServer,
 )
+from wasabistream_tools.soak.stores import StandInStore
 
 WAIT_SECONDS = 5
 KEPT_REQUEST = HEAD % b'k1' + b'\r\n'
--- /dev/null
+++ b/wasabistream_tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak of the platform daemons as real processes."""
--- a/tests/platform_stores.py
+++ b/wasabistream_tools/soak/stores.py
@@ -4,11 +4,22 @@
 import threading
 import time
 import urllib.parse
+from dataclasses import dataclass
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 
 PAGE_COUNT = 2
 POLL_SECONDS = 0.02
+EPOCH_HEADER = 'Store-Era'
+
+
+@dataclass(frozen=True)
+class StoreCopy:
+    """Hold the contents of a store at one of its revisions."""
+
+    items: dict[str, dict[str, Any]]
+    changes: list[dict[str, Any]]
+    revision: int
 
 
 class _Handler(BaseHTTPRequestHandler):
@@ -30,6 +41,7 @@
         store.wait_if_silenced(self.opened_at_seconds)
         raw = json.dumps(body).encode()
         self.send_response(status)
+        self.send_header(EPOCH_HEADER, str(store.epoch))
         self.send_header('Content-Length', str(len(raw)))
         self.end_headers()
         self.wfile.write(raw)
@@ -53,6 +65,8 @@
         self.items: dict[str, dict[str, Any]] = {}
         self.changes: list[dict[str, Any]] = []
         self.revision = 1
+        # Rises with each return from an older copy.
+        self.epoch = 1
         # Watches after an older revision get 410, as the history is gone.
         self.forgotten_revision = 0
         # Status of all answers; with 0 the store answers normally.
@@ -87,6 +101,17 @@
             {'key': key, 'revision': self.revision, 'removed': True}
         )
 
+    def copy(self) -> StoreCopy:
+        """Return a copy from which the store can be restored."""
+        return StoreCopy(dict(self.items), list(self.changes), self.revision)
+
+    def restore(self, copied: StoreCopy) -> None:
+        """Return to an older copy; later revisions are given out again."""
+        self.items = dict(copied.items)
+        self.changes = list(copied.changes)
+        self.revision = copied.revision
+        self.epoch += 1
+
     def silence_connections(self) -> None:
         """Answer nothing more on the connections that are open now."""
         self.silenced_at_seconds = time.monotonic()
@@ -124,13 +149,14 @@
 
     def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         after = int(query['after'])
-        if after < self.forgotten_revision:
+        epoch = self.epoch
+        if after < self.forgotten_revision or after > self.revision:
             return 410, {}
         deadline = time.monotonic() + int(query['wait_ms']) / 1000
         while time.monotonic() < deadline:
             if self.silent:
                 return self._drop_call()
-            if after < self.forgotten_revision:
+            if after < self.forgotten_revision or epoch != self.epoch:
                 return 410, {}
             events = [row for row in self.changes if row['revision'] > after]
             if events or self.failing_status:
