Log why a drain ends and which requests a stop cuts

Cause: the logs could not tell a drain without work, one at its limit and one that a second signal ended apart, and the limit of a stop named threads only. Change: 'drain ended' states the reason, the time, the signals and the requests in progress; the limit of a stop names each request without a whole answer.

--- a/wasabistream/applications.py
+++ b/wasabistream/applications.py
@@ -82,13 +82,26 @@
         started = time.monotonic()
         earliest_end = started + self.drain_notice_seconds()
         deadline = started + self.settings.drain_limit_seconds
+        reason = 'limit'
         while time.monotonic() < deadline:
             if time.monotonic() >= earliest_end and not self.work_in_progress():
+                reason = 'idle'
                 break
             if self._signal_count > 1:
+                reason = 'signal'
                 break
             time.sleep(DRAIN_POLL_SECONDS)
         cut = self.work_in_progress()
+        logger.info(
+            '%s: drain ended',
+            self.process_role,
+            extra={
+                'reason': reason,
+                'seconds': round(time.monotonic() - started, 3),
+                'signal_count': self._signal_count,
+                'in_progress_count': len(cut),
+            },
+        )
         for request_id in cut:
             logger.warning(
                 '%s: request cut',
@@ -97,7 +110,7 @@
             )
         stop_limit_seconds = self.stop_limit_seconds()
         if stop_limit_seconds:
-            limit_stop(stop_limit_seconds, EXIT_CUT)
+            limit_stop(stop_limit_seconds, EXIT_CUT, self.work_in_progress)
         self.on_stop()
         logger.info(
             '%s: stopped with %d requests cut', self.process_role, len(cut)
--- a/wasabistream/stop_limits.py
+++ b/wasabistream/stop_limits.py
@@ -6,6 +6,7 @@
 import threading
 import time
 import traceback
+from collections.abc import Callable
 
 logger = logging.getLogger(__name__)
 
@@ -14,24 +15,43 @@
 STACK_FRAME_COUNT = 3
 
 
-def limit_stop(seconds: float, exit_code: int) -> None:
+def limit_stop(
+    seconds: float,
+    exit_code: int,
+    work_in_progress: Callable[[], list[str]],
+) -> None:
     """End the process after some seconds, whatever its threads wait for.
 
     A thread that the stop or the interpreter joins may wait for a peer or for
     the reader of the log.
     """
-    timer = threading.Timer(seconds, _end_process, (seconds, exit_code))
+    timer = threading.Timer(
+        seconds, _end_process, (seconds, exit_code, work_in_progress)
+    )
     timer.daemon = True
     timer.start()
 
 
-def _end_process(seconds: float, exit_code: int) -> None:
+def _end_process(
+    seconds: float,
+    exit_code: int,
+    work_in_progress: Callable[[], list[str]],
+) -> None:
     try:
+        _log_requests(work_in_progress())
         _log_threads(seconds)
     finally:
         os._exit(exit_code)
 
 
+def _log_requests(request_ids: list[str]) -> None:
+    for request_id in request_ids:
+        logger.error(
+            'stop: request has no whole answer',
+            extra={'request_id': request_id},
+        )
+
+
 def _log_threads(seconds: float) -> None:
     frames = sys._current_frames()
     for thread in threading.enumerate():
