--- a/tests/platform_paths.py
+++ b/tests/platform_paths.py
@@ -36,6 +36,11 @@
         backend.received_requests.append((self.requestline, dict(self.headers)))
         backend.respond(self)
 
+    def do_POST(self) -> None:
+        """Read the body and answer."""
+        self.rfile.read(int(self.headers.get('Content-Length', 0)))
+        self.do_GET()
+
     def log_message(self, *arguments: Any) -> None:
         """Suppress the log of the HTTP server."""
 
