Count requests as work of a drain from their arrival on

Callers saw generations that an engine was running end with a closed connection and no byte, around one SIGTERM, when their bodies came in chunks. Cause: a drain looked at the requests that had been passed on. One without any ended when the load balancers had noticed it, 2.5 s after the signal; requests that still arrived were then taken, as they ended within the grace time, and were cut by the limit of the stop, which counted 0.7 s from the end of the drain. Requests whose body still arrived at the end of a full drain were closed without an answer. Change: the server counts requests from their first byte until their answer. A drain closes the listener and the idle connections once it is idle, waits for what has arrived until then, and refuses what has not arrived at its end. The limit of the stop counts from the signal. RequestSupervisor.request_ids, which nothing uses any more, is removed. Stops, drains, supervisors and the platform path: 37 tests passed. Ruled out: a second signal, which is a fault of its own; the listen queue (the request had been passed on to the engine).

--- a/tests/test_drain_arrivals.py
+++ b/tests/test_drain_arrivals.py
@@ -9,10 +9,13 @@
 import time
 from http.client import HTTPResponse
 
-from tests.daemon_processes import DaemonCase, DaemonProcess
+from tests.daemon_processes import DaemonCase
 from tests.platform_paths import BackendHandler
+from wasabistream.applications import EXIT_CUT
 
 GRACE_SECONDS = 8.0
+# Its drain ends soon after the load balancers have noticed it.
+SHORT_GRACE_SECONDS = 4.0
 ENGINE_SECONDS = 1.5
 DEADLINE_MS = 4000
 # The rest of a body arrives once the load balancers have noticed the drain.
@@ -43,19 +46,24 @@
             answer(handler)
 
         self.backend.respond = answer_late
-        self.entry = self.start_entry({'grace_s': GRACE_SECONDS})
 
     def test_body_that_ends_after_an_idle_drain(self) -> None:
         """Guard against an exit while a request that arrived in chunks runs."""
-        with self.send_head() as sock:
+        with self.send_head(GRACE_SECONDS) as sock:
             time.sleep(BODY_END_SECONDS)
             sock.sendall(BODY_END)
             self.assertEqual(read_answer(sock), (200, b'{}'))
         self.assertEqual(self.entry.process.wait(GRACE_SECONDS), 0)
 
+    def test_body_that_does_not_end(self) -> None:
+        """Guard against a body that is cut off without a refusal."""
+        with self.send_head(SHORT_GRACE_SECONDS) as sock:
+            self.assertEqual(read_answer(sock), (503, b''))
+        self.assertEqual(self.entry.process.wait(GRACE_SECONDS), EXIT_CUT)
+
     def test_repeated_signals(self) -> None:
         """Guard against a second SIGTERM that takes the grace time away."""
-        with self.send_head() as sock:
+        with self.send_head(GRACE_SECONDS) as sock:
             sock.sendall(BODY_END)
             for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM):
                 time.sleep(SIGNAL_INTERVAL_SECONDS)
@@ -63,9 +71,10 @@
             self.assertEqual(read_answer(sock), (200, b'{}'))
         self.assertEqual(self.entry.process.wait(GRACE_SECONDS), 0)
 
-    def send_head(self) -> socket.socket:
-        """Stop the entry and send the first part of a generation."""
-        entry: DaemonProcess = self.entry
+    def send_head(self, grace_seconds: float) -> socket.socket:
+        """Stop an entry and send it the first part of a generation."""
+        entry = self.start_entry({'grace_s': grace_seconds})
+        self.entry = entry
         entry.process.send_signal(signal.SIGTERM)
         sock = socket.create_connection(('127.0.0.1', entry.front_port))
         sock.settimeout(GRACE_SECONDS)
--- a/wasabistream/applications.py
+++ b/wasabistream/applications.py
@@ -21,12 +21,17 @@
 
 DRAIN_POLL_SECONDS = 0.05
 
+# Reasons for the end of a drain, as logged.
+DRAIN_IDLE = 'idle'
+DRAIN_SIGNAL = 'signal'
+DRAIN_LIMIT = 'limit'
+
 
 class Application:
     """Run one daemon from its start to the end of its drain.
 
-    Subclasses override the hooks `on_start`, `on_drain` and `on_stop` and
-    the methods that describe the drain.
+    Subclasses override the hooks `on_start`, `on_drain`, `on_close`, `on_cut`
+    and `on_stop` and the methods that describe the drain.
     """
 
     process_role = 'process'
@@ -43,6 +48,12 @@
     def on_drain(self) -> None:
         """React to the start of the drain, for example by refusing work."""
 
+    def on_close(self) -> None:
+        """Take no more work; what has arrived becomes work in progress."""
+
+    def on_cut(self) -> None:
+        """End the work in progress, with answers where possible."""
+
     def on_stop(self) -> None:
         """Close sockets and stop threads."""
 
@@ -54,7 +65,11 @@
         return 0
 
     def stop_limit_seconds(self) -> float:
-        """Return the longest time from the drain to the exit, 0 for none."""
+        """Return the longest time from the signal to the exit, 0 for none."""
+        return 0
+
+    def last_answers_seconds(self) -> float:
+        """Return the time for the answers of work that is cut."""
         return 0
 
     def work_in_progress(self) -> list[str]:
@@ -78,19 +93,19 @@
         """
         self.draining = True
         logger.info('%s: draining', self.process_role)
-        self.on_drain()
+        stop_limit_seconds = self.stop_limit_seconds()
+        if stop_limit_seconds:
+            limit_stop(stop_limit_seconds, EXIT_CUT, self.work_in_progress)
         started = time.monotonic()
-        earliest_end = started + self.drain_notice_seconds()
         deadline = started + self.settings.drain_limit_seconds
-        reason = 'limit'
-        while time.monotonic() < deadline:
-            if time.monotonic() >= earliest_end and not self.work_in_progress():
-                reason = 'idle'
-                break
-            if self._signal_count > 1:
-                reason = 'signal'
-                break
-            time.sleep(DRAIN_POLL_SECONDS)
+        self.on_drain()
+        reason = self._wait_for_work(
+            started + self.drain_notice_seconds(), deadline
+        )
+        self.on_close()
+        if reason == DRAIN_IDLE:
+            # What arrived until the close has the rest of the drain.
+            reason = self._wait_for_work(0, deadline)
         cut = self.work_in_progress()
         logger.info(
             '%s: drain ended',
@@ -108,9 +123,9 @@
                 self.process_role,
                 extra={'request_id': request_id},
             )
-        stop_limit_seconds = self.stop_limit_seconds()
-        if stop_limit_seconds:
-            limit_stop(stop_limit_seconds, EXIT_CUT, self.work_in_progress)
+        if cut:
+            self.on_cut()
+            self._wait_for_answers()
         self.on_stop()
         logger.info(
             '%s: stopped with %d requests cut', self.process_role, len(cut)
@@ -138,6 +153,21 @@
         self._signal_count += 1
         self._signal_received.set()
 
+    def _wait_for_work(self, earliest_end: float, deadline: float) -> str:
+        """Wait until no work is in progress; return what ended the wait."""
+        while time.monotonic() < deadline:
+            if self._signal_count > 1:
+                return DRAIN_SIGNAL
+            if time.monotonic() >= earliest_end and not self.work_in_progress():
+                return DRAIN_IDLE
+            time.sleep(DRAIN_POLL_SECONDS)
+        return DRAIN_LIMIT
+
+    def _wait_for_answers(self) -> None:
+        deadline = time.monotonic() + self.last_answers_seconds()
+        while time.monotonic() < deadline and self.work_in_progress():
+            time.sleep(DRAIN_POLL_SECONDS)
+
     def _handle_signal(self, number: int, frame: FrameType | None) -> None:
         self.request_stop()
 
--- a/wasabistream/draining_connections.py
+++ b/wasabistream/draining_connections.py
@@ -3,9 +3,10 @@
 import logging
 import select
 import socket
+import threading
 
 from cheroot.connections import ConnectionManager
-from cheroot.server import HTTPConnection
+from cheroot.server import HTTPConnection, HTTPServer
 
 from wasabistream.exceptions import MemoryLimitError
 
@@ -20,6 +21,15 @@
     cheroot resets connections whose requests it has not read yet.
     """
 
+    def __init__(self, server: HTTPServer) -> None:
+        super().__init__(server)
+        self._closed = threading.Event()
+
+    def wait_until_closed(self, timeout_seconds: float) -> None:
+        """Wait until the requests that have arrived are handed over."""
+        if not self._closed.wait(timeout_seconds):
+            logger.warning('http: listener is not closed in time')
+
     def stop(self) -> None:
         """Stop waiting for requests; accept the connections that wait."""
         listener = self.server.socket
@@ -45,6 +55,7 @@
             else:
                 connection.close()
         selector.close()
+        self._closed.set()
 
     def _from_server_socket(
         self, server_socket: socket.socket
--- a/wasabistream/forwarding/supervisors.py
+++ b/wasabistream/forwarding/supervisors.py
@@ -214,11 +214,6 @@
         with self._lock:
             self._watches.discard(watch)
 
-    def request_ids(self) -> list[str]:
-        """Return the ids of the requests in progress."""
-        with self._lock:
-            return [watch.request.request_id for watch in self._watches]
-
     def running_tokens(self) -> Counter[str]:
         """Return the expected tokens at engines by organisation."""
         with self._lock:
--- a/wasabistream/head_waiters.py
+++ b/wasabistream/head_waiters.py
@@ -11,6 +11,8 @@
 
 from cheroot.server import HTTPConnection
 
+from wasabistream.stopping.open_requests import describe_caller
+
 logger = logging.getLogger(__name__)
 
 TICK_SECONDS = 0.5
@@ -75,6 +77,14 @@
                     target=self._run, name='heads', daemon=True
                 ).start()
 
+    def begun_requests(self) -> list[str]:
+        """Return the callers whose heads have arrived in part."""
+        return [
+            describe_caller(waiting.connection)
+            for waiting in tuple(self._waiting.values())
+            if waiting.has_begun
+        ]
+
     def stop(self) -> None:
         """Hand over what has begun to arrive and close the others."""
         self._is_stopped = True
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -59,8 +59,8 @@
 # An entry may count as isolated once the store has been unreachable for this
 # long. Peers and agents send at least one message in this time.
 ISOLATION_TIMEOUT_SECONDS = 3.0
-# Time for the answers in progress when the front server stops.
-MIN_STOP_SECONDS = 0.3
+# Time for a probe in progress when the readiness server stops.
+READINESS_STOP_SECONDS = 0.1
 READY_STATUS = 200
 NOT_READY_STATUS = 503
 
@@ -155,8 +155,6 @@
             self._build_forwarder(move_tracker),
             lambda: self.follower.answer_age_seconds,
         )
-        # Set when the drain begins.
-        self._stop_at_seconds = 0.0
         front = node_settings.listen['front']
         ready = node_settings.listen['ready']
         self._front_server = IngressServer(
@@ -204,31 +202,30 @@
 
     def on_drain(self) -> None:
         """Refuse requests that may not end in time, if others can serve."""
-        self._stop_at_seconds = (
-            time.monotonic() + self.settings.drain_limit_seconds
-        )
         self._peer_links.draining = True
         self._peer_links.send_peer_notice()
         self._drain_gate.close(self.settings.drain_limit_seconds)
-        self._request_supervisor.end_requests_at(self._stop_at_seconds)
         self._start_queue.release_all()
 
     def on_reload(self, node_settings: NodeSettings) -> None:
         """Look for the other entries at the seeds of changed settings."""
         self._peer_links.replace_seeds(_seed_endpoints(node_settings))
 
+    def on_close(self) -> None:
+        """Close the port for callers and their idle connections."""
+        self._front_server.begin_stop(self.stop_limit_seconds())
+
+    def on_cut(self) -> None:
+        """Answer the requests in progress, also those not read completely."""
+        self._request_supervisor.end_requests_at(time.monotonic())
+        self._front_server.end_arrivals()
+
     def on_stop(self) -> None:
         """Close the servers and the links."""
-        remaining_seconds = self._stop_at_seconds - time.monotonic()
-        self.stop_part(
-            'front server',
-            lambda: self._front_server.stop_within(
-                max(remaining_seconds, MIN_STOP_SECONDS)
-            ),
-        )
+        self.stop_part('front server', self._front_server.end_stop)
         self.stop_part(
             'readiness server',
-            lambda: self._readiness_server.stop_within(MIN_STOP_SECONDS),
+            lambda: self._readiness_server.stop_within(READINESS_STOP_SECONDS),
         )
         self.stop_part('start queue', self._start_queue.stop)
         self.stop_part('store', self.follower.stop)
@@ -243,8 +240,8 @@
         return BALANCER_REMOVAL_SECONDS
 
     def work_in_progress(self) -> list[str]:
-        """Return the ids of requests whose callers still wait."""
-        return self._request_supervisor.request_ids()
+        """Return the requests from their arrival until they are answered."""
+        return self._front_server.open_requests()
 
     def start_metrics_server(self, address: str, port: int) -> None:
         """Serve the metrics and the explanations of selections."""
--- a/wasabistream/platform/ingress_servers.py
+++ b/wasabistream/platform/ingress_servers.py
@@ -35,6 +35,7 @@
 )
 from wasabistream.platform import header_names as names
 from wasabistream.read_deadlines import read_deadlines
+from wasabistream.stopping.open_requests import OpenRequests
 
 logger = logging.getLogger(__name__)
 
@@ -54,6 +55,8 @@
 # Remaining time assumed for requests whose bodies are not read: bodies in
 # progress end with their requests.
 MAX_UNREAD_SECONDS = 1.0
+# Time for the answers in progress of a server that stops without a drain.
+MIN_STOP_SECONDS = 0.3
 # Added to the configured idle timeout, which callers may use up to its end.
 IDLE_GRACE_SECONDS = 3.0
 
@@ -140,6 +143,13 @@
     # cheroot reads this attribute.
     RequestHandlerClass = IngressRequest  # noqa: WPS115
 
+    def communicate(self) -> bool:
+        """Answer one request; return whether the connection stays open."""
+        try:
+            return bool(super().communicate())
+        finally:
+            self.server.requests_in_progress.end(self)
+
 
 def read_request_id(request: HTTPRequest) -> str:
     """Return the id of a request, or an empty string."""
@@ -218,6 +228,9 @@
             except RequestError as error:
                 self._refuse(error)
                 return
+            self.req.server.requests_in_progress.record_id(
+                self.req.conn, read_request_id(self.req)
+            )
             self.req.server.handler(self.req, body)
 
     def _refuse(self, error: RequestError) -> None:
@@ -228,7 +241,8 @@
             extra={'request_id': request_id, 'status': error.status},
         )
         reply = Reply(error.status)
-        if error.status == NOT_RUN:
+        # A server that stops ends the reading of bodies itself.
+        if error.status == NOT_RUN or self.req.server.is_ending:
             reply = build_refusal(MAX_UNREAD_SECONDS)
         self.req.close_connection = True
         HttpCaller(self.req, request_id).reply(reply)
@@ -263,6 +277,10 @@
             self._queue, lambda: self.timeout, lambda: self.head_seconds
         )
         self.handler = handler
+        self.requests_in_progress = OpenRequests()
+        # Whether requests that have not arrived completely are refused.
+        self.is_ending = False
+        self._stopper: threading.Thread | None = None
         self.memory_budget = memory_budget or MemoryBudget(
             DEFAULT_MEMORY_LIMIT_BYTES, thread_count
         )
@@ -301,11 +319,42 @@
         self._head_waiter.stop()
         super().stop()
 
-    def stop_within(self, seconds: float) -> None:
-        """Answer the requests that have arrived, then stop."""
+    def open_requests(self) -> list[str]:
+        """Return the requests from their first byte until their answer."""
+        return [
+            *self.requests_in_progress.names(),
+            *self._head_waiter.begun_requests(),
+        ]
+
+    def begin_stop(self, seconds: float) -> None:
+        """Close the listener and idle connections; answer what has arrived.
+
+        Connections that are still in use after `seconds` are shut down.
+        """
         self._growth_lock.acquire()
         self.shutdown_timeout = seconds  # type: ignore[assignment]
-        self.stop()
+        self._stopper = threading.Thread(
+            target=self.stop, name='stop', daemon=True
+        )
+        self._stopper.start()
+        self._connections.wait_until_closed(seconds)
+
+    def end_arrivals(self) -> None:
+        """Refuse the requests that have not arrived completely."""
+        self.is_ending = True
+        self.requests_in_progress.end_arrivals()
+
+    def end_stop(self) -> None:
+        """Wait for the end of the stop."""
+        if self._stopper is None:
+            self.begin_stop(MIN_STOP_SECONDS)
+        if self._stopper is not None:
+            self._stopper.join()
+
+    def stop_within(self, seconds: float) -> None:
+        """Answer the requests that have arrived, then stop."""
+        self.begin_stop(seconds)
+        self.end_stop()
 
     def error_log(
         self, msg: str = '', level: int = logging.INFO, traceback: bool = False
@@ -315,6 +364,7 @@
 
     def _queue(self, conn: HTTPConnection) -> None:
         """Queue a connection; add threads if too few are idle."""
+        self.requests_in_progress.begin(conn)
         HTTPServer.process_conn(self, conn)
         pool = self.requests
         if len(pool._threads) >= pool.max:
--- a/wasabistream/platform/node_applications.py
+++ b/wasabistream/platform/node_applications.py
@@ -25,6 +25,8 @@
 STOP_RESERVE_RATIO = 0.125
 # Part of that time after which the process ends, whatever it waits for.
 STOP_LIMIT_RATIO = 0.7
+# Part of that time for the answers of requests that are cut.
+LAST_ANSWERS_RATIO = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,16 +86,22 @@
         start_http_server(port, address)
 
     def stop_limit_seconds(self) -> float:
-        """Return the time for the stop, which SIGKILL would cut off."""
+        """Return the time from SIGTERM to the exit, ahead of SIGKILL."""
         return (
-            self.node_settings.bounds.grace_seconds
-            * STOP_RESERVE_RATIO
-            * STOP_LIMIT_RATIO
+            self.settings.drain_limit_seconds
+            + self._stop_reserve_seconds() * STOP_LIMIT_RATIO
         )
 
+    def last_answers_seconds(self) -> float:
+        """Return the time for the answers of requests that are cut."""
+        return self._stop_reserve_seconds() * LAST_ANSWERS_RATIO
+
     def on_reload(self, node_settings: NodeSettings) -> None:
         """Apply changed settings; called on the thread that read them."""
 
+    def _stop_reserve_seconds(self) -> float:
+        return self.node_settings.bounds.grace_seconds * STOP_RESERVE_RATIO
+
     def _request_reload(self, number: int, frame: FrameType | None) -> None:
         # A signal handler must not block, so another thread
         # reads the file.
--- /dev/null
+++ b/wasabistream/stopping/__init__.py
@@ -0,0 +1,1 @@
+"""Stops of processes that answer what they have taken."""
