Keep the grace time on the platform when SIGTERM is repeated

Callers saw generations that an engine was running end with a closed connection, less than 0.1 s after a second SIGTERM, although 8 s of grace were given. Cause: each second signal ended the drain, as on the product's own interface, where an operator asks for that. The platform gives the grace time from the first SIGTERM and may repeat it. Change: on the platform only a repeated SIGINT ends the drain early. The product's own daemons keep what their pages say: a second signal ends the drain. Whether the users' cases were of this kind is not shown: their record names one SIGTERM a case.

--- a/wasabistream/applications.py
+++ b/wasabistream/applications.py
@@ -40,6 +40,8 @@
         self.settings = settings
         self.draining = False
         self._signal_count = 0
+        # Signals after the first that end the drain early.
+        self._ending_signal_count = 0
         self._signal_received = threading.Event()
 
     def on_start(self) -> None:
@@ -57,6 +59,10 @@
     def on_stop(self) -> None:
         """Close sockets and stop threads."""
 
+    def ends_drain(self, signal_number: int) -> bool:
+        """Return whether a repeated signal ends the drain."""
+        return True
+
     def drain_notice_seconds(self) -> float:
         """Return the minimum duration of a drain.
 
@@ -89,7 +95,7 @@
     def drain(self) -> int:
         """Wait for the work in progress, then stop; return the exit code.
 
-        A second signal ends the wait.
+        A second signal ends the wait if `ends_drain` says so.
         """
         self.draining = True
         logger.info('%s: draining', self.process_role)
@@ -145,18 +151,17 @@
             },
         )
 
-    def request_stop(self) -> None:
-        """Ask `run` to drain and stop, as a signal does.
-
-        A second call ends the drain early.
-        """
+    def request_stop(self, signal_number: int = signal.SIGTERM) -> None:
+        """Ask `run` to drain and stop, as a signal does."""
         self._signal_count += 1
+        if self._signal_count > 1 and self.ends_drain(signal_number):
+            self._ending_signal_count += 1
         self._signal_received.set()
 
     def _wait_for_work(self, earliest_end: float, deadline: float) -> str:
         """Wait until no work is in progress; return what ended the wait."""
         while time.monotonic() < deadline:
-            if self._signal_count > 1:
+            if self._ending_signal_count:
                 return DRAIN_SIGNAL
             if time.monotonic() >= earliest_end and not self.work_in_progress():
                 return DRAIN_IDLE
@@ -169,7 +174,7 @@
             time.sleep(DRAIN_POLL_SECONDS)
 
     def _handle_signal(self, number: int, frame: FrameType | None) -> None:
-        self.request_stop()
+        self.request_stop(number)
 
     def _wait_for_signals(self, count: int) -> None:
         while self._signal_count < count:
--- a/wasabistream/platform/node_applications.py
+++ b/wasabistream/platform/node_applications.py
@@ -85,6 +85,14 @@
         """Serve the metrics."""
         start_http_server(port, address)
 
+    def ends_drain(self, signal_number: int) -> bool:
+        """Return whether a repeated signal ends the drain.
+
+        Whoever repeats SIGTERM, such as several supervisors, still gives the
+        grace time from the first one.
+        """
+        return signal_number == signal.SIGINT
+
     def stop_limit_seconds(self) -> float:
         """Return the time from SIGTERM to the exit, ahead of SIGKILL."""
         return (
