Let agents finish the moves in progress before they stop

Between the last copy of a generation, at which its engine stops it, and the notice of where it goes on, the stream of the caller was lost. The class is that of the entry's drain: work that is not in its list is cut. Change: the mover names the generations that it moves; the agent's drain waits for them, for its limit at most.

--- a/wasabistream/forwarding/run_movers.py
+++ b/wasabistream/forwarding/run_movers.py
@@ -3,6 +3,7 @@
 import logging
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 from typing import Protocol
 
@@ -68,6 +69,14 @@
         self._copy_rates = CopyRateEstimator()
         self._silent_lock = threading.Lock()
         self._silent_run_ids: set[str] = set()
+        self._moving_lock = threading.Lock()
+        # Number of moves in progress by run.
+        self._moving: Counter[str] = Counter()
+
+    def moving_runs(self) -> list[str]:
+        """Return the ids of generations that are being moved."""
+        with self._moving_lock:
+            return list(+self._moving)
 
     def move_all(self) -> None:
         """Move generations while the engine shuts down and can be polled."""
@@ -137,6 +146,19 @@
         return None
 
     def _move(self, run: EngineRun, *, remote_affordable: bool) -> bool:
+        with self._moving_lock:
+            self._moving[run.run_id] += 1
+        try:
+            return self._move_to_target(
+                run, remote_affordable=remote_affordable
+            )
+        finally:
+            with self._moving_lock:
+                self._moving[run.run_id] -= 1
+
+    def _move_to_target(
+        self, run: EngineRun, *, remote_affordable: bool
+    ) -> bool:
         started = time.monotonic()
         target = self._target_finder.find(
             run, GROWTH_TOKENS, remote_affordable=remote_affordable
--- a/wasabistream/platform/agent_applications.py
+++ b/wasabistream/platform/agent_applications.py
@@ -88,6 +88,13 @@
         for link in self._open_links():
             link.close()
 
+    def work_in_progress(self) -> list[str]:
+        """Return the generations that are being moved.
+
+        One that its engine has stopped goes on only where this agent states.
+        """
+        return self._mover.moving_runs()
+
     def on_opened(self, link: Link) -> None:
         """Send the latest load and pace to a newly linked entry."""
         with self._links_lock:
