Watch no connection for a head once its server has stopped

Cause: a connection that was accepted while the server stopped could be added to those that wait for heads after the stop had gone through them: it was neither handed to a thread nor closed, and its request ended with the process. A connection on its way from the waiter to the threads could be overlooked too. Change: the waiter checks the stop and hands connections over under its lock. Connections without a byte are closed, as idle ones are.

--- a/wasabistream/head_waiters.py
+++ b/wasabistream/head_waiters.py
@@ -59,15 +59,43 @@
     def add(self, connection: HTTPConnection) -> None:
         """Hand a connection over, now or once its head has arrived."""
         received = _peek(connection)
-        if received is None or _is_complete(received) or self._is_stopped:
+        if received is None or _is_complete(received):
             self._hand_over(connection)
             return
         waiting = WaitingConnection(
             connection, time.monotonic() + self._idle_seconds()
         )
         self._limit_head(waiting, received)
-        descriptor = connection.socket.fileno()
+        if self._wait_for_head(waiting):
+            return
+        if received:
+            self._hand_over(connection)
+        else:
+            connection.close()
+
+    def begun_requests(self) -> list[str]:
+        """Return the callers whose heads have arrived in part."""
+        with self._lock:
+            return [
+                describe_caller(waiting.connection)
+                for waiting in self._waiting.values()
+                if waiting.has_begun
+            ]
+
+    def stop(self) -> None:
+        """Hand over what has begun to arrive and close the others."""
+        with self._lock:
+            self._is_stopped = True
+        for descriptor in tuple(self._waiting):
+            self._end_wait(descriptor)
+
+    def _wait_for_head(self, waiting: WaitingConnection) -> bool:
+        """Watch a connection; return False if the server has stopped."""
+        descriptor = waiting.connection.socket.fileno()
         with self._lock:
+            # A connection that is added after the stop would wait for ever.
+            if self._is_stopped:
+                return False
             self._waiting[descriptor] = waiting
             # Reports at once what has arrived since.
             self._epoll.register(descriptor, EVENTS)
@@ -76,20 +104,7 @@
                 threading.Thread(
                     target=self._run, name='heads', daemon=True
                 ).start()
-
-    def begun_requests(self) -> list[str]:
-        """Return the callers whose heads have arrived in part."""
-        return [
-            describe_caller(waiting.connection)
-            for waiting in tuple(self._waiting.values())
-            if waiting.has_begun
-        ]
-
-    def stop(self) -> None:
-        """Hand over what has begun to arrive and close the others."""
-        self._is_stopped = True
-        for descriptor in tuple(self._waiting):
-            self._end_wait(descriptor)
+        return True
 
     def _run(self) -> None:
         while not self._is_stopped:
@@ -125,15 +140,17 @@
         self._end_wait(descriptor)
 
     def _end_wait(self, descriptor: int) -> None:
+        # Under the lock, so that a stop does not overlook a connection that is
+        # on its way to the threads.
         with self._lock:
             waiting = self._waiting.pop(descriptor, None)
             if waiting is None:
                 return
             self._epoll.unregister(descriptor)
-        if _peek(waiting.connection) == b'':
-            waiting.connection.close()
-        else:
-            self._hand_over(waiting.connection)
+            if _peek(waiting.connection) == b'':
+                waiting.connection.close()
+            else:
+                self._hand_over(waiting.connection)
 
 
 def _peek(connection: HTTPConnection) -> bytes | None:
--- a/wasabistream/platform/ingress_servers.py
+++ b/wasabistream/platform/ingress_servers.py
@@ -321,9 +321,10 @@
 
     def open_requests(self) -> list[str]:
         """Return the requests from their first byte until their answer."""
+        # In the order in which a request passes them, so that none is missed.
         return [
-            *self.requests_in_progress.names(),
             *self._head_waiter.begun_requests(),
+            *self.requests_in_progress.names(),
         ]
 
     def begin_stop(self, seconds: float) -> None:
