Count the deadline of a request from its head

Callers that sent their bodies in chunks over seconds were held past their deadline, and a draining entry refused requests that would have ended in time. Cause: the time left was counted from the end of the body, though the caller counts from its sending; a backend server was told more time than was left. Change: the time since the head is subtracted, at the one place that decodes requests. Evidence: test_slow_bodies failed before (799 ms passed on of 800 after a body that took 600 ms) and passes. test_body_that_ends_after_an_idle_drain now has the deadline of 6 s of its route: with 4 s, of which the body takes 2.7, its engine of 1.5 s rightly ends in 504.

--- a/wasabistream/platform/ingress_servers.py
+++ b/wasabistream/platform/ingress_servers.py
@@ -6,6 +6,7 @@
 import select
 import socket
 import threading
+import time
 from collections.abc import Callable
 
 from cheroot.server import (
@@ -101,11 +102,17 @@
     # cheroot reads this attribute.
     header_reader = StrictHeaderReader()
 
+    def __init__(self, server: HTTPServer, conn: HTTPConnection) -> None:
+        super().__init__(server, conn)
+        # Monotonic time at which the head had arrived.
+        self.head_at_seconds = 0.0
+
     def parse_request(self) -> None:
         """Read the head within the time limits of the server."""
         limit_seconds = self.server.timeout + self.server.head_seconds
         with read_deadlines.limit(self.conn.socket, limit_seconds):
             super().parse_request()
+        self.head_at_seconds = time.monotonic()
 
     def read_request_headers(self) -> bool:
         """Read the headers; refuse an ambiguous body length."""
@@ -214,7 +221,7 @@
 
 
 # Answers one request; gets its body as well.
-IngressHandler = Callable[[HTTPRequest, bytes], None]
+IngressHandler = Callable[[IngressRequest, bytes], None]
 
 
 class IngressGateway(Gateway):
--- a/wasabistream/platform/request_decoders.py
+++ b/wasabistream/platform/request_decoders.py
@@ -44,9 +44,15 @@
 
 
 def decode_request(
-    configuration: RoutingConfiguration, request: HTTPRequest, body: bytes
+    configuration: RoutingConfiguration,
+    request: HTTPRequest,
+    body: bytes,
+    elapsed_seconds: float = 0,
 ) -> ForwardRequest:
-    """Return a request with its route; raises RequestError."""
+    """Return a request with its route; raises RequestError.
+
+    Its deadline counts from its head, which came `elapsed_seconds` ago.
+    """
     return _build_request(
         configuration,
         method=request.method.decode('latin-1'),
@@ -54,6 +60,7 @@
         headers=_decode_headers(request),
         body=body,
         choose_service=Route.draw_service,
+        elapsed_seconds=elapsed_seconds,
     )
 
 
@@ -92,6 +99,7 @@
     headers: dict[str, str],
     body: bytes,
     choose_service: Callable[[Route], str],
+    elapsed_seconds: float = 0,
 ) -> ForwardRequest:
     route = _find_route(configuration, headers, target)
     holder = _find_key_holder(configuration, route, headers)
@@ -109,7 +117,7 @@
         target=target,
         headers=_select_forwarded_headers(headers),
         body=body,
-        deadline=Deadline(_remaining_seconds(headers, route)),
+        deadline=Deadline(_remaining_seconds(headers, route) - elapsed_seconds),
         route=route,
         version=configuration.version,
         service=service,
--- a/wasabistream/platform/request_handlers.py
+++ b/wasabistream/platform/request_handlers.py
@@ -1,10 +1,9 @@
 """Handler of callers' requests at an entry."""
 
 import logging
+import time
 from collections.abc import Callable
 
-from cheroot.server import HTTPRequest
-
 from wasabistream.exceptions import RequestError
 from wasabistream.forwarding.drain_gates import DrainGate
 from wasabistream.forwarding.fleets import FleetHolder
@@ -13,6 +12,7 @@
 from wasabistream.forwarding.requests import Reply
 from wasabistream.platform.ingress_servers import (
     HttpCaller,
+    IngressRequest,
     read_request_id,
 )
 from wasabistream.platform.request_decoders import decode_request
@@ -42,7 +42,7 @@
         self._forwarder = forwarder
         self._store_answer_age_seconds = store_answer_age_seconds
 
-    def handle(self, request: HTTPRequest, body: bytes) -> None:
+    def handle(self, request: IngressRequest, body: bytes) -> None:
         """Answer one request; `body` is its whole body."""
         if self._gate.is_closed:
             request.close_connection = True
@@ -52,7 +52,12 @@
             caller.reply(build_refusal(UNDECODED_REMAINING_SECONDS))
             return
         try:
-            decoded = decode_request(configuration, request, body)
+            decoded = decode_request(
+                configuration,
+                request,
+                body,
+                time.monotonic() - request.head_at_seconds,
+            )
         except RequestError as error:
             logger.info(
                 'request: refused: %s',
