Order the contents of the store by epoch, then by revision

Cause: revisions alone ordered contents. After a return they go back and are given out again, so a mirror refused the returned store's listing, skipped changes with lower revisions, and took an entry that had not seen the return for the newer one. The header that counts returns was read nowhere. Change: StoreVersion (epoch, revision) replaces the revision in listings, changes, mirrors, differences, messages between entries and the choice of who is behind. The follower lists anew when the epoch changes, and refuses an older one. A difference never leads from one epoch to another: a relay sends an update without rows, which is a gap for peers. Pending removals of an older epoch are dropped, and the first listing of an epoch is taken as it is. Handlers of the mirror are also called when only the epoch changes. Messages get an epoch of 0 where a sender states none; senders below protocol version 3 are no relays. A query that is answered no longer blocks the next one for 2 s if the answer is not used. Existing tests name versions instead of revisions.

--- a/tests/forwarding_builders.py
+++ b/tests/forwarding_builders.py
@@ -41,6 +41,7 @@
 )
 from wasabistream.notices import LoadReport
 from wasabistream.poison_parts import PoisonPartDetector
+from wasabistream.restores.store_versions import StoreVersion
 from wasabistream.retries import Deadline
 
 ENGINE_SERVICE = 'writer'
@@ -206,6 +207,11 @@
     return MirrorItem(key, content, revision)
 
 
+def build_version(revision: int, epoch: int = 0) -> StoreVersion:
+    """Return a version of the store."""
+    return StoreVersion(epoch, revision)
+
+
 class Clock:
     """A clock that the test advances."""
 
--- a/tests/test_lost_watches.py
+++ b/tests/test_lost_watches.py
@@ -59,7 +59,7 @@
 
     def is_current(self) -> bool:
         """Return whether the mirror has the newest revision of the store."""
-        return self.mirror.revision == self.store.revision
+        return self.mirror.version.revision == self.store.revision
 
     def change_during_silence(self) -> None:
         """Change the configuration unseen, then let the store answer again."""
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -16,6 +16,7 @@
     build_fleet,
     build_item,
     build_server,
+    build_version,
 )
 from tests.waits import wait_for
 from wasabistream.crash_notices import CrashMessage
@@ -82,6 +83,11 @@
         self.listener.start()
         self.links.start()
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the mirror."""
+        return self.mirror.version.revision
+
     def on_messages(self, link: Link, received: Sequence[Message]) -> None:
         """Record messages from peers that dialled this entry."""
         self.received.extend(received)
@@ -177,11 +183,11 @@
                 build_item(f'servers/{number}', number, b'x' * 9000)
                 for number in range(60)
             ],
-            60,
+            build_version(60),
         )
         cut_off = self.start('b', [reader.endpoint])
         cut_off.store_lost = True
-        self.assertTrue(wait_for(lambda: cut_off.mirror.revision == 60))
+        self.assertTrue(wait_for(lambda: cut_off.revision == 60))
         self.assertEqual(len(cut_off.mirror.items()), 60)
 
     def test_one_peer_at_a_time_is_queried(self) -> None:
@@ -194,12 +200,12 @@
         readers = [self.start(name, []) for name in ('a', 'b', 'c')]
         listing = [build_item('op/config', 60, b'x' * 900_000)]
         for reader in readers:
-            reader.mirror.replace(listing, 60)
+            reader.mirror.replace(listing, build_version(60))
         cut_off = Entry(
             'd', [seed.endpoint for seed in readers], store_lost=True
         )
         self.addCleanup(cut_off.stop)
-        self.assertTrue(wait_for(lambda: cut_off.mirror.revision == 60))
+        self.assertTrue(wait_for(lambda: cut_off.revision == 60))
         self.assertTrue(wait_for(lambda: cut_off.links.entry_count() == 4))
         queries = [
             message
@@ -216,36 +222,44 @@
         that reads the store informs the new process a moment later.
         """
         stale = self.start('a', [])
-        stale.mirror.replace([build_item('op/config', 3, b'old')], 3)
+        stale.mirror.replace(
+            [build_item('op/config', 3, b'old')], build_version(3)
+        )
         stale.store_lost = True
         reader = self.start('b', [])
-        reader.mirror.replace([build_item('op/config', 9, b'new')], 9)
+        reader.mirror.replace(
+            [build_item('op/config', 9, b'new')], build_version(9)
+        )
         restarted = Entry('c', [stale.endpoint], store_lost=True)
         self.addCleanup(restarted.stop)
         self.assertTrue(wait_for(lambda: restarted.links.entry_count() == 2))
         self.assertFalse(
-            wait_for(
-                lambda: restarted.mirror.revision, STALE_PEER_DELAY_SECONDS / 2
-            )
+            wait_for(lambda: restarted.revision, STALE_PEER_DELAY_SECONDS / 2)
         )
         restarted.links.replace_seeds([stale.endpoint, reader.endpoint])
-        self.assertTrue(wait_for(lambda: restarted.mirror.revision == 9))
+        self.assertTrue(wait_for(lambda: restarted.revision == 9))
 
     def test_restart_while_no_peer_reads_the_store(self) -> None:
         """Guard against a new process that never serves in a store outage."""
         stale = self.start('a', [])
-        stale.mirror.replace([build_item('op/config', 3, b'old')], 3)
+        stale.mirror.replace(
+            [build_item('op/config', 3, b'old')], build_version(3)
+        )
         stale.store_lost = True
         restarted = self.start('b', [stale.endpoint])
         restarted.store_lost = True
-        self.assertTrue(wait_for(lambda: restarted.mirror.revision == 3))
+        self.assertTrue(wait_for(lambda: restarted.revision == 3))
 
     def test_older_peer_listing_is_ignored(self) -> None:
         """Guard against replacing a configuration with an older one."""
         behind = self.start('a', [])
-        behind.mirror.replace([build_item('op/config', 3, b'old')], 3)
+        behind.mirror.replace(
+            [build_item('op/config', 3, b'old')], build_version(3)
+        )
         cut_off = self.start('b', [behind.endpoint])
-        cut_off.mirror.replace([build_item('op/config', 9, b'new')], 9)
+        cut_off.mirror.replace(
+            [build_item('op/config', 9, b'new')], build_version(9)
+        )
         cut_off.store_lost = True
         self.assertTrue(wait_for(lambda: cut_off.links.entry_count() == 2))
         self.assertEqual(cut_off.mirror.items()[0].content, b'new')
@@ -278,12 +292,10 @@
             build_item(f'op/{number}', number, b'x' * 500_000)
             for number in range(2, 6)
         ]
-        relay.mirror.replace(large, 5)
-        relay.mirror.apply([build_item('servers/a', 6)], 6)
+        relay.mirror.replace(large, build_version(5))
+        relay.mirror.apply([build_item('servers/a', 6)], build_version(6))
         self.assertTrue(
-            wait_for(
-                lambda: {entry.mirror.revision for entry in relayed()} == {6}
-            )
+            wait_for(lambda: {entry.revision for entry in relayed()} == {6})
         )
         self.assertEqual(
             {len(entry.mirror.items()) for entry in relayed()}, {5}
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -163,7 +163,7 @@
         """Return the fleet decoded from the store's items."""
         mirror = StoreMirror()
         listing = self.client.read_all('')
-        mirror.replace(listing.items, listing.revision)
+        mirror.replace(listing.items, listing.version)
         return FleetDecoder().decode(
             {mirror_item.key: mirror_item for mirror_item in mirror.items()}
         )
--- a/tests/test_store_mirrors.py
+++ b/tests/test_store_mirrors.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from tests.forwarding_builders import Clock, build_item
+from tests.forwarding_builders import Clock, build_item, build_version
 from wasabistream.forwarding.expiry_guards import (
     MASS_REMOVAL_DELAY_SECONDS,
     REREGISTRATION_SECONDS,
@@ -26,9 +26,11 @@
     def test_older_listing_is_refused(self) -> None:
         """Guard against replacing a listing with an older one from a peer."""
         mirror = StoreMirror()
-        mirror.replace([build_item('op/config', 9, b'new')], 9)
+        mirror.replace([build_item('op/config', 9, b'new')], build_version(9))
         self.assertFalse(
-            mirror.replace([build_item('op/config', 4, b'old')], 8)
+            mirror.replace(
+                [build_item('op/config', 4, b'old')], build_version(8)
+            )
         )
         self.assertEqual(mirror.items()[0].content, b'new')
 
@@ -39,9 +41,10 @@
         reports again.
         """
         mirror = StoreMirror()
-        mirror.replace([build_item('servers/a', 9, b'new')], 5)
+        mirror.replace([build_item('servers/a', 9, b'new')], build_version(5))
         mirror.apply(
-            [build_item('servers/a', 7, b'old'), Removal('servers/a', 8)], 9
+            [build_item('servers/a', 7, b'old'), Removal('servers/a', 8)],
+            build_version(9),
         )
         self.assertEqual(mirror.items()[0].content, b'new')
 
@@ -50,9 +53,9 @@
         mirror = StoreMirror()
         seen: list[set[str]] = []
         mirror.subscribe(lambda items: seen.append(set(items)))
-        mirror.apply([build_item('servers/a', 1)], 1)
-        mirror.apply([], 2)
-        mirror.apply([Removal('servers/a', 3)], 3)
+        mirror.apply([build_item('servers/a', 1)], build_version(1))
+        mirror.apply([], build_version(2))
+        mirror.apply([Removal('servers/a', 3)], build_version(3))
         self.assertEqual(seen, [{'servers/a'}, set()])
 
     def test_differences_lead_to_the_same_items(self) -> None:
@@ -60,23 +63,29 @@
         relay, other = StoreMirror(), StoreMirror()
         relay.subscribe_differences(other.apply_difference)
         relay.replace(
-            [build_item('servers/a', 1), build_item('servers/b', 2)], 2
+            [build_item('servers/a', 1), build_item('servers/b', 2)],
+            build_version(2),
+        )
+        relay.apply(
+            [Removal('servers/a', 3), build_item('servers/c', 4)],
+            build_version(4),
         )
-        relay.apply([Removal('servers/a', 3), build_item('servers/c', 4)], 4)
         # A removal that the relay has held back.
-        relay.apply([Removal('servers/b', 3)], 4)
-        relay.replace([build_item('servers/d', 6)], 6)
+        relay.apply([Removal('servers/b', 3)], build_version(4))
+        relay.replace([build_item('servers/d', 6)], build_version(6))
         self.assertEqual(keys(other), {'servers/d'})
-        self.assertEqual(other.revision, 6)
+        self.assertEqual(other.version, build_version(6))
 
     def test_old_difference(self) -> None:
         """Guard against a paused relay that brings back a server that left."""
         mirror = StoreMirror()
-        mirror.replace([], 9)
-        stale = MirrorDifference(3, 5, (build_item('servers/a', 5),))
+        mirror.replace([], build_version(9))
+        stale = MirrorDifference(
+            build_version(3), build_version(5), (build_item('servers/a', 5),)
+        )
         self.assertTrue(mirror.apply_difference(stale))
         self.assertEqual(keys(mirror), set())
-        self.assertEqual(mirror.revision, 9)
+        self.assertEqual(mirror.version, build_version(9))
 
     def test_watch_that_is_behind_a_relay(self) -> None:
         """Guard against an own watch that brings back a server that left.
@@ -85,22 +94,28 @@
         holds the item only.
         """
         mirror = StoreMirror()
-        mirror.replace([], 3)
+        mirror.replace([], build_version(3))
         item = build_item('servers/a', 4)
-        mirror.apply_difference(MirrorDifference(3, 4, (item,)))
+        mirror.apply_difference(
+            MirrorDifference(build_version(3), build_version(4), (item,))
+        )
         removal = Removal('servers/a', 5)
-        mirror.apply_difference(MirrorDifference(4, 5, (removal,)))
-        mirror.apply([item], 4)
+        mirror.apply_difference(
+            MirrorDifference(build_version(4), build_version(5), (removal,))
+        )
+        mirror.apply([item], build_version(4))
         self.assertEqual(keys(mirror), set())
-        self.assertEqual(mirror.revision, 5)
+        self.assertEqual(mirror.version, build_version(5))
 
     def test_difference_with_a_gap(self) -> None:
         """Guard against changes that were missed for ever."""
         mirror = StoreMirror()
-        mirror.replace([], 3)
-        later = MirrorDifference(5, 6, (build_item('servers/a', 6),))
+        mirror.replace([], build_version(3))
+        later = MirrorDifference(
+            build_version(5), build_version(6), (build_item('servers/a', 6),)
+        )
         self.assertFalse(mirror.apply_difference(later))
-        self.assertEqual(mirror.revision, 3)
+        self.assertEqual(mirror.version, build_version(3))
 
 
 class ExpiryGuardTest(unittest.TestCase):
@@ -111,19 +126,19 @@
         self.clock = Clock()
         self.mirror = StoreMirror()
         self.guard = ExpiryGuard(self.mirror, self.clock)
-        self.guard.replace([build_item('servers/a', 1)], 1)
+        self.guard.replace([build_item('servers/a', 1)], build_version(1))
 
     def test_removal_is_applied_at_once(self) -> None:
         """Guard against delayed removals when there was no outage."""
-        self.guard.apply([Removal('servers/a', 2)], 2)
+        self.guard.apply([Removal('servers/a', 2)], build_version(2))
         self.assertEqual(keys(self.mirror), set())
 
     def test_expired_item_that_returns(self) -> None:
         """Guard against removing a server whose item expired in an outage."""
         self.guard.on_store_regained(away_seconds=5)
-        self.guard.apply([Removal('servers/a', 2)], 2)
+        self.guard.apply([Removal('servers/a', 2)], build_version(2))
         self.assertEqual(keys(self.mirror), {'servers/a'})
-        self.guard.apply([build_item('servers/a', 3)], 3)
+        self.guard.apply([build_item('servers/a', 3)], build_version(3))
         self.clock.advance(REREGISTRATION_SECONDS + 1)
         self.guard.apply_due_removals()
         self.assertEqual(keys(self.mirror), {'servers/a'})
@@ -131,7 +146,7 @@
     def test_expired_item_that_does_not_return(self) -> None:
         """Guard against keeping a server that does not register again."""
         self.guard.on_store_regained(away_seconds=5)
-        self.guard.replace([], 7)
+        self.guard.replace([], build_version(7))
         self.assertEqual(keys(self.mirror), {'servers/a'})
         self.clock.advance(REREGISTRATION_SECONDS + 1)
         self.guard.apply_due_removals()
@@ -148,10 +163,14 @@
         servers = [
             build_item(f'servers/{number}', number) for number in range(1, 11)
         ]
-        self.guard.replace([build_item('op/config', 1), *servers], len(servers))
-        self.guard.apply([Removal(server.key, 20) for server in servers], 20)
+        self.guard.replace(
+            [build_item('op/config', 1), *servers], build_version(len(servers))
+        )
+        self.guard.apply(
+            [Removal(server.key, 20) for server in servers], build_version(20)
+        )
         self.assertEqual(len(keys(self.mirror)), len(servers) + 1)
-        self.guard.apply([build_item('servers/1', 21)], 21)
+        self.guard.apply([build_item('servers/1', 21)], build_version(21))
         self.clock.advance(MASS_REMOVAL_DELAY_SECONDS)
         self.guard.apply_due_removals()
         self.assertEqual(keys(self.mirror), {'op/config', 'servers/1'})
@@ -161,14 +180,15 @@
         servers = [
             build_item(f'servers/{number}', number) for number in range(1, 11)
         ]
-        self.guard.replace(servers, len(servers))
+        self.guard.replace(servers, build_version(len(servers)))
         self.guard.apply(
-            [Removal(server.key, 20) for server in servers[:4]], 20
+            [Removal(server.key, 20) for server in servers[:4]],
+            build_version(20),
         )
         self.assertEqual(len(keys(self.mirror)), 6)
 
     def test_short_outage_delays_no_removals(self) -> None:
         """Guard against delayed removals after a single failed read."""
         self.guard.on_store_regained(away_seconds=0.1)
-        self.guard.apply([Removal('servers/a', 2)], 2)
+        self.guard.apply([Removal('servers/a', 2)], build_version(2))
         self.assertEqual(keys(self.mirror), set())
--- a/tests/test_store_relays.py
+++ b/tests/test_store_relays.py
@@ -7,7 +7,7 @@
 import unittest
 from typing import Any
 
-from tests.forwarding_builders import Clock
+from tests.forwarding_builders import Clock, build_version
 from wasabistream.forwarding.peer_messages import PeerNotice
 from wasabistream.forwarding.store_relays import (
     BEHIND_RATIO,
@@ -16,6 +16,7 @@
     StoreRelays,
 )
 from wasabistream.platform.store_followers import RELAYED_POLL_SECONDS
+from wasabistream.restores.store_versions import StoreVersion
 
 DATA_CENTRE = 'dc-a'
 ENTRIES = tuple(f'10.0.0.{number}:8748' for number in range(1, 9))
@@ -37,7 +38,7 @@
             entry: StoreRelays(
                 entry,
                 DATA_CENTRE,
-                self.read_revision,
+                self.read_version,
                 APPLY_SECONDS,
                 self.clock,
             )
@@ -45,9 +46,9 @@
         }
         self.notify_all()
 
-    def read_revision(self) -> int:
-        """Return the revision of all own mirrors."""
-        return self.revision
+    def read_version(self) -> StoreVersion:
+        """Return the version of all own mirrors."""
+        return build_version(self.revision)
 
     def notify(
         self,
@@ -99,7 +100,9 @@
 
     def test_lone_entry_watches(self) -> None:
         """Guard against an entry that waits for relays that do not exist."""
-        alone = StoreRelays('a', 'dc-b', lambda: 1, APPLY_SECONDS, self.clock)
+        alone = StoreRelays(
+            'a', 'dc-b', lambda: build_version(1), APPLY_SECONDS, self.clock
+        )
         self.assertTrue(alone.is_relay())
         self.assertFalse(alone.is_updated_by_relays())
 
@@ -144,6 +147,11 @@
         self.assertEqual(self.updated(), [])
         self.revision = REVISION + 1
         self.assertTrue(self.updated())
+        # Also a change after a return of the store from an older copy.
+        self.notify(REMOTE_ENTRY, 'dc-b', revision=1, epoch=1)
+        self.assertTrue(self.updated())
+        self.clock.advance(APPLY_SECONDS * BEHIND_RATIO + 0.1)
+        self.assertEqual(self.updated(), [])
 
     def test_draining_and_older_entries_are_no_relays(self) -> None:
         """Guard against relays that leave or cannot pass changes on."""
--- a/wasabistream/forwarding/expiry_guards.py
+++ b/wasabistream/forwarding/expiry_guards.py
@@ -11,6 +11,7 @@
     Removal,
     StoreMirror,
 )
+from wasabistream.restores.store_versions import StoreVersion
 
 logger = logging.getLogger(__name__)
 
@@ -30,7 +31,8 @@
     """Delay removals for a while after an outage of the store.
 
     Items that are still missing after that time are removed. The removal of
-    most items at once counts as a sign of an outage.
+    most items at once counts as a sign of an outage. The first listing of a new
+    epoch is taken as it is: what it lacks has not expired.
     """
 
     def __init__(
@@ -43,6 +45,8 @@
         self._lock = threading.Lock()
         self._guarded_until_seconds = 0.0
         self._pending_removals: dict[str, Removal] = {}
+        # Epoch of the pending removals.
+        self._epoch = 0
 
     @property
     def waiting(self) -> bool:
@@ -54,9 +58,12 @@
         if away_seconds >= MIN_OUTAGE_SECONDS:
             self._guarded_until_seconds = self._clock() + REREGISTRATION_SECONDS
 
-    def apply(self, changes: Iterable[MirrorChange], revision: int) -> None:
+    def apply(
+        self, changes: Iterable[MirrorChange], version: StoreVersion
+    ) -> None:
         """Apply changes; removals are delayed while items may return."""
         with self._lock:
+            self._enter_epoch()
             listed_changes = list(changes)
             self._detect_mass_removal(
                 {
@@ -68,16 +75,26 @@
             immediate: list[MirrorChange] = []
             for change in listed_changes:
                 self._pending_removals.pop(change.key, None)
-                if isinstance(change, Removal) and self._is_guarding:
+                if (
+                    isinstance(change, Removal)
+                    and self._is_guarding
+                    and version.epoch == self._epoch
+                ):
                     self._pending_removals[change.key] = change
                 else:
                     immediate.append(change)
-            self._mirror.apply(immediate, revision)
+            self._mirror.apply(immediate, version)
 
-    def replace(self, listing: Iterable[MirrorItem], revision: int) -> None:
+    def replace(
+        self, listing: Iterable[MirrorItem], version: StoreVersion
+    ) -> None:
         """Replace all items; missing items count as removed."""
         with self._lock:
+            self._enter_epoch()
             items = {listed.key: listed for listed in listing}
+            if version.epoch != self._epoch:
+                self._mirror.replace(items.values(), version)
+                return
             self._detect_mass_removal(
                 {existing.key for existing in self._mirror.items()}
                 - items.keys()
@@ -85,18 +102,27 @@
             for existing in self._mirror.items():
                 if existing.key not in items and self._is_guarding:
                     self._pending_removals[existing.key] = Removal(
-                        existing.key, revision
+                        existing.key, version.revision
                     )
                     items[existing.key] = existing
-            self._mirror.replace(items.values(), revision)
+            self._mirror.replace(items.values(), version)
 
     def apply_due_removals(self) -> None:
         """Apply the delayed removals once their delay has passed."""
         with self._lock:
+            version = self._enter_epoch()
             if self._pending_removals and not self._is_guarding:
                 removals = list(self._pending_removals.values())
                 self._pending_removals.clear()
-                self._mirror.apply(removals, self._mirror.revision)
+                self._mirror.apply(removals, version)
+
+    def _enter_epoch(self) -> StoreVersion:
+        # Peers may have brought the mirror to a new epoch.
+        version = self._mirror.version
+        if version.epoch != self._epoch:
+            self._epoch = version.epoch
+            self._pending_removals.clear()
+        return version
 
     def _detect_mass_removal(self, removed_keys: set[str]) -> None:
         existing_keys = {existing.key for existing in self._mirror.items()}
--- a/wasabistream/forwarding/mirror_exchanges.py
+++ b/wasabistream/forwarding/mirror_exchanges.py
@@ -11,6 +11,7 @@
 )
 from wasabistream.forwarding.peer_messages import MirrorPart, MirrorUpdate
 from wasabistream.links import Link
+from wasabistream.restores.store_versions import StoreVersion
 
 logger = logging.getLogger(__name__)
 
@@ -25,36 +26,49 @@
         self._mirror = mirror
         self._collected: dict[Link, list[MirrorItem]] = {}
 
-    def parts_after(self, revision: int) -> Iterator[MirrorPart]:
-        """Yield all items if the peer's revision is older, else nothing."""
-        own_revision = self._mirror.revision
-        if revision >= own_revision:
+    def parts_after(self, version: StoreVersion) -> Iterator[MirrorPart]:
+        """Yield all items if the peer's version is older, else nothing."""
+        own, items = self._mirror.snapshot()
+        if version >= own:
             return
         rows: list[list[object]] = []
         size_bytes = 0
-        for item in self._mirror.items():
+        for item in items:
             size_bytes += len(item.content)
             if rows and size_bytes > PART_BYTES:
-                yield MirrorPart(own_revision, rows, last=False)
+                yield MirrorPart(
+                    own.revision, rows, last=False, epoch=own.epoch
+                )
                 rows, size_bytes = [], len(item.content)
             rows.append([item.key, item.content, item.revision])
-        yield MirrorPart(own_revision, rows, last=True)
+        yield MirrorPart(own.revision, rows, last=True, epoch=own.epoch)
 
     def split_difference(
         self, difference: MirrorDifference
     ) -> Iterator[MirrorUpdate]:
-        """Yield the updates of a difference; only the last raises the revision."""
-        before_revision = difference.before_revision
+        """Yield the updates of a difference; only the last raises the revision.
+
+        The one of a new epoch has no rows. It is a gap for each peer that does
+        not know these contents.
+        """
+        epoch = difference.version.epoch
+        revision = difference.version.revision
+        if difference.before_version.epoch != epoch:
+            yield MirrorUpdate(revision, revision, [], epoch)
+            return
+        before_revision = difference.before_version.revision
         rows: list[list[object]] = []
         size_bytes = 0
         for change in difference.changes:
             content = change.content if isinstance(change, MirrorItem) else None
             size_bytes += len(content or b'')
             if rows and size_bytes > PART_BYTES:
-                yield MirrorUpdate(before_revision, before_revision, rows)
+                yield MirrorUpdate(
+                    before_revision, before_revision, rows, epoch
+                )
                 rows, size_bytes = [], len(content or b'')
             rows.append([change.key, content, change.revision])
-        yield MirrorUpdate(before_revision, difference.revision, rows)
+        yield MirrorUpdate(before_revision, revision, rows, epoch)
 
     def apply_update(self, update: MirrorUpdate) -> bool:
         """Apply a peer's update; return whether the mirror has a gap."""
@@ -69,7 +83,11 @@
             logger.warning('peer: update is malformed: %r', error)
             return True
         return not self._mirror.apply_difference(
-            MirrorDifference(update.before_revision, update.revision, changes)
+            MirrorDifference(
+                StoreVersion(update.epoch, update.before_revision),
+                update.version,
+                changes,
+            )
         )
 
     def collect(self, link: Link, part: MirrorPart) -> list[MirrorItem] | None:
--- a/wasabistream/forwarding/mirrors.py
+++ b/wasabistream/forwarding/mirrors.py
@@ -1,9 +1,14 @@
 """Local copy of the contents of the read-only store."""
 
+import logging
 import threading
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
+from wasabistream.restores.store_versions import StoreVersion
+
+logger = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True, slots=True)
 class MirrorItem:
@@ -28,10 +33,10 @@
 
 @dataclass(frozen=True, slots=True)
 class MirrorDifference:
-    """Hold the changes that lead from one revision of a mirror to another."""
+    """Hold the changes that lead from one version of a mirror to another."""
 
-    before_revision: int
-    revision: int
+    before_version: StoreVersion
+    version: StoreVersion
     changes: tuple[MirrorChange, ...]
 
 
@@ -39,10 +44,11 @@
 
 
 class StoreMirror:
-    """Hold the newest known items; the revision never decreases.
+    """Hold the newest known items; the version never decreases.
 
     Changes come from the store or from a peer that has read it. An older
-    listing never replaces a newer one.
+    listing never replaces a newer one. Revisions of items are compared within
+    one epoch only; the first listing of a new epoch replaces all items.
     """
 
     def __init__(self) -> None:
@@ -50,10 +56,11 @@
         self._items: dict[str, MirrorItem] = {}
         self._handlers: list[ChangeHandler] = []
         self._difference_handlers: list[DifferenceHandler] = []
-        self.revision = 0
+        # Set before the handlers are called.
+        self.version = StoreVersion()
 
     def subscribe(self, handler: ChangeHandler) -> None:
-        """Call the handler with all items after each change."""
+        """Call the handler with all items after each change, or a new epoch."""
         self._handlers.append(handler)
 
     def subscribe_differences(self, handler: DifferenceHandler) -> None:
@@ -62,54 +69,91 @@
 
     def items(self) -> list[MirrorItem]:
         """Return all items."""
+        return self.snapshot()[1]
+
+    def snapshot(self) -> tuple[StoreVersion, list[MirrorItem]]:
+        """Return all items with their version."""
         with self._lock:
-            return list(self._items.values())
+            return self.version, list(self._items.values())
 
-    def apply(self, changes: Iterable[MirrorChange], revision: int) -> bool:
-        """Apply changes up to a revision; return whether any had an effect."""
+    def apply(
+        self, changes: Iterable[MirrorChange], version: StoreVersion
+    ) -> bool:
+        """Apply changes up to a version; return whether any had an effect.
+
+        Changes of another epoch are ignored.
+        """
         with self._lock:
-            return self._apply(changes, revision)
+            if version.epoch != self.version.epoch:
+                logger.info(
+                    'mirror: changes of another epoch are ignored',
+                    extra={
+                        'epoch': version.epoch,
+                        'own_epoch': self.version.epoch,
+                    },
+                )
+                return False
+            return self._apply(changes, version)
 
     def apply_difference(self, difference: MirrorDifference) -> bool:
-        """Apply a difference of another mirror; return False for a gap."""
+        """Apply a difference of another mirror; return False for a gap.
+
+        A difference from an older epoch does not lead on from the own items.
+        """
         with self._lock:
-            if difference.before_revision > self.revision:
-                return False
-            self._apply(difference.changes, difference.revision)
+            own = self.version
+            before = difference.before_version
+            if difference.version.epoch < own.epoch:
+                return True
+            if before.epoch != difference.version.epoch or before > own:
+                return difference.version <= own
+            self._apply(difference.changes, difference.version)
             return True
 
-    def replace(self, listing: Iterable[MirrorItem], revision: int) -> bool:
+    def replace(
+        self, listing: Iterable[MirrorItem], version: StoreVersion
+    ) -> bool:
         """Replace all items; return False for a listing that is too old."""
         with self._lock:
-            if revision < self.revision:
+            before_version = self.version
+            if version < before_version:
                 return False
-            items = {listed.key: listed for listed in listing}
             before = self._items
-            changes: list[MirrorChange] = [
-                listed
-                for listed in items.values()
-                if before.get(listed.key) != listed
-            ]
+            items: dict[str, MirrorItem] = {}
+            changes: list[MirrorChange] = []
+            for listed in listing:
+                known = before.get(listed.key)
+                if known == listed:
+                    # Unchanged items keep their identity for the handlers.
+                    items[listed.key] = known
+                else:
+                    items[listed.key] = listed
+                    changes.append(listed)
             changes.extend(
-                Removal(key, revision) for key in before.keys() - items.keys()
+                Removal(key, version.revision)
+                for key in before.keys() - items.keys()
             )
-            before_revision = self.revision
             self._items = items
-            self.revision = revision
-            self._notify(before_revision, changes)
+            self.version = version
+            self._notify(before_version, changes)
             return True
 
-    def _apply(self, changes: Iterable[MirrorChange], revision: int) -> bool:
+    def _apply(
+        self, changes: Iterable[MirrorChange], version: StoreVersion
+    ) -> bool:
         effective = [change for change in changes if self._apply_change(change)]
-        before_revision = self.revision
-        self.revision = max(before_revision, revision)
-        self._notify(before_revision, effective)
+        before_version = self.version
+        self.version = max(before_version, version)
+        self._notify(before_version, effective)
         return bool(effective)
 
     def _apply_change(self, change: MirrorChange) -> bool:
         # Items up to the own revision are known here, or were removed since. A
         # removal may be older, as it may have been held back.
-        if isinstance(change, MirrorItem) and change.revision <= self.revision:
+        if (
+            isinstance(change, MirrorItem)
+            and change.revision <= self.version.revision
+        ):
             return False
         existing = self._items.get(change.key)
         if existing is not None and existing.revision >= change.revision:
@@ -120,15 +164,15 @@
         return self._items.pop(change.key, None) is not None
 
     def _notify(
-        self, before_revision: int, changes: list[MirrorChange]
+        self, before_version: StoreVersion, changes: list[MirrorChange]
     ) -> None:
         # Handlers run under the lock, so that they see changes in order.
-        if changes:
+        if changes or self.version.epoch > before_version.epoch:
             for handler in self._handlers:
                 handler(self._items)
-        if changes or self.revision > before_revision:
+        if changes or self.version > before_version:
             difference = MirrorDifference(
-                before_revision, self.revision, tuple(changes)
+                before_version, self.version, tuple(changes)
             )
             for difference_handler in self._difference_handlers:
                 difference_handler(difference)
--- a/wasabistream/forwarding/peer_links.py
+++ b/wasabistream/forwarding/peer_links.py
@@ -33,6 +33,7 @@
 from wasabistream.messages import Message
 from wasabistream.metrics import KNOWN_ENTRIES
 from wasabistream.notices import Hello
+from wasabistream.restores.store_versions import StoreVersion
 from wasabistream.units import MILLISECONDS_PER_SECOND
 
 logger = logging.getLogger(__name__)
@@ -51,7 +52,10 @@
 # First protocol version whose notices may leave unchanged lists out.
 UNCHANGED_LISTS_VERSION = 2
 # First protocol version with updates of mirrors.
-RELAY_VERSION = 2
+UPDATES_VERSION = 2
+# First protocol version whose updates state their epoch. Updates without one
+# look older than the own items, so their senders are no relays.
+RELAY_VERSION = 3
 
 
 class PeerLinks:
@@ -59,7 +63,7 @@
 
     Entries discover each other through the seeds and through the peers that
     notices list. An entry that cannot read the store copies a peer's items if
-    the peer's revision is newer.
+    the peer's version is newer.
     """
 
     def __init__(
@@ -95,7 +99,7 @@
         self.relays = StoreRelays(
             endpoint,
             hello.data_centre,
-            lambda: mirror.revision,
+            lambda: mirror.version,
             apply_seconds,
         )
         mirror.subscribe_differences(self._pass_on)
@@ -205,7 +209,7 @@
                     self._directly_announced_engines.record_contact(notice)
                     self._announced_engines.record_contact(notice)
                 case MirrorQuery():
-                    for part in self._exchange.parts_after(notice.revision):
+                    for part in self._exchange.parts_after(notice.version):
                         _send(link, part)
                 case MirrorPart():
                     self._on_mirror_part(link, notice)
@@ -267,7 +271,7 @@
                 link
                 for link in self._links
                 if link.peer.data_centre == self._hello.data_centre
-                and link.peer.version_max >= RELAY_VERSION
+                and link.peer.version_max >= UPDATES_VERSION
             ]
         for link in links:
             for update in updates:
@@ -307,9 +311,10 @@
                 notice.endpoint for notice in self._links.values() if notice
             ]
         engine_ages_seconds = self._directly_announced_engines.ages_seconds()
+        version = self._mirror.version
         return PeerNotice(
             self._endpoint,
-            self._mirror.revision,
+            version.revision,
             self._is_store_lost(),
             sorted(set(direct_peers)),
             [
@@ -321,6 +326,7 @@
                 round(age_seconds * MILLISECONDS_PER_SECOND)
                 for age_seconds in engine_ages_seconds.values()
             ],
+            epoch=version.epoch,
         )
 
     def _on_peer_notice(self, link: Link, notice: PeerNotice) -> None:
@@ -344,7 +350,7 @@
             notice.endpoint, notice.direct_peers, draining=notice.draining
         )
         self._record_engines(notice)
-        if self._wants_items(notice):
+        if self._wants_items(link, notice):
             self._query(link)
 
     def _query(self, link: Link) -> None:
@@ -356,7 +362,8 @@
                 return
             self._queried_link = link
             self._queried_until_seconds = now + QUERY_TIMEOUT_SECONDS
-        _send(link, MirrorQuery(self._mirror.revision))
+        version = self._mirror.version
+        _send(link, MirrorQuery(version.revision, version.epoch))
 
     def _end_query(self, link: Link) -> None:
         with self._lock:
@@ -364,13 +371,25 @@
                 self._queried_link = None
                 self._queried_until_seconds = 0
 
-    def _wants_items(self, notice: PeerNotice) -> bool:
-        own_revision = self._mirror.revision
-        if notice.revision <= own_revision or not self._is_store_lost():
+    def _wants_items(self, link: Link, notice: PeerNotice) -> bool:
+        own = self._mirror.version
+        if notice.version <= own:
             return False
+        is_new_process = own == StoreVersion()
+        if not self._is_store_lost():
+            # The answer to a watch that was lost in the outage would show the
+            # new epoch seconds later. One peer is not asked by all entries.
+            return (
+                notice.epoch > own.epoch
+                and not is_new_process
+                and (
+                    self.relays.is_relay()
+                    or link.peer.data_centre == self._hello.data_centre
+                )
+            )
         uptime_seconds = time.monotonic() - self._created_at_seconds
         return (
-            own_revision > 0
+            not is_new_process
             or not notice.store_lost
             or uptime_seconds > STALE_PEER_DELAY_SECONDS
         )
@@ -391,18 +410,26 @@
 
     def _on_mirror_part(self, link: Link, part: MirrorPart) -> None:
         items = self._exchange.collect(link, part)
-        # The store takes precedence over peers for those that read it.
-        if items is None or not (
-            self._is_store_lost() or self.relays.is_updated_by_relays()
-        ):
+        if items is None:
             return
         self._end_query(link)
-        taken = self._mirror.replace(items, part.revision)
-        logger.info(
-            'peer: read the store through %s',
-            link.peer.peer_id,
-            extra={'revision': part.revision, 'taken': taken},
-        )
+        # The store takes precedence over peers for those that read it, but not
+        # before its return.
+        if (
+            part.epoch > self._mirror.version.epoch
+            or self._is_store_lost()
+            or self.relays.is_updated_by_relays()
+        ):
+            taken = self._mirror.replace(items, part.version)
+            logger.info(
+                'peer: read the store through %s',
+                link.peer.peer_id,
+                extra={
+                    'epoch': part.epoch,
+                    'revision': part.revision,
+                    'taken': taken,
+                },
+            )
 
 
 def _send(link: Link, notice: Message) -> None:
--- a/wasabistream/forwarding/peer_messages.py
+++ b/wasabistream/forwarding/peer_messages.py
@@ -3,12 +3,13 @@
 from dataclasses import dataclass, field
 
 from wasabistream.messages import Message, message
+from wasabistream.restores.store_versions import StoreVersion
 
 
 @message(85)
 @dataclass(frozen=True, slots=True)
 class PeerNotice(Message):
-    """Report an entry's liveness, store revision, peers and engines.
+    """Report an entry's liveness, store version, peers and engines.
 
     Engines are backend servers that run generations.
     """
@@ -30,17 +31,30 @@
     # Time since the announcement of each of the engines, also if the lists are
     # left out. Empty from entries of earlier builds.
     engine_ages_ms: list = field(default_factory=list)
+    # Epoch of the revision; 0 from entries of earlier builds.
+    epoch: int = 0
+
+    @property
+    def version(self) -> StoreVersion:
+        """Return the version of the entry's mirror."""
+        return StoreVersion(self.epoch, self.revision)
 
 
 @message(86)
 @dataclass(frozen=True, slots=True)
 class MirrorQuery(Message):
-    """Ask an entry for its store items if they are newer than `revision`.
+    """Ask an entry for its store items if they are newer than `version`.
 
     They come from its mirror, the local copy of the read-only store.
     """
 
     revision: int
+    epoch: int = 0
+
+    @property
+    def version(self) -> StoreVersion:
+        """Return the version of the mirror that asks."""
+        return StoreVersion(self.epoch, self.revision)
 
 
 @message(89)
@@ -52,6 +66,13 @@
     revision: int
     # Rows of key, content and revision; content is None for a removal.
     rows: list
+    # Epoch of both revisions.
+    epoch: int = 0
+
+    @property
+    def version(self) -> StoreVersion:
+        """Return the version that the changes lead to."""
+        return StoreVersion(self.epoch, self.revision)
 
 
 @message(87)
@@ -66,3 +87,9 @@
     revision: int
     rows: list
     last: bool
+    epoch: int = 0
+
+    @property
+    def version(self) -> StoreVersion:
+        """Return the version of the whole mirror."""
+        return StoreVersion(self.epoch, self.revision)
--- a/wasabistream/forwarding/store_relays.py
+++ b/wasabistream/forwarding/store_relays.py
@@ -11,13 +11,14 @@
 
 from wasabistream.forwarding.peer_messages import PeerNotice
 from wasabistream.owners import rendezvous_hash
+from wasabistream.restores.store_versions import StoreVersion
 
 # Relays of each data centre; one more than needed, as one may be lost.
 RELAY_COUNT = 2
 # Parts of the time in which a change must be in force. A peer without a notice
 # for longer is no relay; the rest is left for reading the store.
 NOTICE_AGE_RATIO = 0.75
-# An entry that has missed a revision for longer reads the store itself.
+# An entry that has missed a version for longer reads the store itself.
 BEHIND_RATIO = 0.5
 
 
@@ -39,19 +40,19 @@
         self,
         own_endpoint: str,
         data_centre: str,
-        own_revision: Callable[[], int],
+        own_version: Callable[[], StoreVersion],
         apply_seconds: float,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._own_endpoint = own_endpoint
         self._data_centre = data_centre
-        self._own_revision = own_revision
+        self._own_version = own_version
         self._notice_age_limit_seconds = apply_seconds * NOTICE_AGE_RATIO
         self._behind_limit_seconds = apply_seconds * BEHIND_RATIO
         self._clock = clock
         self._lock = threading.Lock()
         self._peers: dict[object, PeerState] = {}
-        # Since when a peer has had a later revision; None while none has.
+        # Since when a peer has had a later version; None while none has.
         self._behind_since_seconds: float | None = None
 
     def record_notice(
@@ -115,9 +116,10 @@
         # Relays that are cut off from the store may not know it yet, so the
         # entries of all data centres count.
         latest = max(
-            (peer.notice.revision for peer in self._live_peers()), default=0
+            (peer.notice.version for peer in self._live_peers()),
+            default=StoreVersion(),
         )
-        if latest <= self._own_revision():
+        if latest <= self._own_version():
             self._behind_since_seconds = None
             return False
         now = self._clock()
--- a/wasabistream/messages.py
+++ b/wasabistream/messages.py
@@ -13,8 +13,9 @@
 from wasabistream.exceptions import FrameError
 
 PROTOCOL_VERSION_MIN = 1
-# From version 2 on, a peer notice may leave unchanged lists out.
-PROTOCOL_VERSION_MAX = 2
+# From version 2 on, a peer notice may leave unchanged lists out. From version 3
+# on, messages about store contents state their epoch.
+PROTOCOL_VERSION_MAX = 3
 
 
 @dataclass(frozen=True, slots=True)
--- a/wasabistream/metrics.py
+++ b/wasabistream/metrics.py
@@ -110,6 +110,9 @@
     'wasabi_store_answer_age_seconds',
     'Time since the store, or a relay for it, last answered',
 )
+STORE_EPOCH = Gauge(
+    'wasabi_store_epoch', 'Epoch of the known contents of the store'
+)
 STORE_CALLS = Counter(
     'wasabi_store_calls', 'Calls to the store by outcome', ['outcome']
 )
--- a/wasabistream/platform/header_names.py
+++ b/wasabistream/platform/header_names.py
@@ -31,6 +31,8 @@
 # Set to 1 by a backend server that leaves.
 LEAVING = 'server-leaving'
 RETRY_AFTER = 'retry-after'
+# In each answer of the store; rises with each return from an older copy.
+STORE_EPOCH = 'store-era'
 
 # API key of the caller whose request `/route` explains. A header, as query
 # strings get into logs; Authorization carries the operator's key there.
--- a/wasabistream/platform/store_clients.py
+++ b/wasabistream/platform/store_clients.py
@@ -18,7 +18,9 @@
     DECODE_ERRORS,
     decode_count,
 )
+from wasabistream.platform.header_names import STORE_EPOCH
 from wasabistream.platform.server_clients import SOCKET_OPTIONS
+from wasabistream.restores.store_versions import StoreVersion
 from wasabistream.units import MILLISECONDS_PER_SECOND
 
 OK_STATUS = 200
@@ -26,22 +28,39 @@
 MAX_PAGE_COUNT = 200
 # A page has about 1 MB of values, in base64, or one value of 1 MiB more.
 ANSWER_LIMIT_BYTES = 8 * 1024 * 1024
+MAX_LOGGED_LENGTH = 40
 
 
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """Hold all items under a prefix and the revision to watch from."""
+    """Hold all items under a prefix and the version to watch from."""
 
     items: tuple[MirrorItem, ...]
-    revision: int
+    version: StoreVersion
 
 
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """Hold changes and the revision to watch from after them."""
+    """Hold changes and the version to watch from after them."""
 
     changes: tuple[MirrorChange, ...]
-    revision: int
+    version: StoreVersion
+
+
+@dataclass(frozen=True, slots=True)
+class _Page:
+    """Hold the fields of an answer and the epoch that its head states."""
+
+    fields: Mapping[str, Any]
+    epoch: int
+
+    def version(self) -> StoreVersion:
+        """Return the version of the store; raises StoreError."""
+        try:
+            revision = decode_count(_require_field(self.fields, 'current_rev'))
+        except DECODE_ERRORS as error:
+            raise StoreError(repr(error), 'decode') from error
+        return StoreVersion(self.epoch, revision)
 
 
 class StoreClient:
@@ -57,12 +76,13 @@
     def read_all(self, prefix: str) -> Listing:
         """Return all items under a prefix.
 
-        The pages are not a snapshot. The revision is that of the first page,
+        The pages are not a snapshot. The version is that of the first page,
         so that a watch from it repeats changes made between the pages. Raises
-        StoreError.
+        HistoryLostError if the store returns from an older copy between them,
+        otherwise StoreError.
         """
         items: list[MirrorItem] = []
-        revision = 0
+        version: StoreVersion | None = None
         after = ''
         for _ in range(MAX_PAGE_COUNT):
             query = {'prefix': prefix}
@@ -70,15 +90,20 @@
                 query['after'] = after
             page = self._get('/-/kv-range', query)
             listed = [
-                _decode_item(row) for row in _require_field(page, 'items')
+                _decode_item(row)
+                for row in _require_field(page.fields, 'items')
             ]
             _require_keys_after(after, listed)
             items.extend(listed)
-            revision = revision or _decode_revision(page)
-            if not page.get('has_more') or not listed:
+            version = version or page.version()
+            if page.epoch != version.epoch:
+                raise HistoryLostError(
+                    'pages are of different epochs', 'list', self._peer
+                )
+            if not page.fields.get('has_more') or not listed:
                 break
             after = listed[-1].key
-        return Listing(tuple(items), revision)
+        return Listing(tuple(items), version or StoreVersion())
 
     def watch(
         self, prefix: str, after_revision: int, wait_seconds: float
@@ -96,9 +121,9 @@
                 'wait_ms': str(int(wait_seconds * MILLISECONDS_PER_SECOND)),
             },
         )
-        rows = _require_field(page, 'events')
+        rows = _require_field(page.fields, 'events')
         changes = tuple(_decode_change(row) for row in rows)
-        return Changes(changes, _decode_revision(page))
+        return Changes(changes, page.version())
 
     def reset(self) -> None:
         """Replace the connection; the old one may have lost an answer."""
@@ -116,7 +141,7 @@
             reuses=True,
         )
 
-    def _get(self, path: str, query: Mapping[str, str]) -> Any:
+    def _get(self, path: str, query: Mapping[str, str]) -> _Page:
         try:
             response = self._pool.request(
                 'GET', path, fields=query, timeout=self._timeout
@@ -134,7 +159,7 @@
         except CALL_ERRORS as error:
             STORE_CALLS.labels('no_answer').inc()
             raise StoreError(str(error), path, self._peer) from error
-        return page
+        return _Page(page, _decode_epoch(response.headers.get(STORE_EPOCH)))
 
 
 def _require_field(page: Mapping[str, Any], name: str) -> Any:
@@ -160,11 +185,15 @@
         raise StoreError(repr(error), 'decode') from error
 
 
-def _decode_revision(page: Mapping[str, Any]) -> int:
+def _decode_epoch(text: str | None) -> int:
+    if text is None:
+        return 0
     try:
-        return decode_count(_require_field(page, 'current_rev'))
+        if not (text.isascii() and text.isdigit()):
+            raise ValueError(f'{text[:MAX_LOGGED_LENGTH]!r} is not a number')
+        return decode_count(int(text))
     except DECODE_ERRORS as error:
-        raise StoreError(repr(error), 'decode') from error
+        raise StoreError(f'{STORE_EPOCH}: {error}', 'decode') from error
 
 
 def _decode_change(row: Any) -> MirrorChange:
--- a/wasabistream/platform/store_followers.py
+++ b/wasabistream/platform/store_followers.py
@@ -8,14 +8,15 @@
 from wasabistream.exceptions import HistoryLostError, StoreError
 from wasabistream.forwarding.endpoints import Endpoint
 from wasabistream.forwarding.expiry_guards import ExpiryGuard
-from wasabistream.forwarding.mirrors import StoreMirror
+from wasabistream.forwarding.mirrors import MirrorDifference, StoreMirror
 from wasabistream.long_polls import (
     LongPollLimits,
     LongPollPacer,
     build_long_poll_limits,
 )
-from wasabistream.metrics import STORE_ANSWER_AGE, STORE_LOST
+from wasabistream.metrics import STORE_ANSWER_AGE, STORE_EPOCH, STORE_LOST
 from wasabistream.platform.store_clients import StoreClient
+from wasabistream.restores.store_versions import StoreVersion
 
 logger = logging.getLogger(__name__)
 
@@ -32,6 +33,7 @@
 
     The watch rests while relays keep the mirror current.
     `on_reachability_change` is called when the store stops or starts answering.
+    After a return of the store from an older copy, the whole list is read again.
     """
 
     def __init__(
@@ -54,7 +56,8 @@
         self._was_relayed = False
         self._stopped = threading.Event()
         self._has_listing = False
-        self._revision = 0
+        # The version to watch from.
+        self._version = StoreVersion()
         # Monotonic time since which the store has not answered; None while it
         # answers.
         self.lost_at_seconds: float | None = time.monotonic()
@@ -84,6 +87,8 @@
     def start(self) -> None:
         """Start the thread that reads and watches."""
         STORE_ANSWER_AGE.set_function(lambda: self.answer_age_seconds)
+        STORE_EPOCH.set_function(lambda: self._mirror.version.epoch)
+        self._mirror.subscribe_differences(_log_return)
         threading.Thread(target=self._run, name='store', daemon=True).start()
 
     def stop(self) -> None:
@@ -118,26 +123,45 @@
             self._was_relayed = False
             self._has_listing = False
         if not self._has_listing:
-            listing = self._client.read_all('')
-            self._guard.on_store_regained(self.away_seconds)
-            self._guard.replace(listing.items, listing.revision)
-            self._revision = listing.revision
-            self._has_listing = True
+            self._read_all()
             return
         wait_seconds = self._pacer.choose_wait_seconds()
         if self._guard.waiting:
             wait_seconds = min(wait_seconds, GUARDED_WATCH_SECONDS)
-        changes = self._client.watch('', self._revision, wait_seconds)
+        self._require_same_epoch(self._mirror.version)
+        changes = self._client.watch('', self._version.revision, wait_seconds)
+        self._require_same_epoch(changes.version)
         self._guard.on_store_regained(self.away_seconds)
-        self._guard.apply(changes.changes, changes.revision)
-        self._revision = changes.revision
+        self._guard.apply(changes.changes, changes.version)
+        self._version = changes.version
         self._guard.apply_due_removals()
 
+    def _read_all(self) -> None:
+        listing = self._client.read_all('')
+        known_epoch = self._mirror.version.epoch
+        if listing.version.epoch < known_epoch:
+            raise StoreError(
+                f'listing of epoch {listing.version.epoch} is older than the'
+                f' known epoch {known_epoch}',
+                'list',
+            )
+        self._guard.on_store_regained(self.away_seconds)
+        self._guard.replace(listing.items, listing.version)
+        self._version = listing.version
+        self._has_listing = True
+
+    def _require_same_epoch(self, version: StoreVersion) -> None:
+        if version.epoch != self._version.epoch:
+            raise HistoryLostError(
+                f'epoch is {version.epoch}, not {self._version.epoch}', 'watch'
+            )
+
     def _record_loss(self, error: StoreError, call_seconds: float) -> None:
         fields = {
             'call_seconds': round(call_seconds, 3),
             'answer_age_seconds': round(self.answer_age_seconds, 3),
-            'revision': self._revision,
+            'epoch': self._version.epoch,
+            'revision': self._version.revision,
         }
         if self.lost_at_seconds is None:
             self.lost_at_seconds = time.monotonic()
@@ -155,7 +179,8 @@
                 'store: regained',
                 extra={
                     'away_seconds': self.away_seconds,
-                    'revision': self._revision,
+                    'epoch': self._version.epoch,
+                    'revision': self._version.revision,
                 },
             )
             self.lost_at_seconds = None
@@ -163,6 +188,20 @@
             self._on_reachability_change()
 
 
+def _log_return(difference: MirrorDifference) -> None:
+    before, after = difference.before_version, difference.version
+    if before != StoreVersion() and after.epoch > before.epoch:
+        logger.warning(
+            'store: returned from an older copy',
+            extra={
+                'before_epoch': before.epoch,
+                'before_revision': before.revision,
+                'epoch': after.epoch,
+                'revision': after.revision,
+            },
+        )
+
+
 def build_store_follower(
     store: Endpoint,
     recovery_seconds: float,
--- /dev/null
+++ b/wasabistream/restores/__init__.py
@@ -0,0 +1,1 @@
+"""Returns of the store from an older copy."""
