Recognise decoded store items by their contents, not by revision

Cause: the decoder skipped a configuration whose revision it had decoded. After a return from an older copy the store gives that revision out again, so a newer version with it was never taken. Undecodable server items with a reused revision were left out without a log line. Change: items are compared as a whole. The same version with other contents comes into force; a lower version does not, and is logged once for each item.

--- a/tests/epoch_builders.py
+++ b/tests/epoch_builders.py
@@ -15,10 +15,12 @@
 from wasabistream_tools.soak.stores import StandInStore
 
 
-def build_configuration_row(revision: int, version: int) -> dict[str, Any]:
+def build_configuration_row(
+    revision: int, version: int, **fields: Any
+) -> dict[str, Any]:
     """Return a configuration in the format of the store's answers."""
-    fields = {**CONFIGURATION, 'version': version}
-    return build_row('op/config', revision, fields)
+    document = {**CONFIGURATION, 'version': version, **fields}
+    return build_row('op/config', revision, document)
 
 
 def build_server_row(revision: int, server_id: str) -> dict[str, Any]:
--- a/tests/test_store_epochs.py
+++ b/tests/test_store_epochs.py
@@ -207,8 +207,22 @@
             fleet = decoder.decode({'op/config': _build_item(version)})
             configuration = fleet.configuration
             self.assertEqual(configuration and configuration.version, expected)
+        # The same version, written again with other contents.
+        emptied = {'op/config': _build_item(11, routes=[])}
+        configuration = decoder.decode(emptied).configuration
+        self.assertEqual(configuration and configuration.routes_by_host, {})
+
+    def test_skipped_items_are_logged(self) -> None:
+        """Guard against an item that is left out unseen, or at each change."""
+        decoder = FleetDecoder()
+        decoder.decode({'op/config': _build_item(9)})
+        with self.assertLogs('wasabistream.platform', 'WARNING') as logs:
+            for content in (b'[]', b'{}', b'{}'):
+                items = (_build_item(8), build_item('servers/a', 4, content))
+                decoder.decode({item.key: item for item in items})
+            self.assertEqual(len(logs.output), 3)
 
 
-def _build_item(version: int) -> MirrorItem:
-    row = build_configuration_row(4, version)
+def _build_item(version: int, **fields: Any) -> MirrorItem:
+    row = build_configuration_row(4, version, **fields)
     return MirrorItem(row['key'], base64.b64decode(row['value']), 4)
--- a/wasabistream/platform/store_decoders.py
+++ b/wasabistream/platform/store_decoders.py
@@ -32,14 +32,16 @@
 class FleetDecoder:
     """Build the fleet from the items of the store.
 
-    The configuration is decoded only when its item has changed.
+    The configuration is decoded only when its item has changed. Items are
+    compared as a whole, since the store gives revisions out again after its
+    return from an older copy.
     """
 
     def __init__(self) -> None:
         self._configuration: RoutingConfiguration | None = None
-        self._configuration_revision = 0
-        # Revisions of items that cannot be decoded; each is logged once.
-        self._undecodable_revisions: dict[str, int] = {}
+        self._configuration_item: MirrorItem | None = None
+        # Items that cannot be decoded, by key; each is logged once.
+        self._undecodable_items: dict[str, MirrorItem] = {}
 
     def decode(self, items: Mapping[str, MirrorItem]) -> Fleet:
         """Return the fleet; logs and leaves out items it cannot decode."""
@@ -47,8 +49,8 @@
         configuration = self._configuration
         services = configuration.services if configuration else {}
         servers = {}
-        for removed_key in self._undecodable_revisions.keys() - items.keys():
-            self._undecodable_revisions.pop(removed_key)
+        for removed_key in self._undecodable_items.keys() - items.keys():
+            self._undecodable_items.pop(removed_key)
         for store_item in items.values():
             if store_item.key.startswith(SERVER_PREFIX):
                 server = self._decode_server(store_item)
@@ -66,19 +68,25 @@
         )
 
     def _update_configuration(self, store_item: MirrorItem | None) -> None:
-        if (
-            store_item is None
-            or store_item.revision == self._configuration_revision
-        ):
+        if store_item is None or store_item == self._configuration_item:
             return
-        self._configuration_revision = store_item.revision
+        self._configuration_item = store_item
         try:
             configuration = decode_configuration(json.loads(store_item.content))
         except DECODE_ERRORS as error:
             logger.error('platform: configuration is refused: %r', error)
             return
         current = self._configuration
-        if current is None or configuration.version > current.version:
+        if current is not None and configuration.version < current.version:
+            logger.warning(
+                'platform: configuration is older than the one in force',
+                extra={
+                    'version': configuration.version,
+                    'version_in_force': current.version,
+                    'revision': store_item.revision,
+                },
+            )
+        elif configuration != current:
             self._configuration = configuration
 
     def _decode_server(self, store_item: MirrorItem) -> BackendServer | None:
@@ -86,13 +94,8 @@
         try:
             return decode_server(server_id, json.loads(store_item.content))
         except DECODE_ERRORS as error:
-            if (
-                self._undecodable_revisions.get(store_item.key)
-                != store_item.revision
-            ):
-                self._undecodable_revisions[store_item.key] = (
-                    store_item.revision
-                )
+            if self._undecodable_items.get(store_item.key) != store_item:
+                self._undecodable_items[store_item.key] = store_item
                 logger.warning(
                     'platform: server item is left out: %r',
                     error,
