Describe to a linked entry what depends on that entry

Cause: notices for an entry that is linked anew were built without knowing the entry, so that each of hundreds of entries would send it the same large ones.

Change: `NoticeSubscriptions.add_for_each_peer` passes the linked entry to `describe`, and `EntryShares.is_among_first` chooses a few entries for each peer by rendezvous hashing. Subscriptions made before work as before.

--- a/wasabistream/forwarding/entry_shares.py
+++ b/wasabistream/forwarding/entry_shares.py
@@ -116,9 +116,17 @@
                 self._ranks[key] = rank
             return rank
 
+    def is_among_first(self, key: str, count: int) -> bool:
+        """Return whether fewer than `count` linked entries rank before this."""
+        with self._lock:
+            linked = self._linked.members(self._clock())
+        return self._count_before(key, linked) < count
+
     def _find_rank(self, key: str, linked: Collection[str]) -> float:
+        return self._count_before(key, linked) / (len(linked) + 1)
+
+    def _count_before(self, key: str, linked: Collection[str]) -> int:
         own_hash = rendezvous_hash(key, self._own_endpoint)
-        before = sum(
+        return sum(
             rendezvous_hash(key, endpoint) > own_hash for endpoint in linked
         )
-        return before / (len(linked) + 1)
--- a/wasabistream/forwarding/notice_subscriptions.py
+++ b/wasabistream/forwarding/notice_subscriptions.py
@@ -16,7 +16,7 @@
 
     message_type: type[Message]
     handler: Callable[..., None]
-    describe: Callable[[], Sequence[Message]]
+    describe: Callable[[Hello], Sequence[Message]]
     # Whether the handler gets the sender before the notice.
     takes_sender: bool = False
 
@@ -37,6 +37,17 @@
 
         `describe` returns the notices for an entry that is linked anew.
         """
+        self._subscriptions.append(
+            Subscription(message_type, handler, lambda _: describe())
+        )
+
+    def add_for_each_peer(
+        self,
+        message_type: type[NoticeT],
+        handler: Callable[[NoticeT], None],
+        describe: Callable[[Hello], Sequence[Message]],
+    ) -> None:
+        """Call the handler with notices; `describe` gets the linked entry."""
         self._subscriptions.append(
             Subscription(message_type, handler, describe)
         )
@@ -48,7 +59,7 @@
     ) -> None:
         """Call the handler with the sender and the notice."""
         self._subscriptions.append(
-            Subscription(message_type, handler, list, takes_sender=True)
+            Subscription(message_type, handler, lambda _: (), takes_sender=True)
         )
 
     def notify(self, sender: Hello, notice: Message) -> None:
@@ -60,7 +71,7 @@
                 else:
                     subscription.handler(notice)
 
-    def describe(self) -> Iterator[Message]:
+    def describe(self, peer: Hello) -> Iterator[Message]:
         """Return the notices for an entry that is linked anew."""
         for subscription in self._subscriptions:
-            yield from subscription.describe()
+            yield from subscription.describe(peer)
--- a/wasabistream/forwarding/peer_links.py
+++ b/wasabistream/forwarding/peer_links.py
@@ -192,7 +192,7 @@
             with self._lock:
                 self._links[link] = None
             self._send_notice(link, self._build_notice())
-            for notice in self.subscriptions.describe():
+            for notice in self.subscriptions.describe(link.peer):
                 _send(link, notice)
 
     def on_messages(self, link: Link, received: Sequence[Message]) -> None:
