Hold known items when the store returns from an older copy

Cause: a store that returns from a copy some seconds old lists an older configuration, lacks servers that registered since, shows servers that have left or drain as ready, and has lost or revived evacuations, until its writers have written again. An entry that takes its listing as it stands follows it.

Change: `RestoreGuard` compares the first listing of an epoch with the items in effect. A key that the listing lacks, or has in a state that this entry has seen superseded, keeps its known state until it is written or removed anew, at most for 6 s; the configuration without a limit. Anything never seen is a new write. Entries that start around the return get the holds from three of the others in `HeldItems`. `build_restore_guard` wires it; the entry does not use it yet.

--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import astuple, replace
 from typing import Any
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
 from tests.forwarding_builders import (
     Clock,
@@ -44,6 +44,7 @@
 )
 from wasabistream.notices import Hello
 from wasabistream.part_notices import PartBanNotice
+from wasabistream.restores.restore_parts import build_restore_guard
 from wasabistream.spillover.spillover_messages import DemandNotice
 
 ADDRESS = '127.0.0.1'
@@ -125,6 +126,21 @@
         started.links.replace_seeds([informed.endpoint])
         self.assertTrue(wait_for(lambda: told == [ban]))
 
+    def test_started_entry_is_told_of_held_items(self) -> None:
+        """Guard against an entry that starts with a store's older copy."""
+        entries = [self.start(name, []) for name in ('a', 'b')]
+        epoch = Mock(return_value=1)
+        told, started = (
+            build_restore_guard(entry.links, Mock(), epoch, frozenset())
+            for entry in entries
+        )
+        told.on_items({'op/config': build_item('op/config', 7)})
+        epoch.return_value = 2
+        for guard in (told, started):
+            guard.on_items({})
+        entries[1].links.replace_seeds([entries[0].endpoint])
+        self.assertTrue(wait_for(lambda: started.waiting))
+
     def test_counted_message_arrives_once(self) -> None:
         """Guard against requests that a peer counts twice.
 
--- a/wasabistream/metrics.py
+++ b/wasabistream/metrics.py
@@ -113,6 +113,10 @@
 STORE_CALLS = Counter(
     'wasabi_store_calls', 'Calls to the store by outcome', ['outcome']
 )
+HELD_STORE_ITEMS = Gauge(
+    'wasabi_held_store_items',
+    'Items held after the store returned from an older copy',
+)
 LISTED_SERVERS = Gauge(
     'wasabi_listed_servers', 'Backend servers in the view of the fleet'
 )
--- /dev/null
+++ b/wasabistream/restores/__init__.py
@@ -0,0 +1,1 @@
+"""Contents of a store that returns from an older copy."""
