Merge the holds of a restored store and wire them

Change: the items of the mirror pass the guard on their way to the view of the fleet; the thread that follows the store ends holds in time. A hold that only a write ends does not shorten the watches.

--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -45,7 +45,7 @@
 from wasabistream.platform.request_handlers import RequestHandler
 from wasabistream.platform.server_clients import HttpServerClient
 from wasabistream.platform.store_decoders import FleetDecoder
-from wasabistream.platform.store_followers import build_store_follower
+from wasabistream.platform.store_parts import build_store_parts
 from wasabistream.poison_parts import PoisonPartDetector
 from wasabistream.queueing.entry_queues import build_start_queue
 from wasabistream.spillover.spillover_parts import build_spillover
@@ -127,13 +127,10 @@
             self._servers.engine_paces,
             self._spillover.controller.full_data_centres,
         )
-        self.follower = build_store_follower(
-            node_settings.store,
-            node_settings.bounds.recovery_seconds,
-            self.mirror,
-            self._fleet_updater.refresh,
-            self._peer_links.relays.is_updated_by_relays,
+        self._store_parts = build_store_parts(
+            node_settings, self.mirror, self._peer_links, self._fleet_updater
         )
+        self.follower = self._store_parts.follower
         self._listener = LinkListener(
             control.address, control.port, self.hello, self._peer_links
         )
@@ -190,9 +187,8 @@
     def on_start(self) -> None:
         """Follow the store and serve callers."""
         self._fleet_updater.subscribe(self._apply_fleet)
-        self.mirror.subscribe(self._fleet_updater.apply_items)
         self._request_supervisor.start()
-        self.follower.start()
+        self._store_parts.start(self.mirror)
         self._listener.start()
         self._peer_links.start()
         self._agent_links.start()
--- a/wasabistream/platform/store_followers.py
+++ b/wasabistream/platform/store_followers.py
@@ -16,6 +16,7 @@
 )
 from wasabistream.metrics import STORE_ANSWER_AGE, STORE_EPOCH, STORE_LOST
 from wasabistream.platform.store_clients import StoreClient
+from wasabistream.restores.restore_guards import RestoreGuard
 from wasabistream.restores.store_versions import StoreVersion
 
 logger = logging.getLogger(__name__)
@@ -43,9 +44,12 @@
         limits: LongPollLimits,
         on_reachability_change: Callable[[], None],
         is_updated_by_relays: Callable[[], bool],
+        restore_guard: RestoreGuard | None = None,
     ) -> None:
         self._client = client
         self._mirror = mirror
+        # Its holds are ended in time by this thread.
+        self._restore_guard = restore_guard
         self._guard = ExpiryGuard(mirror)
         self._pacer = LongPollPacer(
             limits, RETRY_MIN_SECONDS, RETRY_MAX_SECONDS
@@ -97,6 +101,8 @@
 
     def _run(self) -> None:
         while not self._stopped.is_set():
+            if self._restore_guard is not None:
+                self._restore_guard.apply_due()
             started = time.monotonic()
             try:
                 self._read_or_watch()
@@ -126,7 +132,7 @@
             self._read_all()
             return
         wait_seconds = self._pacer.choose_wait_seconds()
-        if self._guard.waiting:
+        if self._guard.waiting or self._is_holding():
             wait_seconds = min(wait_seconds, GUARDED_WATCH_SECONDS)
         self._require_same_epoch(self._mirror.version)
         changes = self._client.watch('', self._version.revision, wait_seconds)
@@ -156,6 +162,9 @@
                 f'epoch is {version.epoch}, not {self._version.epoch}', 'watch'
             )
 
+    def _is_holding(self) -> bool:
+        return self._restore_guard is not None and self._restore_guard.waiting
+
     def _record_loss(self, error: StoreError, call_seconds: float) -> None:
         fields = {
             'call_seconds': round(call_seconds, 3),
@@ -208,6 +217,7 @@
     mirror: StoreMirror,
     on_reachability_change: Callable[[], None],
     is_updated_by_relays: Callable[[], bool],
+    restore_guard: RestoreGuard,
 ) -> StoreFollower:
     """Return a follower of the store whose polls end in the recovery time."""
     limits = build_long_poll_limits(recovery_seconds)
@@ -217,4 +227,5 @@
         limits,
         on_reachability_change,
         is_updated_by_relays,
+        restore_guard,
     )
--- a/wasabistream/restores/__init__.py
+++ b/wasabistream/restores/__init__.py
@@ -1,1 +1,1 @@
-"""Returns of the store from an older copy."""
+"""Contents of a store that returns from an older copy."""
