--- a/tests/test_restore_guards.py
+++ b/tests/test_restore_guards.py
@@ -20,7 +20,7 @@
 from wasabistream.restores.restore_peers import (
     NEW_PEER_SECONDS,
     PART_BYTES,
-    TELLER_COUNT,
+    SENDER_COUNT,
     RestorePeers,
 )
 from wasabistream.restores.restored_items import (
@@ -46,12 +46,12 @@
         self.items: dict[str, MirrorItem] = {}
         self.effective: dict[str, MirrorItem] = {}
         self.sent: list[Message] = []
-        self.is_teller = True
+        self.is_sender = True
         self.guard = RestoreGuard(
             self._apply, lambda: self.epoch, LASTING_KEYS, clock
         )
         self.peers = RestorePeers(
-            self.guard, self, lambda _: self.is_teller, clock
+            self.guard, self, lambda _: self.is_sender, clock
         )
         if items:
             self.relist(*items)
@@ -274,30 +274,30 @@
 
     def test_new_peers_are_told_once(self) -> None:
         """Guard against telling entries that know, or from all entries."""
-        for age_seconds, is_teller, count in (
+        for age_seconds, is_sender, count in (
             (NEW_PEER_SECONDS - 1, True, 1),
             (NEW_PEER_SECONDS - 1, False, 0),
             (NEW_PEER_SECONDS + 1, True, 0),
         ):
             entry = GuardedEntry(self.clock, OLD, NEW)
-            entry.is_teller = is_teller
+            entry.is_sender = is_sender
             self.assertEqual(entry.peers.describe(PEER), ())
             self.clock.advance(age_seconds)
             entry.relist(epoch=2)
             entry.write(build_item('servers/c', 3))
             self.assertEqual(len(entry.sent), count)
-            self.assertEqual(len(entry.peers.describe(PEER)), int(is_teller))
+            self.assertEqual(len(entry.peers.describe(PEER)), int(is_sender))
 
     def test_few_entries_tell(self) -> None:
         """Guard against a configuration from each of hundreds of entries."""
         endpoints = [f'10.0.0.{number}:9000' for number in range(40)]
-        is_teller = []
+        is_sender = []
         for endpoint in endpoints:
             shares = EntryShares(endpoint, self.clock)
             for other in set(endpoints) - {endpoint}:
                 shares.record_notice(other, ())
-            is_teller.append(shares.is_among_first('b', TELLER_COUNT))
-        self.assertEqual(sum(is_teller), TELLER_COUNT)
+            is_sender.append(shares.is_among_first('b', SENDER_COUNT))
+        self.assertEqual(sum(is_sender), SENDER_COUNT)
 
     def test_messages_are_split(self) -> None:
         """Guard against frames above the limit, and malformed ones."""
--- a/wasabistream/platform/store_followers.py
+++ b/wasabistream/platform/store_followers.py
@@ -101,8 +101,6 @@
 
     def _run(self) -> None:
         while not self._stopped.is_set():
-            if self._restore_guard is not None:
-                self._restore_guard.apply_due()
             started = time.monotonic()
             try:
                 self._read_or_watch()
@@ -116,6 +114,9 @@
             else:
                 self._pacer.record_answer()
                 self._record_recovery()
+                # Not while the store is away: what is held cannot be written.
+                if self._restore_guard is not None:
+                    self._restore_guard.apply_due()
 
     def _read_or_watch(self) -> None:
         if self._has_listing and self._is_updated_by_relays():
--- a/wasabistream/restores/restore_guards.py
+++ b/wasabistream/restores/restore_guards.py
@@ -164,11 +164,11 @@
         self._report_end(ended, 'written')
 
     def _take(self, holds: Iterable[Hold]) -> bool:
-        taken = [hold for hold in holds if self._is_news(hold)]
+        taken = [hold for hold in holds if self._corrects_listing(hold)]
         self._add_holds(taken, 'peer')
         return bool(taken)
 
-    def _is_news(self, hold: Hold) -> bool:
+    def _corrects_listing(self, hold: Hold) -> bool:
         """Return whether a peer's hold corrects the own listing."""
         listed = self._listed.get(hold.key)
         if hold.key in self._holds or listed == hold.known:
--- a/wasabistream/restores/restore_messages.py
+++ b/wasabistream/restores/restore_messages.py
@@ -8,7 +8,7 @@
 @message(105)
 @dataclass(frozen=True, slots=True)
 class HeldItems(Message):
-    """Tell an entry that may not have known them which items are held."""
+    """Send held items to an entry that may not have known them."""
 
     # Epoch of the store whose listing the holds correct.
     epoch: int
--- a/wasabistream/restores/restore_parts.py
+++ b/wasabistream/restores/restore_parts.py
@@ -6,7 +6,7 @@
 from wasabistream.forwarding.peer_links import PeerLinks
 from wasabistream.restores.restore_guards import RestoreGuard
 from wasabistream.restores.restore_messages import HeldItems
-from wasabistream.restores.restore_peers import TELLER_COUNT, RestorePeers
+from wasabistream.restores.restore_peers import SENDER_COUNT, RestorePeers
 
 
 def build_restore_guard(
@@ -20,7 +20,7 @@
     peers = RestorePeers(
         guard,
         peer_links,
-        lambda peer_id: peer_links.shares.is_among_first(peer_id, TELLER_COUNT),
+        lambda peer_id: peer_links.shares.is_among_first(peer_id, SENDER_COUNT),
     )
     peer_links.subscriptions.add_for_each_peer(
         HeldItems, peers.on_held_items, peers.describe
--- a/wasabistream/restores/restore_peers.py
+++ b/wasabistream/restores/restore_peers.py
@@ -19,8 +19,8 @@
 
 logger = logging.getLogger(__name__)
 
-# Entries that tell a new one; each may send it the configuration.
-TELLER_COUNT = 3
+# Entries that send their holds to a new one, each maybe the configuration.
+SENDER_COUNT = 3
 # An entry that has run for longer has seen by itself what the copy lacks.
 NEW_PEER_SECONDS = 60.0
 # Rows are batched into messages of up to this size.
@@ -43,19 +43,19 @@
 class RestorePeers:
     """Exchange holds with entries that are linked anew.
 
-    `is_teller` returns whether this entry is one of those that tell a peer.
+    `is_sender` returns whether this entry is one of those that send to a peer.
     """
 
     def __init__(
         self,
         guard: RestoreGuard,
         links: RestoreLinks,
-        is_teller: Callable[[str], bool],
+        is_sender: Callable[[str], bool],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._guard = guard
         self._links = links
-        self._is_teller = is_teller
+        self._is_sender = is_sender
         self._clock = clock
         self._lock = threading.Lock()
         # Until when each peer counts as new.
@@ -71,7 +71,7 @@
                 if until <= now:
                     self._new_until_seconds.pop(peer_id)
         epoch, holds = self._guard.current_holds()
-        if not holds or not self._is_teller(peer.peer_id):
+        if not holds or not self._is_sender(peer.peer_id):
             return ()
         return list(self._build_messages(epoch, holds))
 
@@ -91,7 +91,7 @@
             peer_ids = {
                 peer_id
                 for peer_id, until in self._new_until_seconds.items()
-                if until > now and self._is_teller(peer_id)
+                if until > now and self._is_sender(peer_id)
             }
         if not peer_ids:
             return
