Accept the connections behind one that is refused for want of memory

Callers whose connections waited in the listen queue of a server that stopped were reset without an answer. Cause: DrainingConnectionManager.stop ended its loop over the queue at the first connection that it did not get, and one that is refused for want of memory counts as such. Both HTTP servers share the loop. Change: the loop goes on until nothing waits; a connection that is refused or has been closed is passed over. Evidence: ListenQueueTest.test_refused_connection failed before (status 0, the connection behind the refused one was reset) and passes; found by reading, not seen in a run. tests.test_stops: 5 tests passed. Class: what is left at the end of a drain is dropped, not answered.

--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -11,6 +11,8 @@
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 from http.client import HTTPException, HTTPResponse
+from itertools import chain, repeat
+from unittest.mock import patch
 
 from cheroot.connections import ConnectionManager
 from cheroot.server import HTTPRequest
@@ -22,6 +24,7 @@
     StandInBackend,
     build_entry,
 )
+from wasabistream.exceptions import MemoryLimitError
 from wasabistream.forwarding.requests import Reply
 from wasabistream.http_servers import (
     ApiServer,
@@ -108,6 +111,29 @@
             yield sock
 
 
+class ListenQueueTest(unittest.TestCase):
+    """Guard against resets of connections behind one that is refused."""
+
+    def test_refused_connection(self) -> None:
+        """Guard against a lack of memory that ends the look at the queue."""
+        server = ApiServer('127.0.0.1', 0, lambda *_: HttpAnswer(200), 2)
+        refusals = (MemoryLimitError('no memory'),)
+        address = ('127.0.0.1', server.port)
+        with (
+            socket.create_connection(address) as refused,
+            socket.create_connection(address) as waiting,
+            patch.object(
+                server.memory_budget,
+                'take_connection',
+                side_effect=chain(refusals, repeat(None)),
+            ),
+        ):
+            waiting.sendall(KEPT_REQUEST)
+            server.stop()
+            self.assertEqual(read_status(waiting), 200)
+            self.assertEqual(read_status(refused), 0)
+
+
 class ThreadGrowthTest(unittest.TestCase):
     """Guard against an entry with too few threads for its callers."""
 
--- a/wasabistream/draining_connections.py
+++ b/wasabistream/draining_connections.py
@@ -39,9 +39,9 @@
         super().stop()
         while listener is not None and _is_readable(listener):
             connection = self._from_server_socket(listener)
-            if connection is None:
-                return
-            self.server.process_conn(connection)
+            # None if one is refused, or has been closed; others may follow it.
+            if connection is not None:
+                self.server.process_conn(connection)
 
     def close(self) -> None:
         """Close the idle connections; the others are answered and closed."""
