Count requests of the own interface as work of a drain from their arrival on

Callers whose bodies still arrived at the end of an entry's drain got 400 'body is cut off', as if they had sent a malformed request, and not before the five seconds that cheroot gives its threads; a body that took longer was cut off though the drain had two minutes. Heads that had arrived in part were refused likewise. None of them was logged as cut, and the exit code was 0. Cause: as on the platform, the drain knew only requests that had been handed to the application: streams, calls, generations. Change: what the platform's server does in a stop moves to DrainingServer, the base of both servers. The entry counts requests from their first byte, closes its port when idle and gives what has arrived the rest of the drain. What has not arrived at the end is refused with 503, draining and Retry-After, not_run or, for a call with a key, unknown, as its handler would refuse it; this outcome now holds for each refusal before the handler. Calls are named by the server's list, so the lists of the call handler and of the dispatcher are removed. Class: work that a drain does not know is cut off.

--- /dev/null
+++ b/tests/test_entry_stops.py
@@ -0,0 +1,110 @@
+"""Tests of requests in progress or still arriving when an entry stops.
+
+Failure pattern: a drain that ends does not know a request, or drops one that
+it knows without a final answer.
+"""
+
+import json
+import signal
+import socket
+import unittest
+from collections.abc import Iterator
+from http.client import HTTPResponse
+from typing import Any
+
+from tests.builders import wait_until
+from tests.caller_fleets import (
+    CHAT_PATH,
+    HEADERS,
+    caller_document,
+)
+from wasabistream.applications import EXIT_CUT
+from wasabistream_tools.fleet import ADDRESS, Fleet
+
+# Shorter than the time that HTTP servers give to what they still read.
+DRAIN_LIMIT_SECONDS = 1.5
+EXIT_SECONDS = 5.0
+WAIT_SECONDS = 20
+CREDENTIAL_LINE = f'Authorization: {HEADERS["Authorization"]}\r\n'
+PART_OF_BODY = (
+    f'POST {CHAT_PATH} HTTP/1.1\r\nHost: a\r\n{CREDENTIAL_LINE}'
+    + 'Content-Length: 99\r\n\r\n{"model": '
+).encode()
+PART_OF_HEAD = f'POST {CHAT_PATH} HTTP/1.1\r\nHost'.encode()
+PART_OF_KEYED_CALL = (
+    'POST /services/booking/bookings HTTP/1.1\r\nHost: a\r\n'
+    + f'{CREDENTIAL_LINE}Idempotency-Key: k1\r\nContent-Length: 9\r\n\r\nb'
+).encode()
+
+
+def read_error(sock: socket.socket) -> tuple[int, str, str]:
+    """Return the status, code and outcome of an answer."""
+    sock.settimeout(WAIT_SECONDS)
+    response = HTTPResponse(sock)
+    response.begin()
+    error = json.loads(response.read())['error']
+    return response.status, error['code'], error['outcome']
+
+
+class EntryStopTest(unittest.TestCase):
+    """Guard against requests that end without a true final answer."""
+
+    # Each test stops an entry of its own.
+    names: Iterator[str]
+    fleet: Fleet
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Start a fleet with an entry for each test."""
+        cls.fleet = Fleet()
+        cls.addClassCleanup(cls.fleet.stop)
+        cls.fleet.add_engine('engine-1', 'dc-a')
+        names = [f'entry-{number}' for number in range(1)]
+        cls.names = iter(names)
+        for name in names:
+            cls.fleet.add_entry(
+                name, 'dc-a', drain_limit_seconds=DRAIN_LIMIT_SECONDS
+            )
+        cls.fleet.publish_document(caller_document())
+        cls.fleet.publish_vms()
+        cls.fleet.wait_until_ready(backend_count=1)
+
+    def setUp(self) -> None:
+        """Choose an entry."""
+        self.name = next(self.names)
+        self.entry = self.fleet.processes[self.name]
+
+    def connect(self, sent: bytes) -> socket.socket:
+        """Send a part of a request to the entry."""
+        sock = socket.create_connection((ADDRESS, self.entry.http_port))
+        self.addCleanup(sock.close)
+        sock.sendall(sent)
+        return sock
+
+    def stop_entry(self) -> None:
+        """Send SIGTERM to the entry and wait until it drains."""
+        self.entry.process.send_signal(signal.SIGTERM)
+        wait_until(lambda: self.readiness()['draining'])
+
+    def readiness(self) -> dict[str, Any]:
+        """Return the readiness report of the entry."""
+        url = f'{self.entry.url}/readyz'
+        try:
+            return dict(self.fleet.http.request('GET', url).json())
+        except OSError:
+            return {'draining': True}
+
+    def test_requests_that_do_not_arrive(self) -> None:
+        """Guard against requests that are cut off as malformed or unseen."""
+        body = self.connect(PART_OF_BODY)
+        keyed_call = self.connect(PART_OF_KEYED_CALL)
+        head = self.connect(PART_OF_HEAD)
+        self.stop_entry()
+        self.assertEqual(read_error(body), (503, 'draining', 'not_run'))
+        self.assertEqual(read_error(keyed_call), (503, 'draining', 'unknown'))
+        self.assertEqual(read_error(head), (503, 'draining', 'not_run'))
+        self.assertEqual(self.entry.process.wait(EXIT_SECONDS), EXIT_CUT)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/wasabistream/caller_connections.py
+++ b/wasabistream/caller_connections.py
@@ -38,6 +38,13 @@
             raise
         super().__init__(server, sock, makefile)
 
+    def communicate(self) -> bool:
+        """Answer one request; return whether the connection stays open."""
+        try:
+            return bool(super().communicate())
+        finally:
+            self.server.requests_in_progress.end(self)
+
     def close(self) -> None:
         """Close the connection and free its memory."""
         buffer_bytes = self._buffer_bytes
--- a/wasabistream/callers.py
+++ b/wasabistream/callers.py
@@ -99,10 +99,6 @@
             # Also raised if the entry refuses a request before any attempt.
             return refusal_answer(refusal)
 
-    def calls_in_progress(self) -> list[str]:
-        """Return the request ids of calls to plain services in progress."""
-        return self._services.calls_in_progress()
-
     def _route(
         self, request: HttpRequest, take_socket: TakeSocket
     ) -> HttpAnswer | None:
@@ -155,6 +151,7 @@
     ) -> None:
         body = parse_body(request.body)
         request_id = self._dispatcher.new_request_id()
+        request.record_id(request_id)
         generate = build_generation(document, organisation, request, body)
         context = AnswerContext(
             format_name=GENERATION_FORMATS[request.path],
@@ -191,6 +188,7 @@
         stream_id, next_index = parse_event_id(request)
         view = self._resumer.find_backend_view(stream_id)
         request_id = self._dispatcher.new_request_id()
+        request.record_id(request_id)
         stream = self._open_caller_stream(organisation, take_socket, request_id)
         # `stream` is the connection to this caller, `stream_id` the generation.
         # The reply of the agent replaces this format by that of the first answer.
--- a/wasabistream/dispatchers.py
+++ b/wasabistream/dispatchers.py
@@ -75,9 +75,9 @@
             RESEND_THREAD_COUNT, 'redispatch'
         )
         self._lock = threading.Lock()
-        # Requests in progress, so that a drain waits for them even between two
-        # attempts. Calls have no generation sender.
-        self._in_progress: dict[str, GenerationSender | None] = {}
+        # Generations in progress, so that a drain waits for them even between
+        # two attempts.
+        self._in_progress: dict[str, GenerationSender] = {}
         self._stopped = threading.Event()
         self.budget = RetryBudget()
         self.chooser = BackendChooser(router, directory, link_remote_agents)
@@ -97,7 +97,7 @@
         self._resend_pool.shutdown(wait=False)
 
     def requests_in_progress(self) -> list[str]:
-        """Return the ids of requests in progress."""
+        """Return the ids of generations in progress."""
         with self._lock:
             return list(self._in_progress)
 
@@ -118,19 +118,12 @@
 
     def call(self, call: Call, query: RouteQuery) -> ServiceAnswer:
         """Send a call and wait for its answer; raises AttemptError."""
-        # Counts the call as in progress; each attempt gets an id of its own.
-        request_id = self._make_request_id()
         self.budget.deposit()
-        with self._lock:
-            self._in_progress[request_id] = None
         try:
             return self._call_sender.call(call, query)
         except AttemptError as failure:
             REFUSALS.labels(failure.reason).inc()
             raise
-        finally:
-            with self._lock:
-                self._in_progress.pop(request_id, None)
 
     def start_attempt(
         self,
@@ -244,5 +237,4 @@
             with self._lock:
                 generations = list(self._in_progress.values())
             for generation in generations:
-                if generation is not None:
-                    generation.end_if_overdue()
+                generation.end_if_overdue()
--- a/wasabistream/entries.py
+++ b/wasabistream/entries.py
@@ -49,6 +49,7 @@
 from wasabistream.route_queries.operator_keys import OPERATOR_KEY_VARIABLE
 from wasabistream.route_queries.router_pages import RouterPage
 from wasabistream.routers import Router
+from wasabistream.service_calls import entry_refusal_outcome
 from wasabistream.service_views import ServiceView, build_service_view
 from wasabistream.settings import EntrySettings
 from wasabistream.signals import document_changed
@@ -56,6 +57,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Time in which callers get the answers of requests that are cut.
+LAST_ANSWERS_SECONDS = 1.0
+
 
 class EntryApplication(Application):
     """Build, start and stop the components of an entry.
@@ -136,6 +140,7 @@
             self._handle_request,
             settings.worker_thread_count,
         )
+        self.server.refusal_outcome = entry_refusal_outcome
         self.server.max_request_body_size = settings.max_body_bytes
         self.server.max_request_header_size = settings.max_header_bytes
 
@@ -162,21 +167,39 @@
         """Return how long requests are still taken after the drain began."""
         return self._entry_settings.drain_notice_seconds
 
+    def on_close(self) -> None:
+        """Close the port for callers and their idle connections."""
+        remaining_seconds = max(self._end_seconds - time.monotonic(), 0)
+        self.server.begin_stop(remaining_seconds + LAST_ANSWERS_SECONDS)
+
+    def on_cut(self) -> None:
+        """Refuse the requests that have not arrived completely."""
+        self.server.end_arrivals()
+
+    def last_answers_seconds(self) -> float:
+        """Return the time for the answers of requests that are cut."""
+        return LAST_ANSWERS_SECONDS
+
     def on_stop(self) -> None:
         """Stop the HTTP server and close the links."""
         self.distributor.stop()
+        self.server.end_stop()
         self._hangups.stop()
-        self.server.stop()
         self._dispatcher.stop()
         self.link_manager.stop()
 
     def work_in_progress(self) -> list[str]:
-        """Return the ids of requests that have not been fully answered."""
-        return [
+        """Return the requests from their arrival until they are answered.
+
+        One that has no id yet is named by the address of its caller.
+        """
+        # In the order in which a request passes them, so that none is missed.
+        names = [
+            *self.server.open_requests(),
             *self._hangups.open_stream_names(),
-            *self._callers.calls_in_progress(),
             *self._dispatcher.requests_in_progress(),
         ]
+        return list(dict.fromkeys(names))
 
     def service_view(self, service: str) -> ServiceView | None:
         """Return which VMs serve a plain service and own its keys.
--- a/wasabistream/http_servers.py
+++ b/wasabistream/http_servers.py
@@ -9,10 +9,9 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
+from cheroot.server import Gateway, HTTPRequest
 
 from wasabistream.answers import (
-    JSON_TYPE,
     error_body,
     http_head,
     reason_phrase,
@@ -20,14 +19,8 @@
     write_body,
 )
 from wasabistream.body_readers import discard_body, read_body
-from wasabistream.caller_connections import (
-    IDLE_BUFFER_BYTES,
-    CallerConnection,
-    set_receive_buffer,
-)
-from wasabistream.draining_connections import DrainingConnectionManager
+from wasabistream.caller_connections import CallerConnection
 from wasabistream.exceptions import RequestError
-from wasabistream.head_waiters import HeadWaiter
 from wasabistream.memory_budgets import (
     DEFAULT_MEMORY_LIMIT_BYTES,
     MemoryBudget,
@@ -35,6 +28,8 @@
 )
 from wasabistream.outcomes import Outcome
 from wasabistream.read_deadlines import read_deadlines
+from wasabistream.stopping.draining_servers import DrainingServer
+from wasabistream.stopping.open_requests import describe_caller
 
 logger = logging.getLogger(__name__)
 
@@ -46,6 +41,11 @@
 LISTEN_BACKLOG_COUNT = 1000
 BUSY_STATUS = 503
 BUSY_RETRY_SECONDS = 1
+DRAINING_CODE = 'draining'
+
+
+def ignore_id(request_id: str) -> None:
+    """Take an id that nobody asks for."""
 
 
 @dataclass(frozen=True)
@@ -57,6 +57,10 @@
     query: str
     headers: dict[str, str]
     body: bytes
+    # Names the request among those in progress.
+    record_id: Callable[[str], None] = field(
+        default=ignore_id, repr=False, compare=False
+    )
 
 
 @dataclass(frozen=True)
@@ -96,12 +100,17 @@
         """Answer one request."""
         with self.req.server.memory_budget.open_body() as reservation:
             try:
-                request = self._read_request(reservation)
+                body = read_body(self.req, reservation)
             except RequestError as error:
                 self._refuse(error)
                 return
+            requests_in_progress = self.req.server.requests_in_progress
+            requests_in_progress.record_id(
+                self.req.conn, describe_caller(self.req.conn)
+            )
             answer = self.req.server.handler(
-                request, partial(self._take_socket, reservation)
+                self._build_request(body),
+                partial(self._take_socket, reservation),
             )
             if answer is not None:
                 self._write_answer(answer)
@@ -109,17 +118,19 @@
     def _refuse(self, error: RequestError) -> None:
         # The rest of the body would be parsed as the next request.
         self.req.close_connection = True
-        body = error_body(error.reason, error.code, Outcome.not_run)
-        wait_seconds = BUSY_RETRY_SECONDS if error.status == BUSY_STATUS else 0
-        self._write_answer(
-            HttpAnswer(
-                error.status, body, headers=retry_after_field(wait_seconds)
+        server = self.req.server
+        outcome = server.refusal_outcome(self._build_request(b''))
+        # A server that stops ends the reading of bodies itself.
+        if server.is_ending:
+            answer = build_draining_answer(outcome)
+        else:
+            answer = build_error_answer(
+                error.status, error.reason, error.code, outcome
             )
-        )
+        self._write_answer(answer)
         discard_body(self.req, error)
 
-    def _read_request(self, reservation: MemoryReservation) -> HttpRequest:
-        body = read_body(self.req, reservation)
+    def _build_request(self, body: bytes) -> HttpRequest:
         return HttpRequest(
             method=self.req.method.decode('latin-1'),
             path=self.req.path.decode('latin-1'),
@@ -129,6 +140,9 @@
                 for name, text in self.req.inheaders.items()
             },
             body=body,
+            record_id=partial(
+                self.req.server.requests_in_progress.record_id, self.req.conn
+            ),
         )
 
     def _write_answer(self, answer: HttpAnswer) -> None:
@@ -180,10 +194,17 @@
         # request to a backend server. Other errors precede the handler.
         outcome = Outcome.unknown if code == 500 else Outcome.not_run
         name = phrase.lower().replace(' ', '_')
-        body = error_body(msg or phrase, name, outcome)
-        extra_headers = {'Content-Length': str(len(body))}
+        answer = build_error_answer(code, msg or phrase, name, outcome)
+        # A server that stops ends the reading of heads itself.
+        if self.server.is_ending and outcome == Outcome.not_run:
+            answer = build_draining_answer(outcome)
+        extra_headers = {
+            'Content-Length': str(len(answer.body)),
+            **answer.headers,
+        }
+        head = http_head(answer.status, answer.content_type, extra_headers)
         self.close_connection = True
-        self.conn.wfile.write(http_head(code, JSON_TYPE, extra_headers) + body)
+        self.conn.wfile.write(head + answer.body)
 
 
 class JsonErrorConnection(CallerConnection):
@@ -193,7 +214,7 @@
     RequestHandlerClass = JsonErrorRequest  # noqa: WPS115
 
 
-class ApiServer(HTTPServer):
+class ApiServer(DrainingServer):
     """Answer requests on a pool of worker threads."""
 
     # cheroot defines this name.
@@ -207,50 +228,46 @@
         thread_count: int,
     ) -> None:
         super().__init__(
-            (address, port),
+            address,
+            port,
             RequestGateway,
+            LISTEN_BACKLOG_COUNT,
+            lambda: HEAD_LIMIT_SECONDS,
             minthreads=thread_count,
             maxthreads=thread_count,
         )
         self.handler = handler
+        # Outcome of a request that the server refuses before its handler.
+        self.refusal_outcome: Callable[[HttpRequest], Outcome] = (
+            lambda request: Outcome.not_run
+        )
         self.memory_budget = MemoryBudget(
             DEFAULT_MEMORY_LIMIT_BYTES, thread_count
         )
         self.timeout = REQUEST_TIMEOUT_SECONDS
-        self._head_waiter = HeadWaiter(
-            partial(HTTPServer.process_conn, self),
-            lambda: REQUEST_TIMEOUT_SECONDS,
-            lambda: HEAD_LIMIT_SECONDS,
-        )
-        self.request_queue_size = LISTEN_BACKLOG_COUNT
-        self.prepare()
-        set_receive_buffer(self.socket, IDLE_BUFFER_BYTES)
-        self._connections = DrainingConnectionManager(self)
-
-    @property
-    def port(self) -> int:
-        """Return the bound port, also if port 0 was requested."""
-        port: int = self.bind_addr[1]
-        return port
-
-    def process_conn(self, conn: HTTPConnection) -> None:
-        """Queue a connection once the head of a request is there."""
-        self._head_waiter.add(conn)
-
-    def stop(self) -> None:
-        """Answer the requests that have arrived, then stop."""
-        self._head_waiter.stop()
-        super().stop()
 
     def run_in_thread(self) -> None:
         """Start a thread that accepts connections."""
         threading.Thread(target=self.serve, name='http', daemon=True).start()
 
-    def error_log(
-        self, msg: str = '', level: int = logging.INFO, traceback: bool = False
-    ) -> None:
-        """Log the messages of cheroot."""
-        logger.log(level, 'http: %s', msg, exc_info=traceback)
+
+def build_error_answer(
+    status: int, message: str, code: str, outcome: Outcome
+) -> HttpAnswer:
+    """Return the answer to a request that a server refuses itself."""
+    wait_seconds = BUSY_RETRY_SECONDS if status == BUSY_STATUS else 0
+    return HttpAnswer(
+        status,
+        error_body(message, code, outcome),
+        headers=retry_after_field(wait_seconds),
+    )
+
+
+def build_draining_answer(outcome: Outcome) -> HttpAnswer:
+    """Return the refusal of a request that has not arrived completely."""
+    return build_error_answer(
+        BUSY_STATUS, DRAINING_CODE, DRAINING_CODE, outcome
+    )
 
 
 def json_answer(status: int, body: object) -> HttpAnswer:
--- a/wasabistream/platform/ingress_servers.py
+++ b/wasabistream/platform/ingress_servers.py
@@ -13,29 +13,22 @@
     HeaderReader,
     HTTPConnection,
     HTTPRequest,
-    HTTPServer,
 )
 
 from wasabistream.answers import reason_phrase, write_body
 from wasabistream.body_readers import discard_body, read_body
-from wasabistream.caller_connections import (
-    IDLE_BUFFER_BYTES,
-    CallerConnection,
-    set_receive_buffer,
-)
-from wasabistream.draining_connections import DrainingConnectionManager
+from wasabistream.caller_connections import CallerConnection
 from wasabistream.exceptions import RequestError
 from wasabistream.forwarding.caller_limits import CallerLimits
 from wasabistream.forwarding.replies import NOT_RUN, build_refusal
 from wasabistream.forwarding.requests import Headers, Reply
-from wasabistream.head_waiters import HeadWaiter
 from wasabistream.memory_budgets import (
     DEFAULT_MEMORY_LIMIT_BYTES,
     MemoryBudget,
 )
 from wasabistream.platform import header_names as names
 from wasabistream.read_deadlines import read_deadlines
-from wasabistream.stopping.open_requests import OpenRequests
+from wasabistream.stopping.draining_servers import DrainingServer
 
 logger = logging.getLogger(__name__)
 
@@ -55,8 +48,6 @@
 # Remaining time assumed for requests whose bodies are not read: bodies in
 # progress end with their requests.
 MAX_UNREAD_SECONDS = 1.0
-# Time for the answers in progress of a server that stops without a drain.
-MIN_STOP_SECONDS = 0.3
 # Added to the configured idle timeout, which callers may use up to its end.
 IDLE_GRACE_SECONDS = 3.0
 
@@ -143,13 +134,6 @@
     # cheroot reads this attribute.
     RequestHandlerClass = IngressRequest  # noqa: WPS115
 
-    def communicate(self) -> bool:
-        """Answer one request; return whether the connection stays open."""
-        try:
-            return bool(super().communicate())
-        finally:
-            self.server.requests_in_progress.end(self)
-
 
 def read_request_id(request: HTTPRequest) -> str:
     """Return the id of a request, or an empty string."""
@@ -249,7 +233,7 @@
         discard_body(self.req, error)
 
 
-class IngressServer(HTTPServer):
+class IngressServer(DrainingServer):
     """Serve callers with one thread for each request, added when needed."""
 
     # cheroot reads this attribute.
@@ -264,8 +248,11 @@
         memory_budget: MemoryBudget | None = None,
     ) -> None:
         super().__init__(
-            (address, port),
+            address,
+            port,
             IngressGateway,
+            BACKLOG_COUNT,
+            lambda: self.head_seconds,
             minthreads=min(thread_count, INITIAL_THREAD_COUNT),
             maxthreads=thread_count,
         )
@@ -273,28 +260,11 @@
         self._growth_lock = threading.Lock()
         # Time for the head of a request after its first byte.
         self.head_seconds = DEFAULT_HEAD_SECONDS
-        self._head_waiter = HeadWaiter(
-            self._queue, lambda: self.timeout, lambda: self.head_seconds
-        )
         self.handler = handler
-        self.requests_in_progress = OpenRequests()
-        # Whether requests that have not arrived completely are refused.
-        self.is_ending = False
-        self._stopper: threading.Thread | None = None
         self.memory_budget = memory_budget or MemoryBudget(
             DEFAULT_MEMORY_LIMIT_BYTES, thread_count
         )
-        self.request_queue_size = BACKLOG_COUNT
         self.keep_alive_conn_limit = MAX_KEEP_ALIVE_CONNECTION_COUNT
-        self.prepare()
-        set_receive_buffer(self.socket, IDLE_BUFFER_BYTES)
-        self._connections = DrainingConnectionManager(self)
-
-    @property
-    def port(self) -> int:
-        """Return the port in use."""
-        port: int = self.bind_addr[1]
-        return port
 
     def set_limits(self, limits: CallerLimits) -> None:
         """Limit a request's header and body and a connection's idle time."""
@@ -310,52 +280,10 @@
         """Start a thread that serves until `stop`."""
         threading.Thread(target=self.serve, name=name, daemon=True).start()
 
-    def process_conn(self, conn: HTTPConnection) -> None:
-        """Queue a connection once the head of a request is there."""
-        self._head_waiter.add(conn)
-
-    def stop(self) -> None:
-        """Answer the requests that have arrived, then stop."""
-        self._head_waiter.stop()
-        super().stop()
-
-    def open_requests(self) -> list[str]:
-        """Return the requests from their first byte until their answer."""
-        # In the order in which a request passes them, so that none is missed.
-        return [
-            *self._head_waiter.begun_requests(),
-            *self.requests_in_progress.names(),
-        ]
-
     def begin_stop(self, seconds: float) -> None:
-        """Close the listener and idle connections; answer what has arrived.
-
-        Connections that are still in use after `seconds` are shut down.
-        """
+        """Add no more threads; answer what has arrived and stop."""
         self._growth_lock.acquire()
-        self.shutdown_timeout = seconds  # type: ignore[assignment]
-        self._stopper = threading.Thread(
-            target=self.stop, name='stop', daemon=True
-        )
-        self._stopper.start()
-        self._connections.wait_until_closed(seconds)
-
-    def end_arrivals(self) -> None:
-        """Refuse the requests that have not arrived completely."""
-        self.is_ending = True
-        self.requests_in_progress.end_arrivals()
-
-    def end_stop(self) -> None:
-        """Wait for the end of the stop."""
-        if self._stopper is None:
-            self.begin_stop(MIN_STOP_SECONDS)
-        if self._stopper is not None:
-            self._stopper.join()
-
-    def stop_within(self, seconds: float) -> None:
-        """Answer the requests that have arrived, then stop."""
-        self.begin_stop(seconds)
-        self.end_stop()
+        super().begin_stop(seconds)
 
     def error_log(
         self, msg: str = '', level: int = logging.INFO, traceback: bool = False
@@ -363,10 +291,9 @@
         """Write a message of cheroot to the log."""
         logger.log(level, 'ingress: %s', msg, exc_info=traceback)
 
-    def _queue(self, conn: HTTPConnection) -> None:
+    def queue_connection(self, conn: HTTPConnection) -> None:
         """Queue a connection; add threads if too few are idle."""
-        self.requests_in_progress.begin(conn)
-        HTTPServer.process_conn(self, conn)
+        super().queue_connection(conn)
         pool = self.requests
         if len(pool._threads) >= pool.max:
             return
--- a/wasabistream/service_calls.py
+++ b/wasabistream/service_calls.py
@@ -35,11 +35,6 @@
         self._remaining_seconds = remaining_seconds
         self._dispatcher = dispatcher
         self._key_owner_sender = key_owner_sender
-        self._in_progress: dict[str, Call] = {}
-
-    def calls_in_progress(self) -> list[str]:
-        """Return the request ids of calls whose callers are waiting."""
-        return list(self._in_progress)
 
     def call(
         self,
@@ -78,11 +73,8 @@
             # Organisations choose their keys independently of each other.
             key=f'{organisation.name}/{key}' if key else '',
         )
-        self._in_progress[call.request_id] = call
-        try:
-            return _http_answer(self._send(call))
-        finally:
-            self._in_progress.pop(call.request_id)
+        request.record_id(call.request_id)
+        return _http_answer(self._send(call))
 
     def _send(self, call: Call) -> ServiceAnswer:
         # A call that may not be repeated goes to the agent that owns its key.
