Answer what an entry of the own interface cuts at the end of its drain

Callers whose generations were cut by a second signal or the limit of the drain got a closed connection: whole answers without a byte (RemoteDisconnected), streams without an error event. Calls held up the stop until they ended, for their whole timeout; the process was still there five seconds after the second signal. Cause: the stop closed links and threads without ending the requests; whether the end of a link still reached a caller depended on which thread was faster. With the arrivals counted it mostly did, but as link_lost, without Retry-After. Change: the table of attempts can be closed. Class: what is left at the end of a drain is dropped, not answered.

--- a/wasabistream/attempts.py
+++ b/wasabistream/attempts.py
@@ -8,8 +8,13 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from wasabistream.exceptions import AttemptError
 from wasabistream.links import Link
 from wasabistream.messages import Message
+from wasabistream.outcomes import Outcome
+
+# Time after which another entry has taken over, as callers are told.
+RETRY_AFTER_SECONDS = 1
 
 
 class ReplyHandler(Protocol):
@@ -21,6 +26,9 @@
     def on_link_lost(self, reason: str) -> None:
         """Handle a link that ended before the attempt did."""
 
+    def on_cut(self, failure: AttemptError) -> None:
+        """End the attempt because this process stops."""
+
 
 @dataclass(frozen=True, slots=True)
 class _OpenAttempt:
@@ -34,12 +42,13 @@
 class AttemptTable:
     """Deliver the messages of agents to reply handlers by request id.
 
-    An attempt is removed exactly once, by `remove` or `on_link_closed`,
+    An attempt is removed exactly once, by `remove`, `on_link_closed` or `close`,
     whichever comes first; its `on_removed` is called then.
     """
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
+        self._is_closed = False
         self._open_attempts: dict[str, _OpenAttempt] = {}
 
     @property
@@ -54,11 +63,37 @@
         handler: ReplyHandler,
         on_removed: Callable[[], None] | None = None,
     ) -> None:
-        """Add an attempt; call it before the attempt is sent."""
+        """Add an attempt; call it before the attempt is sent.
+
+        Raises AttemptError if the table is closed.
+        """
+        with self._lock:
+            is_closed = self._is_closed
+            if not is_closed:
+                self._open_attempts[request_id] = _OpenAttempt(
+                    link, handler, on_removed
+                )
+        if is_closed:
+            if on_removed is not None:
+                on_removed()
+            raise _build_stop_failure(Outcome.not_run)
+
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether the table takes no more attempts."""
+        return self._is_closed
+
+    def close(self) -> None:
+        """End all attempts and take no more, as this process stops."""
         with self._lock:
-            self._open_attempts[request_id] = _OpenAttempt(
-                link, handler, on_removed
-            )
+            self._is_closed = True
+            cut_attempts = list(self._open_attempts.values())
+            self._open_attempts.clear()
+        for attempt in cut_attempts:
+            if attempt.on_removed is not None:
+                attempt.on_removed()
+            # It has been sent, and may run.
+            attempt.handler.on_cut(_build_stop_failure(Outcome.unknown))
 
     def remove(self, request_id: str) -> bool:
         """Remove an attempt; its later messages are ignored.
@@ -98,3 +133,7 @@
             if attempt.on_removed is not None:
                 attempt.on_removed()
             attempt.handler.on_link_lost(reason)
+
+
+def _build_stop_failure(outcome: Outcome) -> AttemptError:
+    return AttemptError('draining', outcome, '', RETRY_AFTER_SECONDS)
--- a/wasabistream/entries.py
+++ b/wasabistream/entries.py
@@ -173,8 +173,9 @@
         self.server.begin_stop(remaining_seconds + LAST_ANSWERS_SECONDS)
 
     def on_cut(self) -> None:
-        """Refuse the requests that have not arrived completely."""
+        """Answer the requests in progress, also those not read completely."""
         self.server.end_arrivals()
+        self.attempts.close()
 
     def last_answers_seconds(self) -> float:
         """Return the time for the answers of requests that are cut."""
--- a/wasabistream/owner_call_senders.py
+++ b/wasabistream/owner_call_senders.py
@@ -61,7 +61,10 @@
                 refusal = error
             ATTEMPTS.labels(refusal.outcome).inc()
             remaining_seconds = deadline - time.monotonic()
-            retryable = refusal.reason in RETRYABLE_REASONS
+            retryable = (
+                refusal.reason in RETRYABLE_REASONS
+                and not self._attempts.is_closed
+            )
             if not retryable or remaining_seconds <= RETRY_INTERVAL_SECONDS:
                 REFUSALS.labels(refusal.reason).inc()
                 raise refusal
@@ -82,9 +85,13 @@
             deadline_seconds=remaining_seconds,
         )
         handler = CallReplyHandler()
-        self._attempts.add(attempt.request_id, link, handler)
         try:
+            self._attempts.add(attempt.request_id, link, handler)
             link.send(attempt)
+        except AttemptError as error:
+            # Earlier attempts may have run.
+            error.outcome = Outcome.unknown
+            raise
         except LinkError as error:
             raise AttemptError('no_link', Outcome.unknown, '', 1) from error
         else:
--- a/wasabistream/reply_handlers.py
+++ b/wasabistream/reply_handlers.py
@@ -101,6 +101,10 @@
         """End the attempt because its link ended; the outcome is unknown."""
         self.end(AttemptError('link_lost', Outcome.unknown))
 
+    def on_cut(self, failure: AttemptError) -> None:
+        """End the attempt because this process stops."""
+        self.end(failure)
+
     def end(self, failure: AttemptError | None) -> bool:
         """End the attempt and notify the sender; tell whether it was open."""
         with self._lock:
@@ -172,6 +176,17 @@
         """End the call because its link ended; the outcome is unknown."""
         self.on_message(Failed('', Outcome.unknown, 'link_lost'))
 
+    def on_cut(self, failure: AttemptError) -> None:
+        """End the call because this process stops."""
+        self.on_message(
+            Refused(
+                '',
+                failure.outcome,
+                failure.reason,
+                failure.retry_after_seconds,
+            )
+        )
+
     def on_expired(self) -> None:
         """End the call because its deadline passed before it was sent."""
         self.on_message(Refused('', Outcome.not_run, 'deadline'))
