Take a value that the configuration service returns at a known index

A document with a higher revision was not in force anywhere after the service had returned from an older copy, until something else was published. Cause: the watcher took an answer for the value it had when the index was equal. A service that returns from a copy gives indexes out again, so the same index may come with other content. Change: the watcher compares index and digest. The stand-in can return from a copy. A document is ordered by its own revision, so the copy brings no older one into force. Class: a position in a shared source orders contents, though the source may give positions out again.

--- a/wasabistream/watchers.py
+++ b/wasabistream/watchers.py
@@ -11,6 +11,7 @@
 
 import urllib3
 
+from wasabistream.documents import compute_digest
 from wasabistream.exceptions import ConfigurationError
 from wasabistream.limited_pools import build_pool_manager
 from wasabistream.long_polls import LongPollPacer, build_long_poll_limits
@@ -44,6 +45,7 @@
         self._stopped = threading.Event()
         self._stopped.set()
         self._index = 0
+        self._digest = ''
         self.read_count = 0
         self._last_read_monotonic_seconds = float('-inf')
         self._last_answer_monotonic_seconds = float('-inf')
@@ -74,6 +76,7 @@
     def start(self) -> None:
         """Start to watch; the first read returns without waiting."""
         self._index = 0
+        self._digest = ''
         self._stopped = threading.Event()
         threading.Thread(
             target=self._run,
@@ -130,6 +133,9 @@
             raise ConfigurationError('no index', 'watch', self._url) from None
         self._last_answer_monotonic_seconds = time.monotonic()
         self._last_read_monotonic_seconds = started
-        if index != self._index:
+        digest = compute_digest(response.data)
+        # A service that has returned from an older copy gives indexes out again.
+        if (index, digest) != (self._index, self._digest):
             self._index = index
+            self._digest = digest
             self._receive(response.data, index)
--- a/wasabistream_tools/configuration.py
+++ b/wasabistream_tools/configuration.py
@@ -65,6 +65,16 @@
             self._condition.notify_all()
             return self._index
 
+    def restore(self, index: int) -> None:
+        """Return to an older copy; later indexes are given out again."""
+        with self._condition:
+            self._index = index
+            for key, published in self._published_values.items():
+                self._published_values[key] = [
+                    stored for stored in published if stored.index <= index
+                ]
+            self._condition.notify_all()
+
     def inject(self, faults: ConfigurationFaults) -> None:
         """Replace the simulated faults and wake pending watches."""
         with self._condition:
