--- a/wasabistream/platform/ingress_servers.py
+++ b/wasabistream/platform/ingress_servers.py
@@ -14,6 +14,7 @@
     HeaderReader,
     HTTPConnection,
     HTTPRequest,
+    HTTPServer,
 )
 
 from wasabistream.answers import reason_phrase, write_body
