Bound the close of a listener and cut requests in time without it

Cause: the stop accepted what waited at the listener without a limit, and an error of accept, such as no free descriptor, ended it; the cut of the requests in progress waited for the close. Change: accepting ends after 0.25 s or with an error, the wait for the close after 1 s, and the supervisor cuts at the end of the drain again, whatever the steps of the drain take. Evidence: on the code before, a stop with a listener that always has a connection did not end (tests.test_stops.AcceptTest, given up after 60 s); both tests pass now.

--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -4,6 +4,7 @@
 requests have just been accepted.
 """
 
+import errno
 import socket
 import threading
 import time
@@ -12,7 +13,8 @@
 from contextlib import ExitStack, contextmanager
 from http.client import HTTPException, HTTPResponse
 from itertools import chain, repeat
-from unittest.mock import patch
+from typing import Any
+from unittest.mock import Mock, patch
 
 from cheroot.connections import ConnectionManager
 from cheroot.server import HTTPRequest
@@ -24,6 +26,7 @@
     StandInBackend,
     build_entry,
 )
+from wasabistream.draining_connections import CLOSE_LIMIT_SECONDS
 from wasabistream.exceptions import MemoryLimitError
 from wasabistream.forwarding.requests import Reply
 from wasabistream.http_servers import (
@@ -134,6 +137,31 @@
             self.assertEqual(read_status(refused), 0)
 
 
+class AcceptTest(unittest.TestCase):
+    """Guard against a stop that waits for the callers that still connect."""
+
+    def stop_with(self, **options: Any) -> float:
+        """Stop a server whose listener always has a connection."""
+        server = IngressServer('127.0.0.1', 0, Mock(), 1)
+        server.run_in_thread('front')
+        started_seconds = time.monotonic()
+        with (
+            patch('wasabistream.draining_connections._is_readable'),
+            patch.object(server._connections, '_from_server_socket', **options),
+        ):
+            server.stop_within(WAIT_SECONDS)
+        return time.monotonic() - started_seconds
+
+    def test_callers_that_keep_connecting(self) -> None:
+        """Guard against a close that never ends."""
+        self.assertLess(self.stop_with(return_value=None), CLOSE_LIMIT_SECONDS)
+
+    def test_no_descriptor(self) -> None:
+        """Guard against an error that leaves the stop unfinished."""
+        error = OSError(errno.EMFILE, 'Too many open files')
+        self.assertLess(self.stop_with(side_effect=error), CLOSE_LIMIT_SECONDS)
+
+
 class ThreadGrowthTest(unittest.TestCase):
     """Guard against an entry with too few threads for its callers."""
 
--- a/wasabistream/draining_connections.py
+++ b/wasabistream/draining_connections.py
@@ -4,6 +4,7 @@
 import select
 import socket
 import threading
+import time
 
 from cheroot.connections import ConnectionManager
 from cheroot.server import HTTPConnection, HTTPServer
@@ -13,6 +14,10 @@
 logger = logging.getLogger(__name__)
 
 WAKE_TIMEOUT_SECONDS = 0.1
+# Callers that connect all the time would otherwise keep the stop from its end.
+ACCEPT_LIMIT_SECONDS = 0.25
+# Longest wait for the close, in which also the loop of the server ends.
+CLOSE_LIMIT_SECONDS = 1.0
 
 
 class DrainingConnectionManager(ConnectionManager):
@@ -25,9 +30,9 @@
         super().__init__(server)
         self._closed = threading.Event()
 
-    def wait_until_closed(self, timeout_seconds: float) -> None:
+    def wait_until_closed(self) -> None:
         """Wait until the requests that have arrived are handed over."""
-        if not self._closed.wait(timeout_seconds):
+        if not self._closed.wait(CLOSE_LIMIT_SECONDS):
             logger.warning('http: listener is not closed in time')
 
     def stop(self) -> None:
@@ -37,25 +42,39 @@
         if listener is not None:
             _wake(listener)
         super().stop()
-        while listener is not None and _is_readable(listener):
-            connection = self._from_server_socket(listener)
-            # None if one is refused, or has been closed; others may follow it.
-            if connection is not None:
-                self.server.process_conn(connection)
+        if listener is None:
+            return
+        try:
+            self._accept_waiting(listener)
+        except OSError as error:
+            # For example no free descriptor.
+            logger.warning('http: connections are not accepted: %s', error)
 
     def close(self) -> None:
         """Close the idle connections; the others are answered and closed."""
         # cheroot's type stubs leave the attribute out.
         selector = self._selector  # type: ignore[attr-defined]
-        for _, connection in tuple(selector.connections):
-            if connection is self.server:
-                continue
-            if _is_readable(connection.socket):
+        try:
+            for _, connection in tuple(selector.connections):
+                if connection is not self.server:
+                    self._end_wait(connection)
+            selector.close()
+        finally:
+            self._closed.set()
+
+    def _accept_waiting(self, listener: socket.socket) -> None:
+        deadline = time.monotonic() + ACCEPT_LIMIT_SECONDS
+        while _is_readable(listener) and time.monotonic() < deadline:
+            connection = self._from_server_socket(listener)
+            # None if one is refused, or has been closed; others may follow it.
+            if connection is not None:
                 self.server.process_conn(connection)
-            else:
-                connection.close()
-        selector.close()
-        self._closed.set()
+
+    def _end_wait(self, connection: HTTPConnection) -> None:
+        if _is_readable(connection.socket):
+            self.server.process_conn(connection)
+        else:
+            connection.close()
 
     def _from_server_socket(
         self, server_socket: socket.socket
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -201,6 +201,10 @@
         self._peer_links.draining = True
         self._peer_links.send_peer_notice()
         self._drain_gate.close(self.settings.drain_limit_seconds)
+        # Also if a step of the drain takes too long.
+        self._request_supervisor.end_requests_at(
+            time.monotonic() + self.settings.drain_limit_seconds
+        )
         self._start_queue.release_all()
 
     def on_reload(self, node_settings: NodeSettings) -> None:
--- a/wasabistream/stopping/draining_servers.py
+++ b/wasabistream/stopping/draining_servers.py
@@ -84,7 +84,7 @@
             target=self.stop, name='stop', daemon=True
         )
         self._stopper.start()
-        self._connections.wait_until_closed(seconds)
+        self._connections.wait_until_closed()
 
     def end_arrivals(self) -> None:
         """Refuse the requests that have not arrived completely."""
