Let signal handlers wait for nothing

An entry that got many signals could end without a drain: its main thread waited for itself, SIGKILL came at the end of the grace time and cut everything. Found in review; any two signals could do it, with a small chance. Cause: the handlers set an event, whose lock is not reentrant; a signal inside another handler, or inside the wait of the main thread, blocked on that lock. Change: handlers put into a simple queue, which may be interrupted by itself.

--- a/tests/test_drain_arrivals.py
+++ b/tests/test_drain_arrivals.py
@@ -21,6 +21,7 @@
 # The rest of a body arrives once the load balancers have noticed the drain.
 BODY_END_SECONDS = 2.7
 SIGNAL_INTERVAL_SECONDS = 0.3
+SIGNAL_COUNT = 20_000
 CHUNKED_HEAD = (
     b'POST /chat/x HTTP/1.1\r\nHost: host.example\r\n'
     b'Wasabistream-Request-Attempt-Id: %s\r\n'
@@ -71,6 +72,14 @@
             self.assertEqual(read_answer(sock), (200, b'{}'))
         self.assertEqual(self.entry.process.wait(GRACE_SECONDS), 0)
 
+    def test_many_signals(self) -> None:
+        """Guard against a signal handler that waits for the one it interrupts."""
+        entry = self.start_entry({'grace_s': GRACE_SECONDS})
+        for _ in range(SIGNAL_COUNT):
+            entry.process.send_signal(signal.SIGHUP)
+        entry.process.send_signal(signal.SIGTERM)
+        self.assertEqual(entry.process.wait(GRACE_SECONDS), 0)
+
     def send_head(self, grace_seconds: float) -> socket.socket:
         """Stop an entry and send it the first part of a generation."""
         entry = self.start_entry({'grace_s': grace_seconds})
--- a/wasabistream/applications.py
+++ b/wasabistream/applications.py
@@ -1,8 +1,8 @@
 """Base class of the daemons, with life-cycle hooks."""
 
 import logging
+import queue
 import signal
-import threading
 import time
 from collections.abc import Callable
 from types import FrameType
@@ -42,7 +42,9 @@
         self._signal_count = 0
         # Signals after the first that end the drain early.
         self._ending_signal_count = 0
-        self._signal_received = threading.Event()
+        # Handlers of signals may interrupt one another and any wait of the main
+        # thread; the lock of an event would make them wait for themselves.
+        self._signals: queue.SimpleQueue[int] = queue.SimpleQueue()
 
     def on_start(self) -> None:
         """Open sockets and start threads."""
@@ -89,7 +91,7 @@
         return_freed_memory()
         self.on_start()
         logger.info('%s: started', self.process_role)
-        self._wait_for_signals(1)
+        self._signals.get()
         return self.drain()
 
     def drain(self) -> int:
@@ -156,7 +158,7 @@
         self._signal_count += 1
         if self._signal_count > 1 and self.ends_drain(signal_number):
             self._ending_signal_count += 1
-        self._signal_received.set()
+        self._signals.put(signal_number)
 
     def _wait_for_work(self, earliest_end: float, deadline: float) -> str:
         """Wait until no work is in progress; return what ended the wait."""
@@ -175,7 +177,3 @@
 
     def _handle_signal(self, number: int, frame: FrameType | None) -> None:
         self.request_stop(number)
-
-    def _wait_for_signals(self, count: int) -> None:
-        while self._signal_count < count:
-            self._signal_received.wait(1)
--- a/wasabistream/platform/node_applications.py
+++ b/wasabistream/platform/node_applications.py
@@ -1,6 +1,7 @@
 """Base application of the daemons on the platform."""
 
 import logging
+import queue
 import secrets
 import signal
 import threading
@@ -60,7 +61,8 @@
         self.node_settings = node_settings
         self._options = process
         self._node_file = NodeFile(process.settings_path)
-        self._reload_requested = threading.Event()
+        # One entry for each SIGHUP; a handler can put without waiting.
+        self._reload_requests: queue.SimpleQueue[int] = queue.SimpleQueue()
         self.hello = Hello(
             PROTOCOL_VERSION_MIN,
             PROTOCOL_VERSION_MAX,
@@ -113,12 +115,22 @@
     def _request_reload(self, number: int, frame: FrameType | None) -> None:
         # A signal handler must not block, so another thread
         # reads the file.
-        self._reload_requested.set()
+        self._reload_requests.put(number)
+
+    def _wait_for_reload(self) -> bool:
+        """Wait for SIGHUP or the interval; return whether it was SIGHUP."""
+        try:
+            self._reload_requests.get(timeout=SETTINGS_POLL_SECONDS)
+        except queue.Empty:
+            return False
+        # One reading of the file answers all signals so far.
+        while not self._reload_requests.empty():
+            self._reload_requests.get()
+        return True
 
     def _watch_settings(self) -> None:
         while True:
-            signalled = self._reload_requested.wait(SETTINGS_POLL_SECONDS)
-            self._reload_requested.clear()
+            signalled = self._wait_for_reload()
             try:
                 node_settings = self._node_file.read()
             except SettingsError as error:
