Refuse what waits for a thread when a drain is cut

Callers whose whole requests waited for a thread got a closed connection when SIGINT ended a drain early, found in review. Cause: the gate went on to admit them until the regular end of the drain; the forwarder then took the end of reading, which the server itself had set, for a caller that has left.

--- a/tests/test_drain_gates.py
+++ b/tests/test_drain_gates.py
@@ -52,6 +52,12 @@
         self.clock.advance(NO_PEER_ADMISSION_SECONDS)
         self.assertFalse(self.gate.admits(generation(900)))
 
+    def test_ended_drain(self) -> None:
+        """Guard against passing on a request that waited for a thread."""
+        self.gate.close(GRACE_SECONDS)
+        self.gate.end()
+        self.assertFalse(self.gate.admits(generation(40)))
+
     def test_short_generation_is_admitted(self) -> None:
         """Guard against refusing requests that end in time."""
         self.gate.close(GRACE_SECONDS)
--- a/wasabistream/forwarding/drain_gates.py
+++ b/wasabistream/forwarding/drain_gates.py
@@ -1,5 +1,6 @@
 """Admission of requests while an entry drains."""
 
+import math
 import threading
 import time
 from collections.abc import Callable
@@ -42,6 +43,12 @@
             )
             self._end_seconds = self._clock() + remaining_seconds
 
+    def end(self) -> None:
+        """Admit nothing more, as the process cuts what is in progress."""
+        with self._lock:
+            self._end_seconds = -math.inf
+            self._no_peer_end_seconds = -math.inf
+
     def admits(self, request: ForwardRequest) -> bool:
         """Return whether a request ends in time or no other entry takes it."""
         if self._end_seconds is None:
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -218,6 +218,8 @@
     def on_cut(self) -> None:
         """Answer the requests in progress, also those not read completely."""
         self._request_supervisor.end_requests_at(time.monotonic())
+        # Requests that still wait for a thread are refused.
+        self._drain_gate.end()
         self._front_server.end_arrivals()
 
     def on_stop(self) -> None:
