Refuse heads that arrive in part at the end of a drain as not run

Callers got 400 for a head of which a part had arrived when the drain ended, and do not repeat a request after 400. Cause: the server ends the reading, and the parser answers a cut head with 400. Change: a server that ends the reading answers 503 with Retry-After instead, unless its handler has failed. Evidence: test_head_that_does_not_end failed before with 400 and passes.

--- a/tests/test_drain_arrivals.py
+++ b/tests/test_drain_arrivals.py
@@ -22,6 +22,7 @@
 BODY_END_SECONDS = 2.7
 SIGNAL_INTERVAL_SECONDS = 0.3
 SIGNAL_COUNT = 20_000
+HALF_HEAD_BYTES = 50
 CHUNKED_HEAD = (
     b'POST /chat/x HTTP/1.1\r\nHost: host.example\r\n'
     b'Wasabistream-Request-Attempt-Id: %s\r\n'
@@ -72,6 +73,18 @@
             self.assertEqual(read_answer(sock), (200, b'{}'))
         self.assertEqual(self.entry.process.wait(GRACE_SECONDS), 0)
 
+    def test_head_that_does_not_end(self) -> None:
+        """Guard against a head that is taken for a bad request at the end."""
+        entry = self.start_entry({'grace_s': SHORT_GRACE_SECONDS})
+        entry.process.send_signal(signal.SIGTERM)
+        # Its time for a head is longer than the rest of the drain.
+        time.sleep(SHORT_GRACE_SECONDS / 2)
+        with socket.create_connection(('127.0.0.1', entry.front_port)) as sock:
+            sock.settimeout(GRACE_SECONDS)
+            sock.sendall(CHUNKED_HEAD[:HALF_HEAD_BYTES])
+            self.assertEqual(read_answer(sock), (503, b''))
+        self.assertEqual(entry.process.wait(GRACE_SECONDS), EXIT_CUT)
+
     def test_many_signals(self) -> None:
         """Guard against a signal handler that waits for the one it interrupts."""
         entry = self.start_entry({'grace_s': GRACE_SECONDS})
--- a/wasabistream/platform/ingress_servers.py
+++ b/wasabistream/platform/ingress_servers.py
@@ -37,6 +37,8 @@
 FIELD_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 # Excludes control characters, as only some parsers end a field at them.
 FIELD_TEXT = re.compile(rb'[\t\x20-\x7e\x80-\xff]*')
+# Status with which the server answers errors of its handler.
+HANDLER_FAILED = '500'
 DIGITS = re.compile(rb'[0-9]+')
 # Fields that must not be repeated, as parsers differ in which one they use.
 SINGLE_FIELDS = frozenset((b'Content-Length', b'Host', b'Transfer-Encoding'))
@@ -129,8 +131,18 @@
         """Write an answer of the server itself and close the connection."""
         self.close_connection = True
         body = msg.encode('latin-1')
+        retry_field = ''
+        # A server that stops ends the reading of heads itself. After a failure
+        # of the handler the request may have run.
+        if self.server.is_ending and not status.startswith(HANDLER_FAILED):
+            reply = build_refusal(MAX_UNREAD_SECONDS)
+            status = f'{reply.status} {reason_phrase(reply.status)}'
+            retry_field = ''.join(
+                f'{name}: {text}\r\n' for name, text in reply.headers
+            )
+            body = b''
         head = (
-            f'HTTP/1.1 {status}\r\nContent-Type: text/plain\r\n'
+            f'HTTP/1.1 {status}\r\nContent-Type: text/plain\r\n{retry_field}'
             f'Content-Length: {len(body)}\r\nConnection: close\r\n\r\n'
         )
         self.conn.wfile.write(head.encode('latin-1') + body)
