Add threads also for requests that come while some are being added

Found in review. Cause: threads were added only as a request was queued and nobody was adding any at that moment. If the thread that adds them could not be started, none was added any more and a stop waited for ever. Change: the need is looked at again after threads were added; a failed start is logged and gives the lock back; a stop ends the adding.

--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -43,6 +43,7 @@
 from wasabistream_tools.soak.stores import StandInStore
 
 WAIT_SECONDS = 5
+THREAD_COUNT = 64
 KEPT_REQUEST = HEAD % b'k1' + b'\r\n'
 ARRIVAL_SECONDS = 0.05
 # Served, or refused as not run because the entry stops.
@@ -175,7 +176,7 @@
             released.wait(WAIT_SECONDS)
             HttpCaller(request, '').reply(Reply(200))
 
-        server = IngressServer('127.0.0.1', 0, hold, 64)
+        server = IngressServer('127.0.0.1', 0, hold, THREAD_COUNT)
         server.run_in_thread('front')
         self.addCleanup(server.stop_within, 1)
         self.addCleanup(released.set)
@@ -187,6 +188,33 @@
             for _ in range(3 * INITIAL_THREAD_COUNT):
                 self.assertTrue(started.acquire(timeout=WAIT_SECONDS))
 
+    def test_requests_at_once(self) -> None:
+        """Guard against requests that come while threads are being added."""
+        growing = threading.Event()
+        released = threading.Event()
+        answered = threading.Event()
+        self.addCleanup(answered.set)
+
+        def hold() -> bool:
+            answered.wait()
+            return False
+
+        server = IngressServer('127.0.0.1', 0, Mock(), THREAD_COUNT)
+        server.run_in_thread('front')
+        grow = server.requests.grow
+
+        def grow_later(count: int) -> None:
+            growing.set()
+            released.wait(WAIT_SECONDS)
+            grow(count)
+
+        with patch.object(server.requests, 'grow', side_effect=grow_later):
+            for _ in range(3 * INITIAL_THREAD_COUNT):
+                server.queue_connection(Mock(communicate=hold))
+            self.assertTrue(growing.wait(WAIT_SECONDS))
+            released.set()
+            wait_until(lambda: not server.requests.qsize)
+
 
 class CutBodyTest(unittest.TestCase):
     """Guard against a call that runs with a part of its body."""
--- a/wasabistream/platform/ingress_servers.py
+++ b/wasabistream/platform/ingress_servers.py
@@ -278,6 +278,7 @@
         )
         # Held while threads are added, and for good once the server stops.
         self._growth_lock = threading.Lock()
+        self._is_stopping = False
         # Time for the head of a request after its first byte.
         self.head_seconds = DEFAULT_HEAD_SECONDS
         self.handler = handler
@@ -302,6 +303,7 @@
 
     def begin_stop(self, seconds: float) -> None:
         """Add no more threads; answer what has arrived and stop."""
+        self._is_stopping = True
         self._growth_lock.acquire()
         super().begin_stop(seconds)
 
@@ -314,17 +316,39 @@
     def queue_connection(self, conn: HTTPConnection) -> None:
         """Queue a connection; add threads if too few are idle."""
         super().queue_connection(conn)
-        pool = self.requests
-        if len(pool._threads) >= pool.max:
-            return
-        if pool.idle - pool.qsize >= MIN_IDLE_THREAD_COUNT:
-            return
-        if self._growth_lock.acquire(blocking=False):
+        if self._needs_threads() and self._growth_lock.acquire(blocking=False):
             # The pool waits for its new threads, which would delay others.
-            threading.Thread(target=self._grow, name='grow').start()
+            self._start_growth()
 
-    def _grow(self) -> None:
+    def _start_growth(self) -> None:
         try:
-            self.requests.grow(ADDED_THREAD_COUNT)
-        finally:
+            threading.Thread(
+                target=self._grow, name='grow', daemon=True
+            ).start()
+        except RuntimeError as error:
             self._growth_lock.release()
+            logger.warning('ingress: no thread is added: %s', error)
+
+    def _needs_threads(self) -> bool:
+        pool = self.requests
+        return (
+            not self._is_stopping
+            and len(pool._threads) < pool.max
+            and pool.idle - pool.qsize < MIN_IDLE_THREAD_COUNT
+        )
+
+    def _grow(self) -> None:
+        # Requests that are queued meanwhile find the lock taken, so the need is
+        # looked at again once it is free.
+        while True:
+            try:
+                self.requests.grow(ADDED_THREAD_COUNT)
+            except RuntimeError as error:
+                logger.warning('ingress: no thread is added: %s', error)
+                return
+            finally:
+                self._growth_lock.release()
+            if not self._needs_threads():
+                return
+            if not self._growth_lock.acquire(blocking=False):
+                return
