End the daemons of the platform without the interpreter's shutdown

Cause: the shutdown of the interpreter joins threads and frees all objects; the limit of the stop is a thread that no longer runs by then. Change: the programs write the queued log lines and end the process.

--- a/wasabistream/platform/agent_daemon.py
+++ b/wasabistream/platform/agent_daemon.py
@@ -1,7 +1,6 @@
 """Program of the agent daemon."""
 
 import signal
-import sys
 
 # The application sets its handler once it runs; until then SIGHUP would end
 # the process. It reads its settings afterwards in any case.
@@ -9,6 +8,7 @@
 
 from wasabistream.platform.agent_applications import PlatformAgent  # noqa: E402
 from wasabistream.platform.daemons import run_daemon  # noqa: E402
+from wasabistream.stop_limits import end_process  # noqa: E402
 
 if __name__ == '__main__':
-    sys.exit(run_daemon(PlatformAgent))
+    end_process(run_daemon(PlatformAgent))
--- a/wasabistream/stop_limits.py
+++ b/wasabistream/stop_limits.py
@@ -8,6 +8,8 @@
 import traceback
 from collections.abc import Callable
 
+from wasabistream.log_queues import BoundedLogHandler
+
 logger = logging.getLogger(__name__)
 
 # Time for the output thread to write the last lines.
@@ -32,6 +34,19 @@
     timer.start()
 
 
+def end_process(exit_code: int) -> None:
+    """End the process at once, after its log lines are written.
+
+    The interpreter's own shutdown joins threads and takes over a second on a
+    busy machine, longer than the platform gives.
+    """
+    for handler in logging.getLogger().handlers:
+        if isinstance(handler, BoundedLogHandler):
+            handler.stop()
+    sys.stdout.flush()
+    os._exit(exit_code)
+
+
 def _end_process(
     seconds: float,
     exit_code: int,
