Keep agents until all generations of a leaving engine are moved

Cause: between two moves, and before a move is tried again, an agent had none in progress, so its drain ended with generations left; its links were closed with the last notices still queued. Found in review. Change: while its engine leaves, all its generations are work of the agent; the links are closed after their queued frames. Evidence: test_agent_drains, now with two generations and a time between the moves, failed before (one notice of two) and passes.

--- a/tests/test_agent_drains.py
+++ b/tests/test_agent_drains.py
@@ -5,6 +5,7 @@
 """
 
 import threading
+import time
 import unittest
 from unittest.mock import patch
 
@@ -12,7 +13,7 @@
 from tests.platform_builders import NODE
 from tests.test_run_movers import LOCAL, SOURCE, FakeEngine
 from wasabistream.applications import DRAIN_POLL_SECONDS
-from wasabistream.forwarding.engine_states import EngineRun
+from wasabistream.forwarding.engine_states import EngineRun, EngineState
 from wasabistream.forwarding.move_messages import (
     MoveTargetQuery,
     MoveTargetReport,
@@ -37,6 +38,11 @@
         self.copying = threading.Event()
         self.released = threading.Event()
 
+    def state(self) -> EngineState:
+        """Return the state after a time in which nothing is moved."""
+        time.sleep(DRAIN_POLL_SECONDS * 3)
+        return super().state()
+
     def copy_run(
         self, run_id: str, target_endpoint: str, *, final: bool
     ) -> MoveOutcome:
@@ -60,7 +66,9 @@
                 targets.on_report(MoveTargetReport([[LOCAL, 'dc-a', 20000, 0]]))
 
         targets = MoveTargetFinder('writer', 'dc-a', broadcast)
-        engine = SlowEngine(EngineRun('g1', 3000, 5, 1))
+        engine = SlowEngine(
+            EngineRun('g1', 3000, 5, 1), EngineRun('g2', 3000, 5, 1)
+        )
         node = {**NODE, 'app': '127.0.0.1:9', 'service': 'writer'}
         agent = PlatformAgent(decode_node(node), ProcessOptions('', 0))
         agent._mover = RunMover(engine, SOURCE, targets, broadcast)
@@ -74,9 +82,12 @@
             self.assertTrue(drain.is_alive())
             engine.released.set()
             wait_until(lambda: not drain.is_alive())
-        self.assertTrue(
-            any(isinstance(notice, RunMoved) for notice in sent_messages)
-        )
+        moved = [
+            notice.run_id
+            for notice in sent_messages
+            if isinstance(notice, RunMoved)
+        ]
+        self.assertCountEqual(moved, ['g1', 'g2'])
 
 
 if __name__ == '__main__':
--- a/wasabistream/forwarding/run_movers.py
+++ b/wasabistream/forwarding/run_movers.py
@@ -72,14 +72,22 @@
         self._moving_lock = threading.Lock()
         # Number of moves in progress by run.
         self._moving: Counter[str] = Counter()
+        # Generations of the engine while it leaves.
+        self._leaving_run_ids: frozenset[str] = frozenset()
 
     def moving_runs(self) -> list[str]:
-        """Return the ids of generations that are being moved."""
+        """Return the ids of generations that are being moved or will be."""
         with self._moving_lock:
-            return list(+self._moving)
+            return list(self._leaving_run_ids | set(+self._moving))
 
     def move_all(self) -> None:
         """Move generations while the engine shuts down and can be polled."""
+        try:
+            self._move_all()
+        finally:
+            self._leaving_run_ids = frozenset()
+
+    def _move_all(self) -> None:
         retry_at_seconds: dict[str, float] = {}
         while True:
             try:
@@ -89,6 +97,7 @@
                 return
             if not state.leaving:
                 return
+            self._leaving_run_ids = frozenset(run.run_id for run in state.runs)
             now = time.monotonic()
             runs = [
                 run
--- a/wasabistream/platform/agent_applications.py
+++ b/wasabistream/platform/agent_applications.py
@@ -12,7 +12,7 @@
 from wasabistream.forwarding.run_movers import RunMover
 from wasabistream.link_senders import send_or_log
 from wasabistream.links import Link
-from wasabistream.listeners import LinkListener
+from wasabistream.listeners import LinkListener, close_links_gracefully
 from wasabistream.messages import Message
 from wasabistream.notices import LoadReport
 from wasabistream.paces.pace_reports import build_pace_report
@@ -85,8 +85,8 @@
         self._watcher.stop()
         self._announcer.stop()
         self._listener.stop()
-        for link in self._open_links():
-            link.close()
+        # The last notices of moves are on their way.
+        close_links_gracefully(self._open_links())
 
     def work_in_progress(self) -> list[str]:
         """Return the generations that are being moved.
