--- a/wasabistream/forwarding/run_movers.py
+++ b/wasabistream/forwarding/run_movers.py
@@ -87,6 +87,31 @@
         finally:
             self._leaving_run_ids = frozenset()
 
+    def move_silent(self, report: RunSilent) -> None:
+        """Move a generation whose connection to its entry has gone silent.
+
+        The engine cannot tell; it goes on with events that nobody receives.
+        """
+        with self._silent_lock:
+            if report.run_id in self._silent_run_ids:
+                return
+            self._silent_run_ids.add(report.run_id)
+        try:
+            run = self._find_cut_off_run(report)
+            if run is not None:
+                logger.warning(
+                    'mover: events do not reach the entry',
+                    extra={
+                        'request_id': run.run_id,
+                        'event_count': run.event_count,
+                        'received_count': report.event_count,
+                    },
+                )
+                self._move(run, remote_affordable=True)
+        finally:
+            with self._silent_lock:
+                self._silent_run_ids.discard(report.run_id)
+
     def _move_all(self) -> None:
         retry_at_seconds: dict[str, float] = {}
         while True:
@@ -114,31 +139,6 @@
             if not self._move(run, remote_affordable=remote_affordable):
                 retry_at_seconds[run.run_id] = now + MOVE_RETRY_SECONDS
 
-    def move_silent(self, report: RunSilent) -> None:
-        """Move a generation whose connection to its entry has gone silent.
-
-        The engine cannot tell; it goes on with events that nobody receives.
-        """
-        with self._silent_lock:
-            if report.run_id in self._silent_run_ids:
-                return
-            self._silent_run_ids.add(report.run_id)
-        try:
-            run = self._find_cut_off_run(report)
-            if run is not None:
-                logger.warning(
-                    'mover: events do not reach the entry',
-                    extra={
-                        'request_id': run.run_id,
-                        'event_count': run.event_count,
-                        'received_count': report.event_count,
-                    },
-                )
-                self._move(run, remote_affordable=True)
-        finally:
-            with self._silent_lock:
-                self._silent_run_ids.discard(report.run_id)
-
     def _find_cut_off_run(self, report: RunSilent) -> EngineRun | None:
         try:
             state = self._engine.state()
