End the wait for a move with its request

Cause: a request that was cut while its entry waited up to 2 s for the copy of its generation got its answer only after that wait, later than the limit of a stop. Change: the wait looks for the end of the request ten times a second. Evidence: test_request_that_ends_during_a_move does not run on the code before, as the wait takes no such question; test_run_movers and test_stream_forwarders, 41 tests, pass.

--- a/tests/test_run_movers.py
+++ b/tests/test_run_movers.py
@@ -6,6 +6,7 @@
 
 import itertools
 import threading
+import time
 import unittest
 from collections.abc import Callable
 from dataclasses import replace
@@ -28,6 +29,7 @@
     choose_move_target,
     decode_move_targets,
 )
+from wasabistream.forwarding.move_trackers import MoveTracker
 from wasabistream.forwarding.run_movers import LOST_EVENT_COUNT, RunMover
 from wasabistream.forwarding.server_advisories import NO_LIMIT, ServerAdvisory
 from wasabistream.messages import Message
@@ -113,6 +115,16 @@
         kinds = [type(notice) for notice in sent_messages]
         self.assertLess(kinds.index(RunMoving), kinds.index(RunMoved))
 
+    def test_request_that_ends_during_a_move(self) -> None:
+        """Guard against an answer that waits for a copy after its request."""
+        moves = MoveTracker()
+        moves.record_move_start('a')
+        ended = Mock(side_effect=(False, True))
+        started_seconds = time.monotonic()
+        moved = moves.wait_for_move('a', WAIT_SECONDS, WAIT_SECONDS, ended)
+        self.assertIsNone(moved)
+        self.assertLess(time.monotonic() - started_seconds, WAIT_SECONDS)
+
     def test_full_engine_is_not_asked_twice(self) -> None:
         """Guard against wasting the notice period on a full target."""
         engine = FakeEngine(EngineRun('a', 3000, 5, 1), full=(LOCAL,))
--- a/tests/test_stream_forwarders.py
+++ b/tests/test_stream_forwarders.py
@@ -5,6 +5,7 @@
 
 import threading
 import unittest
+from collections.abc import Callable
 from contextlib import AbstractContextManager, nullcontext
 from unittest.mock import Mock
 
@@ -67,7 +68,11 @@
         self._wait_count = 0
 
     def wait_for_move(
-        self, run_id: str, notice_seconds: float, copy_seconds: float
+        self,
+        run_id: str,
+        notice_seconds: float,
+        copy_seconds: float,
+        is_ended: Callable[[], bool],
     ) -> RunMoved | None:
         """Wait for a move as long as the test may take."""
         self._wait_count += 1
@@ -75,7 +80,9 @@
             threading.Thread(
                 target=self.record_move, args=[build_move()]
             ).start()
-        return super().wait_for_move(run_id, MAX_WAIT_SECONDS, MAX_WAIT_SECONDS)
+        return super().wait_for_move(
+            run_id, MAX_WAIT_SECONDS, MAX_WAIT_SECONDS, is_ended
+        )
 
 
 class StreamForwarderCase(unittest.TestCase):
--- a/wasabistream/forwarding/move_trackers.py
+++ b/wasabistream/forwarding/move_trackers.py
@@ -3,12 +3,15 @@
 import threading
 import time
 from collections import OrderedDict
+from collections.abc import Callable
 
 from wasabistream.forwarding.move_messages import RunMoved
 
 # Agents report moves to all entries, so moves of other entries' requests are
 # recorded too; the oldest are evicted.
 MAX_MOVE_COUNT = 4096
+# Interval at which a wait for a move looks for the end of its request.
+END_POLL_SECONDS = 0.1
 
 
 class MoveTracker:
@@ -39,12 +42,17 @@
         return run_id in self._moved
 
     def wait_for_move(
-        self, run_id: str, notice_seconds: float, copy_seconds: float
+        self,
+        run_id: str,
+        notice_seconds: float,
+        copy_seconds: float,
+        is_ended: Callable[[], bool],
     ) -> RunMoved | None:
         """Return the move of a generation, or None after a timeout.
 
         Waits up to `notice_seconds` for the start of a move to be reported,
-        and up to `copy_seconds` in all once it has been.
+        and up to `copy_seconds` in all once it has been, but not once
+        `is_ended` returns true.
         """
         started = time.monotonic()
         with self._changed:
@@ -52,9 +60,9 @@
                 is_moving = run_id in self._moving
                 limit_seconds = copy_seconds if is_moving else notice_seconds
                 remaining_seconds = started + limit_seconds - time.monotonic()
-                if remaining_seconds <= 0:
+                if remaining_seconds <= 0 or is_ended():
                     return None
-                self._changed.wait(remaining_seconds)
+                self._changed.wait(min(remaining_seconds, END_POLL_SECONDS))
             return self._moved.pop(run_id)
 
 
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -285,7 +285,10 @@
             MOVE_COPY_SECONDS, watch.request.deadline.remaining_seconds
         )
         return self._moves.wait_for_move(
-            watch.request.request_id, MOVE_NOTICE_SECONDS, copy_seconds
+            watch.request.request_id,
+            MOVE_NOTICE_SECONDS,
+            copy_seconds,
+            lambda: watch.is_ended,
         )
 
     def _find_server(
