Soak the platform daemons as real processes

Cause: requests that a stopping entry cut were found by users only; nothing here ran the daemons as processes while clients kept connections in use and signals, restarts and configurations overlapped. The stand-in store changes items and revision together, so that no watch skips a change.

--- /dev/null
+++ b/wasabistream_tools/soak/faults.py
@@ -0,0 +1,242 @@
+"""Faults that a soak plays, in series that overlap."""
+
+import logging
+import random
+import signal
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wasabistream_tools.soak.operators import Operator
+from wasabistream_tools.soak.processes import GRACE_SECONDS, Daemon
+from wasabistream_tools.soak.records import Played, Recorder, now
+from wasabistream_tools.soak.servers import EngineServer, StandInServer
+
+logger = logging.getLogger(__name__)
+
+FAULT_PAUSE_SECONDS = (0.3, 4.0)
+RESTART_SECONDS = (0.2, 1.0)
+REPEAT_SECONDS = (0.3, 6.0)
+SERIES_SECONDS = (1.0, 2.0)
+CHANGE_PAUSE_SECONDS = (0.1, 1.5)
+OUTAGE_SECONDS = (0.5, 3.0)
+COPY_AGE_SECONDS = (2.0, 8.0)
+# A server goes on for the drain time and a little longer.
+LEAVE_SECONDS = (2.3, 6.0)
+STOP_READY_SECONDS = 30.0
+POLL_SECONDS = 0.1
+
+
+@dataclass(frozen=True)
+class FaultContext:
+    """Hold what faults act on."""
+
+    entries: tuple[Daemon, ...]
+    agents: tuple[Daemon, ...]
+    operator: Operator
+    recorder: Recorder
+    # Starts a server in place of one that leaves.
+    replace_server: Callable[[StandInServer], None]
+
+
+Fault = Callable[[FaultContext, random.Random], None]
+FAULTS: dict[str, Fault] = {}
+
+
+def fault(name: str) -> Callable[[Fault], Fault]:
+    """Register a fault."""
+
+    def register(function: Fault) -> Fault:
+        FAULTS[name] = function
+        return function
+
+    return register
+
+
+def play_series(
+    context: FaultContext,
+    names: tuple[str, ...],
+    seconds: float,
+    random_source: random.Random,
+) -> None:
+    """Start faults one after the other; return when all have ended."""
+    deadline = now() + seconds
+    threads: list[threading.Thread] = []
+    while now() < deadline:
+        time.sleep(random_source.uniform(*FAULT_PAUSE_SECONDS))
+        name = random_source.choice(names)
+        own_source = random.Random(random_source.random())
+        context.recorder.add(Played(name, now()))
+        logger.info('fault %s', name)
+        thread = threading.Thread(
+            target=FAULTS[name], args=(context, own_source), daemon=True
+        )
+        thread.start()
+        threads.append(thread)
+    for started in threads:
+        started.join()
+
+
+@fault('sigterm')
+def play_sigterm(context: FaultContext, draw: random.Random) -> None:
+    """Stop an entry and start it again."""
+    _stop_entries(context, draw, 1, ())
+
+
+@fault('repeated_sigterm')
+def play_repeated_sigterm(context: FaultContext, draw: random.Random) -> None:
+    """Send an entry SIGTERM again while it drains."""
+    numbers = (signal.SIGTERM, signal.SIGTERM, signal.SIGTERM)
+    _stop_entries(context, draw, 1, numbers[: draw.randint(1, 3)])
+
+
+@fault('sighup_around_stop')
+def play_sighup_around_stop(context: FaultContext, draw: random.Random) -> None:
+    """Send an entry SIGHUP before, during and after its drain."""
+    for entry in context.entries:
+        if draw.choice((True, False)) and entry.is_ready():
+            entry.send_signal(signal.SIGHUP)
+    time.sleep(draw.uniform(0, 1))
+    _stop_entries(context, draw, 1, (signal.SIGHUP, signal.SIGHUP))
+    for started in context.entries:
+        if started.is_ready():
+            started.send_signal(signal.SIGHUP)
+
+
+@fault('sigterm_series')
+def play_sigterm_series(context: FaultContext, draw: random.Random) -> None:
+    """Stop several entries one or two seconds apart."""
+    _stop_entries(context, draw, max(2, len(context.entries) // 2), ())
+
+
+@fault('configurations')
+def play_configurations(context: FaultContext, draw: random.Random) -> None:
+    """Change the configuration several times."""
+    for _ in range(draw.randint(1, 4)):
+        context.operator.change_configuration()
+        time.sleep(draw.uniform(*CHANGE_PAUSE_SECONDS))
+
+
+@fault('server_leaves')
+def play_server_leaves(context: FaultContext, draw: random.Random) -> None:
+    """Replace a server that announces its leaving."""
+    servers = [
+        item for item in context.operator.servers() if not item.is_draining
+    ]
+    services = [server.service for server in servers]
+    # One server of each service stays.
+    leaving = [item for item in servers if services.count(item.service) > 1]
+    if not leaving:
+        return
+    server = draw.choice(leaving)
+    context.operator.announce_leaving(server)
+    time.sleep(draw.uniform(*LEAVE_SECONDS))
+    context.operator.remove_server(server)
+    if isinstance(server, EngineServer):
+        deadline = now() + GRACE_SECONDS
+        while server.active and now() < deadline:
+            time.sleep(POLL_SECONDS)
+    else:
+        time.sleep(draw.uniform(*CHANGE_PAUSE_SECONDS))
+    server.stop()
+    context.replace_server(server)
+
+
+@fault('agent_sigterm')
+def play_agent_sigterm(context: FaultContext, draw: random.Random) -> None:
+    """Stop an agent and start it again."""
+    if not context.agents:
+        return
+    agent = draw.choice(context.agents)
+    if agent.stop_lock.acquire(blocking=False):
+        _stop_and_start(agent, draw, ())
+
+
+@fault('store_unavailable')
+def play_store_unavailable(context: FaultContext, draw: random.Random) -> None:
+    """Have the store answer 503 for a time."""
+    with context.operator.store_lock:
+        context.operator.fail_store(draw.uniform(*OUTAGE_SECONDS))
+
+
+@fault('store_silent')
+def play_store_silent(context: FaultContext, draw: random.Random) -> None:
+    """Have the store answer nothing for a time."""
+    with context.operator.store_lock:
+        context.operator.silence_store(draw.uniform(*OUTAGE_SECONDS))
+
+
+@fault('store_restored')
+def play_store_restored(context: FaultContext, draw: random.Random) -> None:
+    """Bring the store back from a copy some seconds old."""
+    with context.operator.store_lock:
+        context.operator.restore_store(
+            draw.uniform(*COPY_AGE_SECONDS), draw.uniform(*OUTAGE_SECONDS)
+        )
+
+
+def _stop_entries(
+    context: FaultContext,
+    draw: random.Random,
+    count: int,
+    repeated: tuple[signal.Signals, ...],
+) -> None:
+    """Stop up to `count` entries; one at least goes on serving."""
+    threads: list[threading.Thread] = []
+    for entry in draw.sample(context.entries, len(context.entries)):
+        if len(threads) == count:
+            break
+        if not _take_entry(context, entry):
+            continue
+        if threads:
+            time.sleep(draw.uniform(*SERIES_SECONDS))
+        own_source = random.Random(draw.random())
+        thread = threading.Thread(
+            target=_stop_and_start,
+            args=(entry, own_source, repeated),
+            daemon=True,
+        )
+        thread.start()
+        threads.append(thread)
+    for started in threads:
+        started.join()
+
+
+def _take_entry(context: FaultContext, entry: Daemon) -> bool:
+    if not entry.is_ready() or not entry.stop_lock.acquire(blocking=False):
+        return False
+    others = [item for item in context.entries if item is not entry]
+    if any(not item.stop_lock.locked() for item in others):
+        return True
+    entry.stop_lock.release()
+    return False
+
+
+def _stop_and_start(
+    daemon: Daemon,
+    draw: random.Random,
+    repeated: tuple[signal.Signals, ...],
+) -> None:
+    """Stop a daemon whose lock is held, start it and release the lock."""
+    try:
+        end_seconds = now() + GRACE_SECONDS
+        daemon.send_signal(signal.SIGTERM)
+        moments = sorted(draw.uniform(*REPEAT_SECONDS) for _ in repeated)
+        begun_seconds = now()
+        for moment_seconds, number in zip(moments, repeated, strict=True):
+            time.sleep(max(begun_seconds + moment_seconds - now(), 0))
+            daemon.send_signal(number)
+        daemon.wait_for_exit(max(end_seconds - now(), 0))
+        time.sleep(draw.uniform(*RESTART_SECONDS))
+        daemon.start()
+        if daemon.is_entry:
+            _wait_until_ready(daemon)
+    finally:
+        daemon.stop_lock.release()
+
+
+def _wait_until_ready(daemon: Daemon) -> None:
+    deadline = now() + STOP_READY_SECONDS
+    while now() < deadline and not daemon.is_ready():
+        time.sleep(POLL_SECONDS)
--- /dev/null
+++ b/wasabistream_tools/soak/runs.py
@@ -0,0 +1,290 @@
+"""One run of a soak: daemons, stand-ins, clients and faults of a seed."""
+
+import math
+import random
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from wasabistream_tools.soak import sites
+from wasabistream_tools.soak.clients import DENSE, SPARSE, Client
+from wasabistream_tools.soak.faults import FaultContext, play_series
+from wasabistream_tools.soak.operators import Operator
+from wasabistream_tools.soak.processes import Daemon, Rotation
+from wasabistream_tools.soak.records import Facts, Recorder
+from wasabistream_tools.soak.servers import (
+    EngineServer,
+    MovedMemory,
+    PlainServer,
+    StandInServer,
+)
+from wasabistream_tools.soak.stores import StandInStore
+
+READY_TIMEOUT_SECONDS = 90.0
+POLL_SECONDS = 0.1
+# Entries find each other and the load of the servers.
+SETTLING_SECONDS = 2.0
+# No process is started or stopped by the faults for this long at the end.
+QUIET_SECONDS = 2.0
+RUN_END_SECONDS = 2.0
+ENTRIES_PER_ENGINE = 4
+MIN_ENGINE_COUNT = 4
+AGENT_COUNT = 2
+PLAIN_PER_SERVICE = 2
+
+
+@dataclass(frozen=True)
+class RunOptions:
+    """Hold the options of a run."""
+
+    seed: int
+    duration_seconds: float
+    entry_count: int
+    # Clients beside each entry.
+    client_count: int
+    faults: tuple[str, ...]
+    folder: Path
+
+
+class SoakRun:
+    """Start everything, play the faults and return the facts."""
+
+    def __init__(self, options: RunOptions) -> None:
+        self._options = options
+        self._random = random.Random(options.seed)
+        self._recorder = Recorder()
+        self._stopped = threading.Event()
+        self._network = sites.Network()
+        self._moved_memory = MovedMemory()
+        self._store = StandInStore()
+        self._operator = Operator(
+            self._store, self._recorder, random.Random(options.seed)
+        )
+        self._server_count = 0
+        self._servers: list[StandInServer] = []
+        self._entries: list[Daemon] = []
+        self._agents: list[Daemon] = []
+        self.traffic = self._random.choice((SPARSE, DENSE))
+
+    def run(self, report_progress: Callable[[str], None]) -> Facts:
+        """Run the seed; ends all that it started, also on an exception."""
+        try:
+            self._start(report_progress)
+            self._play(report_progress)
+        finally:
+            self._end()
+        return Facts(self._recorder.snapshot())
+
+    def _start(self, report_progress: Callable[[str], None]) -> None:
+        self._start_servers()
+        self._operator.start()
+        self._start_daemons()
+        begun_at_seconds = time.monotonic()
+        deadline = begun_at_seconds + READY_TIMEOUT_SECONDS
+        while not all(entry.is_ready() for entry in self._entries):
+            if time.monotonic() > deadline:
+                raise TimeoutError('entries are not ready')
+            time.sleep(POLL_SECONDS)
+        taken = time.monotonic() - begun_at_seconds
+        report_progress(
+            f'{len(self._entries)} entries and {len(self._agents)} agents '
+            f'ready in {taken:.1f} s, {self.traffic.name} traffic'
+        )
+        time.sleep(SETTLING_SECONDS)
+
+    def _play(self, report_progress: Callable[[str], None]) -> None:
+        options = self._options
+        rotation = Rotation(self._entries, self._stopped)
+        context = FaultContext(
+            tuple(self._entries),
+            tuple(self._agents),
+            self._operator,
+            self._recorder,
+            self._replace_server,
+        )
+        client_count = math.ceil(
+            options.entry_count
+            * options.client_count
+            * self.traffic.client_ratio
+        )
+        clients = [
+            self._build_client(f's{options.seed}-{number}', number, rotation)
+            for number in range(client_count)
+        ]
+        with ThreadPoolExecutor(len(clients) + 1) as pool:
+            futures = [
+                pool.submit(client.run, self._stopped) for client in clients
+            ]
+            pool.submit(self._watch_processes)
+            try:
+                play_series(
+                    context,
+                    options.faults,
+                    options.duration_seconds,
+                    self._random,
+                )
+                time.sleep(QUIET_SECONDS)
+            except KeyboardInterrupt:
+                # Clients would wait for their answers.
+                self._end_daemons()
+                raise
+            finally:
+                self._stopped.set()
+        for future in futures:
+            future.result()
+        report_progress('faults and clients have ended')
+
+    def _build_client(
+        self, name: str, number: int, rotation: Rotation
+    ) -> Client:
+        return Client(
+            name,
+            sites.DATA_CENTRES[number % len(sites.DATA_CENTRES)],
+            self.traffic,
+            rotation,
+            self._operator,
+            self._recorder,
+            self._options.seed,
+        )
+
+    def _watch_processes(self) -> None:
+        while not self._stopped.wait(POLL_SECONDS):
+            for daemon in (*self._entries, *self._agents):
+                if daemon.stop_lock.acquire(blocking=False):
+                    if daemon.record_own_exit():
+                        daemon.start()
+                    daemon.stop_lock.release()
+
+    def _start_servers(self) -> None:
+        engine_count = max(
+            MIN_ENGINE_COUNT, self._options.entry_count // ENTRIES_PER_ENGINE
+        )
+        for number in range(engine_count):
+            self._add_engine(number + 1, has_agent=number < AGENT_COUNT)
+        for service in sites.PLAIN_SERVICES:
+            for _ in range(PLAIN_PER_SERVICE):
+                self._add_plain_server(service)
+
+    def _add_engine(self, number: int, *, has_agent: bool) -> None:
+        address = self._network.address(sites.ENGINE_SUBNET, number)
+        server = EngineServer(
+            self._next_id('engine'),
+            sites.ENGINE_SERVICE,
+            sites.DATA_CENTRES[number % len(sites.DATA_CENTRES)],
+            address,
+            self._recorder,
+            sites.ENGINE_PORT if has_agent else 0,
+            moved_memory=self._moved_memory,
+            seed=self._options.seed,
+        )
+        self._add_server(server)
+        if has_agent:
+            node = {
+                **self._build_node(f'agent-{number}', address, server),
+                'app': server.endpoint,
+                'service': server.service,
+            }
+            self._agents.append(self._build_daemon('agent_daemon', node))
+
+    def _add_plain_server(self, service: str) -> None:
+        name = self._next_id('plain')
+        self._add_server(
+            PlainServer(
+                name,
+                service,
+                sites.DATA_CENTRES[
+                    self._server_count % len(sites.DATA_CENTRES)
+                ],
+                self._network.address(sites.PLAIN_SUBNET, 1),
+                self._recorder,
+            )
+        )
+
+    def _replace_server(self, server: StandInServer) -> None:
+        """Start a server with a new id where one has left."""
+        address, _, port = server.endpoint.partition(':')
+        arguments = (
+            self._next_id(type(server).__name__.lower()),
+            server.service,
+            server.data_centre,
+            address,
+            self._recorder,
+        )
+        if isinstance(server, EngineServer):
+            # The agent beside an engine knows its address.
+            self._add_server(
+                EngineServer(
+                    *arguments,
+                    int(port),
+                    moved_memory=self._moved_memory,
+                    seed=self._options.seed,
+                )
+            )
+        else:
+            self._add_server(PlainServer(*arguments))
+
+    def _add_server(self, server: StandInServer) -> None:
+        self._servers.append(server)
+        self._operator.add_server(server)
+
+    def _next_id(self, kind: str) -> str:
+        self._server_count += 1
+        return f'{kind}-{self._server_count}'
+
+    def _start_daemons(self) -> None:
+        addresses = [
+            self._network.address(sites.ENTRY_SUBNET, number + 1)
+            for number in range(self._options.entry_count)
+        ]
+        seeds = [
+            f'{address}:{sites.CONTROL_PORT}'
+            for address in addresses[: sites.MAX_SEED_COUNT]
+        ]
+        for number, address in enumerate(addresses):
+            data_centre = sites.DATA_CENTRES[number % len(sites.DATA_CENTRES)]
+            node = sites.build_node(
+                f'entry-{number + 1}', address, data_centre, self._store.port
+            )
+            node['seeds'] = seeds
+            node['listen'] = {
+                'front': f'{address}:{sites.FRONT_PORT}',
+                'ready': f'{address}:{sites.READY_PORT}',
+                'control': f'{address}:{sites.CONTROL_PORT}',
+            }
+            self._entries.append(self._build_daemon('entry_daemon', node))
+        for daemon in (*self._entries, *self._agents):
+            daemon.start()
+
+    def _build_node(
+        self, name: str, address: str, server: StandInServer
+    ) -> dict[str, Any]:
+        node = sites.build_node(
+            name, address, server.data_centre, self._store.port
+        )
+        seed = self._network.address(sites.ENTRY_SUBNET, 1)
+        return {**node, 'seeds': [f'{seed}:{sites.CONTROL_PORT}']}
+
+    def _build_daemon(self, module: str, node: dict[str, Any]) -> Daemon:
+        return Daemon(module, node, self._options.folder, self._recorder)
+
+    def _end_daemons(self) -> None:
+        for daemon in (*self._entries, *self._agents):
+            daemon.end()
+
+    def _end(self) -> None:
+        self._stopped.set()
+        self._operator.stop()
+        self._end_daemons()
+        deadline = time.monotonic() + RUN_END_SECONDS
+        while time.monotonic() < deadline and any(
+            server.has_connections() for server in self._servers
+        ):
+            time.sleep(POLL_SECONDS)
+        for server in self._servers:
+            server.stop()
+        self._store.stop()
+        self._network.release()
--- a/wasabistream_tools/soak/stores.py
+++ b/wasabistream_tools/soak/stores.py
@@ -57,6 +57,9 @@
         super().__init__(('127.0.0.1', 0), _Handler)
         self.store = store
 
+    def handle_error(self, *arguments: Any) -> None:
+        """Ignore callers that have left."""
+
 
 class StandInStore:
     """Hold items and their changes; answer reads and watches of them."""
@@ -76,6 +79,8 @@
         # Connections that were opened before get no further answer.
         self.silenced_at_seconds = 0.0
         self._stopped = threading.Event()
+        # Calls see a change with its revision, or neither.
+        self._lock = threading.RLock()
         self.calls: list[str] = []
         self._server = _StoreServer(self)
         self.port: int = self._server.server_address[1]
@@ -89,28 +94,34 @@
 
     def put(self, row: dict[str, Any]) -> None:
         """Write an item."""
-        self.revision = max(self.revision, row['revision'])
-        self.items[row['key']] = row
-        self.changes.append(row)
+        with self._lock:
+            self.revision = max(self.revision, row['revision'])
+            self.items[row['key']] = row
+            self.changes.append(row)
 
     def remove(self, key: str) -> None:
         """Remove an item."""
-        self.revision += 1
-        self.items.pop(key)
-        self.changes.append(
-            {'key': key, 'revision': self.revision, 'removed': True}
-        )
+        with self._lock:
+            self.revision += 1
+            self.items.pop(key)
+            self.changes.append(
+                {'key': key, 'revision': self.revision, 'removed': True}
+            )
 
     def copy(self) -> StoreCopy:
         """Return a copy from which the store can be restored."""
-        return StoreCopy(dict(self.items), list(self.changes), self.revision)
+        with self._lock:
+            return StoreCopy(
+                dict(self.items), list(self.changes), self.revision
+            )
 
     def restore(self, copied: StoreCopy) -> None:
         """Return to an older copy; later revisions are given out again."""
-        self.items = dict(copied.items)
-        self.changes = list(copied.changes)
-        self.revision = copied.revision
-        self.epoch += 1
+        with self._lock:
+            self.items = dict(copied.items)
+            self.changes = list(copied.changes)
+            self.revision = copied.revision
+            self.epoch += 1
 
     def silence_connections(self) -> None:
         """Answer nothing more on the connections that are open now."""
@@ -136,12 +147,13 @@
 
     def _page(self, query: dict[str, str]) -> dict[str, Any]:
         after = query.get('after', '')
-        keys = sorted(key for key in self.items if key > after)
-        return {
-            'items': [self.items[key] for key in keys[:PAGE_COUNT]],
-            'has_more': len(keys) > PAGE_COUNT,
-            'current_rev': self.revision,
-        }
+        with self._lock:
+            keys = sorted(key for key in self.items if key > after)
+            return {
+                'items': [self.items[key] for key in keys[:PAGE_COUNT]],
+                'has_more': len(keys) > PAGE_COUNT,
+                'current_rev': self.revision,
+            }
 
     def _drop_call(self) -> tuple[int, dict[str, Any]]:
         self._stopped.wait()
@@ -156,10 +168,14 @@
         while time.monotonic() < deadline:
             if self.silent:
                 return self._drop_call()
-            if after < self.forgotten_revision or epoch != self.epoch:
-                return 410, {}
-            events = [row for row in self.changes if row['revision'] > after]
+            with self._lock:
+                if after < self.forgotten_revision or epoch != self.epoch:
+                    return 410, {}
+                revision = self.revision
+                events = [
+                    row for row in self.changes if row['revision'] > after
+                ]
             if events or self.failing_status:
-                return 200, {'events': events, 'current_rev': self.revision}
+                return 200, {'events': events, 'current_rev': revision}
             time.sleep(POLL_SECONDS)
         return 200, {'events': [], 'current_rev': self.revision}
