--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -103,6 +103,7 @@
     'EXIT': [
         (STARTED, STOPPED, KILLED),
         (STARTED, ENDED),
+        (STARTED, STOPPED, replace(ENDED, code=1)),
     ],
     'SERVED': [(build_refused(503),)],
 }
--- a/wasabistream_tools/soak/checks.py
+++ b/wasabistream_tools/soak/checks.py
@@ -39,6 +39,8 @@
 CONFIGURATION_STATUSES = frozenset((401, 403, 404))
 # Refusals of an entry that promise nothing and are not asked for.
 OWN_REFUSALS = frozenset(range(300, 500)) - NOT_RUN_STATUSES
+# Done, ended with requests cut, and stopped before the handlers were set.
+EXIT_CODES = frozenset((0, 3, -signal.SIGTERM))
 SHOWN_BODY_BYTES = 40
 
 
@@ -291,6 +293,8 @@
     for fact in exits:
         if fact.is_killed:
             violations.append(f'{fact.process} outlived its grace time')
+        elif fact.code not in EXIT_CODES:
+            violations.append(f'{fact.process} ended with {fact.code}')
         begin = facts.life_begin(fact.process, fact.at_seconds)
         stops = facts.stops_of(fact.process)
         if not any(begin <= stop <= fact.at_seconds for stop in stops):
--- a/wasabistream_tools/soak/runs.py
+++ b/wasabistream_tools/soak/runs.py
@@ -165,23 +165,15 @@
         )
         for number in range(engine_count):
             self._add_engine(number + 1, has_agent=number < AGENT_COUNT)
-        for service in sites.PLAIN_SERVICES:
-            for _ in range(PLAIN_PER_SERVICE):
-                self._add_plain_server(service)
+        address = self._network.address(sites.PLAIN_SUBNET, 1)
+        for service in sites.PLAIN_SERVICES * PLAIN_PER_SERVICE:
+            self._add_server(service, self._server_count, address)
 
     def _add_engine(self, number: int, *, has_agent: bool) -> None:
         address = self._network.address(sites.ENGINE_SUBNET, number)
-        server = EngineServer(
-            self._next_id('engine'),
-            sites.ENGINE_SERVICE,
-            sites.DATA_CENTRES[number % len(sites.DATA_CENTRES)],
-            address,
-            self._recorder,
-            sites.ENGINE_PORT if has_agent else 0,
-            moved_memory=self._moved_memory,
-            seed=self._options.seed,
-        )
-        self._add_server(server)
+        # The agent beside an engine knows its address.
+        port = sites.ENGINE_PORT if has_agent else 0
+        server = self._add_server(sites.ENGINE_SERVICE, number, address, port)
         if has_agent:
             node = {
                 **self._build_node(f'agent-{number}', address, server),
@@ -190,50 +182,37 @@
             }
             self._agents.append(self._build_daemon('agent_daemon', node))
 
-    def _add_plain_server(self, service: str) -> None:
-        name = self._next_id('plain')
-        self._add_server(
-            PlainServer(
-                name,
-                service,
-                sites.DATA_CENTRES[
-                    self._server_count % len(sites.DATA_CENTRES)
-                ],
-                self._network.address(sites.PLAIN_SUBNET, 1),
-                self._recorder,
-            )
-        )
-
     def _replace_server(self, server: StandInServer) -> None:
         """Start a server with a new id where one has left."""
         address, _, port = server.endpoint.partition(':')
+        kept_port = int(port) if server.service == sites.ENGINE_SERVICE else 0
+        number = sites.DATA_CENTRES.index(server.data_centre)
+        self._add_server(server.service, number, address, kept_port)
+
+    def _add_server(
+        self, service: str, number: int, address: str, port: int = 0
+    ) -> StandInServer:
+        self._server_count += 1
         arguments = (
-            self._next_id(type(server).__name__.lower()),
-            server.service,
-            server.data_centre,
+            f'{service}-{self._server_count}',
+            service,
+            sites.DATA_CENTRES[number % len(sites.DATA_CENTRES)],
             address,
             self._recorder,
+            port,
         )
-        if isinstance(server, EngineServer):
-            # The agent beside an engine knows its address.
-            self._add_server(
-                EngineServer(
-                    *arguments,
-                    int(port),
-                    moved_memory=self._moved_memory,
-                    seed=self._options.seed,
-                )
+        server: StandInServer
+        if service == sites.ENGINE_SERVICE:
+            server = EngineServer(
+                *arguments,
+                moved_memory=self._moved_memory,
+                seed=self._options.seed,
             )
         else:
-            self._add_server(PlainServer(*arguments))
-
-    def _add_server(self, server: StandInServer) -> None:
+            server = PlainServer(*arguments)
         self._servers.append(server)
         self._operator.add_server(server)
-
-    def _next_id(self, kind: str) -> str:
-        self._server_count += 1
-        return f'{kind}-{self._server_count}'
+        return server
 
     def _start_daemons(self) -> None:
         addresses = [
