--- a/wasabistream_tools/soak/__main__.py
+++ b/wasabistream_tools/soak/__main__.py
@@ -24,6 +24,7 @@
 from wasabistream_tools.soak.runs import RunOptions, SoakRun
 
 MAX_SHOWN_COUNT = 5
+STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
 FACTS_FILE = 'facts.txt'
 
 
@@ -106,7 +107,8 @@
     joined by commas; without it all are played. Logs and facts of seeds that
     failed, or of all seeds with `keep`, stay in a folder.
     """
-    signal.signal(signal.SIGTERM, _interrupt)
+    for stop_number in STOP_SIGNALS:
+        signal.signal(stop_number, _interrupt)
     names = _split_names(faults)
     base = Path(keep or tempfile.mkdtemp(prefix='wasabistream-soak-'))
     report = SoakReport()
@@ -157,7 +159,9 @@
 
 
 def _interrupt(number: int, frame: FrameType | None) -> None:
-    # All that runs ends as on Ctrl-C.
+    # A second signal must not interrupt the end of the processes.
+    for stop_number in STOP_SIGNALS:
+        signal.signal(stop_number, signal.SIG_IGN)
     raise KeyboardInterrupt
 
 
