Skip no change at the end of a watch of the stand-in store

Cause: a watch that ended without an event stated the store's revision of that moment. Change: the answer states the revision of the last look.

--- a/wasabistream_tools/soak/stores.py
+++ b/wasabistream_tools/soak/stores.py
@@ -165,6 +165,7 @@
         if after < self.forgotten_revision or after > self.revision:
             return 410, {}
         deadline = time.monotonic() + int(query['wait_ms']) / 1000
+        revision = after
         while time.monotonic() < deadline:
             if self.silent:
                 return self._drop_call()
@@ -178,4 +179,5 @@
             if events or self.failing_status:
                 return 200, {'events': events, 'current_rev': revision}
             time.sleep(POLL_SECONDS)
-        return 200, {'events': [], 'current_rev': self.revision}
+        # A change since the last look must stay ahead of the next watch.
+        return 200, {'events': [], 'current_rev': revision}
