--- a/wasabistream_tools/soak/stores.py
+++ b/wasabistream_tools/soak/stores.py
@@ -59,6 +59,9 @@
         super().__init__(('127.0.0.1', 0), _Handler)
         self.store = store
 
+    def handle_error(self, *arguments: Any) -> None:
+        """Ignore callers that have left."""
+
 
 class StandInStore:
     """Hold items and their changes; answer reads and watches of them."""
@@ -78,8 +81,8 @@
         # Connections that were opened before get no further answer.
         self.silenced_at_seconds = 0.0
         self._stopped = threading.Event()
-        # Guards items, changes and revision against answers that mix them.
-        self._lock = threading.Lock()
+        # Calls see a change with its revision, or neither.
+        self._lock = threading.RLock()
         self.calls: list[str] = []
         self._server = _StoreServer(self)
         self.port: int = self._server.server_address[1]
