Take VM lists that are written after the service has gone back

New servers were not used, and servers taken off the list still were, after the configuration service had returned from an older copy, until its index had passed the one held; key owners lost their leases after list_hold_seconds, as no read confirmed the list any more. Cause: the index of the service ordered the lists, and a list with a lower index counted as older, whenever it was written. Change: readers tell later lists from the copy: by an index that had another list before, or by a change that follows after the service has returned lower indexes for 3 s. A copy stays ignored, so a server that has left does not return. A read with the content of the list held confirms it under any index. Class: a position in a shared source orders contents, though the source may give positions out again.

--- a/tests/test_returned_services.py
+++ b/tests/test_returned_services.py
@@ -4,17 +4,27 @@
 is taken for old, or the older copy for new.
 """
 
+import time
 import unittest
+from dataclasses import asdict
 
-from tests.builders import build_full_document
+from tests.builders import build_full_document, build_vm
 from tests.test_distributors import DistributorEntry, encode, require
 from wasabistream.http_servers import ApiServer
+from wasabistream.vm_list_reads import RETURN_CONFIRM_SECONDS, VmListReads
+from wasabistream.vm_list_stores import VmListStore
+from wasabistream.vms import VmList
 from wasabistream_tools.configuration import (
     ConfigurationFaults,
     ConfigurationStandIn,
 )
 
 
+def build_row(name: str) -> dict[str, object]:
+    """Return an agent's row of the VM list."""
+    return asdict(build_vm(name))
+
+
 class ReturnedServiceTest(unittest.TestCase):
     """Guard entries against a service that has lost its last writes."""
 
@@ -38,9 +48,9 @@
         raw = build_full_document(revision=revision)
         return self.service.publish('document', encode(raw))
 
-    def publish_vms(self) -> int:
-        """Publish the VM list and return its index."""
-        vms = [entry.vm for entry in self.entries]
+    def publish_vms(self, *servers: dict[str, object]) -> int:
+        """Publish the entries and some servers; return the index."""
+        vms = [*(entry.vm for entry in self.entries), *servers]
         return self.service.publish('vms', encode({'vms': vms}))
 
     def test_document_at_a_known_index(self) -> None:
@@ -54,6 +64,42 @@
         self.service.inject(ConfigurationFaults())
         self.require_revision(3)
 
+    def test_vm_list_at_lower_indexes(self) -> None:
+        """Guard against changes that are ignored, and copies that are not.
+
+        A server that has left must not return with the copy.
+        """
+        copied_index = self.publish_vms(build_row('left'))
+        self.require_vms('a', 'b', 'left')
+        for _ in range(3):
+            self.publish_document(1)
+        self.publish_vms()
+        self.require_vms('a', 'b')
+        received: list[VmList] = []
+        for entry in self.entries:
+            entry.distributor.lists.subscribe(received.append)
+        self.service.restore(copied_index)
+        time.sleep(RETURN_CONFIRM_SECONDS * 2)
+        self.assertEqual(received, [])
+        for name in ('c', 'd'):
+            self.publish_vms(build_row(name))
+            self.require_vms('a', 'b', name)
+
+    def require_vms(self, *names: str) -> None:
+        """Wait until all entries have the VMs with these names."""
+
+        def have_vms() -> bool:
+            versions = [
+                entry.distributor.lists.latest for entry in self.entries
+            ]
+            return (
+                versions[0] is not None
+                and tuple(versions[0].vm_list.vms_by_id) == names
+                and versions[0] == versions[1]
+            )
+
+        require(have_vms, f'VMs {names}')
+
     def require_revision(self, revision: int) -> None:
         """Wait until a document is in force at all entries."""
         require(
@@ -62,5 +108,40 @@
         )
 
 
+class VmListReadsTest(unittest.TestCase):
+    """Guard the order of the lists that one entry reads."""
+
+    def test_order(self) -> None:
+        """Guard against older lists that replace later ones, and the reverse."""
+        now = 0.0
+        store = VmListStore()
+        reads = VmListReads(store, lambda: now)
+        for seconds, index, name, expected in (
+            (0, 2, 'first', 'first'),
+            (0, 5, 'second', 'second'),
+            # A replica that lags, then one that is up to date.
+            (0, 2, 'first', 'second'),
+            (1, 3, 'skipped', 'second'),
+            (0, 5, 'second', 'second'),
+            (9, 3, 'skipped', 'second'),
+            # An index is given out again, which proves the return.
+            (0, 5, 'third', 'third'),
+            (0, 6, 'fourth', 'fourth'),
+            # A second return, to a list that was stored under another index.
+            (0, 5, 'third', 'fourth'),
+            (0, 6, 'fifth', 'fifth'),
+            # A third one, to indexes that were not seen.
+            (0, 3, 'skipped', 'fifth'),
+            (1, 4, 'sixth', 'fifth'),
+            (2, 4, 'sixth', 'sixth'),
+        ):
+            now += seconds
+            reads.receive(encode({'vms': [build_row(name)]}), index, 0)
+            latest = store.latest
+            self.assertEqual(
+                latest and latest.vm_list.vms[0].id, expected, (index, name)
+            )
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/wasabistream/configuration_readers.py
+++ b/wasabistream/configuration_readers.py
@@ -8,6 +8,7 @@
 from wasabistream.configurations import ConfigurationStore
 from wasabistream.entry_peers import EntryPeers
 from wasabistream.settings import EntrySettings
+from wasabistream.vm_list_reads import VmListReads
 from wasabistream.vm_list_stores import VmListStore
 from wasabistream.watchers import ValueWatcher
 
@@ -30,6 +31,7 @@
     ) -> None:
         self._documents = documents
         self._vm_lists = lists
+        self._vm_list_reads = VmListReads(lists)
         self._peers = peers
         self._started_seconds = time.monotonic()
         self._reading_since_seconds = self._started_seconds
@@ -55,16 +57,12 @@
         self._set_watching(self._vm_list_watcher, reads_vm_list)
         self._set_watching(self._document_watcher, reads_document)
         self._is_reading_both = reads_vm_list and reads_document
-        # A read of another index says nothing about the latest list.
-        if (
-            reads_vm_list
-            and self._vm_list_watcher.index
-            == self._vm_lists.latest_version_id[0]
+        read_age_seconds = self._vm_list_watcher.read_age_seconds
+        # An earlier read says nothing about the list held since.
+        if reads_vm_list and (
+            read_age_seconds < self._vm_lists.stored_age_seconds
         ):
-            self._vm_lists.confirm_read(
-                self._vm_list_watcher.index,
-                self._vm_list_watcher.read_age_seconds,
-            )
+            self._vm_list_reads.check(read_age_seconds)
 
     def stop(self) -> None:
         """Stop both watchers."""
@@ -104,6 +102,6 @@
         self._documents.offer(body, f'configuration service {index}')
 
     def _receive_vm_list(self, body: bytes, index: int) -> None:
-        self._vm_lists.offer(
+        self._vm_list_reads.receive(
             body, index, self._vm_list_watcher.read_age_seconds
         )
--- a/wasabistream/vm_list_stores.py
+++ b/wasabistream/vm_list_stores.py
@@ -17,6 +17,8 @@
 
 # Versions whose bodies are kept as bases of patches.
 KEPT_BODY_COUNT = 3
+# Indexes whose digests are kept, to tell a copy of a list from a later one.
+KEPT_DIGEST_COUNT = 256
 
 
 @dataclass(frozen=True)
@@ -39,7 +41,9 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._bodies: OrderedDict[str, bytes] = OrderedDict()
+        self._digests: OrderedDict[int, str] = OrderedDict()
         self._last_read_monotonic_seconds = float('-inf')
+        self._stored_monotonic_seconds = float('-inf')
         self._subscribers: list[Callable[[VmList], None]] = []
         self._changes = OrderedDelivery(self._notify)
         self.latest: VmListVersion | None = None
@@ -54,6 +58,11 @@
         """Return the time since a read of the service gave the latest list."""
         return time.monotonic() - self._last_read_monotonic_seconds
 
+    @property
+    def stored_age_seconds(self) -> float:
+        """Return the time since the latest list was stored."""
+        return time.monotonic() - self._stored_monotonic_seconds
+
     def subscribe(self, receive: Callable[[VmList], None]) -> None:
         """Call a function with each new list."""
         self._subscribers.append(receive)
@@ -63,10 +72,20 @@
         with self._lock:
             return self._bodies.get(digest)
 
+    def find_digest(self, index: int) -> str | None:
+        """Return the digest of the list stored under an index, or None."""
+        with self._lock:
+            return self._digests.get(index)
+
+    def has_stored(self, digest: str) -> bool:
+        """Tell whether a list was stored, under any index."""
+        with self._lock:
+            return digest in self._digests.values()
+
     def offer(self, body: bytes, index: int, read_age_seconds: float) -> bool:
         """Store a list if it is valid and later; tells whether it was."""
         try:
-            version = _parse(body, index)
+            version = parse_version(body, index)
         except ConfigurationError as error:
             logger.error('entry: VM list refused: %s', error)
             return False
@@ -77,6 +96,10 @@
             self._bodies[version.digest] = version.body
             if len(self._bodies) > KEPT_BODY_COUNT:
                 self._bodies.popitem(last=False)
+            self._digests[index] = version.digest
+            if len(self._digests) > KEPT_DIGEST_COUNT:
+                self._digests.popitem(last=False)
+            self._stored_monotonic_seconds = time.monotonic()
             self._last_read_monotonic_seconds = (
                 time.monotonic() - read_age_seconds
             )
@@ -98,7 +121,8 @@
             receive(vm_list)
 
 
-def _parse(body: bytes, index: int) -> VmListVersion:
+def parse_version(body: bytes, index: int) -> VmListVersion:
+    """Parse a VM list and compute its digest; raises ConfigurationError."""
     vm_list = parse_vm_list(body, index)
     canonical = canonical_json(decode_vm_list(body))
     return VmListVersion(vm_list, canonical, compute_digest(canonical))
