Keep calls in the drain of an agent until their replies are queued

The caller of a call that has run could get unknown from an agent that stops, and of a generation that waited at its gate unknown in place of not_run. Cause: a call left the list of the agent's drain before its reply was queued on the link, and a refused generation before its refusal. A drain that looked in between closed the links, which then took no more messages. Change: both stay in the list until then. The load that an agent reports counts calls as before. Evidence: CallDrainTest.test_reply failed on the list that the drain used (empty while the reply is sent) and passes with the new one; found by reading, not seen in a run. 36 tests of calls, generations, gates and drains passed. Class: work that a drain does not know is cut off.

--- a/tests/test_call_drains.py
+++ b/tests/test_call_drains.py
@@ -5,10 +5,12 @@
 
 import json
 import math
+import threading
 import unittest
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
-from tests.builders import build_full_document
+from tests.builders import build_full_document, wait_until
+from wasabistream.call_runners import CallRunner
 from wasabistream.callers import draining_answer
 from wasabistream.documents import parse_document
 from wasabistream.exceptions import AttemptError
@@ -20,6 +22,7 @@
     ServiceCallHandler,
     build_draining_refusal,
 )
+from wasabistream.service_clients import ServiceClient
 
 # As in the document.
 CALL_TIMEOUT_SECONDS = 10
@@ -79,6 +82,23 @@
         body = json.loads(draining_answer(build_call_request()).body)
         self.assertIn(Outcome.not_run.value, json.dumps(body))
 
+    def test_reply(self) -> None:
+        """Guard against a drain that ends before the reply of a call is sent."""
+        runner = CallRunner('http://127.0.0.1:9', 1, Mock())
+        unanswered: list[list[str]] = []
+        sent = threading.Event()
+
+        def send(reply: object) -> None:
+            unanswered.append(runner.unanswered_calls())
+            sent.set()
+
+        call = Mock(request_id='r1', repeatable=True, deadline_seconds=1.0)
+        with patch.object(ServiceClient, 'send'):
+            runner.call(Mock(send=send), call)
+            self.assertTrue(sent.wait(CALL_TIMEOUT_SECONDS))
+        self.assertEqual(unanswered, [['r1']])
+        wait_until(lambda: not runner.unanswered_calls())
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/wasabistream/agents.py
+++ b/wasabistream/agents.py
@@ -176,7 +176,7 @@
         """Return the ids of generations and calls in progress."""
         return [
             *self.generations.jobs_in_progress(),
-            *self.calls.calls_in_progress(),
+            *self.calls.unanswered_calls(),
         ]
 
     def on_opened(self, link: Link) -> None:
--- a/wasabistream/call_runners.py
+++ b/wasabistream/call_runners.py
@@ -32,11 +32,18 @@
         self._client = ServiceClient(url)
         self._keyed_runner = keyed_runner
         self._in_progress: dict[str, Call] = {}
+        # Those in progress and those whose replies are being queued. They no
+        # longer count as load, as their entries may send the next call.
+        self._unanswered: dict[str, Call] = {}
 
     def calls_in_progress(self) -> list[str]:
         """Return the request ids of calls that have not ended."""
         return list(self._in_progress)
 
+    def unanswered_calls(self) -> list[str]:
+        """Return the request ids of calls whose replies are not queued."""
+        return list(self._unanswered)
+
     def call(self, link: Link, call: Call, refusal: str = '') -> None:
         """Run a call in a worker thread, or refuse it.
 
@@ -62,15 +69,22 @@
         self._pool.shutdown(wait=False)
 
     def _start(self, link: Link, call: Call, deadline: float) -> None:
+        self._unanswered[call.request_id] = call
         self._in_progress[call.request_id] = call
         self._pool.submit(self._run, link, call, deadline)
 
     def _run(self, link: Link, call: Call, deadline: float) -> None:
         try:
-            reply = self._run_call(call, deadline)
+            reply = self._run_and_free(call, deadline)
+            _send(link, reply)
+        finally:
+            self._unanswered.pop(call.request_id, None)
+
+    def _run_and_free(self, call: Call, deadline: float) -> Message:
+        try:
+            return self._run_call(call, deadline)
         finally:
             self._in_progress.pop(call.request_id, None)
-        _send(link, reply)
 
     def _run_call(self, call: Call, deadline: float) -> Message:
         if not call.repeatable:
--- a/wasabistream/generations.py
+++ b/wasabistream/generations.py
@@ -169,8 +169,9 @@
     def refuse_queued(self, reason: str) -> None:
         """Refuse all queued jobs, so that entries send them elsewhere."""
         for job in self.gate.remove_queued():
-            self._jobs.end(job)
+            # In progress until its refusal is queued.
             job.refuse(reason)
+            self._jobs.end(job)
 
     def on_link_closed(self, link: Link) -> None:
         """Detach the streams whose tokens went over a link that ended."""
