Build the subsets of a VM list for its content, not for its index

Agents got the subset of another list when two lists had the same index. Cause: an entry cached the subsets by list index. A service that has gone back gives indexes out again, and entries that lost lists to it may store two under one index before the higher digest wins. Change: the cache is keyed by the digest of the list. Evidence: SubsetTest.test_other_list_of_the_same_index failed before (same body) and passes; tests.test_parts: 6 tests passed. Found by reading, not seen in a run. Class: a position in a shared source orders contents, though the source may give positions out again.

--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -140,6 +140,15 @@
                 self.assertEqual([vm['id'] for vm in vms], expected)
                 self.assertEqual(subset.list_index, 7)
 
+    def test_other_list_of_the_same_index(self) -> None:
+        """Guard against a subset of the list that had the index before."""
+        before = self.store.latest_version_id
+        subset = self.fetch('engine-1')
+        while self.store.latest_version_id == before:
+            self.vms.append(_build_vm(f'engine-{len(self.vms)}', 'dc-a'))
+            self.offer(7)
+        self.assertNotEqual(self.fetch('engine-1').body, subset.body)
+
     def test_older_list_is_ignored(self) -> None:
         """Guard against a stale read that brings back a removed VM."""
         self.vms.pop()
--- a/wasabistream/vm_list_subset_relays.py
+++ b/wasabistream/vm_list_subset_relays.py
@@ -32,8 +32,8 @@
         self._store = store
         self._lock = threading.Lock()
         self._links: set[Link] = set()
-        # Digest and body by list index, service and data centre.
-        self._subsets: dict[tuple[int, str, str], tuple[str, bytes]] = {}
+        # Digest and body by list digest, service and data centre.
+        self._subsets: dict[tuple[str, str, str], tuple[str, bytes]] = {}
         self._next_age_update_seconds = 0.0
         store.subscribe(self._announce)
 
@@ -115,7 +115,7 @@
         version = self._store.latest
         if version is None:
             return None
-        key = (version.vm_list.index, *self._subset_key_for(link))
+        key = (version.digest, *self._subset_key_for(link))
         with self._lock:
             if key not in self._subsets:
                 self._subsets = {
