Move the order of read VM lists to the package of returns

Change: the module lies with the others that decide what a source that returns from an older copy means. Measured: tests.test_returned_services passes.

--- a/tests/test_returned_services.py
+++ b/tests/test_returned_services.py
@@ -11,7 +11,10 @@
 from tests.builders import build_full_document, build_vm
 from tests.test_distributors import DistributorEntry, encode, require
 from wasabistream.http_servers import ApiServer
-from wasabistream.vm_list_reads import RETURN_CONFIRM_SECONDS, VmListReads
+from wasabistream.restores.vm_list_reads import (
+    RETURN_CONFIRM_SECONDS,
+    VmListReads,
+)
 from wasabistream.vm_list_stores import VmListStore
 from wasabistream.vms import VmList
 from wasabistream_tools.configuration import (
--- a/wasabistream/configuration_readers.py
+++ b/wasabistream/configuration_readers.py
@@ -7,8 +7,8 @@
 
 from wasabistream.configurations import ConfigurationStore
 from wasabistream.entry_peers import EntryPeers
+from wasabistream.restores.vm_list_reads import VmListReads
 from wasabistream.settings import EntrySettings
-from wasabistream.vm_list_reads import VmListReads
 from wasabistream.vm_list_stores import VmListStore
 from wasabistream.watchers import ValueWatcher
 
