Cut what is in progress before the listener is closed

Cause: at the limit of a drain the close came first and took 0.3 s with callers that kept connecting; the supervisor had cut the requests by then, none was counted as cut, and the process ended with exit code 0. Change: the cut comes first; connections that are handed over after it are read without waiting for more.

--- a/wasabistream/applications.py
+++ b/wasabistream/applications.py
@@ -110,30 +110,19 @@
         reason = self._wait_for_work(
             started + self.drain_notice_seconds(), deadline
         )
-        self.on_close()
-        if reason == DRAIN_IDLE:
+        is_idle = reason == DRAIN_IDLE
+        if is_idle:
+            self.on_close()
             # What arrived until the close has the rest of the drain.
             reason = self._wait_for_work(0, deadline)
         cut = self.work_in_progress()
-        logger.info(
-            '%s: drain ended',
-            self.process_role,
-            extra={
-                'reason': reason,
-                'seconds': round(time.monotonic() - started, 3),
-                'signal_count': self._signal_count,
-                'in_progress_count': len(cut),
-            },
-        )
-        for request_id in cut:
-            logger.warning(
-                '%s: request cut',
-                self.process_role,
-                extra={'request_id': request_id},
-            )
+        self._report_drain(reason, time.monotonic() - started, cut)
         if cut:
             self.on_cut()
-            self._wait_for_answers()
+        if not is_idle:
+            # After the cut, as the close may take a while.
+            self.on_close()
+        self._wait_for_answers()
         self.on_stop()
         logger.info(
             '%s: stopped with %d requests cut', self.process_role, len(cut)
@@ -160,6 +149,26 @@
             self._ending_signal_count += 1
         self._signals.put(signal_number)
 
+    def _report_drain(
+        self, reason: str, seconds: float, cut: list[str]
+    ) -> None:
+        logger.info(
+            '%s: drain ended',
+            self.process_role,
+            extra={
+                'reason': reason,
+                'seconds': round(seconds, 3),
+                'signal_count': self._signal_count,
+                'in_progress_count': len(cut),
+            },
+        )
+        for request_id in cut:
+            logger.warning(
+                '%s: request cut',
+                self.process_role,
+                extra={'request_id': request_id},
+            )
+
     def _wait_for_work(self, earliest_end: float, deadline: float) -> str:
         """Wait until no work is in progress; return what ended the wait."""
         while time.monotonic() < deadline:
--- a/wasabistream/stopping/draining_servers.py
+++ b/wasabistream/stopping/draining_servers.py
@@ -59,6 +59,9 @@
     def queue_connection(self, conn: HTTPConnection) -> None:
         """Queue a connection for the threads."""
         self.requests_in_progress.begin(conn)
+        if self.is_ending:
+            # What has arrived of it is read; the rest is not waited for.
+            self.requests_in_progress.end_arrivals()
         HTTPServer.process_conn(self, conn)
 
     def stop(self) -> None:
