Recognise the state of a copy that an entry has never seen

An entry that started after a change took the state of the older copy for a write after the return, for example a draining server for a ready one, and refused the holds of its peers. Found in review, shown with whole entries. Cause: only states that the entry had seen superseded counted as the copy's; and what the listing of the copy replaced counted as superseded by it. Change: items whose revision is not above that of an unchanged item come from the copy, as writes after the return have higher ones; what a listing after a return has replaced says nothing about peers' holds. Evidence: test_states_before_the_start and test_holds_correct_an_entry_that_knew_a_part failed before and pass.

--- a/tests/test_restore_guards.py
+++ b/tests/test_restore_guards.py
@@ -176,6 +176,20 @@
         self.return_with(build_item(EVACUATION, 4), epoch=3)
         self.assert_effective()
 
+    def test_states_before_the_start(self) -> None:
+        """Guard against states that this entry has never seen.
+
+        The revision of another item shows that they come from the copy.
+        """
+        later = build_item('servers/y', 6)
+        entry = GuardedEntry(self.clock, later, NEW)
+        entry.relist(later, OLD, build_item(EVACUATION, 4), epoch=2)
+        self.assertEqual(entry.effective, {SERVER: NEW, later.key: later})
+        written = build_item(SERVER, 8, b'ready')
+        entry = GuardedEntry(self.clock, later, NEW)
+        entry.relist(later, written, epoch=2)
+        self.assertEqual(entry.effective[SERVER], written)
+
     def test_older_configuration(self) -> None:
         """Guard against an older version in force, however late it is written.
 
@@ -249,6 +263,15 @@
             self.assertEqual(set(started.effective), {SERVER, CONFIGURATION})
             self.assertEqual(started.effective[SERVER], OLD)
 
+    def test_holds_correct_an_entry_that_knew_a_part(self) -> None:
+        """Guard against a copy that wins over an entry's and its peers' state."""
+        self.entry.relist(OLD, epoch=2)
+        started = GuardedEntry(self.clock, NEW)
+        started.relist(OLD, epoch=2)
+        self.assertEqual(started.effective[SERVER], OLD)
+        started.receive(*self.entry.peers.describe(PEER))
+        self.assertEqual(started.effective[SERVER], NEW)
+
     def test_keys_written_after_the_return(self) -> None:
         """Guard against holds of a peer that replace newer items."""
         self.entry.relist(OLD, epoch=2)
--- a/wasabistream/restores/restore_guards.py
+++ b/wasabistream/restores/restore_guards.py
@@ -14,6 +14,7 @@
     Hold,
     SupersededItems,
     apply_holds,
+    find_copied_revision,
     find_holds,
     list_changed_keys,
     revision_of,
@@ -55,6 +56,9 @@
         self._listed: dict[str, MirrorItem] = {}
         self._holds: dict[str, Hold] = {}
         self._superseded = SupersededItems()
+        # What a listing after a return has replaced. It may have replaced a
+        # later state by that of the copy, so it says nothing about peers' holds.
+        self._replaced = SupersededItems()
         self._pending = PendingHolds()
 
     @property
@@ -109,7 +113,7 @@
                 return
             for hold in due:
                 self._holds.pop(hold.key)
-                self._record_superseded([hold.known], None)
+                self._record_superseded([hold.known], None, self._superseded)
             self._report_end(due, 'time')
             self._apply_effective(self._listed)
 
@@ -127,6 +131,7 @@
         holds = find_holds(
             known,
             items,
+            find_copied_revision(self._listed, items),
             self._is_superseded,
             lambda key: (
                 math.inf if key in self._lasting_keys else until_seconds
@@ -136,7 +141,9 @@
         for key in list_changed_keys(known, items):
             if key not in holds:
                 self._record_superseded(
-                    (known.get(key), self._listed.get(key)), items.get(key)
+                    (known.get(key), self._listed.get(key)),
+                    items.get(key),
+                    self._replaced,
                 )
         self._listed = dict(items)
         self._holds = {}
@@ -158,9 +165,10 @@
             if hold is not None:
                 ended.append(hold)
                 outdated.append(hold.known)
-            self._record_superseded(outdated, after)
+            self._record_superseded(outdated, after, self._superseded)
         # Not by the time of a return: an outage may last longer than the memory.
         self._superseded.remove_old(self._clock())
+        self._replaced.remove_old(self._clock())
         self._report_end(ended, 'written')
 
     def _take(self, holds: Iterable[Hold]) -> bool:
@@ -218,17 +226,25 @@
 
     def _is_superseded(self, listed: MirrorItem) -> bool:
         # A hold that lasts outlives the record of superseded items.
-        return listed in self._superseded or (
-            listed.key in self._holds and self._listed.get(listed.key) == listed
+        return (
+            listed in self._superseded
+            or listed in self._replaced
+            or (
+                listed.key in self._holds
+                and self._listed.get(listed.key) == listed
+            )
         )
 
     def _record_superseded(
-        self, outdated: Iterable[MirrorItem | None], after: MirrorItem | None
+        self,
+        outdated: Iterable[MirrorItem | None],
+        after: MirrorItem | None,
+        record: SupersededItems,
     ) -> None:
         now = self._clock()
         for item in outdated:
             if item is not None and item != after:
-                self._superseded.add(item, now)
+                record.add(item, now)
 
     def _effective(
         self, listing: Mapping[str, MirrorItem]
--- a/wasabistream/restores/restored_items.py
+++ b/wasabistream/restores/restored_items.py
@@ -61,13 +61,15 @@
 def find_holds(
     known: Mapping[str, MirrorItem],
     listing: Mapping[str, MirrorItem],
+    copied_revision: int,
     is_superseded: Callable[[MirrorItem], bool],
     choose_until_seconds: Callable[[str], float],
 ) -> dict[str, Hold]:
     """Return the holds by key after the store has returned with a listing.
 
     An item that the listing lacks, or has as it was before a later change, was
-    changed after the copy. Any other difference is a write after the return.
+    changed after the copy. Any other difference is a write after the return,
+    unless its revision is not above `copied_revision`.
     """
     holds = {}
     for key in known.keys() | listing.keys():
@@ -75,7 +77,11 @@
         listed = listing.get(key)
         if listed == known_item:
             continue
-        if listed is None or is_superseded(listed):
+        if (
+            listed is None
+            or listed.revision <= copied_revision
+            or is_superseded(listed)
+        ):
             holds[key] = Hold(
                 key,
                 revision_of(listed),
@@ -85,6 +91,25 @@
     return holds
 
 
+def find_copied_revision(
+    listed_before: Mapping[str, MirrorItem], listing: Mapping[str, MirrorItem]
+) -> int:
+    """Return a revision that the copy has reached, or 0.
+
+    Items that are as they were listed before the return come from the copy, and
+    all that is written after the return has higher revisions. So an entry that
+    did not see an item's earlier state recognises it too.
+    """
+    return max(
+        (
+            listed.revision
+            for key, listed in listing.items()
+            if listed_before.get(key) == listed
+        ),
+        default=MISSING_REVISION,
+    )
+
+
 def apply_holds(
     listing: Mapping[str, MirrorItem], holds: Iterable[Hold]
 ) -> dict[str, MirrorItem]:
