Let the newest of two holds of a key win

Cause: the first hold of a key stayed, so an entry that got an outdated peer's configuration first kept it until the operator wrote again. Change: a hold of a later revision replaces an earlier one. Evidence: test_newest_hold_wins failed before and passes.

--- a/tests/test_restore_guards.py
+++ b/tests/test_restore_guards.py
@@ -272,6 +272,18 @@
         started.receive(*self.entry.peers.describe(PEER))
         self.assertEqual(started.effective[SERVER], NEW)
 
+    def test_newest_hold_wins(self) -> None:
+        """Guard against an entry that keeps the hold of an outdated peer."""
+        newer = build_item(SERVER, 9, b'gone')
+        informed = GuardedEntry(self.clock, OLD, NEW)
+        informed.write(newer)
+        for entry in (informed, self.entry):
+            entry.relist(epoch=2)
+        self.entry.receive(*informed.peers.describe(PEER))
+        self.assertEqual(self.entry.effective[SERVER], newer)
+        informed.receive(*self.entry.peers.describe(PEER))
+        self.assertEqual(informed.effective[SERVER], newer)
+
     def test_keys_written_after_the_return(self) -> None:
         """Guard against holds of a peer that replace newer items."""
         self.entry.relist(OLD, epoch=2)
--- a/wasabistream/restores/restore_guards.py
+++ b/wasabistream/restores/restore_guards.py
@@ -179,7 +179,7 @@
     def _corrects_listing(self, hold: Hold) -> bool:
         """Return whether a peer's hold corrects the own listing."""
         listed = self._listed.get(hold.key)
-        if hold.key in self._holds or listed == hold.known:
+        if listed == hold.known or not self._is_newest(hold):
             return False
         if revision_of(listed) != hold.listed_revision:
             # The key has been written or removed since.
@@ -189,6 +189,14 @@
             return False
         return hold.until_seconds > self._clock()
 
+    def _is_newest(self, hold: Hold) -> bool:
+        own = self._holds.get(hold.key)
+        if own is None:
+            return True
+        if own.known is None or hold.known is None:
+            return False
+        return hold.known.revision > own.known.revision
+
     def _add_holds(self, holds: Collection[Hold], source: str) -> None:
         now = self._clock()
         for added in holds:
