Take no return from an unknown epoch

Cause: an entry that first copied the items of a peer of an earlier build, which states no epoch, took the epoch of the store for a return and held items. Found in review. Change: a return is a change from a known epoch. Evidence: test_unknown_epoch failed before and passes.

--- a/tests/test_restore_guards.py
+++ b/tests/test_restore_guards.py
@@ -190,6 +190,12 @@
         entry.relist(later, written, epoch=2)
         self.assertEqual(entry.effective[SERVER], written)
 
+    def test_unknown_epoch(self) -> None:
+        """Guard against taking the first known epoch for a return."""
+        self.entry.relist(OLD, epoch=0)
+        self.entry.relist(build_item('servers/z', 1), epoch=1)
+        self.assertFalse(self.entry.guard.waiting)
+
     def test_older_configuration(self) -> None:
         """Guard against an older version in force, however late it is written.
 
--- a/wasabistream/restores/restore_guards.py
+++ b/wasabistream/restores/restore_guards.py
@@ -86,7 +86,8 @@
         made: list[Hold] = []
         with self._lock:
             epoch = self._read_epoch()
-            has_returned = self._epoch is not None and epoch != self._epoch
+            # Earlier builds of other entries state no epoch.
+            has_returned = bool(self._epoch) and epoch != self._epoch
             self._epoch = epoch
             if has_returned:
                 made = self._hold_known(items)
