List held servers before others

Cause: of two servers at one address the one that comes last counts in the records of servers, so a held server that is gone hid what its successor states of itself, such as that it leaves. Change: held items come first.

--- a/wasabistream/restores/restored_items.py
+++ b/wasabistream/restores/restored_items.py
@@ -113,13 +113,18 @@
 def apply_holds(
     listing: Mapping[str, MirrorItem], holds: Iterable[Hold]
 ) -> dict[str, MirrorItem]:
-    """Return the items of a listing with held ones in their place."""
-    effective = dict(listing)
-    for hold in holds:
-        if hold.known is None:
-            effective.pop(hold.key, None)
-        else:
-            effective[hold.key] = hold.known
+    """Return the items of a listing with held ones in their place.
+
+    Held ones come first: of two servers at one address the last one counts, and
+    a held server may have left its address to another.
+    """
+    known_items = {hold.key: hold.known for hold in holds}
+    effective = {
+        key: item for key, item in known_items.items() if item is not None
+    }
+    effective.update(
+        (key, item) for key, item in listing.items() if key not in known_items
+    )
     return effective
 
 
