End holds also while the store refuses this entry only

Servers that had left stayed in use, and lifted evacuations in force, as long as the store turned an entry away and served the others. Found in review, shown with whole entries: the holds had not ended 16 s after a return. Cause: holds ended only after an answer of the store or while relays kept the entry current; an entry whose listing fails does neither. Change: they end too while a live peer of the same epoch reads the store. Evidence: test_store_that_serves_others; test_store_that_is_away guards the reverse. Both need the new argument, so they do not run on the code before.

--- a/tests/epoch_builders.py
+++ b/tests/epoch_builders.py
@@ -1,5 +1,6 @@
 """Builders of a followed store that may return from an older copy."""
 
+from collections.abc import Callable
 from typing import Any
 
 from tests.platform_builders import CONFIGURATION, SERVER, build_row
@@ -31,7 +32,12 @@
 class FollowedStore:
     """Follow a store and record the configuration versions in force."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        guard: Any = None,
+        is_read_by_peers: Callable[[], bool] = bool,
+    ) -> None:
+        self.guard = guard
         self.store = StandInStore()
         self.mirror = StoreMirror()
         self.fleet = FleetHolder()
@@ -50,6 +56,8 @@
             limits,
             lambda: None,
             bool,
+            guard,
+            is_read_by_peers,
         )
 
     def stop(self) -> None:
--- a/tests/test_store_epochs.py
+++ b/tests/test_store_epochs.py
@@ -73,6 +73,27 @@
         self.assertEqual(self.followed.versions, sorted(self.followed.versions))
 
 
+class HoldTimeTest(unittest.TestCase):
+    """Guard against holds that do not end while the store refuses an entry."""
+
+    def count_ends(self, *, is_read_by_peers: bool) -> int:
+        """Follow a store that refuses; return how often due holds were ended."""
+        followed = FollowedStore(Mock(), lambda: is_read_by_peers)
+        self.addCleanup(followed.stop)
+        followed.store.failing_status = 503
+        followed.follower.start()
+        self.assertTrue(wait_for(lambda: len(followed.store.calls) > 2))
+        return int(followed.guard.apply_due.call_count)
+
+    def test_store_that_serves_others(self) -> None:
+        """Guard against servers that have left and stay in use."""
+        self.assertGreater(self.count_ends(is_read_by_peers=True), 0)
+
+    def test_store_that_is_away(self) -> None:
+        """Guard against servers that are lost as they cannot register."""
+        self.assertEqual(self.count_ends(is_read_by_peers=False), 0)
+
+
 class EpochTest(unittest.TestCase):
     """Guard against contents that are ordered by their revisions alone."""
 
--- a/wasabistream/forwarding/store_relays.py
+++ b/wasabistream/forwarding/store_relays.py
@@ -91,6 +91,15 @@
             )
             return has_reader and not self._is_behind()
 
+    def is_read_by_peers(self) -> bool:
+        """Return whether a live peer with the own epoch reads the store."""
+        with self._lock:
+            epoch = self._own_version().epoch
+            return any(
+                not peer.notice.store_lost and peer.notice.epoch == epoch
+                for peer in self._live_peers()
+            )
+
     def _find_relays(self) -> Collection[str]:
         endpoints = {self._own_endpoint} | {
             peer.notice.endpoint
--- a/wasabistream/platform/store_followers.py
+++ b/wasabistream/platform/store_followers.py
@@ -45,11 +45,13 @@
         on_reachability_change: Callable[[], None],
         is_updated_by_relays: Callable[[], bool],
         restore_guard: RestoreGuard | None = None,
+        is_read_by_peers: Callable[[], bool] = bool,
     ) -> None:
         self._client = client
         self._mirror = mirror
         # Its holds are ended in time by this thread.
         self._restore_guard = restore_guard
+        self._is_read_by_peers = is_read_by_peers
         self._guard = ExpiryGuard(mirror)
         self._pacer = LongPollPacer(
             limits, RETRY_MIN_SECONDS, RETRY_MAX_SECONDS
@@ -111,12 +113,13 @@
                 self._record_loss(error, time.monotonic() - started)
                 self._client.reset()
                 self._stopped.wait(self._pacer.record_failure())
+                # The store may refuse this entry only.
+                if self._is_read_by_peers():
+                    self._end_due_holds()
             else:
                 self._pacer.record_answer()
                 self._record_recovery()
-                # Not while the store is away: what is held cannot be written.
-                if self._restore_guard is not None:
-                    self._restore_guard.apply_due()
+                self._end_due_holds()
 
     def _read_or_watch(self) -> None:
         if self._has_listing and self._is_updated_by_relays():
@@ -163,6 +166,11 @@
                 f'epoch is {version.epoch}, not {self._version.epoch}', 'watch'
             )
 
+    def _end_due_holds(self) -> None:
+        # Not called while the store is away: what is held cannot be written.
+        if self._restore_guard is not None:
+            self._restore_guard.apply_due()
+
     def _is_holding(self) -> bool:
         return self._restore_guard is not None and self._restore_guard.waiting
 
@@ -219,6 +227,7 @@
     on_reachability_change: Callable[[], None],
     is_updated_by_relays: Callable[[], bool],
     restore_guard: RestoreGuard,
+    is_read_by_peers: Callable[[], bool],
 ) -> StoreFollower:
     """Return a follower of the store whose polls end in the recovery time."""
     limits = build_long_poll_limits(recovery_seconds)
@@ -229,4 +238,5 @@
         on_reachability_change,
         is_updated_by_relays,
         restore_guard,
+        is_read_by_peers,
     )
--- a/wasabistream/platform/store_parts.py
+++ b/wasabistream/platform/store_parts.py
@@ -49,5 +49,6 @@
         fleet_updater.refresh,
         peer_links.relays.is_updated_by_relays,
         restore_guard,
+        peer_links.relays.is_read_by_peers,
     )
     return StoreParts(follower, restore_guard)
