--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,4 +1,4 @@
-"""Test of the fault soak with a fixed seed, short enough for CI."""
+"""Test of the fault soak with fixed seeds, short enough for CI."""
 
 import subprocess
 import sys
@@ -6,7 +6,15 @@
 
 TIMEOUT_SECONDS = 120
 COMMAND = (
-    *(sys.executable, '-m', 'wasabistream_tools.soak', '--seed', '2'),
+    *(
+        sys.executable,
+        '-m',
+        'wasabistream_tools.soak',
+        '--seed',
+        '4',
+        '--seeds',
+        '2',
+    ),
     *('--seconds', '8', '--entries', '2', '--clients', '5', '--faults'),
     'sigterm,repeated_sigterm,sighup_around_stop,configurations,agent_sigterm',
 )
@@ -25,7 +33,7 @@
             check=False,
         )
         self.assertTrue(
-            outcome.stdout.endswith('1 passed, 0 failed\n'),
+            outcome.stdout.endswith('2 passed, 0 failed\n'),
             outcome.stdout + outcome.stderr,
         )
         self.assertEqual(outcome.returncode, 0)
