Count a request without an id as read

Cause: at the end of a drain a request without an id was taken for one that still arrives, and its reading side was shut down. Found by reading; such a request gets 400 in any case. Change: it is named by its caller's address once it has been read.

--- a/wasabistream/stopping/open_requests.py
+++ b/wasabistream/stopping/open_requests.py
@@ -28,7 +28,10 @@
     def record_id(self, connection: Any, request_id: str) -> None:
         """Record the id of a request that has been read."""
         with self._lock:
-            self._request_ids[connection] = request_id
+            # A request without an id has been read as well.
+            self._request_ids[connection] = request_id or describe_caller(
+                connection
+            )
 
     def end(self, connection: Any) -> None:
         """Record that a request has been answered or has failed."""
