Hold the configuration only against a state that was seen

Cause: what the store has lost may be written again at its former revision and then looks unchanged; a configuration written before it, at a lower revision, would have been taken for the copy's and held without a limit. Change: revisions alone make holds that end in time; the configuration is held against an earlier state that this entry has seen superseded, and its version must not go back in any case. Evidence: test_lost_items_at_their_former_revisions failed before and passes.

--- a/tests/test_restore_guards.py
+++ b/tests/test_restore_guards.py
@@ -190,6 +190,16 @@
         entry.relist(later, written, epoch=2)
         self.assertEqual(entry.effective[SERVER], written)
 
+    def test_lost_items_at_their_former_revisions(self) -> None:
+        """Guard against a configuration that a later write seems to precede."""
+        rewritten = build_item('servers/y', 8)
+        entry = GuardedEntry(
+            self.clock, rewritten, build_item(CONFIGURATION, 7, b'7')
+        )
+        newest = build_item(CONFIGURATION, 6, b'8')
+        entry.relist(rewritten, newest, epoch=2)
+        self.assertEqual(entry.effective[CONFIGURATION], newest)
+
     def test_unknown_epoch(self) -> None:
         """Guard against taking the first known epoch for a return."""
         self.entry.relist(OLD, epoch=0)
--- a/wasabistream/restores/restored_items.py
+++ b/wasabistream/restores/restored_items.py
@@ -77,16 +77,17 @@
         listed = listing.get(key)
         if listed == known_item:
             continue
-        if (
-            listed is None
-            or listed.revision <= copied_revision
-            or is_superseded(listed)
-        ):
+        until_seconds = choose_until_seconds(key)
+        # What was lost may be written again at its former revision, so a hold
+        # without a limit needs an earlier state that was seen.
+        is_copied = (
+            listed is not None
+            and listed.revision <= copied_revision
+            and math.isfinite(until_seconds)
+        )
+        if listed is None or is_copied or is_superseded(listed):
             holds[key] = Hold(
-                key,
-                revision_of(listed),
-                known_item,
-                choose_until_seconds(key),
+                key, revision_of(listed), known_item, until_seconds
             )
     return holds
 
