--- a/wasabistream_tools/soak/__main__.py
+++ b/wasabistream_tools/soak/__main__.py
@@ -3,6 +3,7 @@
 Each seed is one run. Prints a report and ends with `N passed, N failed`.
 """
 
+import logging
 import shutil
 import signal
 import sys
@@ -70,7 +71,7 @@
 
     def print_all(self) -> None:
         """Print the report of all seeds."""
-        print_line('faults played:')
+        print_line('faults started:')
         for name, count in sorted(self._played.items()):
             print_line(f'  {name}: {count}')
         print_line('promises checked:')
@@ -107,6 +108,9 @@
     joined by commas; without it all are played. Logs and facts of seeds that
     failed, or of all seeds with `keep`, stay in a folder.
     """
+    logging.basicConfig(
+        stream=sys.stdout, level=logging.INFO, format='%(asctime)s %(message)s'
+    )
     for stop_number in STOP_SIGNALS:
         signal.signal(stop_number, _interrupt)
     names = _split_names(faults)
--- a/wasabistream_tools/soak/processes.py
+++ b/wasabistream_tools/soak/processes.py
@@ -1,7 +1,6 @@
 """Daemons of the platform as processes that the soak starts and ends."""
 
 import json
-import logging
 import os
 import signal
 import socket
@@ -20,8 +19,6 @@
     now,
 )
 
-logger = logging.getLogger(__name__)
-
 GRACE_SECONDS: float = sites.BOUNDS['grace_s']
 PROBE_TIMEOUT_SECONDS = 0.5
 PROBE_INTERVAL_SECONDS = 1.0
