Look for signals also while nothing wakes the main thread

An entry under many signals could miss SIGTERM for good. Cause: let the main thread wait without a time limit. The kernel may give a signal to another thread, whose handler then runs only when the main thread wakes for another reason. Change: the main thread wakes five times a second.

--- a/wasabistream/applications.py
+++ b/wasabistream/applications.py
@@ -5,6 +5,7 @@
 import signal
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from types import FrameType
 
 from wasabistream.allocators import return_freed_memory
@@ -20,6 +21,9 @@
 EXIT_CUT = 3
 
 DRAIN_POLL_SECONDS = 0.05
+# A signal that the kernel gives to another thread does not wake the main thread,
+# which runs the handlers.
+SIGNAL_POLL_SECONDS = 0.2
 
 # Reasons for the end of a drain, as logged.
 DRAIN_IDLE = 'idle'
@@ -91,7 +95,7 @@
         return_freed_memory()
         self.on_start()
         logger.info('%s: started', self.process_role)
-        self._signals.get()
+        self._wait_for_signal()
         return self.drain()
 
     def drain(self) -> int:
@@ -149,6 +153,12 @@
             self._ending_signal_count += 1
         self._signals.put(signal_number)
 
+    def _wait_for_signal(self) -> None:
+        while not self._signal_count:
+            # The handlers run between two waits.
+            with suppress(queue.Empty):
+                self._signals.get(timeout=SIGNAL_POLL_SECONDS)
+
     def _report_drain(
         self, reason: str, seconds: float, cut: list[str]
     ) -> None:
