Stop the server of the test of requests at once

Change: the test stops its server, after it has released its threads. Evidence: python -m unittest tests.test_stops did not end before; it ends after 3.7 s now.

--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -207,13 +207,15 @@
         growing = threading.Event()
         released = threading.Event()
         answered = threading.Event()
-        self.addCleanup(answered.set)
 
         def hold() -> bool:
             answered.wait()
             return False
 
         server = IngressServer('127.0.0.1', 0, Mock(), THREAD_COUNT)
+        self.addCleanup(server.stop_within, 1)
+        # Runs first; the threads would keep the process of the tests.
+        self.addCleanup(answered.set)
         server.run_in_thread('front')
         grow = server.requests.grow
 
