Log streams that end with their connection

A stream with neither a length nor chunks ends with its connection, also when its run is stopped to be moved. The log did not tell whether the entry knew of the move at that moment: a notice that nobody reads, one that arrives late and one that never arrives looked alike.

Change: 'stream: ended with its connection' states the events passed on and whether the notice of a move had arrived. No decision changes.

--- a/wasabistream/forwarding/interfaces.py
+++ b/wasabistream/forwarding/interfaces.py
@@ -27,6 +27,9 @@
     # Whether the backend server states that it has not run the request.
     not_run: bool
     event_stream: bool
+    # Whether the answer has neither a length nor chunks, so that only the end
+    # of the connection ends it.
+    ends_with_connection: bool = False
     # What the backend server states about itself; None if the answer is not
     # its own.
     advisory: ServerAdvisory | None = None
--- a/wasabistream/forwarding/move_trackers.py
+++ b/wasabistream/forwarding/move_trackers.py
@@ -37,6 +37,10 @@
             _trim(self._moved)
             self._changed.notify_all()
 
+    def is_moving(self, run_id: str) -> bool:
+        """Return whether a generation is about to stop, or has stopped."""
+        return run_id in self._moving or run_id in self._moved
+
     def has_moved(self, run_id: str) -> bool:
         """Return whether a generation can continue elsewhere."""
         return run_id in self._moved
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -291,6 +291,25 @@
                     allowance.add_event()
         if splitter.has_partial_event or watch.reason is not None:
             raise BackendError('stream was cut', 'events', server.endpoint)
+        if exchange.head.ends_with_connection:
+            self._log_end_of_connection(server, watch, progress)
+
+    def _log_end_of_connection(
+        self,
+        server: BackendServer,
+        watch: RequestWatch,
+        progress: StreamProgress,
+    ) -> None:
+        request_id = watch.request.request_id
+        logger.info(
+            'stream: ended with its connection',
+            extra={
+                'request_id': request_id,
+                'endpoint': server.endpoint,
+                'event_count': progress.event_count,
+                'is_moving': self._moves.is_moving(request_id),
+            },
+        )
 
     def _pass_on(
         self,
--- a/wasabistream/platform/server_clients.py
+++ b/wasabistream/platform/server_clients.py
@@ -272,7 +272,7 @@
 
 
 def _decode_head(
-    response: http.client.HTTPResponse, request: ForwardRequest, peer: str
+    response: LimitedResponse, request: ForwardRequest, peer: str
 ) -> AnswerHead:
     pairs = [(name.lower(), text) for name, text in response.getheaders()]
     headers = dict(pairs)
@@ -291,6 +291,7 @@
         sealed=names.SEAL in headers,
         not_run=misdirected or names.NOT_EXECUTED in headers,
         event_stream=media_type.startswith('text/event-stream'),
+        ends_with_connection=response.ends_with_connection,
         advisory=(
             None
             if misdirected
