Decide what the end of an unframed answer means

Cause: an engine that stops a run for a move closes the connection as it does after the last event. Without framing the entry took each end between two events for the end of the stream; the agent that had given the order was not asked. An engine that ends between two events looked complete as well.

A late or missing notice ends in the same way, so the notice alone decides nothing.

Change: the package run_endings. The entry asks the agent of the engine how the run ended; the agent records its orders before it sends them, waits for their outcome and polls its engine. Without an answer the entry reads the engine's report: a run that an engine no longer lists and that does not leave is complete. In doubt the answer counts as broken off. Answers of engines that are read whole are checked in the same way.

Why it works: only agents stop runs, and a stop is recorded before its order is sent, so an agent that has served since the run began never calls a stopped run complete. A run that has come back to its engine is told from its earlier stop by the handle of its memory.

Ruled out: waiting for the notice (it may never come); an acknowledged notice before each stop (an entry that does not answer would keep its runs from being moved); counting events (their number is not known).

The stand-in engines of test_unframed_answers and test_stream_version_path answered /-/report with events. Each engine of the platform has a report, so they answer one now; their checks are unchanged.

--- a/tests/platform_paths.py
+++ b/tests/platform_paths.py
@@ -1,5 +1,6 @@
 """Test case with an entry, a stand-in store and a stand-in backend server."""
 
+import json
 import socket
 import threading
 import unittest
@@ -82,6 +83,13 @@
     handler.close_connection = True
 
 
+def answer_report(handler: BackendHandler, **fields: Any) -> None:
+    """Answer a call for the report of an engine."""
+    report = {'running': 0, 'waiting': 0, 'kv_used': 0, 'kv_total': 30000}
+    body = json.dumps({**report, **fields}).encode()
+    answer(handler, body=body, request_id='report')
+
+
 def build_entry(
     store_port: int,
     control_port: int = 0,
--- a/tests/resume_fleets.py
+++ b/tests/resume_fleets.py
@@ -1,16 +1,16 @@
 """Entries, agents and engine stand-ins of several software versions."""
 
-import json
 import socket
 import threading
 import unittest
-from typing import Any
+from typing import Any, Protocol
 
 from tests.builders import wait_until
 from tests.platform_builders import CONFIGURATION, NODE, SERVER, build_row
 from tests.platform_paths import (
     BackendHandler,
     StandInBackend,
+    answer_report,
     build_entry,
     exchange,
 )
@@ -24,7 +24,6 @@
 EVENT_COUNT = 6
 # Events of a stream before its engine waits until the test goes on.
 FIRST_EVENT_COUNT = 3
-REPORT = {'running': 0, 'waiting': 0, 'kv_used': 0, 'kv_total': 30000}
 REMAINING_MS = 5000
 
 
@@ -67,6 +66,20 @@
         """Ignore the error of a connection."""
 
 
+class AgentEngine(Protocol):
+    """An engine stand-in beside which an agent runs."""
+
+    server_id: str
+    address: str
+
+    @property
+    def endpoint(self) -> str:
+        """Return the address and port."""
+
+    def stop(self) -> None:
+        """End with all connections."""
+
+
 class VersionedEngine:
     """Engine stand-in whose events name its software version."""
 
@@ -104,17 +117,10 @@
 
     def _respond(self, handler: BackendHandler) -> None:
         if handler.path == '/-/report':
-            self._report(handler)
+            answer_report(handler)
         else:
             self._stream(handler)
 
-    def _report(self, handler: BackendHandler) -> None:
-        body = json.dumps(REPORT).encode()
-        handler.send_response(200)
-        handler.send_header('Content-Length', str(len(body)))
-        handler.end_headers()
-        handler.wfile.write(body)
-
     def _stream(self, handler: BackendHandler) -> None:
         request_id = handler.headers['Wasabistream-Request-Attempt-Id']
         self.stream_ids.append(request_id)
@@ -144,12 +150,16 @@
         )
         self._socket.sendall(raw)
         self.received = b''
-        last_event = f'id: {FIRST_EVENT_COUNT}\n'.encode()
-        while last_event not in self.received:
+        self.read_until(f'id: {FIRST_EVENT_COUNT}\n'.encode())
+
+    def read_until(self, text: bytes) -> bytes:
+        """Return all that has arrived once it holds a text."""
+        while text not in self.received:
             piece = self._socket.recv(65536)
             if not piece:
                 raise AssertionError(f'stream ended: {self.received!r}')
             self.received += piece
+        return self.received
 
     def read_to_end(self) -> bytes:
         """Return all that arrives until the connection ends."""
@@ -180,8 +190,14 @@
     def add_engine(self, software_version: str) -> VersionedEngine:
         """Start and list an engine with its agent."""
         engine = VersionedEngine(len(self.engines) + 1, software_version)
-        self.addCleanup(engine.stop)
         self.engines.append(engine)
+        self.run_agent(engine)
+        self.store.put(engine.build_item(self.store.revision + 1))
+        return engine
+
+    def run_agent(self, engine: AgentEngine) -> PlatformAgent:
+        """Run the agent of an engine."""
+        self.addCleanup(engine.stop)
         node = {
             **NODE,
             'node_name': f'side-{engine.server_id}',
@@ -195,8 +211,7 @@
         agent.on_start()
         self.agents[engine.server_id] = agent
         self.addCleanup(self.stop_agent, engine)
-        self.store.put(engine.build_item(self.store.revision + 1))
-        return engine
+        return agent
 
     def wait_for_links(self, entry: PlatformEntry) -> None:
         """Wait until an entry has links to all agents."""
@@ -223,7 +238,7 @@
             self.entries.remove(entry)
             entry.on_stop()
 
-    def stop_agent(self, engine: VersionedEngine) -> None:
+    def stop_agent(self, engine: AgentEngine) -> None:
         """Stop the agent of an engine unless it has been stopped."""
         agent = self.agents.pop(engine.server_id, None)
         if agent is not None:
--- /dev/null
+++ b/tests/test_end_checkers.py
@@ -0,0 +1,202 @@
+"""Tests of the decision whether a connection's end is that of the answer.
+
+Failure patterns: the agent of the engine has ended, its link is silent, it is
+of an earlier build or its notice of a move is late.
+"""
+
+import threading
+import unittest
+from dataclasses import replace
+from unittest.mock import Mock
+
+from tests.ending_builders import (
+    RUN,
+    STARTED_UNIX_MS,
+    EndCase,
+    build_engine_server,
+    build_state,
+)
+from tests.forwarding_builders import (
+    ENGINE_SERVICE,
+    build_answer_buffers,
+    build_parts,
+    build_request,
+    build_route,
+)
+from tests.forwarding_fakes import FakeClient, FakeExchange, whole
+from wasabistream.exceptions import BackendError
+from wasabistream.forwarding.attempts import AttemptHistory
+from wasabistream.forwarding.routes import RouteKind
+from wasabistream.forwarding.supervisors import CutReason, RequestWatch
+from wasabistream.forwarding.unary_forwarders import UnaryForwarder
+from wasabistream.run_endings.ending_messages import ENDINGS_VERSION
+from wasabistream.run_endings.endings import (
+    EndedRun,
+    RunEnding,
+    judge_by_engine,
+)
+
+AGED_RUN = EndedRun('request-1', 1, STARTED_UNIX_MS)
+
+
+class EndCheckerTest(unittest.TestCase):
+    """Guard against ends that are misjudged."""
+
+    def setUp(self) -> None:
+        """Create an entry that is not linked to the agent."""
+        self.end = EndCase()
+
+    def test_answers_of_the_agent(self) -> None:
+        """Guard against any answer but one that counts as complete."""
+        self.end.open_link()
+        self.end.engines.read.side_effect = BackendError('gone', 'state')
+        for answer, is_accepted in (
+            ('complete', True),
+            ('stopped', False),
+            ('interrupted', False),
+            ('unknown', False),
+            ('of a later build', False),
+        ):
+            self.end.answer = answer
+            self.assertEqual(self.end.is_accepted(), is_accepted, answer)
+
+    def test_notice_of_the_move_is_late(self) -> None:
+        """Guard against an end that overtakes the notice of its move."""
+        self.end.open_link()
+        self.end.answer = 'stopped'
+        self.assertFalse(self.end.is_accepted())
+        self.end.engines.read.assert_not_called()
+
+    def test_run_that_ends_while_it_is_moved(self) -> None:
+        """Guard against breaking off a run of which a move was announced."""
+        self.end.open_link()
+        self.end.moves.record_move_start(RUN.run_id)
+        self.end.answer = 'complete'
+        self.assertTrue(self.end.is_accepted())
+
+    def test_link_is_silent(self) -> None:
+        """Guard against a sound stream that ends without its agent."""
+        self.end.open_link()
+        self.assertTrue(self.end.is_accepted())
+        self.end.engines.read.assert_called_once()
+
+    def test_link_is_silent_and_engine_leaves(self) -> None:
+        """Guard against a move of which nothing arrives."""
+        self.end.open_link()
+        self.end.engines.read.return_value = build_state(leaving=True)
+        self.assertFalse(self.end.is_accepted())
+
+    def test_link_ends(self) -> None:
+        """Guard against a wait for a link that has ended."""
+        self.end.open_link()
+        self.end.link.send.side_effect = lambda _: self.end.exchange.on_closed(
+            self.end.server.endpoint, self.end.link
+        )
+        self.assertTrue(self.end.is_accepted())
+
+    def test_agent_of_an_earlier_build(self) -> None:
+        """Guard against a wait for an agent that does not know the query."""
+        self.end.open_link()
+        self.end.link.peer.version_max = ENDINGS_VERSION - 1
+        self.assertTrue(self.end.is_accepted())
+        self.end.link.send.assert_not_called()
+
+    def test_agent_is_lost_after_its_notice(self) -> None:
+        """Guard against a move whose agent ends before it answers."""
+        self.end.moves.record_move_start(RUN.run_id)
+        self.assertFalse(self.end.is_accepted())
+
+    def test_run_was_reported_silent(self) -> None:
+        """Guard against a move of a silent run by an agent that has ended."""
+        self.end.watch.stall_limits = Mock()
+        self.end.watch._progressed_at_seconds -= 100
+        self.assertTrue(self.end.watch.take_silence_report())
+        self.assertFalse(self.end.is_accepted())
+        self.end.watch.attach(self.end.server.endpoint, Mock())
+        self.assertTrue(self.end.is_accepted())
+
+    def test_engine_lists_an_ended_run_for_a_moment(self) -> None:
+        """Guard against a report that is older than the end."""
+        self.end.engines.read.side_effect = (build_state(RUN), build_state())
+        self.assertTrue(self.end.is_accepted())
+
+    def test_caller_leaves(self) -> None:
+        """Guard against a wait for a move whose caller has left."""
+        self.end.open_link()
+        self.end.moves.record_move_start(RUN.run_id)
+        self.end.engines.read.return_value = build_state(leaving=True)
+        threading.Timer(
+            0.2, self.end.watch.cut, (CutReason.caller_left,)
+        ).start()
+        self.assertFalse(self.end.is_accepted())
+
+    def test_server_without_an_agent(self) -> None:
+        """Guard against questions about servers that move nothing."""
+        end = EndCase(service='desk')
+        self.assertTrue(end.is_accepted())
+        end.engines.read.assert_not_called()
+
+
+class EngineJudgementTest(unittest.TestCase):
+    """Guard against wrong conclusions from the state of an engine."""
+
+    def test_states(self) -> None:
+        """Guard against taking a stopped or broken run for a complete one."""
+        for run, state, ending in (
+            (AGED_RUN, build_state(), RunEnding.complete),
+            (AGED_RUN, build_state(leaving=True), RunEnding.unknown),
+            (AGED_RUN, build_state(RUN), RunEnding.interrupted),
+            (
+                AGED_RUN,
+                build_state(started_unix_ms=STARTED_UNIX_MS + 1),
+                RunEnding.interrupted,
+            ),
+            (AGED_RUN, build_state(started_unix_ms=0), RunEnding.complete),
+            (
+                replace(AGED_RUN, engine_started_unix_ms=0),
+                build_state(),
+                RunEnding.complete,
+            ),
+            (
+                replace(AGED_RUN, was_reported_silent=True),
+                build_state(),
+                RunEnding.unknown,
+            ),
+        ):
+            self.assertIs(judge_by_engine(run, state), ending, (run, state))
+
+
+class UnaryEndTest(unittest.TestCase):
+    """Guard against answers of engines that are read whole and were cut."""
+
+    def forward(self, *script: FakeExchange) -> int:
+        """Forward a request whose first answer was stopped; return a status."""
+        parts = build_parts(FakeClient(*script), build_engine_server())
+        forwarder = UnaryForwarder(
+            parts.chooser,
+            parts.sender,
+            parts.failure_rates,
+            parts.poison_guard,
+            build_answer_buffers(),
+            parts.refuser,
+        )
+        forwarder.ends = Mock()
+        forwarder.ends.check.side_effect = BackendError('stopped', 'end')
+        route = build_route(RouteKind.non_idempotent, service=ENGINE_SERVICE)
+        request = replace(build_request(route), service=ENGINE_SERVICE)
+        watch = RequestWatch(request, Mock())
+        return forwarder.forward(watch, AttemptHistory()).status
+
+    def test_unframed_answer_was_stopped(self) -> None:
+        """Guard against the first part of an answer as a success."""
+        exchange = whole(200, b'{}')
+        exchange.head = replace(exchange.head, ends_with_connection=True)
+        self.assertEqual(self.forward(exchange), 502)
+
+    def test_framed_answer(self) -> None:
+        """Guard against questions about answers whose length is known."""
+        self.assertEqual(self.forward(whole(200, b'{}')), 200)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -78,6 +78,7 @@
                 REQUEST_ID,
                 build_answer_buffers(),
                 resources,
+                lambda: None,
             )
 
 
--- a/tests/test_stream_version_path.py
+++ b/tests/test_stream_version_path.py
@@ -12,6 +12,7 @@
     BackendHandler,
     PlatformPathCase,
     StandInBackend,
+    answer_report,
 )
 from tests.test_odd_entries import CLOSING_GENERATION
 
@@ -50,6 +51,10 @@
 
     def respond(self, handler: BackendHandler, version: str) -> None:
         """Answer the beginning of a stream, or its rest."""
+        if handler.path == '/-/report':
+            # The entry asks whether a stream without a length is whole.
+            answer_report(handler)
+            return
         self.versions[handler.headers[REQUEST_ID]].append(version)
         handler.send_response(200)
         handler.send_header(REQUEST_ID, handler.headers[REQUEST_ID])
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -7,7 +7,12 @@
 import unittest
 
 from tests.daemon_processes import DaemonCase
-from tests.platform_paths import HEAD, BackendHandler, exchange
+from tests.platform_paths import (
+    HEAD,
+    BackendHandler,
+    answer_report,
+    exchange,
+)
 from tests.test_odd_entries import CLOSING_GENERATION
 
 EVENTS = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
@@ -26,6 +31,10 @@
 
     def respond(self, handler: BackendHandler) -> None:
         """Answer without a length and end the connection."""
+        if handler.path == '/-/report':
+            # The entry has no link to an agent and asks the engine.
+            answer_report(handler)
+            return
         is_stream = handler.path == '/chat/x'
         handler.send_response(200)
         handler.send_header(
--- /dev/null
+++ b/tests/test_unframed_moves.py
@@ -0,0 +1,73 @@
+"""Tests of streams that end with their connection, on real connections.
+
+Failure pattern: an engine leaves and its agent has it stop a stream that has
+neither a length nor chunks. The connection ends as it does after the last
+event, and the caller takes the first part of the stream for the whole.
+"""
+
+import unittest
+
+from tests.ending_fleets import RUN_ID, UnframedFleetCase
+
+
+class UnframedMoveTest(UnframedFleetCase):
+    """Guard against cut streams that end as complete."""
+
+    def test_run_is_moved(self) -> None:
+        """Guard against ending a stream when its run is stopped for a move."""
+        stream = self.begin_run()
+        self.find_runner().is_draining = True
+        self.assert_whole(stream.received + stream.read_to_end())
+
+    def test_run_is_moved_twice(self) -> None:
+        """Guard against taking the second stop for the end."""
+        stream = self.begin_run()
+        first = self.find_runner()
+        first.is_draining = True
+        first_part = stream.read_until(b'id: 12\n')
+        first.is_draining = False
+        second = self.find_runner()
+        self.assertIsNot(second, first)
+        second.is_draining = True
+        self.assert_whole(first_part + stream.read_to_end())
+
+    def test_run_is_not_moved(self) -> None:
+        """Guard against breaking off a sound stream."""
+        stream = self.begin_run()
+        self.assert_whole(stream.received + stream.read_to_end())
+
+    def test_run_ends_while_its_engine_leaves(self) -> None:
+        """Guard against breaking off a stream that nobody has stopped."""
+        stream = self.begin_run()
+        runner = self.find_runner()
+        for engine in self.unframed:
+            # Nothing can be moved, as all engines leave.
+            engine.is_draining = True
+        self.assert_whole(stream.received + stream.read_to_end())
+        self.assertNotIn(RUN_ID, runner.active)
+
+    def test_no_agent_and_engine_serves(self) -> None:
+        """Guard against breaking off sound streams when agents are away."""
+        for engine in self.unframed:
+            self.stop_agent(engine)
+        stream = self.begin_run()
+        self.assert_whole(stream.received + stream.read_to_end())
+
+    def test_agent_ends_after_its_order(self) -> None:
+        """Guard against a stop of which no notice ever arrives."""
+        stream = self.begin_run()
+        runner = self.find_runner()
+        self.stop_agent(runner)
+        runner.is_draining = True
+        runner.end_run(RUN_ID)
+        self.assert_honest(stream.received + stream.read_to_end())
+
+    def test_engine_ends(self) -> None:
+        """Guard against an engine that ends between two events."""
+        stream = self.begin_run()
+        self.find_runner().stop()
+        self.assert_honest(stream.received + stream.read_to_end())
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/wasabistream/continuations/engine_versions.py
+++ b/wasabistream/continuations/engine_versions.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Callable
+from typing import Protocol
 
 from wasabistream.continuations.stream_origins import StreamOrigin
 from wasabistream.continuations.version_messages import EngineVersionNotice
@@ -11,12 +12,11 @@
 from wasabistream.forwarding.engine_states import EngineState
 from wasabistream.forwarding.move_outcomes import MoveOutcome
 from wasabistream.forwarding.run_movers import AgentEngine
+from wasabistream.run_endings.engine_continuity import RESTART_POLL_COUNT
 from wasabistream.units import MILLISECONDS_PER_SECOND
 
 logger = logging.getLogger(__name__)
 
-# Consecutive failed polls after which the engine may have restarted.
-RESTART_POLL_COUNT = 2
 # Time in which entries list an engine that has restarted, if the store answers.
 RELIST_SECONDS = 5.0
 
@@ -94,7 +94,7 @@
                 )
             self._failed_poll_count += 1
 
-    def record_answered_poll(self) -> None:
+    def record_answered_poll(self, state: EngineState) -> None:
         """Distrust the version for a while if polls failed before."""
         with self._lock:
             told = self._told
@@ -108,21 +108,33 @@
         return notice.started_unix_ms >= self._gap_began_unix_ms
 
 
+class PollObserver(Protocol):
+    """Observe the polls of an engine."""
+
+    def record_failed_poll(self) -> None:
+        """Record a poll that the engine has not answered."""
+
+    def record_answered_poll(self, state: EngineState) -> None:
+        """Record the state that a poll has returned."""
+
+
 class VersionedEngine:
-    """Observe the polls of an engine for its version."""
+    """Observe the polls of an engine, for its version and its restarts."""
 
-    def __init__(self, engine: AgentEngine, version: EngineVersion) -> None:
+    def __init__(self, engine: AgentEngine, *observers: PollObserver) -> None:
         self._engine = engine
-        self._version = version
+        self._observers = observers
 
     def state(self) -> EngineState:
         """Return the engine's state; raises BackendError."""
         try:
             state = self._engine.state()
         except BackendError:
-            self._version.record_failed_poll()
+            for observer in self._observers:
+                observer.record_failed_poll()
             raise
-        self._version.record_answered_poll()
+        for observer in self._observers:
+            observer.record_answered_poll(state)
         return state
 
     def copy_run(
--- a/wasabistream/forwarding/agent_links.py
+++ b/wasabistream/forwarding/agent_links.py
@@ -35,6 +35,8 @@
 from wasabistream.messages import Message
 from wasabistream.notices import Hello, LoadReport
 from wasabistream.paces.pace_boards import PaceBoard
+from wasabistream.run_endings.ending_exchanges import EndingExchange
+from wasabistream.run_endings.ending_messages import RunEndingReply
 from wasabistream.scheduling.scheduling_messages import (
     EnginePaceReport,
     PromptEnd,
@@ -99,6 +101,8 @@
         self._stopped = False
         # Origins of streams, which the agents keep.
         self.origins = OriginExchange()
+        # How runs ended, as the agents of their engines tell.
+        self.endings = EndingExchange()
         # Called on the link thread after each load report.
         self.on_load_report: Callable[[], None] = _ignore_report
 
@@ -186,6 +190,7 @@
             self._drop_announcements(endpoint)
         self._tell_version(endpoint)
         self.origins.on_opened(endpoint, link)
+        self.endings.on_opened(endpoint, link)
 
     def on_closed(self, endpoint: str, link: Link) -> None:
         """Forget a link that has ended."""
@@ -195,6 +200,7 @@
                 self._reported_at_seconds.pop(endpoint, None)
                 self._drop_announcements(endpoint)
         self.origins.on_closed(endpoint, link)
+        self.endings.on_closed(endpoint, link)
 
     def receive(self, endpoint: str, link: Link, notice: Message) -> None:
         """Handle one message from an agent."""
@@ -212,6 +218,8 @@
                 self._moves.record_move(notice)
             case StreamOriginReply():
                 self.origins.on_reply(endpoint, notice)
+            case RunEndingReply():
+                self.endings.on_reply(endpoint, notice)
             case MoveTargetQuery():
                 self._send_move_targets(endpoint, link, notice)
 
--- a/wasabistream/forwarding/attempts.py
+++ b/wasabistream/forwarding/attempts.py
@@ -165,7 +165,8 @@
         # A moved generation that continues here is not a further run.
         counts_as_run = continuation is None or not continuation.handle
         history.unanswered_count = int(counts_as_run)
-        if not counts_as_run:
+        if continuation is not None and continuation.handle:
+            watch.used_handles.append(continuation.handle)
             # Its memory is at this server only. Other attempts are counted
             # when their server is chosen.
             self._advisories.add_sent_request(server)
--- a/wasabistream/forwarding/engine_states.py
+++ b/wasabistream/forwarding/engine_states.py
@@ -32,3 +32,5 @@
     leaves_seconds: float | None
     runs: tuple[EngineRun, ...]
     advisory: ServerAdvisory = ServerAdvisory()
+    # Distinguishes restarts; 0 if the engine does not state it.
+    started_unix_ms: int = 0
--- a/wasabistream/forwarding/move_outcomes.py
+++ b/wasabistream/forwarding/move_outcomes.py
@@ -13,3 +13,5 @@
     handle: str
     target_full: bool
     status: int
+    # Whether the engine states that the order has not stopped the run.
+    run_unaffected: bool = False
--- a/wasabistream/forwarding/move_trackers.py
+++ b/wasabistream/forwarding/move_trackers.py
@@ -10,6 +10,8 @@
 # Agents report moves to all entries, so moves of other entries' requests are
 # recorded too; the oldest are evicted.
 MAX_MOVE_COUNT = 4096
+# Maximum time to wait for the final copy of a generation.
+MOVE_COPY_SECONDS = 2.0
 # Interval at which a wait for a move looks for the end of its request.
 END_POLL_SECONDS = 0.1
 
--- a/wasabistream/forwarding/reply_readers.py
+++ b/wasabistream/forwarding/reply_readers.py
@@ -1,6 +1,7 @@
 """Reading of complete answers from backend servers."""
 
 import logging
+from collections.abc import Callable
 from contextlib import ExitStack
 
 from wasabistream.exceptions import BackendError
@@ -25,9 +26,13 @@
     request_id: str,
     buffers: AnswerBuffers,
     resources: ExitStack,
+    check_end: Callable[[], None],
 ) -> Reply:
     """Read a complete answer; closing `resources` frees its memory.
 
+    `check_end` raises BackendError unless the end of the connection is that of
+    the answer.
+
     A refusal without the server's statement that the request has not run
     becomes a 502. Raises BackendError when the answer breaks off or is too
     long, or when it is a success without the seal of a backend server.
@@ -42,6 +47,8 @@
         body = buffer.finish()
         resources.callback(unfinished.pop_all().close)
     head = exchange.head
+    if head.succeeded and head.ends_with_connection:
+        check_end()
     if head.succeeded and not head.sealed:
         raise BackendError('answer has no seal', 'head', server.endpoint)
     if head.status in NOT_RUN_STATUSES:
--- a/wasabistream/forwarding/run_movers.py
+++ b/wasabistream/forwarding/run_movers.py
@@ -20,6 +20,8 @@
 from wasabistream.forwarding.move_targets import MoveTarget
 from wasabistream.messages import Message
 from wasabistream.metrics import MOVES, MOVES_WITHOUT_TARGET
+from wasabistream.run_endings.endings import lists_run
+from wasabistream.run_endings.run_stops import RunStops, StopOrder
 
 logger = logging.getLogger(__name__)
 
@@ -62,11 +64,13 @@
         source_endpoint: str,
         target_finder: MoveTargetFinder,
         broadcast: Callable[[Message], None],
+        stops: RunStops | None = None,
     ) -> None:
         self._engine = engine
         self._source_endpoint = source_endpoint
         self._target_finder = target_finder
         self._broadcast = broadcast
+        self._stops = stops or RunStops()
         self._copy_rates = CopyRateEstimator()
         self._silent_lock = threading.Lock()
         self._silent_run_ids: set[str] = set()
@@ -207,7 +211,19 @@
         self, run: EngineRun, target: MoveTarget, handle: str, started: float
     ) -> bool:
         """Stop a generation, copy the rest and broadcast its destination."""
-        self._broadcast(RunMoving(run.run_id))
+        with self._stops.order(run.run_id) as order:
+            self._broadcast(RunMoving(run.run_id))
+            return self._stop(run, target, handle, started, order)
+
+    def _stop(
+        self,
+        run: EngineRun,
+        target: MoveTarget,
+        handle: str,
+        started: float,
+        order: StopOrder,
+    ) -> bool:
+        order.handle = handle
         try:
             last = self._engine.copy_run(
                 run.run_id, target.endpoint, final=True
@@ -219,6 +235,9 @@
             self._broadcast_move(run, target, target.endpoint, handle)
             return False
         _log_move(run, target.endpoint, last, started)
+        if last.run_unaffected or not (last.handle or self._has_stopped(run)):
+            order.withdraw()
+        order.handle = last.handle
         # If the final copy fails, the stopped generation can continue at the
         # source. Without a handle there is no memory to continue from.
         if last.handle:
@@ -228,6 +247,13 @@
             self._broadcast_move(run, target, destination, last.handle)
         return last.copied
 
+    def _has_stopped(self, run: EngineRun) -> bool:
+        try:
+            return not lists_run(self._engine.state(), run.run_id)
+        except BackendError as error:
+            _log_error(run, error)
+            return True
+
     def _broadcast_move(
         self, run: EngineRun, target: MoveTarget, destination: str, handle: str
     ) -> None:
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -19,7 +19,10 @@
 from wasabistream.forwarding.fleets import FleetHolder
 from wasabistream.forwarding.interfaces import ServerExchange
 from wasabistream.forwarding.move_messages import RunMoved
-from wasabistream.forwarding.move_trackers import MoveTracker
+from wasabistream.forwarding.move_trackers import (
+    MOVE_COPY_SECONDS,
+    MoveTracker,
+)
 from wasabistream.forwarding.piece_allowances import PieceAllowance
 from wasabistream.forwarding.poison_request_guards import PoisonRequestGuard
 from wasabistream.forwarding.refusals import Refuser
@@ -38,6 +41,7 @@
 from wasabistream.forwarding.stream_progress import StreamProgress
 from wasabistream.forwarding.supervisors import RequestWatch, StallLimits
 from wasabistream.queueing.interfaces import DirectStarts, StartGate
+from wasabistream.run_endings.interfaces import AcceptAllEnds, EndGate
 
 logger = logging.getLogger(__name__)
 
@@ -46,8 +50,6 @@
 # Time to wait for the notice of a move. The agent sends it before it stops the
 # generation, so it arrives at most one network trip after the stream's end.
 MOVE_NOTICE_SECONDS = 0.1
-# Maximum time to wait for the final copy of a generation.
-MOVE_COPY_SECONDS = 2.0
 # Time between events after which a stream counts as stalled, as a multiple of
 # the route's target latency. Engines pause generations for seconds when their
 # memory is full. Callers leave after four times the target latency.
@@ -88,6 +90,8 @@
         self.starts: StartGate = DirectStarts()
         # Decides where streams go on that callers resume.
         self.resumes: ResumeGate = NoResumes()
+        # Decides whether the end of a connection is that of the stream.
+        self.ends: EndGate = AcceptAllEnds()
 
     def forward(
         self,
@@ -255,6 +259,7 @@
                 watch.request.request_id,
                 self._buffers,
                 watch.resources,
+                lambda: self.ends.check(server, watch),
             )
             self._failure_rates.record(
                 server.endpoint, failed=reply.status >= SERVER_ERROR
@@ -292,24 +297,7 @@
         if splitter.has_partial_event or watch.reason is not None:
             raise BackendError('stream was cut', 'events', server.endpoint)
         if exchange.head.ends_with_connection:
-            self._log_end_of_connection(server, watch, progress)
-
-    def _log_end_of_connection(
-        self,
-        server: BackendServer,
-        watch: RequestWatch,
-        progress: StreamProgress,
-    ) -> None:
-        request_id = watch.request.request_id
-        logger.info(
-            'stream: ended with its connection',
-            extra={
-                'request_id': request_id,
-                'endpoint': server.endpoint,
-                'event_count': progress.event_count,
-                'is_moving': self._moves.is_moving(request_id),
-            },
-        )
+            self.ends.check(server, watch)
 
     def _pass_on(
         self,
--- a/wasabistream/forwarding/supervisors.py
+++ b/wasabistream/forwarding/supervisors.py
@@ -91,6 +91,9 @@
         self._on_first_event: Callable[[], None] | None = None
         self._silence_reported_at_seconds = -math.inf
         self._exchange: Cancellable | None = None
+        self._attached_at_seconds = time.monotonic()
+        # Handles of the memory from which the stream has gone on.
+        self.used_handles: list[str] = []
         # Closed once the answer has been sent.
         self.resources = ExitStack()
         self._lock = threading.Lock()
@@ -105,6 +108,16 @@
         """Return the time since the attempt began or its last event."""
         return time.monotonic() - self._progressed_at_seconds
 
+    @property
+    def attempt_age_seconds(self) -> float:
+        """Return the time since the attempt was connected to its server."""
+        return time.monotonic() - self._attached_at_seconds
+
+    @property
+    def was_reported_silent(self) -> bool:
+        """Return whether the attempt was reported as silent to an agent."""
+        return self._silence_reported_at_seconds >= self._attached_at_seconds
+
     def record_progress(self) -> None:
         """Record that the attempt has just begun or produced an event."""
         self._progressed_at_seconds = time.monotonic()
@@ -149,6 +162,7 @@
             self.stall_limits = None
             if exchange is None:
                 return
+            self._attached_at_seconds = time.monotonic()
             if self.is_ended:
                 exchange.close()
             else:
--- a/wasabistream/forwarding/unary_forwarders.py
+++ b/wasabistream/forwarding/unary_forwarders.py
@@ -20,6 +20,7 @@
 from wasabistream.forwarding.requests import Reply
 from wasabistream.forwarding.server_choosers import ServerChooser
 from wasabistream.forwarding.supervisors import CutReason, RequestWatch
+from wasabistream.run_endings.interfaces import AcceptAllEnds, EndGate
 
 logger = logging.getLogger(__name__)
 
@@ -52,6 +53,8 @@
         self._poison_guard = poison_guard
         self._buffers = buffers
         self._refuser = refuser
+        # Decides whether the end of a connection is that of the answer.
+        self.ends: EndGate = AcceptAllEnds()
 
     def forward(self, watch: RequestWatch, history: AttemptHistory) -> Reply:
         """Return the answer to a request, or an error reply without one."""
@@ -139,6 +142,7 @@
             watch.request.request_id,
             self._buffers,
             watch.resources,
+            lambda: self.ends.check(server, watch),
         )
         failed = reply.status >= SERVER_ERROR
         self._failure_rates.record(server.endpoint, failed=failed)
--- a/wasabistream/metrics.py
+++ b/wasabistream/metrics.py
@@ -100,6 +100,11 @@
 MOVES = Counter(
     'wasabi_moves', 'Generations moved to another engine', ['outcome']
 )
+CONNECTION_ENDS = Counter(
+    'wasabi_connection_ends',
+    'Answers of engines that ended with their connection, by ending and source',
+    ['ending', 'source'],
+)
 MOVES_WITHOUT_TARGET = Counter(
     'wasabi_moves_without_target',
     'Searches for an engine to move a generation to that found none',
--- a/wasabistream/platform/agent_applications.py
+++ b/wasabistream/platform/agent_applications.py
@@ -3,6 +3,7 @@
 import logging
 import threading
 from collections.abc import Sequence
+from functools import partial
 
 from wasabistream.continuations.engine_versions import (
     EngineVersion,
@@ -33,6 +34,13 @@
     ProcessOptions,
 )
 from wasabistream.platform.node_files import NodeSettings
+from wasabistream.run_endings.ending_finders import (
+    EndingResponder,
+    RunEndingFinder,
+)
+from wasabistream.run_endings.ending_messages import RunEndingQuery
+from wasabistream.run_endings.engine_continuity import EngineContinuity
+from wasabistream.run_endings.run_stops import RunStops
 from wasabistream.scheduling.scheduling_messages import (
     EnginePaceReport,
     PromptEnd,
@@ -61,7 +69,14 @@
         self._links_lock = threading.Lock()
         self._origins = OriginKeeper()
         self._version = EngineVersion(node_settings.service)
-        engine = VersionedEngine(EngineClient(backend), self._version)
+        stops = RunStops()
+        continuity = EngineContinuity()
+        engine = VersionedEngine(
+            EngineClient(backend), self._version, continuity
+        )
+        self._endings = EndingResponder(
+            RunEndingFinder(engine, stops, continuity)
+        )
         endpoint = str(backend)
         self._target_finder = MoveTargetFinder(
             lambda: self.engine_origin,
@@ -70,7 +85,7 @@
             lambda: self._watcher.has_announcing_entries,
         )
         self._mover = RunMover(
-            engine, endpoint, self._target_finder, self._broadcast
+            engine, endpoint, self._target_finder, self._broadcast, stops
         )
         self._watcher = EngineWatcher(
             engine, endpoint, self._broadcast, self._start_moves
@@ -140,6 +155,8 @@
                     self._origins.record(notice)
                 case StreamOriginQuery():
                     _send(link, self._origins.answer(notice))
+                case RunEndingQuery():
+                    self._endings.respond(notice, partial(_send, link))
                 case RunSilent():
                     # A move waits for the engine, links must not.
                     threading.Thread(
--- a/wasabistream/platform/engine_clients.py
+++ b/wasabistream/platform/engine_clients.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from wasabistream.exceptions import BackendError
+from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.endpoints import Endpoint
 from wasabistream.forwarding.engine_states import EngineRun, EngineState
 from wasabistream.forwarding.move_outcomes import MoveOutcome
@@ -29,6 +30,8 @@
 ANSWER_LIMIT_BYTES = 1024 * 1024
 OK_STATUS = 200
 TARGET_FULL_STATUS = 503
+# The engine has no such run, or is busy with another order for it.
+UNAFFECTED_STATUSES = frozenset((404, 409))
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,11 +42,13 @@
 
 
 class EngineClient:
-    """Read the state of this machine's engine and have it copy memory."""
+    """Read the state of an engine and have it copy memory."""
 
-    def __init__(self, endpoint: Endpoint) -> None:
+    def __init__(
+        self, endpoint: Endpoint, *, keeps_connections: bool = True
+    ) -> None:
         self._peer = str(endpoint)
-        self._state_pool = _build_pool(endpoint, reuses=True)
+        self._state_pool = _build_pool(endpoint, reuses=keeps_connections)
         # A late copy of a report on a kept connection could pass for the
         # answer to an order.
         self._order_pool = _build_pool(endpoint, reuses=False)
@@ -84,6 +89,7 @@
             handle=handle,
             target_full=answer.status == TARGET_FULL_STATUS,
             status=answer.status,
+            run_unaffected=answer.status in UNAFFECTED_STATUSES,
         )
 
     def _call(
@@ -118,6 +124,15 @@
         )
 
 
+class EngineReportClient:
+    """Read the states of engines at other machines."""
+
+    def read(self, server: BackendServer) -> EngineState:
+        """Return the state of an engine; raises BackendError."""
+        endpoint = Endpoint(server.address, server.port)
+        return EngineClient(endpoint, keeps_connections=False).state()
+
+
 def _build_pool(endpoint: Endpoint, *, reuses: bool) -> LimitedPool:
     return LimitedPool(
         endpoint.address,
@@ -147,6 +162,7 @@
                 else float(leaves_ms) / MILLISECONDS_PER_SECOND
             ),
             runs=tuple(_decode_run(row) for row in body.get('runs') or ()),
+            started_unix_ms=decode_count(body.get('born') or 0),
         )
     except DECODE_ERRORS as error:
         raise BackendError(repr(error), 'report', peer) from error
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -21,9 +21,7 @@
 from wasabistream.forwarding.refusals import Refuser
 from wasabistream.forwarding.requests import ForwardRequest, Reply
 from wasabistream.forwarding.server_trackers import ServerTrackers
-from wasabistream.forwarding.stream_forwarders import StreamForwarder
 from wasabistream.forwarding.supervisors import RequestSupervisor
-from wasabistream.forwarding.unary_forwarders import UnaryForwarder
 from wasabistream.listeners import LinkListener
 from wasabistream.memory_budgets import MemoryBudget
 from wasabistream.platform.chooser_builders import (
@@ -31,6 +29,7 @@
     build_scheduled_services,
     build_scheduling_explainer,
 )
+from wasabistream.platform.forwarder_builders import ForwarderBuilder
 from wasabistream.platform.ingress_servers import HttpCaller, IngressServer
 from wasabistream.platform.metrics_servers import (
     MetricsServer,
@@ -320,32 +319,23 @@
                 self._agent_links, self._scheduled_services.is_scheduled
             ),
         )
-        buffers = build_answer_buffers(
-            self.node_settings.memory_limit_bytes, self._memory
-        )
-        streams = StreamForwarder(
+        builder = ForwarderBuilder(
             self.fleet,
             chooser,
             sender,
             servers.failure_rates,
-            move_tracker,
             poison_guard,
-            buffers,
+            build_answer_buffers(
+                self.node_settings.memory_limit_bytes, self._memory
+            ),
             refuser,
+            self._agent_links,
+            move_tracker,
         )
-        streams.starts = self._start_queue
-        streams.resumes = self._agent_links.build_resumer(self.fleet)
         return Forwarder(
             self._request_supervisor,
-            UnaryForwarder(
-                chooser,
-                sender,
-                servers.failure_rates,
-                poison_guard,
-                buffers,
-                refuser,
-            ),
-            streams,
+            builder.build_unary(),
+            builder.build_streams(self._start_queue),
             poison_guard,
             self._spillover,
         )
--- /dev/null
+++ b/wasabistream/run_endings/__init__.py
@@ -0,0 +1,1 @@
+"""How runs end whose answers end with their connection."""
--- /dev/null
+++ b/wasabistream/run_endings/end_checkers.py
@@ -0,0 +1,128 @@
+"""Check of answers that end with their connection."""
+
+import logging
+import time
+
+from wasabistream.exceptions import BackendError
+from wasabistream.forwarding.backend_servers import BackendServer
+from wasabistream.forwarding.fleets import FleetHolder
+from wasabistream.forwarding.move_trackers import (
+    MOVE_COPY_SECONDS,
+    MoveTracker,
+)
+from wasabistream.forwarding.supervisors import RequestWatch
+from wasabistream.metrics import CONNECTION_ENDS
+from wasabistream.run_endings.ending_exchanges import EndingExchange
+from wasabistream.run_endings.endings import (
+    EndedRun,
+    RunEnding,
+    judge_by_engine,
+)
+from wasabistream.run_endings.interfaces import EngineReports
+
+logger = logging.getLogger(__name__)
+
+# Time for an agent to answer. If the run is known to be moved, the agent may
+# answer after the final copy only.
+ANSWER_SECONDS = 0.3
+# An engine's report is as of some hundred milliseconds ago, so it may list a
+# run that has ended for this long.
+REPORT_DELAY_SECONDS = 0.5
+REPORT_INTERVAL_SECONDS = 0.1
+
+
+class EndChecker:
+    """Accept an end only if the system did not stop the run.
+
+    An engine that stops a run to move it closes the connection as it does after
+    the last event. Without a length or chunks, only the agent that gave the
+    order can tell the two apart; without an agent, an engine that does not
+    leave. In doubt, the answer counts as broken off.
+    """
+
+    def __init__(
+        self,
+        fleet: FleetHolder,
+        agents: EndingExchange,
+        engines: EngineReports,
+        moves: MoveTracker,
+    ) -> None:
+        self._fleet = fleet
+        self._agents = agents
+        self._engines = engines
+        self._moves = moves
+
+    def check(self, server: BackendServer, watch: RequestWatch) -> None:
+        """Raise BackendError unless the run at the server is complete."""
+        service = self._fleet.current.find_service(server.service)
+        if service is None or service.engine is None:
+            # Nobody stops requests at servers without an agent.
+            return
+        started = time.monotonic()
+        run = EndedRun(
+            watch.request.request_id,
+            watch.attempt_age_seconds,
+            server.started_unix_ms,
+            watch.was_reported_silent,
+            tuple(watch.used_handles),
+        )
+        ending = self._ask_agent(server, watch, run)
+        source = 'agent'
+        if ending in {None, RunEnding.unknown}:
+            source = 'engine'
+            ending = self._ask_engine(server, watch, run)
+        CONNECTION_ENDS.labels(ending, source).inc()
+        logger.info(
+            'answer: ended with its connection: %s',
+            ending,
+            extra={
+                'request_id': run.run_id,
+                'endpoint': server.endpoint,
+                'event_count': watch.event_count,
+                'ending': ending,
+                'source': source,
+                'is_moving': self._moves.is_moving(run.run_id),
+                'seconds': round(time.monotonic() - started, 4),
+            },
+        )
+        if ending is not RunEnding.complete:
+            raise BackendError(
+                f'connection ended, run is {ending}', 'end', server.endpoint
+            )
+
+    def _ask_agent(
+        self, server: BackendServer, watch: RequestWatch, run: EndedRun
+    ) -> RunEnding | None:
+        def wait_seconds() -> float:
+            if watch.is_ended:
+                return 0
+            if self._moves.is_moving(run.run_id):
+                return min(
+                    MOVE_COPY_SECONDS, watch.request.deadline.remaining_seconds
+                )
+            return ANSWER_SECONDS
+
+        return self._agents.ask(server.endpoint, run, wait_seconds)
+
+    def _ask_engine(
+        self, server: BackendServer, watch: RequestWatch, run: EndedRun
+    ) -> RunEnding:
+        if self._moves.is_moving(run.run_id):
+            return RunEnding.stopped
+        give_up_at_seconds = time.monotonic() + REPORT_DELAY_SECONDS
+        while True:
+            try:
+                state = self._engines.read(server)
+            except BackendError as error:
+                logger.info(
+                    'answer: state of its engine is not known: %s',
+                    error,
+                    extra={'request_id': run.run_id},
+                )
+                return RunEnding.interrupted
+            ending = judge_by_engine(run, state)
+            if ending is not RunEnding.interrupted or watch.is_ended:
+                return ending
+            if time.monotonic() >= give_up_at_seconds:
+                return ending
+            time.sleep(REPORT_INTERVAL_SECONDS)
--- /dev/null
+++ b/wasabistream/run_endings/ending_finders.py
@@ -0,0 +1,115 @@
+"""How runs ended, as their agent finds out."""
+
+import logging
+import threading
+import time
+from collections.abc import Callable
+
+from wasabistream.exceptions import BackendError
+from wasabistream.forwarding.run_movers import AgentEngine
+from wasabistream.messages import Message
+from wasabistream.run_endings.ending_messages import (
+    RunEndingQuery,
+    RunEndingReply,
+)
+from wasabistream.run_endings.endings import RunEnding, lists_run
+from wasabistream.run_endings.engine_continuity import EngineContinuity
+from wasabistream.run_endings.run_stops import RunStops
+from wasabistream.units import MILLISECONDS_PER_SECOND
+
+logger = logging.getLogger(__name__)
+
+# Queries that are answered at once; each occupies a thread.
+MAX_QUERY_COUNT = 64
+# Longest wait for the outcome of an order that stops the run.
+ORDER_WAIT_SECONDS = 5.0
+# A query may be late on its link, so the run began up to this time before the
+# age that the query states.
+MAX_QUERY_DELAY_SECONDS = 1.0
+# An engine may list a run for a moment after it has closed its connection.
+LISTED_RUN_SECONDS = 0.2
+POLL_INTERVAL_SECONDS = 0.02
+
+
+class RunEndingFinder:
+    """Tell how a run ended by the orders of this agent and its engine."""
+
+    def __init__(
+        self,
+        engine: AgentEngine,
+        stops: RunStops,
+        continuity: EngineContinuity,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._engine = engine
+        self._stops = stops
+        self._continuity = continuity
+        self._clock = clock
+
+    def find(self, query: RunEndingQuery) -> RunEnding:
+        """Return how a run ended; waits for orders that may have stopped it."""
+        now = self._clock()
+        sent_at_seconds = now - query.age_ms / MILLISECONDS_PER_SECOND
+        if not self._stops.wait_until_decided(query.run_id, ORDER_WAIT_SECONDS):
+            return RunEnding.stopped
+        if self._stops.has_stopped(
+            query.run_id,
+            sent_at_seconds - MAX_QUERY_DELAY_SECONDS,
+            query.used_handles,
+        ):
+            return RunEnding.stopped
+        try:
+            is_listed = self._is_still_listed(query.run_id)
+        except BackendError:
+            return RunEnding.interrupted
+        if is_listed:
+            return RunEnding.interrupted
+        if self._continuity.serves_since(sent_at_seconds):
+            return RunEnding.complete
+        if self._continuity.has_restarted:
+            return RunEnding.interrupted
+        # This agent has started since and knows nothing of earlier orders.
+        return RunEnding.unknown
+
+    def _is_still_listed(self, run_id: str) -> bool:
+        give_up_at_seconds = self._clock() + LISTED_RUN_SECONDS
+        while lists_run(self._engine.state(), run_id):
+            if self._clock() >= give_up_at_seconds:
+                return True
+            time.sleep(POLL_INTERVAL_SECONDS)
+        return False
+
+
+class EndingResponder:
+    """Answer queries on threads of their own, as they wait for the engine."""
+
+    def __init__(self, finder: RunEndingFinder) -> None:
+        self._finder = finder
+        self._places = threading.BoundedSemaphore(MAX_QUERY_COUNT)
+
+    def respond(
+        self, query: RunEndingQuery, send: Callable[[Message], None]
+    ) -> None:
+        """Answer a query later; at once if too many are being answered."""
+        if not self._places.acquire(blocking=False):
+            logger.warning(
+                'agent: too many queries about runs',
+                extra={'request_id': query.run_id},
+            )
+            send(RunEndingReply(query.number, RunEnding.unknown))
+            return
+        threading.Thread(
+            target=self._answer,
+            args=(query, send),
+            name='ending',
+            daemon=True,
+        ).start()
+
+    def _answer(
+        self, query: RunEndingQuery, send: Callable[[Message], None]
+    ) -> None:
+        try:
+            ending = self._finder.find(query)
+            send(RunEndingReply(query.number, ending))
+        finally:
+            self._places.release()
--- a/wasabistream_tools/soak/runs.py
+++ b/wasabistream_tools/soak/runs.py
@@ -263,6 +263,8 @@
                 *arguments,
                 moved_memory=self._moved_memory,
                 seed=self._options.seed,
+                # Half of the engines end their streams with the connection.
+                is_framed=self._server_count % 2 == 0,
             )
         else:
             server = PlainServer(*arguments)
--- a/wasabistream_tools/soak/servers.py
+++ b/wasabistream_tools/soak/servers.py
@@ -267,13 +267,26 @@
 
 
 class EngineServer(StandInServer):
-    """Answer with streams of events; report the load and move runs."""
+    """Answer with streams of events; report the load and move runs.
+
+    Streams that are not framed have neither a length nor chunks and end with
+    their connection.
+    """
+
+    slow_start_ratio = SLOW_START_RATIO
+    fast_start_seconds = FAST_START_SECONDS
 
     def __init__(
-        self, *args: Any, moved_memory: MovedMemory, seed: int, **options: Any
+        self,
+        *args: Any,
+        moved_memory: MovedMemory,
+        seed: int,
+        is_framed: bool = True,
+        **options: Any,
     ) -> None:
         self._moved_memory = moved_memory
         self._seed = seed
+        self._is_framed = is_framed
         self.is_crashed = False
         super().__init__(*args, **options)
 
@@ -320,8 +333,8 @@
     def _send_events(self, run: ActiveRun, events: list[bytes]) -> bool:
         request = run.request
         random_source = random.Random(f'{self._seed} {request.attempt_id}')
-        slow = random_source.random() < SLOW_START_RATIO
-        start = SLOW_START_SECONDS if slow else FAST_START_SECONDS
+        slow = random_source.random() < self.slow_start_ratio
+        start = SLOW_START_SECONDS if slow else self.fast_start_seconds
         pause_seconds = random_source.uniform(*start)
         if run.event_count:
             pause_seconds = EVENT_SECONDS
@@ -331,17 +344,24 @@
             'Wasabistream-Request-Attempt-Id': request.attempt_id,
             'Wasabistream-Response-Seal': self.seal(request),
             'Content-Type': 'text/event-stream',
-            'Transfer-Encoding': 'chunked',
         }
+        if self._is_framed:
+            headers['Transfer-Encoding'] = 'chunked'
         run.sock.sendall(self.build_head(STATUS_OK, headers))
         for piece in events[run.event_count :]:
-            run.sock.sendall(b'%x\r\n%s\r\n' % (len(piece), piece))
+            run.sock.sendall(self._frame(piece))
             run.event_count += 1
             if not wait_for_caller(run.sock, EVENT_SECONDS) or run.is_moved:
                 return False
-        run.sock.sendall(b'0\r\n\r\n')
+        if self._is_framed:
+            run.sock.sendall(self._frame(b''))
         return True
 
+    def _frame(self, piece: bytes) -> bytes:
+        if self._is_framed:
+            return b'%x\r\n%s\r\n' % (len(piece), piece)
+        return piece
+
     def _refuse(self, sock: socket.socket) -> None:
         headers = {'Wasabistream-Not-Executed': '1', 'Content-Length': '0'}
         sock.sendall(self.build_head(503, headers))
@@ -349,6 +369,7 @@
     def _build_report(self) -> dict[str, Any]:
         runs = list(self.active.values())
         return {
+            'born': self._born_ms,
             'stage': 'both',
             'models': [{'name': 'm', 'version': 1, 'adapters': []}],
             'busy': False,
