Refuse a take-up for good only by a current list

Callers saw: an entry whose list was seconds old refused streams of a version that it did not list yet, with their whole remaining time as Retry-After, so that they never came back.

Cause: 'no server has the version' is a statement about the present, taken from a copy whose age nobody looked at. The same holds for 'nobody knows what began its stream', as an old list lacks the agents that know it, and for 'its stream is of another service'.

Change: a refusal that rests on the list is final only while the store answers this entry; else it has the usual early return. The log line states 'is_list_current'.

--- a/tests/test_stream_resumes.py
+++ b/tests/test_stream_resumes.py
@@ -59,9 +59,12 @@
         """Start an entry that lists two engines of each of two versions."""
         self.engines = build_versioned('v1', 'v1', 'v2', 'v2')
         self.holder = build_holder(*self.engines)
+        self.is_list_current = True
         self.exchange = OriginExchange()
         self.agents = build_agents(self.exchange, self.engines)
-        self.resumer = StreamResumer(self.holder, self.exchange)
+        self.resumer = StreamResumer(
+            self.holder, self.exchange, lambda: self.is_list_current
+        )
 
     def list_only(self, *engines: BackendServer) -> None:
         """Remove all other engines from the list."""
@@ -84,7 +87,9 @@
         self.exchange.on_fleet_changed(self.engines)
         for agent in self.agents:
             agent.link_to(self.exchange)
-        self.resumer = StreamResumer(self.holder, self.exchange)
+        self.resumer = StreamResumer(
+            self.holder, self.exchange, lambda: self.is_list_current
+        )
 
     def prepare(
         self, request: ForwardRequest = RESUME
@@ -120,6 +125,25 @@
         self.assertIsNone(reply)
         self.assertEqual(prepared.origin, ORIGIN)
 
+    def test_old_list(self) -> None:
+        """Guard against refusing for good by a list that is out of date."""
+        self.begin()
+        self.list_only(*self.engines[2:])
+        final_seconds = self.assert_refused(ResumeRefusal.version_gone)
+        self.assertGreater(final_seconds, RETRY_AFTER_MAX_SECONDS)
+        self.is_list_current = False
+        wait_seconds = self.assert_refused(ResumeRefusal.version_gone)
+        self.assertLessEqual(wait_seconds, RETRY_AFTER_MAX_SECONDS)
+
+    def test_old_list_and_a_malformed_request(self) -> None:
+        """Guard against an early return that is refused in any case."""
+        self.is_list_current = False
+        request = replace(
+            RESUME, resume_claim=ResumeClaim('', has_event_id=True)
+        )
+        final_seconds = self.assert_refused(ResumeRefusal.malformed, request)
+        self.assertGreater(final_seconds, RETRY_AFTER_MAX_SECONDS)
+
     def test_other_requests(self) -> None:
         """Guard against refusing or binding a request that begins a stream."""
         self.assertEqual(self.prepare(FIRST), (None, FIRST))
@@ -164,7 +188,9 @@
         self.begin()
         self.exchange = OriginExchange()
         self.exchange.on_fleet_changed(self.engines)
-        self.resumer = StreamResumer(self.holder, self.exchange)
+        self.resumer = StreamResumer(
+            self.holder, self.exchange, lambda: self.is_list_current
+        )
         wait_seconds = self.assert_refused(ResumeRefusal.incomplete)
         self.assertLessEqual(wait_seconds, RETRY_AFTER_MAX_SECONDS)
 
--- a/tests/test_version_doubts.py
+++ b/tests/test_version_doubts.py
@@ -44,7 +44,7 @@
         self.holder = build_holder(*self.engines)
         self.exchange = OriginExchange()
         build_agents(self.exchange, self.engines)
-        self.resumer = StreamResumer(self.holder, self.exchange)
+        self.resumer = StreamResumer(self.holder, self.exchange, lambda: True)
         self.continuations = StreamContinuations(self.holder)
         self.progress = StreamProgress()
         self.watch = RequestWatch(
--- a/wasabistream/continuations/resume_decisions.py
+++ b/wasabistream/continuations/resume_decisions.py
@@ -41,6 +41,11 @@
         """Return whether a later request would be refused as well."""
         return self is not ResumeRefusal.incomplete
 
+    @property
+    def rests_on_list(self) -> bool:
+        """Return whether a later list could lead to another decision."""
+        return self in LIST_REFUSALS
+
 
 REFUSAL_TEXTS = MappingProxyType(
     {
@@ -53,6 +58,13 @@
         ResumeRefusal.incomplete: 'not all agents could be asked',
     }
 )
+LIST_REFUSALS = frozenset(
+    (
+        ResumeRefusal.unknown,
+        ResumeRefusal.not_on_route,
+        ResumeRefusal.version_gone,
+    )
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/wasabistream/continuations/stream_resumes.py
+++ b/wasabistream/continuations/stream_resumes.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from collections import defaultdict
+from collections.abc import Callable
 from functools import partial
 
 from wasabistream.continuations.origin_exchanges import OriginExchange
@@ -42,8 +43,15 @@
 class StreamResumer:
     """Record what begins each stream and let callers resume it there."""
 
-    def __init__(self, fleet: FleetHolder, exchange: OriginExchange) -> None:
+    def __init__(
+        self,
+        fleet: FleetHolder,
+        exchange: OriginExchange,
+        is_list_current: Callable[[], bool],
+    ) -> None:
         self._fleet = fleet
+        # Whether the list of servers is that of the store at present.
+        self._is_list_current = is_list_current
         self._exchange = exchange
         self._lock = threading.Lock()
         # Streams in progress here by key.
@@ -60,17 +68,19 @@
         started = time.monotonic()
         refusal = check_claim(request.resume_claim, request.route)
         if refusal is not None:
-            return _refuse(request, refusal, started)
+            return self._refuse(request, refusal, started)
         key = _build_key(request)
         own = self._exchange.own.find(key)
         decision = self._decide(request, key, own)
         origin = decision.origin
         if origin is None or decision.refusal is not None:
-            return _refuse(
+            return self._refuse(
                 request, decision.refusal or ResumeRefusal.unknown, started
             )
         if not self._has_server(origin):
-            return _refuse(request, ResumeRefusal.version_gone, started, origin)
+            return self._refuse(
+                request, ResumeRefusal.version_gone, started, origin
+            )
         watch.request = self._bind(request, origin)
         # A caller that has left meanwhile may have come back already.
         if not watch.is_ended:
@@ -129,6 +139,34 @@
                 _find_keep_seconds(request.route),
             )
 
+    def _refuse(
+        self,
+        request: ForwardRequest,
+        refusal: ResumeRefusal,
+        started: float,
+        origin: StreamOrigin | None = None,
+    ) -> Reply:
+        is_list_current = self._is_list_current()
+        REFUSALS.labels(refusal.value).inc()
+        logger.info(
+            'request: refused: %s',
+            refusal.text,
+            extra={
+                'refusal': refusal.value,
+                'is_list_current': is_list_current,
+                **_describe(request, origin, started),
+            },
+        )
+        remaining_seconds = request.deadline.remaining_seconds
+        # What an old list says may change within the caller's time, or another
+        # entry may know better.
+        is_final = refusal.is_final and (
+            is_list_current or not refusal.rests_on_list
+        )
+        return build_refusal(
+            remaining_seconds, remaining_seconds if is_final else 0
+        )
+
     def _decide(
         self, request: ForwardRequest, key: bytes, own: StreamOrigin | None
     ) -> ResumeDecision:
@@ -191,27 +229,6 @@
     return min(route.timeout_seconds * KEEP_RATIO, MAX_KEEP_SECONDS)
 
 
-def _refuse(
-    request: ForwardRequest,
-    refusal: ResumeRefusal,
-    started: float,
-    origin: StreamOrigin | None = None,
-) -> Reply:
-    REFUSALS.labels(refusal.value).inc()
-    logger.info(
-        'request: refused: %s',
-        refusal.text,
-        extra={
-            'refusal': refusal.value,
-            **_describe(request, origin, started),
-        },
-    )
-    remaining_seconds = request.deadline.remaining_seconds
-    # Nothing changes for this stream within its caller's time.
-    wait_seconds = remaining_seconds if refusal.is_final else 0
-    return build_refusal(remaining_seconds, wait_seconds)
-
-
 def _describe(
     request: ForwardRequest, origin: StreamOrigin | None, started: float
 ) -> dict[str, object]:
--- a/wasabistream/forwarding/agent_links.py
+++ b/wasabistream/forwarding/agent_links.py
@@ -143,9 +143,11 @@
                 dialer.stop()
             self._dialers.clear()
 
-    def build_resumer(self, fleet: FleetHolder) -> StreamResumer:
+    def build_resumer(
+        self, fleet: FleetHolder, is_list_current: Callable[[], bool]
+    ) -> StreamResumer:
         """Return what records and finds the origins of streams."""
-        return StreamResumer(fleet, self.origins)
+        return StreamResumer(fleet, self.origins, is_list_current)
 
     def report_silent_run(
         self, endpoint: str, run_id: str, event_count: int
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -331,6 +331,7 @@
             refuser,
             self._agent_links,
             move_tracker,
+            lambda: not self._is_store_lost(),
         )
         return Forwarder(
             self._request_supervisor,
--- a/wasabistream/platform/forwarder_builders.py
+++ b/wasabistream/platform/forwarder_builders.py
@@ -1,5 +1,6 @@
 """Builder of the forwarders of an entry."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from wasabistream.forwarding.agent_links import AgentLinks
@@ -31,6 +32,8 @@
     refuser: Refuser
     agent_links: AgentLinks
     moves: MoveTracker
+    # Returns whether the list of servers is that of the store at present.
+    is_list_current: Callable[[], bool]
 
     def build_unary(self) -> UnaryForwarder:
         """Return the forwarder of requests that are not streamed."""
@@ -58,7 +61,9 @@
             self.refuser,
         )
         streams.starts = starts
-        streams.resumes = self.agent_links.build_resumer(self.fleet)
+        streams.resumes = self.agent_links.build_resumer(
+            self.fleet, self.is_list_current
+        )
         streams.ends = self._build_end_checker()
         return streams
 
