Compare the start of an engine before a stream goes on

Cause: the software version of a server came from the entry's list, whose age nobody looks at. Engines that start again under their ids look unchanged in the list of an entry that is cut from the store and its peers. They state their start (`born`) in each report; agents polled it and dropped the field. Class: a decision that needs the present state is taken from a copy whose age nobody looks at.

Change: the package engine_starts. Agents know the version of their engine by its start and report both to the entries, whose view of the fleet is corrected with these reports. Before the first event of a stream that goes on is passed on, the entry compares the start that the engine itself states; a new stream is bound to a version only if its agent, or the engine, confirms the start.

Why it works: the version of one start never changes, and a connection does not outlive a restart. An engine that states the expected start after it has begun its answer has therefore made the answer with the expected software, however old the list is. An entry that was stopped or suspended asks too, as reports from before count as old on the clock of the boot.

Ruled out: trusting the list up to an age (an entry that was stopped does not know its age, and engines may restart sooner); refusing at an entry without the store (streams of versions that serve would be lost).

The soak's and the tests' engines now state their start.

--- a/tests/platform_paths.py
+++ b/tests/platform_paths.py
@@ -52,8 +52,8 @@
 
     daemon_threads = True
 
-    def __init__(self, address: str = '127.0.0.1') -> None:
-        super().__init__((address, 0), BackendHandler)
+    def __init__(self, address: str = '127.0.0.1', port: int = 0) -> None:
+        super().__init__((address, port), BackendHandler)
         self.received_requests: list[tuple[str, dict[str, str]]] = []
         self.respond: Callable[[BackendHandler], None] = answer
         threading.Thread(target=self.serve_forever, daemon=True).start()
--- a/tests/resume_fleets.py
+++ b/tests/resume_fleets.py
@@ -25,6 +25,10 @@
 # Events of a stream before its engine waits until the test goes on.
 FIRST_EVENT_COUNT = 3
 REMAINING_MS = 5000
+# Time between two starts of an engine.
+RESTART_MS = 60_000
+# Port of the store for an entry that can be cut off from it.
+CUT_OFF = 'cut-off'
 
 
 def build_head(request_id: str, *lines: str, path: str = '/chat/a') -> bytes:
@@ -91,6 +95,7 @@
         # Streams that begin wait for this after their first events.
         self.released = threading.Event()
         self.stream_ids: list[str] = []
+        self.started_unix_ms: int = SERVER['born'] + number
         self._backend = QuietBackend(self.address)
         self._backend.respond = self._respond
 
@@ -106,6 +111,7 @@
             'address': self.endpoint,
             'version': self.software_version,
             'cold_remaining_ms': 0,
+            'born': self.started_unix_ms,
         }
         return build_row(f'servers/{self.server_id}', revision, fields)
 
@@ -115,9 +121,19 @@
         self._backend.shutdown()
         self._backend.server_close()
 
+    def restart(self, software_version: str) -> None:
+        """Start again at the same address, under the same id."""
+        port: int = self._backend.server_address[1]
+        self.stop()
+        self.released = threading.Event()
+        self.software_version = software_version
+        self.started_unix_ms += RESTART_MS
+        self._backend = QuietBackend(self.address, port)
+        self._backend.respond = self._respond
+
     def _respond(self, handler: BackendHandler) -> None:
         if handler.path == '/-/report':
-            answer_report(handler)
+            answer_report(handler, born=self.started_unix_ms)
         else:
             self._stream(handler)
 
@@ -222,9 +238,24 @@
         """Remove an engine from the list."""
         self.store.remove(f'servers/{engine.server_id}')
 
-    def start_entry(self) -> PlatformEntry:
+    def list_start(self, engine: VersionedEngine) -> None:
+        """Write the present start of an engine to the store."""
+        self.store.put(engine.build_item(self.store.revision + 1))
+
+    def start_entry_to_cut_off(self) -> PlatformEntry:
+        """Start an entry that `cut_off` cuts from the store."""
+        return self.start_entry(self.store.open_port(CUT_OFF))
+
+    def cut_off(self, entry: PlatformEntry) -> None:
+        """Cut an entry from the store, without peers."""
+        self.store.silent_callers.add(CUT_OFF)
+        wait_until(lambda: entry.follower.is_lost)
+
+    def start_entry(self, store_port: int = 0) -> PlatformEntry:
         """Start an entry; return once it lists all engines of the store."""
-        entry = build_entry(self.store.port, link_port=self.link_port)
+        entry = build_entry(
+            store_port or self.store.port, link_port=self.link_port
+        )
         entry.on_start()
         self.entries.append(entry)
         self.addCleanup(self.stop_entry, entry)
--- a/tests/test_engine_versions.py
+++ b/tests/test_engine_versions.py
@@ -7,6 +7,7 @@
 import unittest
 from unittest.mock import Mock
 
+from tests.ending_builders import build_state
 from tests.forwarding_builders import (
     ENGINE_SERVICE,
     PLAIN_SERVICE,
@@ -123,6 +124,84 @@
             self.assertEqual(version.origin.software_version, OTHER_VERSION)
 
 
+class StatedStartTest(unittest.TestCase):
+    """Guard against a version that belongs to another start of the engine."""
+
+    def setUp(self) -> None:
+        """Create an agent whose engine states its start."""
+        self.version = EngineVersion(ENGINE_SERVICE)
+        self.on_change = Mock()
+        self.version.on_change = self.on_change
+        self.answer(1000)
+
+    def answer(self, started_unix_ms: int) -> None:
+        """Have the engine answer a poll."""
+        self.version.record_answered_poll(
+            build_state(started_unix_ms=started_unix_ms)
+        )
+
+    def tell(self, version: str, started_unix_ms: int) -> None:
+        """Tell the agent what an entry lists."""
+        self.version.record_notice(
+            EngineVersionNotice(ENGINE_SERVICE, version, started_unix_ms)
+        )
+
+    def check_version(self, version: str) -> None:
+        """Check the version that moves are made by and entries are told."""
+        self.assertEqual(self.version.origin.software_version, version)
+        self.assertEqual(self.version.start[1], version)
+
+    def test_entry_that_is_out_of_step(self) -> None:
+        """Guard against the first notice to an agent that has just started."""
+        self.tell(OTHER_VERSION, 500)
+        self.check_version('')
+        self.tell(SOFTWARE_VERSION, 1000)
+        self.check_version(SOFTWARE_VERSION)
+
+    def test_restart_between_two_polls(self) -> None:
+        """Guard against a restart that fails no poll."""
+        self.tell(SOFTWARE_VERSION, 1000)
+        self.answer(2000)
+        self.check_version('')
+        self.tell(OTHER_VERSION, 2000)
+        self.check_version(OTHER_VERSION)
+
+    def test_notice_before_the_poll(self) -> None:
+        """Guard against losing what was told of a start before it answers."""
+        self.tell(SOFTWARE_VERSION, 1000)
+        self.tell(OTHER_VERSION, 2000)
+        self.check_version(SOFTWARE_VERSION)
+        self.answer(2000)
+        self.check_version(OTHER_VERSION)
+
+    def test_clock_went_back(self) -> None:
+        """Guard against a start that counts as an earlier one."""
+        self.tell(SOFTWARE_VERSION, 1000)
+        self.answer(900)
+        self.tell(OTHER_VERSION, 900)
+        self.check_version(OTHER_VERSION)
+
+    def test_silent_engine_that_answers_again(self) -> None:
+        """Guard against distrust of a start that is known to go on."""
+        self.tell(SOFTWARE_VERSION, 1000)
+        for _ in range(RESTART_POLL_COUNT):
+            self.version.record_failed_poll()
+        self.assertEqual(self.version.origin.software_version, '')
+        self.answer(1000)
+        self.check_version(SOFTWARE_VERSION)
+
+    def test_changes(self) -> None:
+        """Guard against entries that are told too late or at each poll."""
+        self.on_change.reset_mock()
+        self.tell(SOFTWARE_VERSION, 1000)
+        self.on_change.assert_called_once()
+        self.answer(1000)
+        self.tell(SOFTWARE_VERSION, 1000)
+        self.on_change.assert_called_once()
+        self.answer(2000)
+        self.assertEqual(self.on_change.call_count, 2)
+
+
 class ListedEnginesTest(unittest.TestCase):
     """Guard against telling agents too little or the wrong version."""
 
--- a/tests/test_move_versions.py
+++ b/tests/test_move_versions.py
@@ -6,13 +6,14 @@
 
 import unittest
 from dataclasses import replace
-from unittest.mock import ANY, patch
+from unittest.mock import ANY, Mock, patch
 
 from tests.forwarding_builders import (
     ENGINE_SERVICE,
     MEMORY_TOKENS,
     OWN_DATA_CENTRE,
     SOFTWARE_VERSION,
+    build_fleet,
     build_server,
 )
 from tests.forwarding_fakes import events, stream
@@ -34,6 +35,7 @@
     build_move,
 )
 from wasabistream.continuations.version_messages import EngineVersionNotice
+from wasabistream.engine_starts.start_messages import EngineStartReport
 from wasabistream.exceptions import FrameError
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.engine_states import EngineRun
@@ -96,6 +98,27 @@
         self.assertEqual(copies, [LOCAL, LOCAL])
         self.assertEqual([move.endpoint for move in self.agent.moved], [LOCAL])
 
+    def test_target_that_restarted_while_it_was_cut_off(self) -> None:
+        """Guard against a move to what the list takes for an earlier start.
+
+        The target is cut from the store, but its agent reports the start.
+        """
+        listed = [
+            replace(build_engine(number), started_unix_ms=1000)
+            for number in (1, 2, 3)
+        ]
+        self.entry.list_servers(*listed)
+        link = Mock()
+        self.entry.links.on_opened(LOCAL, link)
+        report = EngineStartReport(LOCAL, ENGINE_SERVICE, 2000, '')
+        on_change = Mock()
+        self.entry.links.starts.on_change = on_change
+        self.entry.links.receive(LOCAL, link, report)
+        on_change.assert_called_once()
+        corrected = self.entry.links.starts.apply(build_fleet(*listed))
+        copies = self.move_all(*corrected.servers.values())
+        self.assertEqual(copies, [REMOTE, REMOTE])
+
     def test_source_that_the_entry_does_not_know(self) -> None:
         """Guard against losing generations of an engine that left the list.
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -8,6 +8,7 @@
 import time
 import unittest
 from functools import partial
+from unittest.mock import Mock
 
 from prometheus_client import REGISTRY
 
@@ -33,6 +34,11 @@
     build_stream_forwarder,
     call_at_read,
 )
+from wasabistream.engine_starts.start_confirmers import (
+    StartCheck,
+    StartConfirmer,
+    TrustList,
+)
 from wasabistream.forwarding.attempts import AttemptHistory
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.move_messages import RunMoved
@@ -71,6 +77,7 @@
         self.moves = MoveTracker()
         self.caller = FakeCaller()
         self.first = build_engine(1, FORMER)
+        self.starts: StartConfirmer = TrustList()
 
     def forward(
         self,
@@ -85,6 +92,7 @@
             self.client, self.moves, self.first, *others
         )
         self.holder = built.holder
+        built.forwarder.continuations.starts = self.starts
         self.watch = RequestWatch(build_request(route), self.caller)
         self.progress = StreamProgress()
         self.reply = built.forwarder.forward(
@@ -374,3 +382,40 @@
                 route=MOVED_ROUTE,
             )
             self.assert_goes_on_at(self.first)
+
+
+class ConfirmedStartTest(StreamVersionCase):
+    """Guard against versions of starts that are over."""
+
+    def check_starts(self, *checks: StartCheck) -> Mock:
+        """Return the calls that confirm the start of each attempt's server."""
+        confirm = Mock(side_effect=checks)
+        self.starts = Mock(confirm=confirm)
+        return confirm
+
+    def test_server_that_goes_on_was_replaced(self) -> None:
+        """Guard against joining the rest of an engine that has restarted."""
+        second = build_engine(2, FORMER)
+        for check in (StartCheck.replaced, StartCheck.unknown):
+            confirm = self.check_starts(StartCheck.confirmed, check)
+            self.caller = FakeCaller()
+            self.forward(second)
+            self.assertEqual(self.caller.body, BEGINNING)
+            self.assertTrue(self.caller.aborted)
+            self.assertEqual(
+                [call.kwargs['asks_engine'] for call in confirm.mock_calls],
+                [False, True],
+            )
+
+    def test_server_that_begins_was_replaced(self) -> None:
+        """Guard against a stream bound to the version of an earlier start."""
+        self.check_starts(StartCheck.replaced)
+        self.forward(build_engine(2, FORMER))
+        self.assert_ends()
+
+    def test_start_is_confirmed(self) -> None:
+        """Guard against losing streams whose servers are as listed."""
+        second = build_engine(2, FORMER)
+        self.check_starts(StartCheck.confirmed, StartCheck.confirmed)
+        self.forward(second)
+        self.assert_goes_on_at(second)
--- a/wasabistream/continuations/engine_versions.py
+++ b/wasabistream/continuations/engine_versions.py
@@ -3,7 +3,9 @@
 import logging
 import threading
 import time
-from collections.abc import Callable
+from collections import OrderedDict
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Protocol
 
 from wasabistream.continuations.stream_origins import StreamOrigin
@@ -17,6 +19,8 @@
 
 logger = logging.getLogger(__name__)
 
+# Starts whose versions are kept. Lists of different ages name several.
+MAX_START_COUNT = 8
 # Time in which entries list an engine that has restarted, if the store answers.
 RELIST_SECONDS = 5.0
 
@@ -25,10 +29,13 @@
     """Keep what entries tell about the latest start of an engine.
 
     An engine may restart under its id at another version, and entries may list
-    it later than it answers. After a gap in its answers the version is unknown
-    until RELIST_SECONDS have passed or a later start is told. A start within the
-    gap is that of the engine that answers again; both are on one machine, so
-    their clocks agree.
+    it later than it answers, or not at all. The version is what was told of the
+    start that the engine states.
+
+    An engine that does not state its start is distrusted after a gap in its
+    answers: its version is unknown until RELIST_SECONDS have passed or a later
+    start is told. A start within the gap is that of the engine that answers
+    again; both are on one machine, so their clocks agree.
     """
 
     def __init__(
@@ -44,6 +51,12 @@
         self._told: EngineVersionNotice | None = None
         self._failed_poll_count = 0
         self._gap_began_unix_ms = 0.0
+        # As the engine stated it last; 0 if it does not.
+        self._started_unix_ms = 0
+        # Versions that were told, by start; the oldest are evicted.
+        self._versions: OrderedDict[int, str] = OrderedDict()
+        # Called when the start, or what is known of it, has changed.
+        self.on_change: Callable[[], None] = _ignore_change
         # Until when the version that was told may be that before a restart.
         self._doubtful_until_seconds = 0.0
 
@@ -51,21 +64,24 @@
     def origin(self) -> StreamOrigin:
         """Return the origin of the streams that the engine begins."""
         with self._lock:
-            told = self._told
-            is_known = (
-                told is not None
-                and self._failed_poll_count < RESTART_POLL_COUNT
-                and self._clock() >= self._doubtful_until_seconds
-            )
-            version = told.software_version if told and is_known else ''
+            version = ''
+            if self._failed_poll_count < RESTART_POLL_COUNT:
+                version = self._find_version()
         return StreamOrigin(self._service, version)
 
+    @property
+    def start(self) -> tuple[int, str]:
+        """Return the start that the engine stated last, and its version."""
+        with self._lock:
+            return self._started_unix_ms, self._find_version()
+
     def record_notice(self, notice: EngineVersionNotice) -> None:
         """Use a notice unless it is about an earlier start."""
         if notice.service != self._service:
             logger.info('engine version: other service %s', notice.service)
             return
-        with self._lock:
+        with self._observe_change(), self._lock:
+            self._keep_version(notice)
             told = self._told
             if told == notice:
                 return
@@ -95,8 +111,9 @@
             self._failed_poll_count += 1
 
     def record_answered_poll(self, state: EngineState) -> None:
-        """Distrust the version for a while if polls failed before."""
-        with self._lock:
+        """Take the engine's start; without one, distrust it after a gap."""
+        with self._observe_change(), self._lock:
+            self._started_unix_ms = state.started_unix_ms
             told = self._told
             if self._failed_poll_count >= RESTART_POLL_COUNT and not (
                 told is not None and self._is_after_gap(told)
@@ -104,10 +121,37 @@
                 self._doubtful_until_seconds = self._clock() + RELIST_SECONDS
             self._failed_poll_count = 0
 
+    @contextmanager
+    def _observe_change(self) -> Iterator[None]:
+        before = self.start
+        yield
+        if self.start != before:
+            self.on_change()
+
+    def _find_version(self) -> str:
+        told = self._told
+        if told is None:
+            return ''
+        # Lists may not state starts either.
+        if self._started_unix_ms and told.started_unix_ms:
+            return self._versions.get(self._started_unix_ms, '')
+        is_doubtful = self._clock() < self._doubtful_until_seconds
+        return '' if is_doubtful else told.software_version
+
+    def _keep_version(self, notice: EngineVersionNotice) -> None:
+        self._versions.pop(notice.started_unix_ms, None)
+        self._versions[notice.started_unix_ms] = notice.software_version
+        while len(self._versions) > MAX_START_COUNT:
+            self._versions.popitem(last=False)
+
     def _is_after_gap(self, notice: EngineVersionNotice) -> bool:
         return notice.started_unix_ms >= self._gap_began_unix_ms
 
 
+def _ignore_change() -> None:
+    """Do nothing."""
+
+
 class PollObserver(Protocol):
     """Observe the polls of an engine."""
 
--- a/wasabistream/continuations/listed_engines.py
+++ b/wasabistream/continuations/listed_engines.py
@@ -46,6 +46,10 @@
             if _build_notice(server) != _build_notice(before.get(endpoint))
         ]
 
+    def find_server(self, endpoint: str) -> BackendServer | None:
+        """Return the server at an endpoint."""
+        return self._servers.get(endpoint)
+
     def find_origin(self, endpoint: str, service: str) -> StreamOrigin:
         """Return the origin of streams that began at an engine."""
         server = self._servers.get(endpoint)
--- a/wasabistream/continuations/stream_continuations.py
+++ b/wasabistream/continuations/stream_continuations.py
@@ -15,6 +15,11 @@
     StreamOrigin,
     may_continue,
 )
+from wasabistream.engine_starts.start_confirmers import (
+    StartCheck,
+    StartConfirmer,
+    TrustList,
+)
 from wasabistream.exceptions import BackendError
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.fleets import FleetHolder
@@ -30,6 +35,8 @@
 
     def __init__(self, fleet: FleetHolder) -> None:
         self._fleet = fleet
+        # Confirms that the list names the start of a server that serves.
+        self.starts: StartConfirmer = TrustList()
 
     def bind(
         self,
@@ -43,12 +50,21 @@
         server may have been replaced since it was chosen. Raises BackendError
         if its event does not fit the stream.
         """
+        request = watch.request
+        check = self.starts.confirm(
+            server,
+            # A stream that goes on would join the versions at once.
+            asks_engine=request.origin is not None,
+        )
         first = bind_origin(
             server,
             self._fleet.current.servers.get(server.server_id),
             round(time.time() * MILLISECONDS_PER_SECOND),
         )
-        request = watch.request
+        if check is not StartCheck.confirmed:
+            first = dataclasses.replace(
+                first, origin=StreamOrigin(server.service, '')
+            )
         if request.origin is not None and request.origin != first.origin:
             raise BackendError('server was replaced', 'events', server.endpoint)
         if progress.first_event is None:
--- /dev/null
+++ b/wasabistream/engine_starts/__init__.py
@@ -0,0 +1,1 @@
+"""Which start of an engine serves, beside what the store lists."""
--- /dev/null
+++ b/wasabistream/engine_starts/start_confirmers.py
@@ -0,0 +1,98 @@
+"""Confirmation that the start of an engine is the one that is listed."""
+
+import logging
+from enum import StrEnum
+from typing import Protocol
+
+from wasabistream.engine_starts.start_tables import EngineStartTable
+from wasabistream.exceptions import BackendError
+from wasabistream.forwarding.backend_servers import BackendServer
+from wasabistream.forwarding.fleets import FleetHolder
+from wasabistream.run_endings.interfaces import EngineReports
+
+logger = logging.getLogger(__name__)
+
+
+class StartCheck(StrEnum):
+    """State whether the listed start of an engine serves."""
+
+    confirmed = 'confirmed'
+    # Another start serves.
+    replaced = 'replaced'
+    # The engine does not answer.
+    unknown = 'unknown'
+
+
+class StartConfirmer(Protocol):
+    """Confirm the start of the server that has begun an answer."""
+
+    def confirm(
+        self, server: BackendServer, *, asks_engine: bool
+    ) -> StartCheck:
+        """Return whether the start serves that the server is known by."""
+
+
+class TrustList:
+    """Take the list as it is."""
+
+    def confirm(
+        self, server: BackendServer, *, asks_engine: bool
+    ) -> StartCheck:
+        """Return that the listed start serves."""
+        return StartCheck.confirmed
+
+
+class EngineStartConfirmer:
+    """Compare the listed start with what the agent or the engine states.
+
+    To be used once the server has begun its answer: a connection does not
+    outlive a restart, so an engine that states the listed start after that has
+    made the answer.
+    """
+
+    def __init__(
+        self,
+        fleet: FleetHolder,
+        starts: EngineStartTable,
+        engines: EngineReports,
+    ) -> None:
+        self._fleet = fleet
+        self._starts = starts
+        self._engines = engines
+
+    def confirm(
+        self, server: BackendServer, *, asks_engine: bool
+    ) -> StartCheck:
+        """Return whether the start serves that the server is known by.
+
+        Without `asks_engine`, a recent report of the engine's agent is enough.
+        """
+        service = self._fleet.current.find_service(server.service)
+        has_engine = service is not None and service.engine is not None
+        if not has_engine or not server.started_unix_ms:
+            return StartCheck.confirmed
+        if not asks_engine and self._starts.is_confirmed(server):
+            return StartCheck.confirmed
+        try:
+            started_unix_ms = self._engines.read(server).started_unix_ms
+        except BackendError as error:
+            logger.info(
+                'start: not confirmed: %s',
+                error,
+                extra={'endpoint': server.endpoint},
+            )
+            return StartCheck.unknown
+        if started_unix_ms in {0, server.started_unix_ms}:
+            return StartCheck.confirmed
+        logger.warning(
+            'start: %s has started again',
+            server.endpoint,
+            extra={
+                'server_id': server.server_id,
+                'software_version': server.software_version,
+                'listed_unix_ms': server.started_unix_ms,
+                'started_unix_ms': started_unix_ms,
+            },
+        )
+        self._starts.record_answer(server, started_unix_ms)
+        return StartCheck.replaced
--- a/wasabistream/forwarding/agent_links.py
+++ b/wasabistream/forwarding/agent_links.py
@@ -11,6 +11,11 @@
 from wasabistream.continuations.stream_origins import StreamOrigin
 from wasabistream.continuations.stream_resumes import StreamResumer
 from wasabistream.dialers import PeerDialer
+from wasabistream.engine_starts.start_messages import EngineStartReport
+from wasabistream.engine_starts.start_tables import (
+    EngineStartTable,
+    is_other_start,
+)
 from wasabistream.forwarding.advisory_guards import AdvisoryGuard
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.endpoints import Endpoint
@@ -103,6 +108,8 @@
         self.origins = OriginExchange()
         # How runs ended, as the agents of their engines tell.
         self.endings = EndingExchange()
+        # Starts of engines, as their agents report them.
+        self.starts = EngineStartTable()
         # Called on the link thread after each load report.
         self.on_load_report: Callable[[], None] = _ignore_report
 
@@ -201,6 +208,7 @@
                 self._open_links.pop(endpoint)
                 self._reported_at_seconds.pop(endpoint, None)
                 self._drop_announcements(endpoint)
+                self.starts.forget_link(endpoint)
         self.origins.on_closed(endpoint, link)
         self.endings.on_closed(endpoint, link)
 
@@ -210,10 +218,13 @@
             case LoadReport():
                 self._load_tracker.report(endpoint, notice)
                 self._reported_at_seconds[endpoint] = time.monotonic()
+                self._record_sign_of_life(endpoint, notice)
                 self._advisories.record_report(endpoint, notice)
                 self.on_load_report()
             case EnginePaceReport():
                 self._record_pace(endpoint, link, notice)
+            case EngineStartReport():
+                self._record_start(endpoint, link, notice)
             case RunMoving():
                 self._moves.record_move_start(notice.run_id)
             case RunMoved():
@@ -238,6 +249,31 @@
             logger.warning('agent link: %s is silent', endpoint)
             link.close()
 
+    def _record_sign_of_life(self, endpoint: str, report: LoadReport) -> None:
+        if report.responsive:
+            self.starts.record_sign_of_life(endpoint)
+        else:
+            self.starts.record_silent_engine(endpoint)
+
+    def _record_start(
+        self, endpoint: str, link: Link, report: EngineStartReport
+    ) -> None:
+        if report.endpoint != endpoint:
+            logger.info(
+                'agent link: %s reports the start of %s',
+                endpoint,
+                report.endpoint,
+            )
+            return
+        with self._lock:
+            # A closed link may bring its last messages later.
+            if self._open_links.get(endpoint) is not link:
+                return
+            server = self._engines.find_server(endpoint)
+            self.starts.record_report(report)
+        if server is not None and is_other_start(server, report):
+            self.starts.on_change()
+
     def _record_pace(
         self, endpoint: str, link: Link, report: EnginePaceReport
     ) -> None:
--- a/wasabistream/forwarding/fleet_updaters.py
+++ b/wasabistream/forwarding/fleet_updaters.py
@@ -42,6 +42,8 @@
         self._announced_engines = announced_engines
         self._is_store_lost = is_store_lost
         self._clock = clock
+        # Corrects what the list says of starts of engines.
+        self.correct: Callable[[Fleet], Fleet] = _take_as_listed
         self._lock = threading.Lock()
         self._stored_fleet = Fleet()
         # When each endpoint left the list. An engine that was announced before
@@ -67,6 +69,7 @@
             fleet = self._stored_fleet
             if self._is_store_lost():
                 fleet = add_announced(fleet, self._list_new_engines())
+            fleet = self.correct(fleet)
             before = self._holder.current
             if fleet == before:
                 return
@@ -102,6 +105,10 @@
     return {server.endpoint for server in fleet.servers.values()}
 
 
+def _take_as_listed(fleet: Fleet) -> Fleet:
+    return fleet
+
+
 def _report_change(before: Fleet, fleet: Fleet) -> None:
     LISTED_SERVERS.set(len(fleet.servers))
     configuration = fleet.configuration
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -78,7 +78,8 @@
         buffers: AnswerBuffers,
         refuser: Refuser,
     ) -> None:
-        self._continuations = StreamContinuations(fleet)
+        # Decides where streams go on that have begun.
+        self.continuations = StreamContinuations(fleet)
         self._chooser = chooser
         self._sender = sender
         self._failure_rates = failure_rates
@@ -138,7 +139,7 @@
         watch.may_move_on = lambda: (
             self._sender.may_repeat(watch.request, history)
             and self._chooser.has_other(
-                self._continuations.confirm(watch.request, progress),
+                self.continuations.confirm(watch.request, progress),
                 history.endpoints[-1:],
             )
         )
@@ -167,14 +168,14 @@
         history: AttemptHistory,
         progress: StreamProgress,
     ) -> BackendServer | None:
-        request = self._continuations.confirm(watch.request, progress)
+        request = self.continuations.confirm(watch.request, progress)
         watch.request = request
         if request.origin is not None and not request.origin.software_version:
             self.resumes.withdraw(watch)
         last_endpoints = history.endpoints[-1:]
         server = self._chooser.take(request, last_endpoints)
         if server is None and self._sender.may_repeat(request, history):
-            self._continuations.report_no_server(
+            self.continuations.report_no_server(
                 request, progress, last_endpoints
             )
         return server
@@ -233,7 +234,7 @@
                         server, watch.request, has_begun=history.has_begun
                     )
                 return build_bad_gateway()
-            next_server = self._continuations.find_target(
+            next_server = self.continuations.find_target(
                 moved, server, watch, progress
             )
             if next_server is None:
@@ -291,7 +292,7 @@
                     watch.caller.write(event.raw)
                 elif _is_new_event(event.event_id, progress.last_event_id):
                     if progress.event_count == events_before:
-                        self._continuations.bind(server, watch, progress)
+                        self.continuations.bind(server, watch, progress)
                     self._pass_on(event, watch, progress)
                     allowance.add_event()
         if splitter.has_partial_event or watch.reason is not None:
--- a/wasabistream/platform/agent_applications.py
+++ b/wasabistream/platform/agent_applications.py
@@ -16,6 +16,7 @@
 )
 from wasabistream.continuations.stream_origins import StreamOrigin
 from wasabistream.continuations.version_messages import EngineVersionNotice
+from wasabistream.engine_starts.start_messages import EngineStartReport
 from wasabistream.forwarding.announced_engines import EngineAnnouncement
 from wasabistream.forwarding.announcers import EngineAnnouncer
 from wasabistream.forwarding.engine_watchers import EngineWatcher
@@ -69,6 +70,7 @@
         self._links_lock = threading.Lock()
         self._origins = OriginKeeper()
         self._version = EngineVersion(node_settings.service)
+        self._version.on_change = self._report_start
         stops = RunStops()
         continuity = EngineContinuity()
         engine = VersionedEngine(
@@ -78,6 +80,7 @@
             RunEndingFinder(engine, stops, continuity)
         )
         endpoint = str(backend)
+        self._endpoint = endpoint
         self._target_finder = MoveTargetFinder(
             lambda: self.engine_origin,
             node_settings.data_centre,
@@ -132,6 +135,7 @@
         """Send the latest load and pace to a newly linked entry."""
         with self._links_lock:
             self._links.add(link)
+        _send(link, self._build_start_report())
         last = self._watcher.last
         if last is not None:
             _send(link, last)
@@ -173,6 +177,18 @@
         self._watcher.drop_link(link)
         logger.info('agent: link to %s ended: %s', link.peer.peer_id, reason)
 
+    def _build_start_report(self) -> EngineStartReport:
+        started_unix_ms, software_version = self._version.start
+        return EngineStartReport(
+            self._endpoint,
+            self.node_settings.service,
+            started_unix_ms,
+            software_version,
+        )
+
+    def _report_start(self) -> None:
+        self._broadcast(self._build_start_report())
+
     def _is_serving(self) -> bool:
         last = self._watcher.last
         return last is not None and last.responsive and not last.leaving
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -131,6 +131,9 @@
             node_settings, self.mirror, self._peer_links, self._fleet_updater
         )
         self.follower = self._store_parts.follower
+        starts = self._agent_links.starts
+        self._fleet_updater.correct = starts.apply
+        starts.on_change = self._store_parts.applier.put_refresh
         self._listener = LinkListener(
             control.address, control.port, self.hello, self._peer_links
         )
--- a/wasabistream/platform/forwarder_builders.py
+++ b/wasabistream/platform/forwarder_builders.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from wasabistream.engine_starts.start_confirmers import EngineStartConfirmer
 from wasabistream.forwarding.agent_links import AgentLinks
 from wasabistream.forwarding.answer_buffers import AnswerBuffers
 from wasabistream.forwarding.attempts import AttemptSender
@@ -65,6 +66,9 @@
             self.fleet, self.is_list_current
         )
         streams.ends = self._build_end_checker()
+        streams.continuations.starts = EngineStartConfirmer(
+            self.fleet, self.agent_links.starts, EngineReportClient()
+        )
         return streams
 
     def _build_end_checker(self) -> EndChecker:
