State the start of the target of a move

An entry that does not list the target of a moved run trusts the version that the source's agent has compared, which comes from the lists of other entries.

Change: entries offer move targets with their start, and RunMoved carries it. The entry compares it with what the target states before it passes on an event, as for listed targets. Fields are appended; earlier builds ignore them.

Tests: test_start_of_an_unlisted_engine, and a check in test_target_that_restarted_while_it_was_cut_off, need the new field. test_agent_of_an_earlier_build compares a whole frame and states the appended field.

--- a/tests/test_move_destinations.py
+++ b/tests/test_move_destinations.py
@@ -100,6 +100,14 @@
         self.check(None, build_moved(''), source, announced)
         self.check(source, build_moved(endpoint=SOURCE), unlisted, source)
 
+    def test_start_of_an_unlisted_engine(self) -> None:
+        """Guard against a destination that cannot be compared on arrival."""
+        source = build_engine(1)
+        moved = replace(build_moved(), started_unix_ms=1000)
+        destination = find_move_destination(build_fleet(source), moved, source)
+        assert destination is not None
+        self.assertEqual(destination.started_unix_ms, 1000)
+
     def test_two_servers_at_an_address(self) -> None:
         """Guard against the listed item of a server that has crashed."""
         crashed = build_engine(2)
--- a/tests/test_move_versions.py
+++ b/tests/test_move_versions.py
@@ -118,6 +118,7 @@
         corrected = self.entry.links.starts.apply(build_fleet(*listed))
         copies = self.move_all(*corrected.servers.values())
         self.assertEqual(copies, [REMOTE, REMOTE])
+        self.assertEqual(self.agent.moved[0].started_unix_ms, 1000)
 
     def test_source_that_the_entry_does_not_know(self) -> None:
         """Guard against losing generations of an engine that left the list.
@@ -227,6 +228,9 @@
                 [[LOCAL, OWN_DATA_CENTRE, MEMORY_TOKENS, 2]],
                 ANY,
                 [SOFTWARE_VERSION],
+                # The start is not listed. They ignore fields that they do not
+                # know.
+                [0],
             ),
         )
 
--- a/wasabistream/continuations/move_destinations.py
+++ b/wasabistream/continuations/move_destinations.py
@@ -72,6 +72,7 @@
     except ValueError as error:
         logger.warning('stream: move is malformed: %s', error)
         return None
-    return build_unlisted_server(
+    server = build_unlisted_server(
         endpoint, source.service, source.data_centre, source.slot_count
     )
+    return replace(server, started_unix_ms=moved.started_unix_ms)
--- a/wasabistream/forwarding/move_messages.py
+++ b/wasabistream/forwarding/move_messages.py
@@ -28,6 +28,9 @@
     # Version of the software of the source, which the agent has compared with
     # that of the destination; empty from agents of earlier builds.
     software_version: str = ''
+    # Start of the destination, as the entry that offered it knows it; 0 if
+    # unknown, and if the destination is the source.
+    started_unix_ms: int = 0
 
 
 @message(96)
@@ -67,3 +70,6 @@
     # Version of the software of each row's backend server. Empty from entries
     # of earlier builds, which list servers of all versions.
     software_versions: list = field(default_factory=list)
+    # Start of each row's backend server, 0 where it is not known. Empty from
+    # entries of earlier builds.
+    starts_unix_ms: list = field(default_factory=list)
--- a/wasabistream/forwarding/move_target_finders.py
+++ b/wasabistream/forwarding/move_target_finders.py
@@ -74,6 +74,7 @@
                     report.rows,
                     report.full_data_centres,
                     report.software_versions,
+                    report.starts_unix_ms,
                 )
             )
         except (TypeError, ValueError) as error:
--- a/wasabistream/forwarding/move_targets.py
+++ b/wasabistream/forwarding/move_targets.py
@@ -40,6 +40,8 @@
     in_full_data_centre: bool = False
     # Empty if the entry that reported it does not state versions.
     software_version: str = ''
+    # Distinguishes restarts; 0 if it is not known.
+    started_unix_ms: int = 0
 
 
 def list_move_targets(
@@ -73,6 +75,7 @@
                 - estimate.reserved_tokens,
                 estimate.request_count,
                 software_version=server.software_version,
+                started_unix_ms=server.started_unix_ms,
             )
         )
     return targets
@@ -94,6 +97,7 @@
         ],
         full_data_centres,
         [target.software_version for target in targets],
+        [target.started_unix_ms for target in targets],
     )
 
 
@@ -101,9 +105,11 @@
     rows: list,
     full_data_centres: Collection[str] = (),
     software_versions: Sequence[str] = (),
+    starts_unix_ms: Sequence[int] = (),
 ) -> list[MoveTarget]:
     """Decode the rows of a report; raises ValueError and TypeError."""
     versions = software_versions or ['' for _ in rows]
+    starts = starts_unix_ms or [0 for _ in rows]
     if not all(isinstance(version, str) for version in versions):
         raise TypeError('software version is not a string')
     return [
@@ -114,9 +120,10 @@
             int(count),
             data_centre in full_data_centres,
             version,
+            int(started_unix_ms),
         )
-        for (endpoint, data_centre, free, count), version in zip(
-            rows, versions, strict=True
+        for (endpoint, data_centre, free, count), version, started_unix_ms in (
+            zip(rows, versions, starts, strict=True)
         )
     ]
 
--- a/wasabistream/forwarding/run_movers.py
+++ b/wasabistream/forwarding/run_movers.py
@@ -265,6 +265,11 @@
                 handle,
                 # The finder has compared it with that of the own engine.
                 target.software_version,
+                (
+                    target.started_unix_ms
+                    if destination == target.endpoint
+                    else 0
+                ),
             )
         )
 
