Tell restarted entries of banned requests

Cause: an entry that links to others is told the banned parts of prompts, but crashes of whole requests were broadcast only as they happened. Class: state that is shared by events only.

Change: the quarantine keeps the latest crashes of a fingerprint and describes them to a newly linked process, with their ages, 64 fingerprints at most, the banned ones first. Agents of the own interface do the same.

Why it works: a crash counts once by its id, however often it is told, and its age ends the ban everywhere at one time. A request that has run to its end has no history left to tell.

--- a/wasabistream/crash_notices.py
+++ b/wasabistream/crash_notices.py
@@ -19,6 +19,8 @@
     fingerprints: list
     # Requests that may have crashed the engine, if more than the fingerprints.
     request_count: int = 0
+    # Time since the crash, for a process that is told later.
+    age_seconds: float = 0
 
 
 @message(51)
--- a/wasabistream/crashes.py
+++ b/wasabistream/crashes.py
@@ -66,7 +66,10 @@
         """Apply what another process has found out about a request."""
         if isinstance(notice, CrashNotice):
             self._quarantine.record_crash(
-                notice.crash_id, notice.fingerprints, notice.request_count
+                notice.crash_id,
+                notice.fingerprints,
+                notice.request_count,
+                notice.age_seconds,
             )
         elif isinstance(notice, ClearNotice):
             self._quarantine.record_completion(notice.fingerprint)
@@ -78,7 +81,7 @@
 
     def describe(self) -> list[Message]:
         """Return the notices for an entry that has just been linked."""
-        return self._part_guard.describe()
+        return [*self._quarantine.describe(), *self._part_guard.describe()]
 
     def on_stream_broken(self, job: GenerationJob) -> bool:
         """Return whether the engine crashed; record the crash if it is new."""
--- a/wasabistream/entry_quarantines.py
+++ b/wasabistream/entry_quarantines.py
@@ -39,7 +39,10 @@
         match notice:
             case CrashNotice():
                 is_new = self._quarantine.record_crash(
-                    notice.crash_id, notice.fingerprints, notice.request_count
+                    notice.crash_id,
+                    notice.fingerprints,
+                    notice.request_count,
+                    notice.age_seconds,
                 )
             case ClearNotice():
                 is_new = self._quarantine.record_completion(notice.fingerprint)
--- a/wasabistream/forwarding/poison_request_guards.py
+++ b/wasabistream/forwarding/poison_request_guards.py
@@ -113,7 +113,10 @@
         """Apply a crash or clearance that another entry reports."""
         if isinstance(notice, CrashNotice):
             self._quarantine.record_crash(
-                notice.crash_id, notice.fingerprints, notice.request_count
+                notice.crash_id,
+                notice.fingerprints,
+                notice.request_count,
+                notice.age_seconds,
             )
         elif isinstance(notice, ClearNotice):
             self._quarantine.record_completion(notice.fingerprint)
@@ -122,7 +125,7 @@
 
     def describe(self) -> list[Message]:
         """Return the notices for an entry that has just been linked."""
-        return self._part_guard.describe()
+        return [*self._quarantine.describe(), *self._part_guard.describe()]
 
     def _record_crash(
         self, server: BackendServer, request: ForwardRequest, *, has_begun: bool
--- a/wasabistream/quarantines.py
+++ b/wasabistream/quarantines.py
@@ -5,11 +5,13 @@
 
 import threading
 import time
-from collections import OrderedDict
+from collections import OrderedDict, defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
+from wasabistream.crash_notices import CrashNotice
+
 # A fingerprint is banned after this many crashes if its crash weight is at
 # least 1. One crash while its request ran alone adds 1.
 BAN_CRASH_COUNT = 2
@@ -21,6 +23,12 @@
 TRIAL_SECONDS = 120.0
 MAX_FINGERPRINT_COUNT = 10000
 MAX_CRASH_ID_COUNT = 1000
+# Crashes of a fingerprint of which other processes are told later. More would
+# not change a decision: a stream that may have waited is banned after three.
+MAX_TOLD_CRASH_COUNT = 3
+# Fingerprints of which they are told. Each of hundreds of entries tells one
+# that has just started.
+MAX_TOLD_FINGERPRINT_COUNT = 64
 
 
 class QuarantineDecision(StrEnum):
@@ -31,6 +39,17 @@
     banned = 'banned'
 
 
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """Describe one crash of a server."""
+
+    crash_id: str
+    # Requests that share it.
+    request_count: int
+    # On the monotonic clock.
+    at_seconds: float
+
+
 @dataclass(slots=True)
 class CrashHistory:
     """Hold the crash history of one fingerprint, on the monotonic clock."""
@@ -41,6 +60,8 @@
     expires_monotonic_seconds: float = 0
     banned_until_monotonic_seconds: float = 0
     trial_until_monotonic_seconds: float = 0
+    # The latest crashes.
+    crashes: list[Crash] = field(default_factory=list)
 
 
 class Quarantine:
@@ -61,6 +82,7 @@
         crash_id: str,
         fingerprints: Iterable[int],
         request_count: int = 0,
+        age_seconds: float = 0,
     ) -> bool:
         """Count a crash for its fingerprints; return False for a repeat.
 
@@ -68,17 +90,43 @@
         is more than the fingerprints.
         """
         batch_fingerprints = frozenset(fingerprints)
-        crash_share = 1 / max(len(batch_fingerprints), request_count, 1)
         now = time.monotonic()
+        crash = Crash(
+            crash_id,
+            max(len(batch_fingerprints), request_count, 1),
+            now - max(age_seconds, 0),
+        )
         with self._lock:
             if crash_id in self._crash_ids:
                 return False
             self._crash_ids[crash_id] = None
             _evict_oldest(self._crash_ids, MAX_CRASH_ID_COUNT)
             for fingerprint in batch_fingerprints:
-                self._add_crash(fingerprint, crash_share, now)
+                self._add_crash(fingerprint, crash)
             return True
 
+    def describe(self) -> list[CrashNotice]:
+        """Return the notices that tell another process of the crashes.
+
+        They state the age of each crash, so that a ban does not last longer
+        there.
+        """
+        now = time.monotonic()
+        fingerprints: defaultdict[Crash, list[int]] = defaultdict(list)
+        with self._lock:
+            for fingerprint in self._list_told(now):
+                for crash in self._histories[fingerprint].crashes:
+                    fingerprints[crash].append(fingerprint)
+        return [
+            CrashNotice(
+                told.crash_id,
+                crashed,
+                told.request_count,
+                now - told.at_seconds,
+            )
+            for told, crashed in fingerprints.items()
+        ]
+
     def record_completion(self, fingerprint: int) -> bool:
         """Delete a complete request's history; return whether it had one."""
         with self._lock:
@@ -130,26 +178,44 @@
                 and now < history.banned_until_monotonic_seconds
             )
 
-    def _add_crash(
-        self, fingerprint: int, crash_share: float, now: float
-    ) -> None:
-        history = self._find_or_create(fingerprint, now)
+    def _list_told(self, now: float) -> list[int]:
+        """Return the latest fingerprints, those that are banned first."""
+        current = [
+            fingerprint
+            for fingerprint, history in reversed(self._histories.items())
+            if _is_current(history, now)
+        ]
+        # The requests beside one that crashes a server are many.
+        current.sort(
+            key=lambda fingerprint: (
+                not self._histories[fingerprint].banned_until_monotonic_seconds
+            )
+        )
+        return current[:MAX_TOLD_FINGERPRINT_COUNT]
+
+    def _add_crash(self, fingerprint: int, crash: Crash) -> None:
+        # A crash that is told late belongs to the history of its time.
+        history = self._find_or_create(fingerprint, crash.at_seconds)
         history.crash_count += 1
-        history.crash_weight += crash_share
-        history.expires_monotonic_seconds = now + CRASH_HISTORY_SECONDS
+        history.crash_weight += 1 / crash.request_count
+        history.crashes = [*history.crashes, crash][-MAX_TOLD_CRASH_COUNT:]
+        history.expires_monotonic_seconds = max(
+            history.expires_monotonic_seconds,
+            crash.at_seconds + CRASH_HISTORY_SECONDS,
+        )
         # The fingerprints in a crashed engine share a weight of 1. After a
         # first crash a request runs alone, so its second crash adds 1 and
         # leads to a ban.
         if history.crash_count >= BAN_CRASH_COUNT and history.crash_weight >= 1:
-            history.banned_until_monotonic_seconds = now + BAN_SECONDS
+            history.banned_until_monotonic_seconds = max(
+                history.banned_until_monotonic_seconds,
+                crash.at_seconds + BAN_SECONDS,
+            )
             history.trial_until_monotonic_seconds = 0
 
     def _find_or_create(self, fingerprint: int, now: float) -> CrashHistory:
         history = self._histories.get(fingerprint)
-        if history is not None and (
-            now < history.expires_monotonic_seconds
-            or history.banned_until_monotonic_seconds
-        ):
+        if history is not None and _is_current(history, now):
             self._histories.move_to_end(fingerprint)
             return history
         # The history is missing or has expired.
@@ -158,6 +224,13 @@
         return self._histories[fingerprint]
 
 
+def _is_current(history: CrashHistory, now: float) -> bool:
+    return (
+        now < history.expires_monotonic_seconds
+        or history.banned_until_monotonic_seconds > 0
+    )
+
+
 def _evict_oldest(records: OrderedDict, limit_count: int) -> None:
     while len(records) > limit_count:
         records.popitem(last=False)
