Repeat the origins of streams to agents that come back

Cause: what began a stream is recorded at three agents, once. Each agent loses its records when it restarts, and nobody places them again. Class: replicas that are placed once and never repaired.

Evidence: the refusals say 'unknown': all agents were asked and none knew.

Change: an entry keeps what it has placed, by agent, and repeats it to an agent that is linked again, with the time that is left, 2,048 records at most. The cost of a link follows the records of that agent, not all of the entry's.

Why it works: the entry that began the stream outlives each single restart of an agent, and the agents the restart of the entry.

--- a/tests/resume_builders.py
+++ b/tests/resume_builders.py
@@ -53,6 +53,13 @@
         self._exchange = exchange
         exchange.on_opened(self.endpoint, self)  # type: ignore[arg-type]
 
+    def restart(self) -> None:
+        """Lose all records and be linked again."""
+        self.close()
+        self.keeper = OriginKeeper()
+        self.received.clear()
+        self.link_to(self._exchange)
+
     def close(self) -> None:
         """End the link."""
         self._exchange.on_closed(self.endpoint, self)  # type: ignore[arg-type]
--- a/tests/test_origin_exchanges.py
+++ b/tests/test_origin_exchanges.py
@@ -10,6 +10,7 @@
 from dataclasses import replace
 from functools import partial
 
+from tests.forwarding_builders import Clock
 from tests.resume_builders import (
     KEY,
     ORIGIN,
@@ -22,6 +23,7 @@
 from tests.waits import wait_for
 from wasabistream.continuations.origin_exchanges import (
     MAX_ASKED_COUNT,
+    MAX_REPEATED_COUNT,
     OriginExchange,
 )
 from wasabistream.continuations.origin_messages import (
@@ -109,6 +111,51 @@
         keeper_count = sum(bool(keeper.received) for keeper in self.agents)
         self.assertEqual(keeper_count, 1 + RING_COPY_COUNT)
 
+    def test_agents_restart_in_turn(self) -> None:
+        """Guard against a rolling restart after which nobody knows a stream."""
+        for keeper in self.keep():
+            keeper.restart()
+        entry = self.build_new_entry(self.agents)
+        self.assertEqual(find(entry).origin, ORIGIN)
+
+    def test_repeated_record_ends_in_time(self) -> None:
+        """Guard against a record that each restart of an agent renews."""
+        clock = Clock()
+        self.exchange = OriginExchange(clock)
+        self.agents = build_agents(self.exchange, self.engines)
+        keepers = self.keep()
+        clock.advance(KEEP_SECONDS - 1)
+        keepers[0].restart()
+        repeated = keepers[0].received[0]
+        assert isinstance(repeated, StreamOriginRecord)
+        self.assertEqual(repeated.keep_ms, 1000)
+        clock.advance(1)
+        keepers[0].restart()
+        self.assertEqual(keepers[0].received, [])
+
+    def test_withdrawn_record_is_repeated_as_such(self) -> None:
+        """Guard against a version that was in doubt and comes back."""
+        keepers = self.keep()
+        self.exchange.keep(
+            KEY,
+            replace(ORIGIN, software_version=''),
+            self.engines[0].endpoint,
+            KEEP_SECONDS,
+        )
+        for keeper in keepers:
+            keeper.restart()
+        entry = self.build_new_entry(self.agents)
+        self.assertIs(find(entry).refusal, ResumeRefusal.conflicting)
+
+    def test_number_of_repeated_records(self) -> None:
+        """Guard against a table of repeats that grows with each stream."""
+        endpoint = self.engines[0].endpoint
+        for number in range(MAX_REPEATED_COUNT + 1):
+            key = number.to_bytes(len(KEY), 'big')
+            self.exchange.keep(key, ORIGIN, endpoint, KEEP_SECONDS)
+        self.agents[0].restart()
+        self.assertEqual(len(self.agents[0].received), MAX_REPEATED_COUNT)
+
     def test_any_copy_is_enough(self) -> None:
         """Guard against a new entry that needs the agent of the engine."""
         for keeper in self.keep():
--- a/wasabistream/continuations/origin_exchanges.py
+++ b/wasabistream/continuations/origin_exchanges.py
@@ -4,9 +4,10 @@
 import math
 import threading
 import time
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from functools import partial
 
 from wasabistream.continuations.origin_messages import (
     ORIGINS_VERSION,
@@ -38,12 +39,22 @@
 MAX_ASKED_COUNT = 48
 # Records that wait for links, to get all their copies.
 MAX_UNPLACED_COUNT = 1024
+# Records that are repeated to an agent that is linked again.
+MAX_REPEATED_COUNT = 2048
 # Time in which a link to a listed engine is made, or made again.
 LINKING_SECONDS = 3.0
 
 Decide = Callable[[OriginSearch], ResumeDecision]
 
 
+@dataclass(frozen=True, slots=True)
+class _PlacedRecord:
+    """Hold a record that an agent was told to keep."""
+
+    notice: StreamOriginRecord
+    expires_at_seconds: float
+
+
 @dataclass
 class _Search:
     """A search for the origin of one stream."""
@@ -81,6 +92,10 @@
         self._unplaced: deque[tuple[StreamOriginRecord, str]] = deque(
             maxlen=MAX_UNPLACED_COUNT
         )
+        # Records by the agents that keep them, in the order of their placement.
+        self._placed: defaultdict[str, deque[_PlacedRecord]] = defaultdict(
+            partial(deque, maxlen=MAX_REPEATED_COUNT)
+        )
         self._numbers = itertools.count(1)
         self._searches: dict[int, _Search] = {}
 
@@ -99,6 +114,9 @@
         with self._lock:
             self._servers = servers
             self._ring = ring
+            for gone in self._placed.keys() - servers.keys():
+                if gone not in self._links:
+                    self._placed.pop(gone)
             self._unlinked_since_seconds = {
                 endpoint: self._unlinked_since_seconds.get(
                     endpoint, now_seconds
@@ -108,12 +126,16 @@
             }
 
     def on_opened(self, endpoint: str, link: Link) -> None:
-        """Use the link to an agent, also for searches in progress."""
+        """Use the link to an agent, also for searches in progress.
+
+        An agent that has restarted has lost its records and gets them again.
+        """
         with self._lock:
             self._links[endpoint] = link
             self._unlinked_since_seconds.pop(endpoint, None)
             for search in self._searches.values():
                 search.changed.notify()
+            self._repeat(endpoint)
             self._place_again()
 
     def on_closed(self, endpoint: str, link: Link) -> None:
@@ -231,9 +253,33 @@
         links = self._choose_keepers(notice.key, endpoint)
         if len(links) <= RING_COPY_COUNT and self._is_linking():
             self._unplaced.append((notice, endpoint))
-        for link in links:
+        placed = _PlacedRecord(
+            notice,
+            self._clock() + notice.keep_ms / MILLISECONDS_PER_SECOND,
+        )
+        for keeper, link in links.items():
+            self._drop_expired(keeper)
+            self._placed[keeper].append(placed)
             _send(link, notice)
 
+    def _repeat(self, endpoint: str) -> None:
+        link = self._find_link(endpoint)
+        if link is None or endpoint not in self._placed:
+            return
+        self._drop_expired(endpoint)
+        now_seconds = self._clock()
+        for placed in self._placed[endpoint]:
+            keep_seconds = placed.expires_at_seconds - now_seconds
+            if keep_seconds > 0:
+                keep_ms = int(keep_seconds * MILLISECONDS_PER_SECOND)
+                _send(link, replace(placed.notice, keep_ms=keep_ms))
+
+    def _drop_expired(self, endpoint: str) -> None:
+        records = self._placed[endpoint]
+        now_seconds = self._clock()
+        while records and records[0].expires_at_seconds <= now_seconds:
+            records.popleft()
+
     def _place_again(self) -> None:
         """Send the records that had too few copies, once links are made."""
         if not self._unplaced or self._is_linking():
@@ -264,7 +310,8 @@
             )
         )
 
-    def _choose_keepers(self, key: bytes, endpoint: str) -> list[Link]:
+    def _choose_keepers(self, key: bytes, endpoint: str) -> dict[str, Link]:
+        """Return the links to the agents that keep a record."""
         origin_server = self._servers.get(endpoint)
         candidates = (
             server
@@ -278,11 +325,12 @@
         copies = choose_copies(
             candidates, origin_server.data_centre if origin_server else ''
         )
-        links = [
-            self._find_link(keeper)
-            for keeper in (endpoint, *(copy.endpoint for copy in copies))
-        ]
-        return [link for link in links if link is not None]
+        keepers = (endpoint, *(copy.endpoint for copy in copies))
+        return {
+            keeper: link
+            for keeper in keepers
+            if (link := self._find_link(keeper)) is not None
+        }
 
     def _find_link(self, endpoint: str) -> Link | None:
         """Return the link to an agent that keeps the origins of streams."""
