Read a malformed start of an engine as none

A report whose `born` is no whole number was refused as a whole, so that its engine would count as silent, get no requests and lose its moves.

Change: such a start counts as not stated. test_start_of_an_engine failed before (ValueError: number is out of range).

--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -192,6 +192,21 @@
         self.assertTrue(draining.leaving)
         self.assertFalse(decode_state(REPORT, 'engine').leaving)
 
+    def test_start_of_an_engine(self) -> None:
+        """Guard against an engine that counts as silent for one odd field."""
+        self.assertEqual(decode_state(REPORT, 'engine').started_unix_ms, 0)
+        for start, started_unix_ms in (
+            (1_700_000_000_000, 1_700_000_000_000),
+            (0, 0),
+            (-1, 0),
+            (2**70, 0),
+            ('yesterday', 0),
+            ([], 0),
+            (True, 0),
+        ):
+            state = decode_state({**REPORT, 'born': start}, 'engine')
+            self.assertEqual(state.started_unix_ms, started_unix_ms, start)
+
     def test_node_file(self) -> None:
         """Guard against settings that are decoded wrongly."""
         node = decode_node(NODE)
--- a/wasabistream/engine_starts/start_tables.py
+++ b/wasabistream/engine_starts/start_tables.py
@@ -30,8 +30,9 @@
     service: str
     started_unix_ms: int
     software_version: str = ''
-    # If the engine itself was asked: the start that the list stated then. Once
-    # the list states another one, the answer is out of date.
+    # The listed start that this one has replaced, if no open link to the agent
+    # tells whether it still serves. Once the list states another start, this
+    # one is out of date.
     refuted_unix_ms: int | None = None
 
 
--- a/wasabistream/platform/engine_clients.py
+++ b/wasabistream/platform/engine_clients.py
@@ -1,6 +1,7 @@
 """HTTP client for the engine beside an agent."""
 
 import json
+import logging
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -21,6 +22,8 @@
 from wasabistream.platform.server_clients import SOCKET_OPTIONS
 from wasabistream.units import MILLISECONDS_PER_SECOND
 
+logger = logging.getLogger(__name__)
+
 REPORT_TIMEOUT_SECONDS = 0.4
 # A copy waits for others on the network link; after this time the backend
 # server has left anyway.
@@ -162,12 +165,22 @@
                 else float(leaves_ms) / MILLISECONDS_PER_SECOND
             ),
             runs=tuple(_decode_run(row) for row in body.get('runs') or ()),
-            started_unix_ms=decode_count(body.get('born') or 0),
+            started_unix_ms=_decode_start(body.get('born'), peer),
         )
     except DECODE_ERRORS as error:
         raise BackendError(repr(error), 'report', peer) from error
 
 
+def _decode_start(start: Any, peer: str) -> int:
+    # Without it the engine is trusted as one that states no start; the rest of
+    # the report must still be read.
+    try:
+        return 0 if start is None else decode_count(start)
+    except DECODE_ERRORS as error:
+        logger.debug('engine: start of %s is malformed: %r', peer, error)
+        return 0
+
+
 def _decode_run(row: list) -> EngineRun:
     run_id, memory_tokens, event_count, priority = row[:4]
     return EngineRun(
