Look at a link only where records are to be repeated

Change: an agent without records here is left out first. test_agent_links and test_origin_exchanges pass (23 tests).

--- a/wasabistream/continuations/origin_exchanges.py
+++ b/wasabistream/continuations/origin_exchanges.py
@@ -263,8 +263,10 @@
             _send(link, notice)
 
     def _repeat(self, endpoint: str) -> None:
+        if endpoint not in self._placed:
+            return
         link = self._find_link(endpoint)
-        if link is None or endpoint not in self._placed:
+        if link is None:
             return
         self._drop_expired(endpoint)
         now_seconds = self._clock()
