Stop a run before its stream goes on elsewhere

Cause: the close of a silent connection does not reach the engine, and the agent knew one way to stop a run: moving it to an engine with room. Class: giving work up without making sure that its worker has stopped.

Change: the entry tells the agent when it gives a stalled stream up. If an event was lost, the agent moves the run, and without room elsewhere orders the final copy all the same: the engine stops the run first and keeps its memory, from which the stream goes on there over a new connection.

Ruled out: going on elsewhere after a pause (the engine works to the end of the deadline); stopping runs without lost events (a preempted run behind a sound connection ends with its close).

--- a/tests/test_run_movers.py
+++ b/tests/test_run_movers.py
@@ -31,6 +31,7 @@
     RunMoving,
     RunSilent,
 )
+from wasabistream.forwarding.move_outcomes import MoveOutcome
 from wasabistream.forwarding.move_target_finders import MoveTargetFinder
 from wasabistream.forwarding.move_targets import (
     choose_move_target,
@@ -45,6 +46,20 @@
 WAIT_SECONDS = 5
 
 
+class StoppingEngine(FakeEngine):
+    """An engine whose targets have no room; it keeps what it stops."""
+
+    def copy_run(
+        self, run_id: str, target_endpoint: str, *, final: bool
+    ) -> MoveOutcome:
+        """Refuse a copy; a final one stops the generation."""
+        self.moves.append((run_id, target_endpoint, final))
+        if not final:
+            return MoveOutcome(False, '', True, 503)
+        self.runs = [EngineRun('other', 3000, 5, 1)]
+        return MoveOutcome(False, f'handle-{run_id}', True, 503)
+
+
 class RunMoverTest(unittest.TestCase):
     """Guard against losing generations when their engine ends."""
 
@@ -130,7 +145,14 @@
             choose_move_target(targets, 'dc-a', 4000, remote_affordable=False)
         )
 
-    def move_silent(self, engine: FakeEngine, received_count: int) -> list:
+    def move_silent(
+        self,
+        engine: FakeEngine,
+        received_count: int,
+        *,
+        is_given_up: bool = False,
+        free_tokens: int = 20000,
+    ) -> list:
         """Report the silent generation `a`; return where it moved."""
         sent_messages: list[Message] = []
 
@@ -138,12 +160,12 @@
             sent_messages.append(notice)
             if isinstance(notice, MoveTargetQuery):
                 targets.on_report(
-                    build_target_report([LOCAL, 'dc-a', 20000, 0])
+                    build_target_report([LOCAL, 'dc-a', free_tokens, 0])
                 )
 
         targets = MoveTargetFinder(lambda: ORIGIN, 'dc-a', broadcast)
         mover = RunMover(engine, SOURCE, targets, broadcast)
-        mover.move_silent(RunSilent('a', received_count))
+        mover.move_silent(RunSilent('a', received_count, is_given_up))
         return [
             notice.endpoint
             for notice in sent_messages
@@ -175,6 +197,34 @@
         self.assertEqual(self.move_silent(engine, 70), [])
         self.assertEqual(engine.moves, [])
 
+    def test_given_up_generation_without_room(self) -> None:
+        """Guard against two engines that work on one generation.
+
+        Pattern: connections to a crowded engine go silent, no other one has
+        room, and the entry sends the stream on after the stall limit.
+        """
+        for options in ({'free_tokens': 100}, {}):
+            engine = StoppingEngine(EngineRun('a', 3000, 60, 1))
+            engine.leaving = False
+            moved = self.move_silent(engine, 59, is_given_up=True, **options)
+            self.assertEqual(moved, [SOURCE])
+            self.assertTrue(engine.moves[-1][-1])
+
+    def test_given_up_generation_with_room(self) -> None:
+        """Guard against keeping a generation where its connection is lost."""
+        engine = FakeEngine(EngineRun('a', 3000, 60, 1))
+        engine.leaving = False
+        self.assertEqual(
+            self.move_silent(engine, 59, is_given_up=True), [LOCAL]
+        )
+
+    def test_given_up_generation_without_lost_events(self) -> None:
+        """Guard against stopping what the close of a connection ends."""
+        engine = FakeEngine(EngineRun('a', 3000, 60, 1))
+        engine.leaving = False
+        self.assertEqual(self.move_silent(engine, 60, is_given_up=True), [])
+        self.assertEqual(engine.moves, [])
+
     def test_engine_that_leaves_moves_all(self) -> None:
         """Guard against two moves of one generation at the same time."""
         engine = FakeEngine(EngineRun('a', 3000, 60, 1))
--- a/tests/test_supervisors.py
+++ b/tests/test_supervisors.py
@@ -8,6 +8,7 @@
 import threading
 import time
 import unittest
+from typing import Any
 
 from tests.forwarding_builders import build_request, build_route
 from tests.forwarding_fakes import FakeCaller, FakeExchange, whole
@@ -38,7 +39,7 @@
         self.has_moved = False
         self.must_end = False
         self.end_seconds = math.inf
-        self.silence_reports: list[tuple[str, str, int]] = []
+        self.silence_reports: list[tuple[Any, ...]] = []
         self.caller = FakeCaller()
         self.exchange = whole()
         self.watch = RequestWatch(build_request(), self.caller)
@@ -50,7 +51,9 @@
             lambda endpoint: self.responsive.is_set(),
             lambda run_id: self.has_moved,
             lambda request, admitted_at_seconds: self.must_end,
-            lambda *report: self.silence_reports.append(report),
+            lambda *report, **options: self.silence_reports.append(
+                (*report, *options.values())
+            ),
         )
         supervisor.end_requests_at(self.end_seconds)
         supervisor.add(self.watch)
@@ -173,6 +176,11 @@
         self.supervise()
         self.assertTrue(self.is_cut())
         self.assertEqual(self.watch.reason, CutReason.stalled)
+        # Its agent is told, as the close may not reach the engine.
+        request_id = self.watch.request.request_id
+        self.assertEqual(
+            self.silence_reports, [(ENDPOINT, request_id, 0, True)]
+        )
 
     def test_stalled_stream_that_cannot_move(self) -> None:
         """Guard against cutting a slow stream that cannot go on elsewhere."""
--- a/wasabistream/forwarding/agent_links.py
+++ b/wasabistream/forwarding/agent_links.py
@@ -157,7 +157,12 @@
         return StreamResumer(fleet, self.origins, is_list_current)
 
     def report_silent_run(
-        self, endpoint: str, run_id: str, event_count: int
+        self,
+        endpoint: str,
+        run_id: str,
+        event_count: int,
+        *,
+        is_given_up: bool = False,
     ) -> None:
         """Tell the agent of an engine that a generation's events are lost."""
         with self._lock:
@@ -165,7 +170,7 @@
         if link is not None:
             send_or_log(
                 link,
-                RunSilent(run_id, event_count),
+                RunSilent(run_id, event_count, is_given_up),
                 'agent link: silent generation',
             )
 
--- a/wasabistream/forwarding/move_messages.py
+++ b/wasabistream/forwarding/move_messages.py
@@ -41,6 +41,9 @@
     run_id: str
     # Events that the entry has received.
     event_count: int
+    # Whether the entry is about to send the stream on elsewhere, for which this
+    # run has to be stopped.
+    is_given_up: bool = False
 
 
 @message(82)
--- a/wasabistream/forwarding/move_target_finders.py
+++ b/wasabistream/forwarding/move_target_finders.py
@@ -112,6 +112,14 @@
             generator=self._generator if self._spreads_targets() else None,
         )
 
+    def find_any(self) -> MoveTarget | None:
+        """Return the least busy target, whether it has room or not."""
+        return min(
+            self._select_usable(self._targets),
+            key=lambda target: target.request_count,
+            default=None,
+        )
+
     def find_shortage(self) -> MoveShortage:
         """Return why the last search has found no target."""
         if not self._find_origin().software_version:
--- a/wasabistream/forwarding/run_movers.py
+++ b/wasabistream/forwarding/run_movers.py
@@ -31,6 +31,9 @@
 # Events that an engine has made beyond those that its entry has received, from
 # which on the connection between them counts as broken. Some are on the way.
 LOST_EVENT_COUNT = 8
+# The same for a stream that the entry gives up. None has arrived for seconds, so
+# that none is on the way.
+GIVEN_UP_LOST_EVENT_COUNT = 1
 # Extra memory at the target for tokens generated during the copy.
 GROWTH_TOKENS = 64
 
@@ -73,7 +76,8 @@
         self._stops = stops or RunStops()
         self._copy_rates = CopyRateEstimator()
         self._silent_lock = threading.Lock()
-        self._silent_run_ids: set[str] = set()
+        # Reports in progress.
+        self._silent_runs: set[tuple[str, bool]] = set()
         self._moving_lock = threading.Lock()
         # Number of moves in progress by run.
         self._moving: Counter[str] = Counter()
@@ -95,12 +99,15 @@
     def move_silent(self, report: RunSilent) -> None:
         """Move a generation whose connection to its entry has gone silent.
 
-        The engine cannot tell; it goes on with events that nobody receives.
+        The engine cannot tell; it goes on with events that nobody receives. If
+        the entry gives the stream up, the run is stopped also without room for
+        it elsewhere: its memory stays, and it goes on from there.
         """
+        key = (report.run_id, report.is_given_up)
         with self._silent_lock:
-            if report.run_id in self._silent_run_ids:
+            if key in self._silent_runs:
                 return
-            self._silent_run_ids.add(report.run_id)
+            self._silent_runs.add(key)
         try:
             run = self._find_cut_off_run(report)
             if run is not None:
@@ -112,10 +119,14 @@
                         'received_count': report.event_count,
                     },
                 )
-                self._move(run, remote_affordable=True)
+                self._move(
+                    run,
+                    remote_affordable=True,
+                    must_stop=report.is_given_up,
+                )
         finally:
             with self._silent_lock:
-                self._silent_run_ids.discard(report.run_id)
+                self._silent_runs.discard(key)
 
     def _move_all(self) -> None:
         retry_at_seconds: dict[str, float] = {}
@@ -153,19 +164,31 @@
         # Generations of an engine that leaves are moved in any case.
         if state.leaving:
             return None
-        least_count = report.event_count + LOST_EVENT_COUNT
+        lost_count = LOST_EVENT_COUNT
+        if report.is_given_up:
+            lost_count = GIVEN_UP_LOST_EVENT_COUNT
+        least_count = report.event_count + lost_count
         for run in state.runs:
             if run.run_id == report.run_id and run.event_count >= least_count:
                 return run
         return None
 
-    def _move(self, run: EngineRun, *, remote_affordable: bool) -> bool:
+    def _move(
+        self,
+        run: EngineRun,
+        *,
+        remote_affordable: bool,
+        must_stop: bool = False,
+    ) -> bool:
         with self._moving_lock:
             self._moving[run.run_id] += 1
         try:
-            return self._move_to_target(
+            is_done = self._move_to_target(
                 run, remote_affordable=remote_affordable
             )
+            if must_stop and not self._has_stopped(run):
+                return self._stop_in_place(run)
+            return is_done
         finally:
             with self._moving_lock:
                 self._moving[run.run_id] -= 1
@@ -207,6 +230,20 @@
         )
         return self._finish(run, target, first.handle, started)
 
+    def _stop_in_place(self, run: EngineRun) -> bool:
+        """Stop a run that no engine has room for; return whether it stopped.
+
+        The order names a target, but the engine keeps the memory.
+        """
+        target = self._target_finder.find_any()
+        if target is None:
+            return False
+        logger.info(
+            'mover: stops a run that is given up',
+            extra={'request_id': run.run_id, 'to': target.endpoint},
+        )
+        return self._finish(run, target, '', time.monotonic())
+
     def _finish(
         self, run: EngineRun, target: MoveTarget, handle: str, started: float
     ) -> bool:
@@ -232,7 +269,8 @@
             # The engine has ended; the generation can continue from the first
             # copy.
             _log_error(run, error)
-            self._broadcast_move(run, target, target.endpoint, handle)
+            if handle:
+                self._broadcast_move(run, target, target.endpoint, handle)
             return False
         _log_move(run, target.endpoint, last, started)
         if last.run_unaffected or not (last.handle or self._has_stopped(run)):
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -39,7 +39,11 @@
 from wasabistream.forwarding.routes import Route
 from wasabistream.forwarding.server_choosers import ServerChooser
 from wasabistream.forwarding.stream_progress import StreamProgress
-from wasabistream.forwarding.supervisors import RequestWatch, StallLimits
+from wasabistream.forwarding.supervisors import (
+    CutReason,
+    RequestWatch,
+    StallLimits,
+)
 from wasabistream.queueing.interfaces import DirectStarts, StartGate
 from wasabistream.run_endings.interfaces import AcceptAllEnds, EndGate
 
@@ -50,6 +54,9 @@
 # Time to wait for the notice of a move. The agent sends it before it stops the
 # generation, so it arrives at most one network trip after the stream's end.
 MOVE_NOTICE_SECONDS = 0.1
+# The same for a stream that was given up as stalled: its agent looks whether the
+# run goes on, and searches for a target first.
+GIVEN_UP_NOTICE_SECONDS = 0.3
 # Time between events after which a stream counts as stalled, as a multiple of
 # the route's target latency. Engines pause generations for seconds when their
 # memory is full. Callers leave after four times the target latency.
@@ -331,7 +338,11 @@
         )
         return self._moves.wait_for_move(
             watch.request.request_id,
-            MOVE_NOTICE_SECONDS,
+            (
+                GIVEN_UP_NOTICE_SECONDS
+                if watch.reason is CutReason.stalled
+                else MOVE_NOTICE_SECONDS
+            ),
             copy_seconds,
             lambda: watch.is_ended,
         )
--- a/wasabistream/forwarding/supervisors.py
+++ b/wasabistream/forwarding/supervisors.py
@@ -9,6 +9,7 @@
 from contextlib import ExitStack
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import Protocol
 
 from wasabistream.exceptions import WasabiError
 from wasabistream.forwarding.interfaces import Caller, Cancellable
@@ -30,6 +31,20 @@
 SILENCE_REPORT_INTERVAL_SECONDS = 0.5
 
 
+class SilenceReporter(Protocol):
+    """Report a stream whose events do not arrive."""
+
+    def __call__(
+        self,
+        endpoint: str,
+        run_id: str,
+        event_count: int,
+        *,
+        is_given_up: bool = False,
+    ) -> None:
+        """Report the engine, the request and its events so far."""
+
+
 class CutReason(StrEnum):
     """State why an exchange was cut."""
 
@@ -191,12 +206,11 @@
         is_responsive: Callable[[str], bool],
         has_moved: Callable[[str], bool],
         must_end: Callable[[ForwardRequest, float], bool],
-        report_silence: Callable[[str, str, int], None],
+        report_silence: SilenceReporter,
     ) -> None:
         self._is_responsive = is_responsive
         self._has_moved = has_moved
         self._must_end = must_end
-        # Gets an engine's endpoint, the id of a request and its events so far.
         self._report_silence = report_silence
         self._lock = threading.Lock()
         self._watches: set[RequestWatch] = set()
@@ -256,13 +270,26 @@
     def _check(self, watch: RequestWatch) -> None:
         reason = self._find_cut_reason(watch)
         if reason is not None:
-            if watch.cut(reason):
-                CUT_REQUESTS.labels(reason.value).inc()
+            self._cut(watch, reason)
         elif watch.take_silence_report():
             self._report_silence(
                 watch.endpoint, watch.request.request_id, watch.event_count
             )
 
+    def _cut(self, watch: RequestWatch, reason: CutReason) -> None:
+        is_cut_before = watch.reason is not None or not watch.endpoint
+        if reason is CutReason.stalled and not is_cut_before:
+            # The end of a connection that has gone silent does not reach the
+            # engine, which would work on beside the one that goes on.
+            self._report_silence(
+                watch.endpoint,
+                watch.request.request_id,
+                watch.event_count,
+                is_given_up=True,
+            )
+        if watch.cut(reason):
+            CUT_REQUESTS.labels(reason.value).inc()
+
     def _find_cut_reason(self, watch: RequestWatch) -> CutReason | None:
         if watch.caller.has_left():
             return CutReason.caller_left
