Accept unframed ends of engines without an agent

Cause: without an agent's answer, an engine that leaves made the end doubtful, also where no agent exists that could have stopped the run.

Change: if no agent of the engine was linked to the entry during the run, and none is within 0.5 s, the run is complete. An agent that is linked late is asked. A link that ended during the run leaves the doubt.

Why it works: agent and engine share a machine, so an entry that gets the end of the stream reaches its agent too, if there is one; what ends between is the doubt that stays.

--- a/tests/test_end_checkers.py
+++ b/tests/test_end_checkers.py
@@ -5,6 +5,7 @@
 """
 
 import threading
+import time
 import unittest
 from dataclasses import replace
 from unittest.mock import Mock
@@ -106,8 +107,46 @@
         self.end.moves.record_move_start(RUN.run_id)
         self.assertFalse(self.end.is_accepted())
 
+    def test_engine_without_an_agent_leaves(self) -> None:
+        """Guard against breaking off what nobody can have stopped.
+
+        Pattern: an engine without an agent leaves, and all its streams that
+        end meanwhile are broken off.
+        """
+        self.end.engines.read.return_value = build_state(leaving=True)
+        self.assertTrue(self.end.is_accepted())
+
+    def test_agent_ends_during_the_run(self) -> None:
+        """Guard against a stop by an agent whose link has ended since."""
+        self.end.open_link()
+        self.end.exchange.on_closed(self.end.server.endpoint, self.end.link)
+        self.end.engines.read.return_value = build_state(leaving=True)
+        self.assertFalse(self.end.is_accepted())
+
+    def test_agent_ended_before_the_run(self) -> None:
+        """Guard against doubts about an agent that is long gone."""
+        self.end.open_link()
+        self.end.exchange.on_closed(self.end.server.endpoint, self.end.link)
+        time.sleep(0.05)
+        self.end.watch.attach(self.end.server.endpoint, Mock())
+        self.end.engines.read.return_value = build_state(leaving=True)
+        self.assertTrue(self.end.is_accepted())
+
+    def test_agent_is_linked_after_its_order(self) -> None:
+        """Guard against a stop by an agent that has just started."""
+        self.end.engines.read.return_value = build_state(leaving=True)
+        for answer, is_accepted in (('stopped', False), ('complete', True)):
+            self.end.exchange.on_closed(self.end.server.endpoint, self.end.link)
+            time.sleep(0.05)
+            self.end.watch.attach(self.end.server.endpoint, Mock())
+            self.end.answer = answer
+            threading.Timer(0.2, self.end.open_link).start()
+            self.assertEqual(self.end.is_accepted(), is_accepted, answer)
+
     def test_run_was_reported_silent(self) -> None:
         """Guard against a move of a silent run by an agent that has ended."""
+        self.end.open_link()
+        self.end.exchange.on_closed(self.end.server.endpoint, self.end.link)
         self.end.watch.stall_limits = Mock()
         self.end.watch._progressed_at_seconds -= 100
         self.assertTrue(self.end.watch.take_silence_report())
--- a/wasabistream/run_endings/end_checkers.py
+++ b/wasabistream/run_endings/end_checkers.py
@@ -25,6 +25,9 @@
 # Time for an agent to answer. If the run is known to be moved, the agent may
 # answer after the final copy only.
 ANSWER_SECONDS = 0.3
+# Time for the link to an agent that has just started, if none was open during the
+# run.
+LINK_SECONDS = 0.5
 # An engine's report is as of some hundred milliseconds ago, so it may list a
 # run that has ended for this long.
 REPORT_DELAY_SECONDS = 0.5
@@ -36,8 +39,9 @@
 
     An engine that stops a run to move it closes the connection as it does after
     the last event. Without a length or chunks, only the agent that gave the
-    order can tell the two apart; without an agent, an engine that does not
-    leave. In doubt, the answer counts as broken off.
+    order can tell the two apart; without its answer, an engine that does not
+    leave. Engines without an agent stop nothing by themselves. In doubt, the
+    answer counts as broken off.
     """
 
     def __init__(
@@ -70,7 +74,12 @@
         source = 'agent'
         if ending in {None, RunEnding.unknown}:
             source = 'engine'
+            had_agent = self._agents.was_linked_within(
+                server.endpoint, run.age_seconds
+            )
             ending = self._ask_engine(server, watch, run)
+            if ending is RunEnding.unknown and not had_agent:
+                ending = self._ask_late_agent(server, watch, run)
         CONNECTION_ENDS.labels(ending, source).inc()
         logger.info(
             'answer: ended with its connection: %s',
@@ -104,6 +113,20 @@
 
         return self._agents.ask(server.endpoint, run, wait_seconds)
 
+    def _ask_late_agent(
+        self, server: BackendServer, watch: RequestWatch, run: EndedRun
+    ) -> RunEnding:
+        """Return how a run ended that no agent linked here can have stopped.
+
+        An agent that has just started may have, before its link is open.
+        """
+        found = None
+        if self._agents.wait_for_link(server.endpoint, LINK_SECONDS):
+            found = self._ask_agent(server, watch, run)
+        if found in {None, RunEnding.unknown}:
+            return RunEnding.complete
+        return found
+
     def _ask_engine(
         self, server: BackendServer, watch: RequestWatch, run: EndedRun
     ) -> RunEnding:
--- a/wasabistream/run_endings/ending_exchanges.py
+++ b/wasabistream/run_endings/ending_exchanges.py
@@ -2,6 +2,7 @@
 
 import itertools
 import logging
+import math
 import threading
 import time
 from collections.abc import Callable
@@ -21,6 +22,8 @@
 
 # Interval at which a wait looks whether it has to go on.
 WAIT_POLL_SECONDS = 0.1
+# Ends of links are kept for longer than a run lasts.
+CLOSED_LINK_SECONDS = 600.0
 
 
 @dataclass
@@ -38,6 +41,8 @@
     def __init__(self) -> None:
         self._changed = threading.Condition()
         self._links: dict[str, Link] = {}
+        # When the last link to each agent ended that has none.
+        self._closed_at_seconds: dict[str, float] = {}
         self._numbers = itertools.count(1)
         self._queries: dict[int, _Query] = {}
 
@@ -45,6 +50,8 @@
         """Use the link to the agent of an engine."""
         with self._changed:
             self._links[endpoint] = link
+            self._closed_at_seconds.pop(endpoint, None)
+            self._changed.notify_all()
 
     def on_closed(self, endpoint: str, link: Link) -> None:
         """Forget a link that has ended, with the queries over it."""
@@ -52,6 +59,8 @@
             if self._links.get(endpoint) is not link:
                 return
             self._links.pop(endpoint)
+            self._closed_at_seconds[endpoint] = time.monotonic()
+            self._drop_old()
             for query in self._queries.values():
                 if query.endpoint == endpoint:
                     query.is_open = False
@@ -67,6 +76,22 @@
             query.ending = _decode_ending(reply.ending)
             self._changed.notify_all()
 
+    def was_linked_within(self, endpoint: str, seconds: float) -> bool:
+        """Return whether an agent is linked, or was in this time."""
+        with self._changed:
+            closed_at_seconds = self._closed_at_seconds.get(endpoint, -math.inf)
+            return (
+                endpoint in self._links
+                or time.monotonic() - closed_at_seconds <= seconds
+            )
+
+    def wait_for_link(self, endpoint: str, seconds: float) -> bool:
+        """Wait for the link to an agent; return whether there is one."""
+        with self._changed:
+            return self._changed.wait_for(
+                lambda: endpoint in self._links, seconds
+            )
+
     def ask(
         self,
         endpoint: str,
@@ -103,6 +128,14 @@
                 self._queries.pop(number)
             return query.ending
 
+    def _drop_old(self) -> None:
+        oldest_seconds = time.monotonic() - CLOSED_LINK_SECONDS
+        self._closed_at_seconds = {
+            endpoint: closed_at_seconds
+            for endpoint, closed_at_seconds in self._closed_at_seconds.items()
+            if closed_at_seconds >= oldest_seconds
+        }
+
 
 def _decode_ending(text: str) -> RunEnding:
     try:
