Log how long a server had left when its connection ended

An answer with neither a length nor chunks that ends at the deadline which the entry gave the server could not be told from others in the logs: `answer: ended with its connection` named the ending and who stated it, but not the remaining time that the server was told, and answers of plain services had no line at all.

Hypotheses before any change of the logic: 1. The server stops at the deadline that it was told, before the entry cuts the exchange. 2. The entry cuts the exchange, and its own cut reads like a regular end. 3. The agent or the engine ends the run for another reason (move, crash).

Each exchange now holds when its server stops, on the boot clock, which also counts the time in which the VM is suspended. The end check logs `deadline_left_seconds`, for plain services too (source `service`). No decision changes.

--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -1,5 +1,6 @@
 """Fakes of backend servers and callers."""
 
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -22,6 +23,7 @@
     pieces: list[bytes]
     torn: bool = False
     closed: bool = False
+    server_deadline_seconds: float = math.inf
 
     def read(self) -> bytes:
         """Return the next piece; raises BackendError if the answer is torn."""
--- a/wasabistream/engine_starts/start_tables.py
+++ b/wasabistream/engine_starts/start_tables.py
@@ -2,24 +2,19 @@
 
 import math
 import threading
-import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 
 from wasabistream.engine_starts.start_messages import EngineStartReport
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.fleets import Fleet
+from wasabistream.run_endings.boot_clocks import read_boot_clock
 
 # Agents report at least once a second, so one that was heard less recently may
 # have missed a restart of its engine, or this process was paused.
 MAX_REPORT_AGE_SECONDS = 2.5
 
 
-def read_boot_clock() -> float:
-    """Return the time since boot, which goes on while a VM is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 @dataclass(frozen=True, slots=True)
 class EngineStart:
     """Hold a start of an engine and the version of its software.
--- a/wasabistream/forwarding/attempts.py
+++ b/wasabistream/forwarding/attempts.py
@@ -190,6 +190,7 @@
             raise
         finally:
             history.unanswered_count = 0
+        watch.server_deadline_seconds = exchange.server_deadline_seconds
         self._advisories.record_answer(server, exchange.head.advisory, started)
         if exchange.head.not_run:
             history.turned_away_count += 1
--- a/wasabistream/forwarding/interfaces.py
+++ b/wasabistream/forwarding/interfaces.py
@@ -44,6 +44,9 @@
     """A request that was sent to a backend server, and its answer."""
 
     head: AnswerHead
+    # When the backend server stops its work by the remaining time that it was
+    # told, on the boot clock.
+    server_deadline_seconds: float
 
     def read(self) -> bytes:
         """Return the next bytes of the body, or b'' at its end.
--- a/wasabistream/forwarding/supervisors.py
+++ b/wasabistream/forwarding/supervisors.py
@@ -95,6 +95,9 @@
         # Monotonic time at which the current attempt is cut as slow. The
         # request's deadline takes precedence.
         self.attempt_deadline_seconds: float | None = None
+        # When the backend server stops the current attempt by the remaining time
+        # that it was told, on the boot clock; infinite before the answer begins.
+        self.server_deadline_seconds = math.inf
         # When to cut the stream as stalled; None before its first event.
         self.stall_limits: StallLimits | None = None
         # Returns whether the request could run at another backend server if
@@ -192,6 +195,7 @@
             if exchange is None:
                 return
             self._attached_at_seconds = time.monotonic()
+            self.server_deadline_seconds = math.inf
             if self.is_ended:
                 exchange.close()
             else:
--- a/wasabistream/metrics.py
+++ b/wasabistream/metrics.py
@@ -102,7 +102,7 @@
 )
 CONNECTION_ENDS = Counter(
     'wasabi_connection_ends',
-    'Answers of engines that ended with their connection, by ending and source',
+    'Answers that ended with their connection, by ending and source',
     ['ending', 'source'],
 )
 MOVES_WITHOUT_TARGET = Counter(
--- a/wasabistream/platform/server_clients.py
+++ b/wasabistream/platform/server_clients.py
@@ -19,6 +19,7 @@
 from wasabistream.limited_responses import LimitedResponse
 from wasabistream.platform import header_names as names
 from wasabistream.platform.advisory_decoders import decode_advisory
+from wasabistream.run_endings.boot_clocks import read_boot_clock
 from wasabistream.scheduling.urgencies import LOWEST_URGENCY
 from wasabistream.units import MILLISECONDS_PER_SECOND
 
@@ -92,7 +93,9 @@
         request: ForwardRequest,
         peer: str,
         closer: SocketCloser,
+        server_deadline_seconds: float,
     ) -> None:
+        self.server_deadline_seconds = server_deadline_seconds
         self._connection = connection
         self._peer = peer
         self._closer = closer
@@ -169,8 +172,16 @@
         closer = SocketCloser(connection.sock)
         on_connected(closer)
         try:
-            _send(connection, server, request, options)
-            return HttpExchange(connection, request, server.endpoint, closer)
+            server_deadline_seconds = _send(
+                connection, server, request, options
+            )
+            return HttpExchange(
+                connection,
+                request,
+                server.endpoint,
+                closer,
+                server_deadline_seconds,
+            )
         except BackendError:
             connection.close()
             raise
@@ -219,16 +230,23 @@
     server: BackendServer,
     request: ForwardRequest,
     options: AttemptOptions,
-) -> None:
+) -> float:
+    """Send a request; return when the server will stop it, on the boot clock.
+
+    The server counts the remaining time from the arrival of the head, so it
+    stops at this time or later.
+    """
     # Applies to each read from here on, that of the head included.
     connection.timeout = max(options.timeout_seconds, MIN_TIMEOUT_SECONDS)
     connection.sock.settimeout(connection.timeout)
+    encoded_at_seconds = read_boot_clock()
     try:
+        headers = encode_headers(server, request, options)
         connection.request(
             request.method,
             request.target,
             body=request.body or None,
-            headers=encode_headers(server, request, options),
+            headers=headers,
         )
     except (ValueError, http.client.InvalidURL) as error:
         raise NotRunError(str(error), 'encode', server.endpoint) from error
@@ -237,6 +255,10 @@
         # body; that answer can still be read.
         if not request.body:
             raise BackendError(str(error), 'send', server.endpoint) from error
+    remaining_seconds = (
+        int(headers[names.REMAINING_MS]) / MILLISECONDS_PER_SECOND
+    )
+    return encoded_at_seconds + remaining_seconds
 
 
 def encode_headers(
--- a/wasabistream/run_endings/end_checkers.py
+++ b/wasabistream/run_endings/end_checkers.py
@@ -2,6 +2,7 @@
 
 import logging
 import time
+from collections.abc import Callable
 
 from wasabistream.exceptions import BackendError, BackendTimeoutError
 from wasabistream.forwarding.backend_servers import BackendServer
@@ -9,6 +10,7 @@
 from wasabistream.forwarding.fleets import FleetHolder
 from wasabistream.forwarding.supervisors import RequestWatch
 from wasabistream.metrics import CONNECTION_ENDS
+from wasabistream.run_endings.boot_clocks import read_boot_clock
 from wasabistream.run_endings.ending_exchanges import EndingExchange
 from wasabistream.run_endings.endings import (
     EndedRun,
@@ -52,18 +54,21 @@
         fleet: FleetHolder,
         agents: EndingExchange,
         engines: EngineReports,
+        boot_clock: Callable[[], float] = read_boot_clock,
     ) -> None:
+        self._boot_clock = boot_clock
         self._fleet = fleet
         self._agents = agents
         self._engines = engines
 
     def check(self, server: BackendServer, watch: RequestWatch) -> None:
         """Raise BackendError unless the run at the server is complete."""
-        announcers = watch.announced_stops.get(server.endpoint, frozenset())
-        if not announcers and not self._fleet.has_engines(server.service):
-            # Nobody stops requests at servers without an agent.
-            return
         started = time.monotonic()
+        deadline_left_seconds = (
+            watch.server_deadline_seconds - self._boot_clock()
+        )
+        announcers = watch.announced_stops.get(server.endpoint, frozenset())
+        ending, source = RunEnding.complete, 'service'
         run = EndedRun(
             watch.request.request_id,
             watch.attempt_age_seconds,
@@ -78,7 +83,8 @@
         if announcers:
             source = 'announcement'
             ending = self._ask_announcer(server, watch, run, announcers)
-        else:
+        # Nobody stops requests at servers without an agent.
+        elif self._fleet.has_engines(server.service):
             source = 'agent'
             ending = self._ask_agent(server, watch, run)
             if ending is RunEnding.unknown:
@@ -98,6 +104,7 @@
                 'source': source,
                 'had_agent': agent_version is not None,
                 'is_moving': bool(announcers),
+                'deadline_left_seconds': round(deadline_left_seconds, 3),
                 'seconds': round(time.monotonic() - started, 4),
             },
         )
