Count an end at the server's deadline as broken off

Cause: the server's clock starts when the head arrives, so it stops 1 to 11 ms after the entry's deadline, and the supervisor, which looks each 0.1 s, has rarely cut the exchange by then. The end of the connection was judged by what agents and engines state, and by cuts that had been made; the deadline that the entry itself had handed on was dropped at the send. Class: an end that the entry has set is read as that of the server.

Change: one pure decision, `run_endings.own_ends.find_own_end`, states what of ours may have ended an attempt: a cut, the deadline that was handed on, an announced stop. An end up to 50 ms before that deadline, or after it, counts as broken off, the request as timed out: the caller's stream is broken off, an answer that is not streamed gets 504, and no further attempt is made. It holds for services without engines, moved and resumed streams (each attempt has its own deadline) and for failures, whose ends were not checked before. The boot clock is used, as the steady clock stands still while a VM is suspended. `cut_request` replaces three copies of cut and count.

Why it works: the server counts from the arrival of the head, so it never stops before the recorded time but for the drift of clocks. A late read makes an end later, never earlier. Price: a whole answer without a length that ends in the last 50 ms before its deadline.

--- a/tests/ending_builders.py
+++ b/tests/ending_builders.py
@@ -7,6 +7,7 @@
 
 from tests.forwarding_builders import (
     ENGINE_SERVICE,
+    Clock,
     build_fleet,
     build_request,
     build_route,
@@ -131,7 +132,10 @@
         self.exchange = EndingExchange()
         self.engines = Mock()
         self.engines.read.return_value = build_state()
-        self.checker = EndChecker(holder, self.exchange, self.engines)
+        self.boot_clock = Clock()
+        self.checker = EndChecker(
+            holder, self.exchange, self.engines, self.boot_clock
+        )
         self.watch = RequestWatch(
             build_request(build_route(RouteKind.streaming), RUN_ID), Mock()
         )
--- a/wasabistream/continuations/stream_resumes.py
+++ b/wasabistream/continuations/stream_resumes.py
@@ -29,8 +29,12 @@
 from wasabistream.forwarding.replies import build_refusal
 from wasabistream.forwarding.requests import ForwardRequest, Reply
 from wasabistream.forwarding.routes import Route
-from wasabistream.forwarding.supervisors import CutReason, RequestWatch
-from wasabistream.metrics import CUT_REQUESTS, REFUSALS, RESUMED_STREAMS
+from wasabistream.forwarding.supervisors import (
+    CutReason,
+    RequestWatch,
+    cut_request,
+)
+from wasabistream.metrics import REFUSALS, RESUMED_STREAMS
 from wasabistream.scheduling.urgencies import find_urgency
 
 logger = logging.getLogger(__name__)
@@ -208,8 +212,7 @@
         with self._lock:
             earlier = self._running.get(key, set()) - {watch}
         for other in earlier:
-            if other.cut(CutReason.resumed):
-                CUT_REQUESTS.labels(CutReason.resumed.value).inc()
+            cut_request(other, CutReason.resumed)
 
     def _remove(self, key: bytes, watch: RequestWatch) -> None:
         with self._lock:
--- a/wasabistream/forwarding/reply_readers.py
+++ b/wasabistream/forwarding/reply_readers.py
@@ -47,7 +47,7 @@
         body = buffer.finish()
         resources.callback(unfinished.pop_all().close)
     head = exchange.head
-    if head.succeeded and head.ends_with_connection:
+    if head.ends_with_connection:
         check_end()
     if head.succeeded and not head.sealed:
         raise BackendError('answer has no seal', 'head', server.endpoint)
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -203,7 +203,7 @@
             return None
         if not history.may_have_run:
             return self._refuser.refuse(watch.request)
-        if watch.request.deadline.expired:
+        if watch.has_timed_out:
             return build_gateway_timeout()
         return failure or build_bad_gateway()
 
--- a/wasabistream/forwarding/supervisors.py
+++ b/wasabistream/forwarding/supervisors.py
@@ -126,6 +126,11 @@
         """Return whether the request itself was cut, not just an attempt."""
         return self.reason in ENDING_REASONS
 
+    @property
+    def has_timed_out(self) -> bool:
+        """Return whether the deadline of the request has ended it."""
+        return self.reason is CutReason.timeout or self.request.deadline.expired
+
     @property
     def silent_seconds(self) -> float:
         """Return the time since the attempt began or its last event."""
@@ -361,8 +366,7 @@
                 watch.event_count,
                 is_given_up=True,
             )
-        if watch.cut(reason):
-            CUT_REQUESTS.labels(reason.value).inc()
+        cut_request(watch, reason)
 
     def _find_cut_reason(self, watch: RequestWatch) -> CutReason | None:
         if watch.caller.has_left():
@@ -399,6 +403,12 @@
         )
 
 
+def cut_request(watch: RequestWatch, reason: CutReason) -> None:
+    """Cut a request unless it was cut before, and count it."""
+    if watch.cut(reason):
+        CUT_REQUESTS.labels(reason.value).inc()
+
+
 def _is_stalled(watch: RequestWatch) -> bool:
     limits = watch.stall_limits
     if limits is None:
--- a/wasabistream/forwarding/unary_forwarders.py
+++ b/wasabistream/forwarding/unary_forwarders.py
@@ -76,7 +76,7 @@
     ) -> Reply:
         if not history.may_have_run:
             return self._refuser.refuse(watch.request)
-        if watch.request.deadline.expired:
+        if watch.has_timed_out:
             return build_gateway_timeout()
         return build_bad_gateway()
 
--- a/wasabistream/queueing/start_queues.py
+++ b/wasabistream/queueing/start_queues.py
@@ -8,8 +8,12 @@
 from contextlib import contextmanager
 
 from wasabistream.forwarding.requests import ForwardRequest
-from wasabistream.forwarding.supervisors import CutReason, RequestWatch
-from wasabistream.metrics import CUT_REQUESTS, START_QUEUE_WAITING
+from wasabistream.forwarding.supervisors import (
+    CutReason,
+    RequestWatch,
+    cut_request,
+)
+from wasabistream.metrics import START_QUEUE_WAITING
 from wasabistream.queueing.interfaces import StartFleet
 from wasabistream.queueing.start_lines import StartLine, StartTicket
 from wasabistream.queueing.starts import DIRECT_START, Start, StartReason
@@ -123,8 +127,8 @@
         start = ticket.start or DIRECT_START
         # The process may have been paused since the decision.
         reason = _find_end_reason(watch)
-        if reason is not None and watch.cut(reason):
-            CUT_REQUESTS.labels(reason.value).inc()
+        if reason is not None:
+            cut_request(watch, reason)
         if not watch.is_ended:
             return start
         if start.server is not None:
--- a/wasabistream/run_endings/end_checkers.py
+++ b/wasabistream/run_endings/end_checkers.py
@@ -8,7 +8,11 @@
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.engine_states import EngineState
 from wasabistream.forwarding.fleets import FleetHolder
-from wasabistream.forwarding.supervisors import RequestWatch
+from wasabistream.forwarding.supervisors import (
+    CutReason,
+    RequestWatch,
+    cut_request,
+)
 from wasabistream.metrics import CONNECTION_ENDS
 from wasabistream.run_endings.boot_clocks import read_boot_clock
 from wasabistream.run_endings.ending_exchanges import EndingExchange
@@ -19,6 +23,11 @@
 )
 from wasabistream.run_endings.interfaces import EngineReports
 from wasabistream.run_endings.listed_runs import LAST_RUNS_SECONDS
+from wasabistream.run_endings.own_ends import (
+    EndedAttempt,
+    OwnEnd,
+    find_own_end,
+)
 from wasabistream.run_endings.stop_messages import STOP_NOTICES_VERSION
 
 logger = logging.getLogger(__name__)
@@ -42,11 +51,12 @@
 class EndChecker:
     """Accept an end only if the system did not stop the run.
 
-    An engine that stops a run to move it closes the connection as it does after
-    the last event. Agents announce each stop and wait for this entry's reply,
-    so an end that none has announced is the run's own, or its engine's. After
-    an announcement, only the agent that made it can tell that the run has
-    ended by itself. In doubt, the answer counts as broken off.
+    A server that stops at the deadline which it was told closes the connection
+    as it does after the last byte, and so does an engine that stops a run to
+    move it. Agents announce each stop and wait for this entry's reply, so an end
+    that none has announced is the run's own, or its engine's. After an
+    announcement, only the agent that made it can tell that the run has ended by
+    itself. In doubt, the answer counts as broken off.
     """
 
     def __init__(
@@ -64,11 +74,14 @@
     def check(self, server: BackendServer, watch: RequestWatch) -> None:
         """Raise BackendError unless the run at the server is complete."""
         started = time.monotonic()
-        deadline_left_seconds = (
-            watch.server_deadline_seconds - self._boot_clock()
-        )
+        ended_at_seconds = self._boot_clock()
         announcers = watch.announced_stops.get(server.endpoint, frozenset())
-        ending, source = RunEnding.complete, 'service'
+        own_end = find_own_end(
+            EndedAttempt(
+                watch.reason, watch.server_deadline_seconds, announcers
+            ),
+            ended_at_seconds,
+        )
         run = EndedRun(
             watch.request.request_id,
             watch.attempt_age_seconds,
@@ -80,10 +93,14 @@
         agent_version = self._agents.find_version_within(
             server.endpoint, run.age_seconds
         )
-        if announcers:
-            source = 'announcement'
+        ending, source = RunEnding.complete, 'service'
+        if own_end is OwnEnd.announcement:
+            source = own_end.value
             ending = self._ask_announcer(server, watch, run, announcers)
-        # Nobody stops requests at servers without an agent.
+        elif own_end is not None:
+            source = own_end.value
+            ending = RunEnding.stopped
+        # Nobody else stops requests at servers without an agent.
         elif self._fleet.has_engines(server.service):
             source = 'agent'
             ending = self._ask_agent(server, watch, run)
@@ -104,10 +121,15 @@
                 'source': source,
                 'had_agent': agent_version is not None,
                 'is_moving': bool(announcers),
-                'deadline_left_seconds': round(deadline_left_seconds, 3),
+                'deadline_left_seconds': round(
+                    watch.server_deadline_seconds - ended_at_seconds, 3
+                ),
                 'seconds': round(time.monotonic() - started, 4),
             },
         )
+        if own_end is OwnEnd.deadline:
+            # The request's deadline is that of its server.
+            cut_request(watch, CutReason.timeout)
         if ending is not RunEnding.complete:
             raise BackendError(
                 f'connection ended, run is {ending}', 'end', server.endpoint
