Count an end at the deadline of a call as no answer

Plain services get the caller's header `Wasabi-Deadline-Seconds` from their agent. An answer with neither a length nor chunks that ends when this time is over was kept as the whole one, for a key with its record too.

Cause: the agent limits its reads by the deadline, but an end that is read up to that time, or by a paused agent after it, counted as regular.

Change: `ServiceClient` asks `find_own_end`; such a call has no answer, as after any other broken-off one: its outcome is unknown, and no key is run again. Engines there are not concerned: a stream that lacks `[DONE]` has failed, and they are told no deadline.

Test: test_client_limits.test_answer_ends_at_the_deadline failed before (a part of the answer was returned); test_answer_ends_before_the_deadline guards whole ones.

--- a/tests/byte_servers.py
+++ b/tests/byte_servers.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
@@ -95,6 +96,19 @@
     return respond
 
 
+def send_until(
+    raw: bytes, monotonic_seconds: float
+) -> Callable[[ByteServer, socket.socket], None]:
+    """Return a function that sends bytes and ends the connection later."""
+
+    def respond(server: ByteServer, sock: socket.socket) -> None:
+        sock.sendall(raw)
+        server.stopped.wait(monotonic_seconds - time.monotonic())
+        sock.shutdown(socket.SHUT_WR)
+
+    return respond
+
+
 def send_endless(
     head: bytes, piece: bytes, pause_seconds: float = 0
 ) -> Callable[[ByteServer, socket.socket], None]:
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -13,6 +13,7 @@
     ByteServer,
     send_endless,
     send_once,
+    send_until,
     serve_bytes,
 )
 from wasabistream.call_runners import CallRunner
@@ -224,10 +225,33 @@
             runner.stop()
         self.assertEqual(bodies, [b'answer 1', b'answer 2'])
 
-    def send(self, server: ByteServer) -> ServiceAnswer:
+    def test_answer_ends_at_the_deadline(self) -> None:
+        """Guard against a part of an answer of a service that stops then.
+
+        Services get the header with the caller's deadline.
+        """
+        raw = OK_HEAD + b'\r\nfirst part'
+        deadline_seconds = time.monotonic() + 1
+        with serve_bytes(send_until(raw, deadline_seconds - 0.02)) as server:
+            with self.assertRaises(NoAnswerError):
+                self.send(server, deadline_seconds)
+
+    def test_answer_ends_before_the_deadline(self) -> None:
+        """Guard against refusing an answer that is whole in time."""
+        raw = OK_HEAD + b'\r\nwhole'
+        deadline_seconds = time.monotonic() + 1
+        with serve_bytes(send_until(raw, deadline_seconds - 0.5)) as server:
+            answer = self.send(server, deadline_seconds)
+        self.assertEqual(answer.body, b'whole')
+
+    def send(
+        self, server: ByteServer, deadline_seconds: float | None = None
+    ) -> ServiceAnswer:
         """Send one call to a stand-in service."""
         client = ServiceClient(f'http://127.0.0.1:{server.port}')
-        return client.send(build_call('r1'), time.monotonic() + 5, str)
+        return client.send(
+            build_call('r1'), deadline_seconds or time.monotonic() + 5, str
+        )
 
 
 class EngineStreamLimitTest(unittest.TestCase):
--- a/wasabistream/service_clients.py
+++ b/wasabistream/service_clients.py
@@ -16,6 +16,8 @@
 )
 from wasabistream.metrics import CALL_WINDOW_SECONDS
 from wasabistream.requests import Call, ServiceAnswer
+from wasabistream.run_endings.boot_clocks import read_boot_clock
+from wasabistream.run_endings.own_ends import EndedAttempt, find_own_end
 
 logger = logging.getLogger(__name__)
 
@@ -84,6 +86,7 @@
             raise CallNotSentError('service_down') from error
         remaining_seconds = deadline - time.monotonic()
         connection.sock.settimeout(max(remaining_seconds, MIN_TIMEOUT_SECONDS))
+        server_deadline_seconds = read_boot_clock() + remaining_seconds
         # Nothing that can block comes between this check and the send.
         checked_at_seconds = time.monotonic()
         reason = 'deadline' if checked_at_seconds >= deadline else check()
@@ -95,9 +98,15 @@
             )
             CALL_WINDOW_SECONDS.observe(time.monotonic() - checked_at_seconds)
             response: Any = connection.getresponse()
+            ends_with_connection = response.ends_with_connection
             body = response.read_whole()
         except (OSError, http.client.HTTPException, ValueError) as error:
             logger.warning('agent: call has no answer: %s', error)
             raise NoAnswerError(str(error)) from error
+        # The service gets the header with the caller's deadline.
+        attempt = EndedAttempt(None, server_deadline_seconds)
+        if ends_with_connection and find_own_end(attempt, read_boot_clock()):
+            logger.warning('agent: answer of a call ends at its deadline')
+            raise NoAnswerError('connection ended at the deadline')
         headers = filter_response_headers(dict(response.getheaders()))
         return ServiceAnswer(call.request_id, response.status, headers, body)
