Wait for the delivery of a VM list in its test, not for its storage

Cause, in the test: `VmListStore.offer` stores a list and delivers it after that. The test subscribed once the list was stored, so that its delivery, still on its way, counted as one of the older copy. The list that the failed run names has the index that was published last, and no server that had left.

Change: the test subscribes first and waits until all entries have delivered the list. The check is as strict: nothing may be delivered after the copy's return.

--- a/tests/test_returned_services.py
+++ b/tests/test_returned_services.py
@@ -76,11 +76,20 @@
         self.require_vms('a', 'b', 'left')
         for _ in range(3):
             self.publish_document(1)
-        self.publish_vms()
-        self.require_vms('a', 'b')
         received: list[VmList] = []
         for entry in self.entries:
             entry.distributor.lists.subscribe(received.append)
+        index = self.publish_vms()
+        self.require_vms('a', 'b')
+        # A list is stored before it is delivered.
+        require(
+            lambda: (
+                [each.index for each in received].count(index)
+                == len(self.entries)
+            ),
+            'delivery',
+        )
+        received.clear()
         self.service.restore(copied_index)
         time.sleep(RETURN_CONFIRM_SECONDS * 2)
         self.assertEqual(received, [])
