Ask whether a plain server has outlived its answer

Cause: the kernel ends the connections of a killed process as after the last byte. The check of such ends asked about engines only; for other services it accepted each end.

Change: after such an end the entry connects to the server, 30 ms later and once more if that fails. A server that does not accept a connection has not outlived its answer: a lookup is sent to another one, a booking gets 502. The source in the log and the metric is `probe`. Engines are asked as before.

Why it works: a killed process stays away for seconds, and its port refuses connections.

Ruled out: the health path (it waits for a slot, and is priced); a connection that is watched for a reset (a full server resets connections too).

--- a/tests/ending_builders.py
+++ b/tests/ending_builders.py
@@ -133,8 +133,13 @@
         self.engines = Mock()
         self.engines.read.return_value = build_state()
         self.boot_clock = Clock()
+        self.probe = Mock()
         self.checker = EndChecker(
-            holder, self.exchange, self.engines, self.boot_clock
+            holder,
+            self.exchange,
+            self.engines,
+            self.probe,
+            self.boot_clock,
         )
         self.watch = RequestWatch(
             build_request(build_route(RouteKind.streaming), RUN_ID), Mock()
--- a/tests/test_own_ends.py
+++ b/tests/test_own_ends.py
@@ -125,7 +125,7 @@
         )
         holder = FleetHolder()
         holder.current = build_fleet(build_server(1))
-        forwarder.ends = EndChecker(holder, EndingExchange(), Mock())
+        forwarder.ends = EndChecker(holder, EndingExchange(), Mock(), Mock())
         watch = RequestWatch(
             build_request(build_route(RouteKind.idempotent)), FakeCaller()
         )
--- a/wasabistream/platform/entry_applications.py
+++ b/wasabistream/platform/entry_applications.py
@@ -339,6 +339,7 @@
             refuser,
             self._agent_links,
             move_tracker,
+            client,
             lambda: not self._is_store_lost(),
         )
         return Forwarder(
--- a/wasabistream/platform/forwarder_builders.py
+++ b/wasabistream/platform/forwarder_builders.py
@@ -10,7 +10,10 @@
 from wasabistream.forwarding.failure_rates import FailureRates
 from wasabistream.forwarding.fleets import FleetHolder
 from wasabistream.forwarding.move_trackers import MoveTracker
-from wasabistream.forwarding.poison_request_guards import PoisonRequestGuard
+from wasabistream.forwarding.poison_request_guards import (
+    PoisonRequestGuard,
+    ServerProbe,
+)
 from wasabistream.forwarding.refusals import Refuser
 from wasabistream.forwarding.server_choosers import ServerChooser
 from wasabistream.forwarding.stream_forwarders import StreamForwarder
@@ -33,6 +36,7 @@
     refuser: Refuser
     agent_links: AgentLinks
     moves: MoveTracker
+    probe: ServerProbe
     # Returns whether the list of servers is that of the store at present.
     is_list_current: Callable[[], bool]
 
@@ -76,4 +80,5 @@
             self.fleet,
             self.agent_links.endings,
             EngineReportClient(),
+            self.probe,
         )
--- a/wasabistream/run_endings/end_checkers.py
+++ b/wasabistream/run_endings/end_checkers.py
@@ -4,10 +4,15 @@
 import time
 from collections.abc import Callable
 
-from wasabistream.exceptions import BackendError, BackendTimeoutError
+from wasabistream.exceptions import (
+    BackendError,
+    BackendTimeoutError,
+    NotRunError,
+)
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.engine_states import EngineState
 from wasabistream.forwarding.fleets import FleetHolder
+from wasabistream.forwarding.poison_request_guards import ServerProbe
 from wasabistream.forwarding.supervisors import (
     CutReason,
     RequestWatch,
@@ -46,6 +51,10 @@
 # run that has ended for this long.
 REPORT_DELAY_SECONDS = 0.5
 REPORT_INTERVAL_SECONDS = 0.1
+# Connections to a plain server after an end. One packet may be lost.
+PROBE_COUNT = 2
+# The kernel may close the port of a killed process after its connections.
+PROBE_DELAY_SECONDS = 0.03
 
 
 class EndChecker:
@@ -56,7 +65,9 @@
     move it. Agents announce each stop and wait for this entry's reply, so an end
     that none has announced is the run's own, or its engine's. After an
     announcement, only the agent that made it can tell that the run has ended by
-    itself. In doubt, the answer counts as broken off.
+    itself. The kernel ends the connections of a process that crashes in the same
+    way: engines are asked, and plain servers must accept a connection. In doubt,
+    the answer counts as broken off.
     """
 
     def __init__(
@@ -64,12 +75,14 @@
         fleet: FleetHolder,
         agents: EndingExchange,
         engines: EngineReports,
+        probe: ServerProbe,
         boot_clock: Callable[[], float] = read_boot_clock,
     ) -> None:
         self._boot_clock = boot_clock
         self._fleet = fleet
         self._agents = agents
         self._engines = engines
+        self._probe = probe
 
     def check(self, server: BackendServer, watch: RequestWatch) -> None:
         """Raise BackendError unless the run at the server is complete."""
@@ -93,22 +106,14 @@
         agent_version = self._agents.find_version_within(
             server.endpoint, run.age_seconds
         )
-        ending, source = RunEnding.complete, 'service'
-        if own_end is OwnEnd.announcement:
+        if own_end is None:
+            ending, source = self._judge(server, watch, run, agent_version)
+        elif own_end is OwnEnd.announcement:
             source = own_end.value
             ending = self._ask_announcer(server, watch, run, announcers)
-        elif own_end is not None:
+        else:
             source = own_end.value
             ending = RunEnding.stopped
-        # Nobody else stops requests at servers without an agent.
-        elif self._fleet.has_engines(server.service):
-            source = 'agent'
-            ending = self._ask_agent(server, watch, run)
-            if ending is RunEnding.unknown:
-                source = 'engine'
-                ending = self._judge_unannounced(
-                    server, watch, run, agent_version
-                )
         CONNECTION_ENDS.labels(ending, source).inc()
         logger.info(
             'answer: ended with its connection: %s',
@@ -135,6 +140,47 @@
                 f'connection ended, run is {ending}', 'end', server.endpoint
             )
 
+    def _judge(
+        self,
+        server: BackendServer,
+        watch: RequestWatch,
+        run: EndedRun,
+        agent_version: int | None,
+    ) -> tuple[RunEnding, str]:
+        """Return how a run ended that this entry has not ended, and the source.
+
+        Only servers of services with engines have agents.
+        """
+        if not self._fleet.has_engines(server.service):
+            return self._probe_server(server, watch), 'probe'
+        ending = self._ask_agent(server, watch, run)
+        if ending is not RunEnding.unknown:
+            return ending, 'agent'
+        return (
+            self._judge_unannounced(server, watch, run, agent_version),
+            'engine',
+        )
+
+    def _probe_server(
+        self, server: BackendServer, watch: RequestWatch
+    ) -> RunEnding:
+        """Return whether a plain server has outlived its answer."""
+        time.sleep(PROBE_DELAY_SECONDS)
+        for _ in range(PROBE_COUNT):
+            try:
+                self._probe.probe(server)
+            except NotRunError as error:
+                logger.info(
+                    'answer: its server cannot be reached: %s',
+                    error,
+                    extra={'request_id': watch.request.request_id},
+                )
+            else:
+                return RunEnding.complete
+            if watch.is_ended:
+                break
+        return RunEnding.interrupted
+
     def _ask_agent(
         self,
         server: BackendServer,
