Ask whether a service has outlived the answer of a call

Change: `ServiceClient` connects once more after such an end, by the function that the entry uses, which moves to `run_endings.server_probes`. A call whose service is gone has no answer; its outcome is unknown, and no key is run again.

Test: test_client_limits.test_service_crashes failed before (the part was returned). 77 tests of the modules concerned pass.

--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -236,6 +236,17 @@
             with self.assertRaises(NoAnswerError):
                 self.send(server, deadline_seconds)
 
+    def test_service_crashes(self) -> None:
+        """Guard against a part of an answer of a service that is gone."""
+
+        def respond(server: ByteServer, sock: socket.socket) -> None:
+            sock.sendall(OK_HEAD + b'\r\nfirst part')
+            sock.shutdown(socket.SHUT_WR)
+            server.stop()
+
+        with self.assertRaises(NoAnswerError):
+            self.send(ByteServer(respond))
+
     def test_answer_ends_before_the_deadline(self) -> None:
         """Guard against refusing an answer that is whole in time."""
         raw = OK_HEAD + b'\r\nwhole'
--- a/tests/test_crashed_servers.py
+++ b/tests/test_crashed_servers.py
@@ -18,7 +18,7 @@
 from tests.platform_paths import PlatformPathCase
 from wasabistream.exceptions import NotRunError
 from wasabistream.forwarding.supervisors import CutReason
-from wasabistream.run_endings.end_checkers import PROBE_COUNT
+from wasabistream.run_endings.server_probes import PROBE_COUNT
 
 REQUEST_ID_FIELD = b'wasabistream-request-attempt-id:'
 FIRST_PART = b'first part '
--- a/wasabistream/run_endings/end_checkers.py
+++ b/wasabistream/run_endings/end_checkers.py
@@ -3,12 +3,9 @@
 import logging
 import time
 from collections.abc import Callable
+from functools import partial
 
-from wasabistream.exceptions import (
-    BackendError,
-    BackendTimeoutError,
-    NotRunError,
-)
+from wasabistream.exceptions import BackendError, BackendTimeoutError
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.engine_states import EngineState
 from wasabistream.forwarding.fleets import FleetHolder
@@ -33,6 +30,7 @@
     OwnEnd,
     find_own_end,
 )
+from wasabistream.run_endings.server_probes import outlives_answer
 from wasabistream.run_endings.stop_messages import STOP_NOTICES_VERSION
 
 logger = logging.getLogger(__name__)
@@ -51,10 +49,6 @@
 # run that has ended for this long.
 REPORT_DELAY_SECONDS = 0.5
 REPORT_INTERVAL_SECONDS = 0.1
-# Connections to a plain server after an end. One packet may be lost.
-PROBE_COUNT = 2
-# The kernel may close the port of a killed process after its connections.
-PROBE_DELAY_SECONDS = 0.03
 
 
 class EndChecker:
@@ -152,7 +146,13 @@
         Only servers of services with engines have agents.
         """
         if not self._fleet.has_engines(server.service):
-            return self._probe_server(server, watch), 'probe'
+            is_alive = outlives_answer(
+                partial(self._probe.probe, server),
+                run.run_id,
+                lambda: watch.is_ended,
+            )
+            ending = RunEnding.complete if is_alive else RunEnding.interrupted
+            return ending, 'probe'
         ending = self._ask_agent(server, watch, run)
         if ending is not RunEnding.unknown:
             return ending, 'agent'
@@ -161,26 +161,6 @@
             'engine',
         )
 
-    def _probe_server(
-        self, server: BackendServer, watch: RequestWatch
-    ) -> RunEnding:
-        """Return whether a plain server has outlived its answer."""
-        time.sleep(PROBE_DELAY_SECONDS)
-        for _ in range(PROBE_COUNT):
-            try:
-                self._probe.probe(server)
-            except NotRunError as error:
-                logger.info(
-                    'answer: its server cannot be reached: %s',
-                    error,
-                    extra={'request_id': watch.request.request_id},
-                )
-            else:
-                return RunEnding.complete
-            if watch.is_ended:
-                break
-        return RunEnding.interrupted
-
     def _ask_agent(
         self,
         server: BackendServer,
--- a/wasabistream/service_clients.py
+++ b/wasabistream/service_clients.py
@@ -2,6 +2,7 @@
 
 import http.client
 import logging
+import socket
 import time
 import urllib.parse
 from collections.abc import Callable
@@ -18,10 +19,12 @@
 from wasabistream.requests import Call, ServiceAnswer
 from wasabistream.run_endings.boot_clocks import read_boot_clock
 from wasabistream.run_endings.own_ends import EndedAttempt, find_own_end
+from wasabistream.run_endings.server_probes import outlives_answer
 
 logger = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_SECONDS = 1.0
+DEFAULT_PORT = 80
 # Largest answer body that fits into one frame with its other fields.
 MAX_ANSWER_BYTES = 1024 * 1024
 MIN_TIMEOUT_SECONDS = 0.001
@@ -72,6 +75,10 @@
         finally:
             connection.close()
 
+    def _connect_once(self) -> None:
+        address = (self._host, self._port or DEFAULT_PORT)
+        socket.create_connection(address, CONNECT_TIMEOUT_SECONDS).close()
+
     def _exchange(
         self,
         connection: http.client.HTTPConnection,
@@ -108,5 +115,9 @@
         if ends_with_connection and find_own_end(attempt, read_boot_clock()):
             logger.warning('agent: answer of a call ends at its deadline')
             raise NoAnswerError('connection ended at the deadline')
+        if ends_with_connection and not outlives_answer(
+            self._connect_once, call.request_id
+        ):
+            raise NoAnswerError('service went down')
         headers = filter_response_headers(dict(response.getheaders()))
         return ServiceAnswer(call.request_id, response.status, headers, body)
