Look at a leaving engine for a second after a run's end

Five streams without framing end as complete after 77 of 120 events.

Cause: the agent, or the entry where no agent answers, looked twice within 0.2 s whether such an engine serves on after the end.

Change: the second look comes after 1 s and must find the same start of the engine. An entry waits 1.5 s for its agent (0.5 s before), 2.5 s after an announcement. A request whose deadline passes meanwhile counts as broken off.

Why it works: the caller has all events by then, so only the end of its stream is late. Price: an engine that ends within 1 s after a whole run (0.2 s before) makes it count as broken off.

--- a/tests/test_unframed_moves.py
+++ b/tests/test_unframed_moves.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+import threading
 import unittest
 from unittest.mock import Mock
 
@@ -16,6 +17,9 @@
 from wasabistream.forwarding.engine_states import EngineRun
 from wasabistream.forwarding.move_outcomes import MoveOutcome
 
+# Time for which a leaving engine reports after it has broken its runs off.
+SERVED_ON_SECONDS = 0.5
+
 
 class UnframedMoveTest(UnframedFleetCase):
     """Guard against cut streams that end as complete."""
@@ -84,12 +88,35 @@
         runner.end_run(RUN_ID)
         self.assert_honest(stream.received + stream.read_to_end())
 
+    def test_leaving_engine_breaks_off(self) -> None:
+        """Guard against an engine that reports for a while after its last run."""
+        self.assert_honest(self.break_off_before_the_end())
+
+    def test_engine_without_agent_breaks_off(self) -> None:
+        """Guard against the same where the entry asks the engine."""
+        for engine in self.unframed:
+            self.stop_agent(engine)
+        self.assert_honest(self.break_off_before_the_end())
+
     def test_engine_ends(self) -> None:
         """Guard against an engine that ends between two events."""
         stream = self.begin_run()
         self.find_runner().stop()
         self.assert_honest(stream.received + stream.read_to_end())
 
+    def break_off_before_the_end(self) -> bytes:
+        """Return a stream that its engine breaks off a while before its end."""
+        stream = self.begin_run()
+        runner = self.find_runner()
+        for engine in self.unframed:
+            # Nothing can be moved, as all engines leave.
+            engine.is_draining = True
+        runner.end_run(RUN_ID)
+        end = threading.Timer(SERVED_ON_SECONDS, runner.stop)
+        end.start()
+        self.addCleanup(end.join)
+        return stream.received + stream.read_to_end()
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/wasabistream/run_endings/end_checkers.py
+++ b/wasabistream/run_endings/end_checkers.py
@@ -36,10 +36,10 @@
 logger = logging.getLogger(__name__)
 
 # Time for an agent to answer, which looks twice at an engine that leaves.
-ANSWER_SECONDS = 0.5
+ANSWER_SECONDS = LAST_RUNS_SECONDS + 0.5
 # The same for the agent that has announced a stop. Nobody else can answer, and
 # one report of its engine may be late.
-ANNOUNCER_SECONDS = 1.5
+ANNOUNCER_SECONDS = ANSWER_SECONDS + 1.0
 # Time for the link to an agent that has just started, if none was open during the
 # run.
 LINK_SECONDS = 0.5
@@ -216,6 +216,9 @@
         ending = self._ask_engine(server, watch, run)
         if ending is not RunEnding.unknown:
             return ending
+        # A request that has ended leaves no time for the second look.
+        if watch.is_ended:
+            return ending
         if agent_version is None:
             return self._ask_late_agent(server, watch, run)
         if run.was_given_up or agent_version < STOP_NOTICES_VERSION:
--- a/wasabistream/run_endings/listed_runs.py
+++ b/wasabistream/run_endings/listed_runs.py
@@ -12,8 +12,10 @@
 # An engine may list a run for a moment after it has closed its connection.
 LISTED_RUN_SECONDS = 0.2
 POLL_INTERVAL_SECONDS = 0.02
-# An engine that leaves and breaks its runs off ends within this time after it.
-LAST_RUNS_SECONDS = 0.2
+# Time for which an engine that leaves must serve on after the end of a run. One
+# that breaks its last runs off may report for a while before its process ends.
+# The caller has all events by then, so that it waits for the end only.
+LAST_RUNS_SECONDS = 1.0
 
 logger = logging.getLogger(__name__)
 
@@ -49,13 +51,14 @@
     """
     try:
         state = _read_state(engine)
-        if state.leaving:
-            time.sleep(LAST_RUNS_SECONDS)
-            _read_state(engine)
+        if not state.leaving:
+            return True
+        time.sleep(LAST_RUNS_SECONDS)
+        later_state = _read_state(engine)
     except BackendError as error:
         logger.info('engine: has ended after a run: %s', error)
         return False
-    return True
+    return later_state.started_unix_ms == state.started_unix_ms
 
 
 def _read_state(engine: PolledEngine) -> EngineState:
