End requests whose callers leave between two attempts

Once an attempt was cut, as stalled, slow, unresponsive or moved, `RequestWatch.cut` ignored all further cuts until the next attempt was connected. A caller that left meanwhile, a deadline or the end of a drain did not end the request, and one more attempt was sent (GONE, at most one for each such request).

Change: a reason that ends the request replaces one that has only ended an attempt. The first reason that ends it stays.

--- a/tests/test_supervisors.py
+++ b/tests/test_supervisors.py
@@ -246,6 +246,21 @@
             self.silence_reports, [(ENDPOINT, request_id, 0, True)]
         )
 
+    def test_caller_leaves_between_attempts(self) -> None:
+        """Guard against a further attempt for a caller that has left.
+
+        Pattern: a stream is cut as stalled and waits for its next server.
+        """
+        self.watch.cut(CutReason.stalled)
+        self.watch.attach('', None)
+        self.caller.disconnected = True
+        self.supervise()
+        wait_for(lambda: self.watch.is_ended)
+        self.assertEqual(self.watch.reason, CutReason.caller_left)
+        # The first reason to end a request stays.
+        self.watch.cut(CutReason.timeout)
+        self.assertEqual(self.watch.reason, CutReason.caller_left)
+
     def test_stalled_stream_that_cannot_move(self) -> None:
         """Guard against cutting a slow stream that cannot go on elsewhere."""
         self.watch.stall_limits = StallLimits(0.1, 60)
--- a/wasabistream/forwarding/supervisors.py
+++ b/wasabistream/forwarding/supervisors.py
@@ -218,9 +218,13 @@
         self.announced_stops[endpoint] = announcers | {incarnation}
 
     def cut(self, reason: CutReason) -> bool:
-        """Close the exchange; return False if it was cut before."""
+        """Close the exchange; return False if it was cut before.
+
+        A request whose attempt was cut may still end before the next one.
+        """
         with self._lock:
-            if self.reason is not None:
+            is_last = reason in ENDING_REASONS and not self.is_ended
+            if self.reason is not None and not is_last:
                 return False
             self.reason = reason
             if self._exchange is not None:
