Hold a given-up stream back while its engine lists the run

After the stall limit six resumable streams go on at other engines, and the first one works on them for 1.3 to 1.5 s more.

Cause: the agent stops a given-up run only if an event of it was lost, and a run that waits or is preempted has made none. The entry took the lack of a move's notice for the end of the run.

Change: after a stall, or a connection that has timed out, the entry looks at the report of the engine. While that lists the run, the agent is told again, and the entry waits for a move, the end of the run, the deadline or the caller's leave. A time-out of a read is a `BackendTimeoutError` for that.

Why it works: a run that goes on loses events behind a silent connection, and then the agent stops it; one that does not go on is not worked on.

Ruled out: stopping runs without lost events (with a sound connection the close ends them; test_run_movers guards that).

--- a/tests/test_stream_forwarders.py
+++ b/tests/test_stream_forwarders.py
@@ -42,6 +42,7 @@
 from wasabistream.forwarding.stream_progress import StreamProgress
 from wasabistream.forwarding.supervisors import CutReason, RequestWatch
 from wasabistream.queueing.starts import DIRECT_START, Start, StartReason
+from wasabistream.run_endings.interfaces import DirectHandovers, HandoverGate
 
 STREAM_ROUTE = build_route(RouteKind.streaming, max_attempt_count=1)
 RESUMABLE_ROUTE = build_route(RouteKind.streaming, resumable=True)
@@ -99,6 +100,7 @@
         self.progress = StreamProgress()
         self.banned_parts: tuple[str, ...] = ()
         self.start = DIRECT_START
+        self.handovers: HandoverGate = DirectHandovers()
         # Crashes of servers by the same request during its wait for a start.
         self.crash_count = 0
         # Software versions of the engines 1, 2 and 3.
@@ -129,6 +131,7 @@
             build_answer_buffers(),
             parts.refuser,
         )
+        forwarder.handovers = self.handovers
         forwarder.starts = Mock()
         forwarder.starts.wait_for_start.side_effect = self.wait_for_start
         for part in self.banned_parts:
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -7,7 +7,11 @@
 from wasabistream.continuations.stream_continuations import (
     StreamContinuations,
 )
-from wasabistream.exceptions import BackendError, NotRunError
+from wasabistream.exceptions import (
+    BackendError,
+    BackendTimeoutError,
+    NotRunError,
+)
 from wasabistream.forwarding.answer_buffers import AnswerBuffers
 from wasabistream.forwarding.attempts import AttemptHistory, AttemptSender
 from wasabistream.forwarding.backend_servers import BackendServer
@@ -45,7 +49,12 @@
     StallLimits,
 )
 from wasabistream.queueing.interfaces import DirectStarts, StartGate
-from wasabistream.run_endings.interfaces import AcceptAllEnds, EndGate
+from wasabistream.run_endings.interfaces import (
+    AcceptAllEnds,
+    DirectHandovers,
+    EndGate,
+    HandoverGate,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -100,6 +109,8 @@
         self.resumes: ResumeGate = NoResumes()
         # Decides whether the end of a connection is that of the stream.
         self.ends: EndGate = AcceptAllEnds()
+        # Decides when a stream may go on whose connection was silent.
+        self.handovers: HandoverGate = DirectHandovers()
 
     def forward(
         self,
@@ -238,7 +249,8 @@
                 return build_refusal(watch.request.deadline.remaining_seconds)
             except BackendError as error:
                 _log('cut', server, watch, error)
-            moved = self._find_move(server, watch)
+                is_silent = isinstance(error, BackendTimeoutError)
+            moved = self._find_move(server, watch, is_silent=is_silent)
             if moved is None or not progress.is_continuable:
                 if watch.reason is None and not progress.event_count:
                     self._poison_guard.record_lost_answer(
@@ -335,6 +347,16 @@
         watch.stall_limits = _build_stall_limits(watch.request.route)
 
     def _find_move(
+        self, server: BackendServer, watch: RequestWatch, *, is_silent: bool
+    ) -> RunMoved | None:
+        moved = self._wait_for_notice(server, watch)
+        # The close of a silent connection may not have reached the engine.
+        is_silent = is_silent or watch.reason is CutReason.stalled
+        if moved is None and is_silent and watch.request.route.repeatable:
+            return self.handovers.wait(server, watch)
+        return moved
+
+    def _wait_for_notice(
         self, server: BackendServer, watch: RequestWatch
     ) -> RunMoved | None:
         if watch.is_ended:
--- a/wasabistream/platform/forwarder_builders.py
+++ b/wasabistream/platform/forwarder_builders.py
@@ -20,6 +20,7 @@
 from wasabistream.forwarding.unary_forwarders import UnaryForwarder
 from wasabistream.platform.engine_clients import EngineReportClient
 from wasabistream.queueing.interfaces import StartGate
+from wasabistream.run_endings.abandoned_runs import AbandonedRunWaiter
 from wasabistream.run_endings.end_checkers import EndChecker
 
 
@@ -70,6 +71,9 @@
             self.fleet, self.is_list_current
         )
         streams.ends = self._build_end_checker()
+        streams.handovers = AbandonedRunWaiter(
+            EngineReportClient(), self.moves, self.agent_links.report_silent_run
+        )
         streams.continuations.starts = EngineStartConfirmer(
             self.fleet, self.agent_links.starts, EngineReportClient()
         )
--- a/wasabistream/platform/server_clients.py
+++ b/wasabistream/platform/server_clients.py
@@ -7,7 +7,11 @@
 from urllib3.exceptions import HTTPError
 from urllib3.util import SKIP_HEADER
 
-from wasabistream.exceptions import BackendError, NotRunError
+from wasabistream.exceptions import (
+    BackendError,
+    BackendTimeoutError,
+    NotRunError,
+)
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.interfaces import (
     AnswerHead,
@@ -119,6 +123,10 @@
         self._response.reader.limit(MAX_READ_BYTES + MAX_FRAMING_BYTES)
         try:
             piece = self._response.read1(MAX_READ_BYTES)
+        except TimeoutError as error:
+            raise BackendTimeoutError(
+                repr(error), 'body', self._peer
+            ) from error
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise BackendError(repr(error), 'body', self._peer) from error
         if not piece:
