Confirm a stream's version by reports since its attempt only

Streams that begin there are taken up, after their entry was killed, at an engine of the former version.

Cause: a report of the agent up to 2.5 s old confirmed the listed start at the first event, also if it was older than the attempt. The origin was recorded with the former version at the entry and at three agents.

Change: only reports that came after the attempt was connected confirm the start; otherwise the engine is asked, as it was for silent agents. The times are on the boot clock.

Why it works: a connection does not outlive a restart, so what is stated after it was made is about the start that serves it.

Ruled out: withdrawing a wrong record later (the entry may be lost before).

--- a/tests/test_start_tables.py
+++ b/tests/test_start_tables.py
@@ -174,6 +174,39 @@
         self.assertIs(self.confirm(), StartCheck.replaced)
         self.assertEqual(self.find(), (LATER_UNIX_MS, ''))
 
+    def test_agent_stands_still(self) -> None:
+        """Guard against the word of an agent from before a restart.
+
+        Pattern: an agent is frozen while its engine restarts at another version,
+        and streams begin there within the next second.
+        """
+        self.table.record_report(build_report(STARTED_UNIX_MS))
+        self.clock.advance(0.2)
+        self.state(LATER_UNIX_MS)
+        connected_at_seconds = self.clock()
+        self.clock.advance(0.1)
+        self.assertIs(
+            self.confirmer.confirm(
+                LISTED, asks_engine=False, since_seconds=connected_at_seconds
+            ),
+            StartCheck.replaced,
+        )
+
+    def test_agent_is_heard_during_the_attempt(self) -> None:
+        """Guard against a question to the engine for each stream."""
+        self.table.record_report(build_report(STARTED_UNIX_MS))
+        self.clock.advance(0.2)
+        connected_at_seconds = self.clock()
+        self.clock.advance(0.1)
+        self.table.record_sign_of_life(ENDPOINT)
+        self.assertIs(
+            self.confirmer.confirm(
+                LISTED, asks_engine=False, since_seconds=connected_at_seconds
+            ),
+            StartCheck.confirmed,
+        )
+        self.engines.read.assert_not_called()
+
     def test_agent_is_heard_again(self) -> None:
         """Guard against questions beside an agent that has no news."""
         self.table.record_report(build_report(STARTED_UNIX_MS))
--- a/wasabistream/continuations/stream_continuations.py
+++ b/wasabistream/continuations/stream_continuations.py
@@ -59,6 +59,7 @@
             server,
             # A stream that goes on would join the versions at once.
             asks_engine=request.origin is not None,
+            since_seconds=watch.attached_at_boot_seconds,
         )
         first = bind_origin(
             server,
--- a/wasabistream/engine_starts/start_confirmers.py
+++ b/wasabistream/engine_starts/start_confirmers.py
@@ -1,6 +1,7 @@
 """Confirmation that the start of an engine is the one that is listed."""
 
 import logging
+import math
 from enum import StrEnum
 from typing import Protocol
 
@@ -27,16 +28,27 @@
     """Confirm the start of the server that has begun an answer."""
 
     def confirm(
-        self, server: BackendServer, *, asks_engine: bool
+        self,
+        server: BackendServer,
+        *,
+        asks_engine: bool,
+        since_seconds: float = -math.inf,
     ) -> StartCheck:
-        """Return whether the start serves that the server is known by."""
+        """Return whether the start serves that the server is known by.
+
+        Statements count that came since a time of the boot clock.
+        """
 
 
 class TrustList:
     """Take the list as it is."""
 
     def confirm(
-        self, server: BackendServer, *, asks_engine: bool
+        self,
+        server: BackendServer,
+        *,
+        asks_engine: bool,
+        since_seconds: float = -math.inf,
     ) -> StartCheck:
         """Return that the listed start serves."""
         return StartCheck.confirmed
@@ -62,16 +74,21 @@
         self._engines = engines
 
     def confirm(
-        self, server: BackendServer, *, asks_engine: bool
+        self,
+        server: BackendServer,
+        *,
+        asks_engine: bool,
+        since_seconds: float = -math.inf,
     ) -> StartCheck:
         """Return whether the start serves that the server is known by.
 
-        Without `asks_engine`, a recent report of the engine's agent is enough.
+        Without `asks_engine`, a report of the engine's agent is enough that came
+        since a time of the boot clock.
         """
         has_engine = self._fleet.has_engines(server.service)
         if not has_engine or not server.started_unix_ms:
             return StartCheck.confirmed
-        if not asks_engine and self._starts.is_confirmed(server):
+        if not asks_engine and self._starts.is_confirmed(server, since_seconds):
             return StartCheck.confirmed
         try:
             started_unix_ms = self._engines.read(server).started_unix_ms
--- a/wasabistream/engine_starts/start_tables.py
+++ b/wasabistream/engine_starts/start_tables.py
@@ -100,8 +100,14 @@
                 start, refuted_unix_ms=listed_unix_ms
             )
 
-    def is_confirmed(self, server: BackendServer) -> bool:
-        """Return whether the agent says that this start serves now."""
+    def is_confirmed(
+        self, server: BackendServer, since_seconds: float = -math.inf
+    ) -> bool:
+        """Return whether the agent says that this start serves now.
+
+        The agent must have been heard since a time of the boot clock: one that
+        stands still does not know of a later restart.
+        """
         start = self._starts.get(server.endpoint)
         if start is None or start.refuted_unix_ms is not None:
             return False
@@ -110,7 +116,8 @@
         heard_at_seconds = self._heard_at_seconds.get(
             server.endpoint, -math.inf
         )
-        return self._boot_clock() - heard_at_seconds <= MAX_REPORT_AGE_SECONDS
+        oldest_seconds = self._boot_clock() - MAX_REPORT_AGE_SECONDS
+        return heard_at_seconds >= max(oldest_seconds, since_seconds)
 
     def apply(self, fleet: Fleet) -> Fleet:
         """Return the listed fleet with the starts that are known to serve."""
--- a/wasabistream/forwarding/supervisors.py
+++ b/wasabistream/forwarding/supervisors.py
@@ -16,6 +16,7 @@
 from wasabistream.forwarding.requests import ForwardRequest
 from wasabistream.forwarding.routes import RouteKind
 from wasabistream.metrics import CUT_REQUESTS
+from wasabistream.run_endings.boot_clocks import read_boot_clock
 
 logger = logging.getLogger(__name__)
 
@@ -112,6 +113,9 @@
         self._given_up_at_seconds = -math.inf
         self._exchange: Cancellable | None = None
         self._attached_at_seconds = time.monotonic()
+        # The same on the boot clock. The server of the attempt has not restarted
+        # since, as a connection does not outlive it.
+        self.attached_at_boot_seconds = read_boot_clock()
         # Handles of the memory from which the stream has gone on.
         self.used_handles: list[str] = []
         # Incarnations of agents that have announced stops of the run, by the
@@ -200,6 +204,7 @@
             if exchange is None:
                 return
             self._attached_at_seconds = time.monotonic()
+            self.attached_at_boot_seconds = read_boot_clock()
             self.server_deadline_seconds = math.inf
             if self.is_ended:
                 exchange.close()
