Choose ports of test fleets outside the system's range

Cause, in the tests: `find_shared_port` and `find_free_port` took a port from the range from which the system serves sockets that bind any port and outgoing connections, gave it free, and the system could give it away before the agent or entry bound it.

Change: both are replaced by `free_port` of the fleets, which draws below that range. `find_shared_port` still checks all addresses.

--- a/tests/resume_fleets.py
+++ b/tests/resume_fleets.py
@@ -20,6 +20,7 @@
 from wasabistream.platform.entry_applications import PlatformEntry
 from wasabistream.platform.node_applications import ProcessOptions
 from wasabistream.platform.node_files import decode_node
+from wasabistream_tools.fleet import free_port
 from wasabistream_tools.soak.stores import StandInStore
 
 WAIT_SECONDS = 10.0
@@ -36,15 +37,15 @@
 
 
 def find_shared_port() -> int:
-    """Return a port that is free at the addresses of entries and agents."""
+    """Return a port that is free at the addresses of entries and agents.
+
+    The system gives it to no engine that binds any port.
+    """
     while True:
+        port = free_port()
         with ExitStack() as stack:
-            server = stack.enter_context(
-                socket.create_server((ADDRESSES[0], 0))
-            )
-            port: int = server.getsockname()[1]
             try:
-                for address in ADDRESSES[1:]:
+                for address in ADDRESSES:
                     stack.enter_context(socket.create_server((address, port)))
             except OSError:
                 # Another process listens there.
--- a/tests/test_rate_limit_path.py
+++ b/tests/test_rate_limit_path.py
@@ -4,7 +4,6 @@
 from all entries together, and each entry goes on sending by load alone.
 """
 
-import socket
 import threading
 import time
 import unittest
@@ -20,6 +19,7 @@
     exchange,
 )
 from wasabistream.platform.entry_applications import PlatformEntry
+from wasabistream_tools.fleet import free_port
 from wasabistream_tools.soak.stores import StandInStore
 
 LIMIT_PER_SECOND = 2
@@ -33,13 +33,6 @@
 SETTLING_SECONDS = 0.5
 
 
-def find_free_port() -> int:
-    """Return a port on which nothing listens."""
-    with socket.create_server(('127.0.0.1', 0)) as server:
-        port: int = server.getsockname()[1]
-        return port
-
-
 def is_ready(entry: PlatformEntry) -> bool:
     """Return whether an entry lists the server and knows the other entry."""
     return bool(entry.fleet.current.servers) and entry.live_entry_count == 2
@@ -65,7 +58,7 @@
         server['cold_remaining_ms'] = 0
         self.store.put(build_row('op/config', 2, CONFIGURATION))
         self.store.put(build_row('servers/s1', 3, server))
-        ports = (find_free_port(), find_free_port())
+        ports = (free_port(), free_port())
         self.entries = [
             build_entry(self.store.port, ports[0], ports[1]),
             build_entry(self.store.port, ports[1], ports[0]),
