--- a/tests/test_unframed_moves.py
+++ b/tests/test_unframed_moves.py
@@ -101,7 +101,7 @@
 
     def test_leaving_engine_breaks_off(self) -> None:
         """Guard against an engine that reports for a while after its last runs."""
-        streams = [self.begin(number) for number in range(3)]
+        streams = [self.begin_numbered(number) for number in range(3)]
         # Of three runs, one of two engines has two or more.
         runner = max(self.unframed, key=lambda engine: len(engine.active))
         for engine in self.unframed:
@@ -132,7 +132,7 @@
         self.find_runner().stop()
         self.assert_honest(stream.received + stream.read_to_end())
 
-    def begin(self, number: int) -> OpenStream:
+    def begin_numbered(self, number: int) -> OpenStream:
         """Return one of several streams; its first events have arrived."""
         head = build_head(f'{RUN_ID}{number}', RUN_USAGE)
         stream = OpenStream(self.entry.front_port, head)
