Confirm a moved stream's version by its move

Cause: the engine crashes during the move and starts again. A start that is listed less than 5 s after the first event may have sent it, so the version of the stream counts as unknown, and the copy is refused.

Change: where the source of the move is the engine of the first event, and the agent states the version that the entry knew it by, the origin is confirmed.

Why it works: a run does not outlive its engine's start, so the agent that has copied it states the version of its events.

--- a/wasabistream/continuations/first_events.py
+++ b/wasabistream/continuations/first_events.py
@@ -4,6 +4,7 @@
 
 from wasabistream.continuations.stream_origins import StreamOrigin
 from wasabistream.forwarding.backend_servers import BackendServer
+from wasabistream.forwarding.move_messages import RunMoved
 
 # The clocks of machines differ by seconds, so only a server that starts later
 # than this after a first event cannot have sent it.
@@ -66,6 +67,21 @@
     return StreamOrigin(first.origin.service, '')
 
 
+def is_origin_moved(first: FirstEvent, moved: RunMoved) -> bool:
+    """Return whether the move of its run confirms the origin of a stream.
+
+    A run does not outlive its engine's start, so the agent that has copied it
+    states the version of its events. What the list says of later starts, or what
+    nobody has confirmed, does not count against that; a start that was refuted
+    does.
+    """
+    return (
+        moved.memory_endpoint == first.server.endpoint
+        and moved.software_version != ''
+        and moved.software_version == first.origin.software_version
+    )
+
+
 def _is_replaced(chosen: BackendServer, listed: BackendServer | None) -> bool:
     return listed is not None and _identify(chosen) != _identify(listed)
 
--- a/wasabistream/continuations/stream_continuations.py
+++ b/wasabistream/continuations/stream_continuations.py
@@ -13,6 +13,7 @@
     FirstEvent,
     bind_origin,
     confirm_origin,
+    is_origin_moved,
 )
 from wasabistream.continuations.move_destinations import find_move_destination
 from wasabistream.continuations.stream_origins import (
@@ -128,7 +129,7 @@
     ) -> BackendServer | None:
         """Return where a moved generation goes on; None if it must not."""
         target = find_move_destination(self._fleet.current, moved, source)
-        request = self.confirm(watch.request, progress, asks_engine=True)
+        request = self._confirm_move(moved, source, watch.request, progress)
         origin = request.origin
         if target is source:
             # The handle distinguishes its start from any other, so that a doubt
@@ -152,6 +153,22 @@
         )
         return None
 
+    def _confirm_move(
+        self,
+        moved: RunMoved,
+        source: BackendServer,
+        request: ForwardRequest,
+        progress: StreamProgress,
+    ) -> ForwardRequest:
+        first = progress.first_event
+        if (
+            first is not None
+            and first.server.endpoint == source.endpoint
+            and is_origin_moved(first, moved)
+        ):
+            return dataclasses.replace(request, origin=first.origin)
+        return self.confirm(request, progress, asks_engine=True)
+
     def _check_start(
         self, first: FirstEvent, *, asks_engine: bool
     ) -> StartCheck:
