--- a/tests/test_run_departures.py
+++ b/tests/test_run_departures.py
@@ -13,7 +13,7 @@
 from wasabistream.forwarding.engine_states import EngineRun, EngineState
 from wasabistream.run_endings.listed_runs import outlives_its_runs
 from wasabistream.run_endings.run_departures import (
-    COMMON_END_SECONDS,
+    CONCURRENT_END_SECONDS,
     MAX_DEPARTURE_COUNT,
     RunDepartures,
 )
@@ -37,23 +37,23 @@
     def test_runs_end_together(self) -> None:
         """Guard against a break that polls see in parts."""
         self.departures.record(build_leaving('b', 'c'))
-        self.clock.advance(COMMON_END_SECONDS / 2)
+        self.clock.advance(CONCURRENT_END_SECONDS / 2)
         self.departures.record(build_leaving('c'))
-        self.assertEqual(self.departures.find_company('a'), ['b'])
-        self.assertEqual(self.departures.find_company('b'), ['a'])
+        self.assertEqual(self.departures.find_concurrent('a'), ['b'])
+        self.assertEqual(self.departures.find_concurrent('b'), ['a'])
 
     def test_runs_end_one_by_one(self) -> None:
         """Guard against doubts about runs that are done."""
         self.departures.record(build_leaving('b', 'c'))
-        self.clock.advance(2 * COMMON_END_SECONDS)
+        self.clock.advance(2 * CONCURRENT_END_SECONDS)
         self.departures.record(build_leaving('c'))
-        self.assertEqual(self.departures.find_company('a'), [])
-        self.assertEqual(self.departures.find_company('c'), [])
+        self.assertEqual(self.departures.find_concurrent('a'), [])
+        self.assertEqual(self.departures.find_concurrent('c'), [])
 
     def test_engine_serves(self) -> None:
         """Guard against memory and doubts where no engine leaves."""
         self.departures.record(build_state())
-        self.assertEqual(self.departures.find_company('a'), [])
+        self.assertEqual(self.departures.find_concurrent('a'), [])
 
     def test_memory(self) -> None:
         """Guard against records without a limit."""
@@ -61,33 +61,34 @@
         self.departures.record(build_leaving(*ids))
         self.departures.record(build_leaving())
         self.assertEqual(
-            len(self.departures.find_company(ids[-1])), MAX_DEPARTURE_COUNT - 1
+            len(self.departures.find_concurrent(ids[-1])),
+            MAX_DEPARTURE_COUNT - 1,
         )
 
 
 class LeavingEngineTest(unittest.TestCase):
     """Guard against the wrong time for the last look."""
 
-    def outlives(self, *states: object, has_company: bool) -> bool:
+    def outlives(self, *states: object, has_concurrent_ends: bool) -> bool:
         """Return the verdict on an engine that states these."""
         engine = Mock()
         engine.state.side_effect = states
         with patch('wasabistream.run_endings.listed_runs.time.sleep'):
-            return outlives_its_runs(engine, lambda: has_company)
+            return outlives_its_runs(engine, lambda: has_concurrent_ends)
 
     def test_engine_ends_after_a_while(self) -> None:
         """Guard against an end between the second and the third look."""
         leaving = build_leaving()
         gone = BackendError('gone', 'state')
         states = (leaving, leaving, gone)
-        self.assertFalse(self.outlives(*states, has_company=True))
-        self.assertTrue(self.outlives(*states, has_company=False))
+        self.assertFalse(self.outlives(*states, has_concurrent_ends=True))
+        self.assertTrue(self.outlives(*states, has_concurrent_ends=False))
 
     def test_engine_restarts(self) -> None:
         """Guard against the next start as a sign of life."""
         restarted = build_state(started_unix_ms=5, leaving=True)
         self.assertFalse(
-            self.outlives(build_leaving(), restarted, has_company=False)
+            self.outlives(build_leaving(), restarted, has_concurrent_ends=False)
         )
 
 
--- a/wasabistream/continuations/first_events.py
+++ b/wasabistream/continuations/first_events.py
@@ -67,8 +67,8 @@
     return StreamOrigin(first.origin.service, '')
 
 
-def is_origin_moved(first: FirstEvent, moved: RunMoved) -> bool:
-    """Return whether the move of its run confirms the origin of a stream.
+def is_confirmed_by_move(first: FirstEvent, moved: RunMoved) -> bool:
+    """Return whether a move of the run confirms the origin of its stream.
 
     A run does not outlive its engine's start, so the agent that has copied it
     states the version of its events. What the list says of later starts, or what
--- a/wasabistream/continuations/stream_continuations.py
+++ b/wasabistream/continuations/stream_continuations.py
@@ -13,7 +13,7 @@
     FirstEvent,
     bind_origin,
     confirm_origin,
-    is_origin_moved,
+    is_confirmed_by_move,
 )
 from wasabistream.continuations.move_destinations import find_move_destination
 from wasabistream.continuations.stream_origins import (
@@ -164,7 +164,7 @@
         if (
             first is not None
             and first.server.endpoint == source.endpoint
-            and is_origin_moved(first, moved)
+            and is_confirmed_by_move(first, moved)
         ):
             return dataclasses.replace(request, origin=first.origin)
         return self.confirm(request, progress, asks_engine=True)
--- a/wasabistream/run_endings/abandoned_runs.py
+++ b/wasabistream/run_endings/abandoned_runs.py
@@ -1,4 +1,4 @@
-"""Runs at which an engine may work on after their connection was given up."""
+"""Runs on which an engine may work after their connection was given up."""
 
 import logging
 import time
--- a/wasabistream/run_endings/ending_finders.py
+++ b/wasabistream/run_endings/ending_finders.py
@@ -78,7 +78,7 @@
             self._find_seen_at(query.run_id, sent_at_seconds)
         ):
             if outlives_its_runs(
-                self._engine, partial(self._has_company, query.run_id)
+                self._engine, partial(self._has_concurrent_ends, query.run_id)
             ):
                 return RunEnding.complete
             return RunEnding.interrupted
@@ -87,11 +87,11 @@
         # This agent has started since and knows nothing of earlier orders.
         return RunEnding.unknown
 
-    def _has_company(self, run_id: str) -> bool:
+    def _has_concurrent_ends(self, run_id: str) -> bool:
         # Runs that were moved have ended by order.
         return any(
             not self._stops.has_stopped(other, -math.inf, ())
-            for other in self._continuity.departures.find_company(run_id)
+            for other in self._continuity.departures.find_concurrent(run_id)
         )
 
     def _find_seen_at(self, run_id: str, sent_at_seconds: float) -> float:
--- a/wasabistream/run_endings/listed_runs.py
+++ b/wasabistream/run_endings/listed_runs.py
@@ -46,11 +46,11 @@
 
 
 def outlives_its_runs(
-    engine: PolledEngine, has_company: Callable[[], bool]
+    engine: PolledEngine, has_concurrent_ends: Callable[[], bool]
 ) -> bool:
     """Return whether an engine serves on after the end of a run.
 
-    One that leaves is asked again: its last runs may end with it. `has_company`
+    One that leaves is asked again: its last runs may end with it. `has_concurrent_ends`
     tells whether other runs have ended at the same moment.
     """
     try:
@@ -59,7 +59,7 @@
             return True
         time.sleep(LAST_RUNS_SECONDS)
         later_state = _read_state(engine)
-        if has_company():
+        if has_concurrent_ends():
             time.sleep(BROKEN_OFF_SECONDS - LAST_RUNS_SECONDS)
             later_state = _read_state(engine)
     except BackendError as error:
