--- a/tests/test_crashed_servers.py
+++ b/tests/test_crashed_servers.py
@@ -137,7 +137,7 @@
         )
 
     def test_server_crashes(self) -> None:
-        """Guard against lookups and bookings that end as complete."""
+        """Guard against a booking that ends as complete."""
         self.server.crashes = True
         raw = self.exchange(build_get('b1', '/chat/book/x'))
         self.assertIn(b' 502 ', raw[:20])
