Use the version of a stream's start once it is known

Callers saw: 503 with their whole remaining time as Retry-After for a stream that should be taken up at v2, which served.

Cause: agents state a new start of their engine at once, its version only after an entry that lists it has told them. A first event in between bound its stream to an unknown version for good: nothing was recorded later, and the entry could not let the stream go on elsewhere.

Change: where the start is confirmed at the first event and only its version is missing, the version that is listed later for that start is used, and the origin recorded.

Why it works: the start is confirmed after the attempt was connected, a connection does not outlive a restart, and the version of a start never changes.

Ruled out: late reports of the engine (no "start: not confirmed"); a lost record (nothing was sent); making the test wait (callers lose the stream all the same).

Tests: test_outdated_lists.test_version_is_told_after_the_first_event failed before (503); test_awaited_versions, and new ones in test_first_events and test_version_doubts. 165 tests of the modules concerned pass.

--- a/tests/test_first_events.py
+++ b/tests/test_first_events.py
@@ -10,8 +10,10 @@
 from tests.version_builders import FORMER, NEWER, build_engine
 from wasabistream.continuations.first_events import (
     MAX_CLOCK_DIFFERENCE_MS,
+    await_version,
     bind_origin,
     confirm_origin,
+    learn_version,
 )
 from wasabistream.forwarding.backend_servers import BackendServer
 
@@ -77,3 +79,52 @@
         first = bind_origin(build_engine(1, ''), CHOSEN, EVENT_UNIX_MS)
         self.assertEqual(first.origin.software_version, '')
         self.assertEqual(confirm_origin(first, CHOSEN).software_version, '')
+
+
+class AwaitedVersionTest(unittest.TestCase):
+    """Guard against versions that are learned too late or of another start."""
+
+    def setUp(self) -> None:
+        """Bind a stream at a server whose version is not known."""
+        first = bind_origin(build_engine(1, ''), None, EVENT_UNIX_MS)
+        self.first = await_version(first)
+
+    def test_version_of_the_start(self) -> None:
+        """Guard against a stream that stays without its version."""
+        first = learn_version(self.first, CHOSEN)
+        self.assertEqual(first.known_origin.software_version, FORMER)
+        origin = confirm_origin(first, CHOSEN)
+        self.assertEqual(origin.software_version, FORMER)
+        self.assertFalse(first.awaits_version)
+
+    def test_other_start_address_or_service(self) -> None:
+        """Guard against a version that its engine did not have."""
+        cases = (
+            None,
+            build_engine(1, ''),
+            restart(2000),
+            restart(500, FORMER),
+            OTHER_ADDRESS,
+            OTHER_SERVICE,
+        )
+        for listed in cases:
+            with self.subTest(listed=listed):
+                self.assertEqual(learn_version(self.first, listed), self.first)
+
+    def test_start_without_confirmation(self) -> None:
+        """Guard against the word of the list about the start that served."""
+        first = bind_origin(build_engine(1, ''), None, EVENT_UNIX_MS)
+        self.assertEqual(learn_version(first, CHOSEN), first)
+
+    def test_servers_without_a_start(self) -> None:
+        """Guard against versions of servers that do not state their start."""
+        unknown = build_engine(1, '', started_unix_ms=0)
+        first = await_version(bind_origin(unknown, None, EVENT_UNIX_MS))
+        listed = build_engine(1, NEWER, started_unix_ms=0)
+        self.assertEqual(learn_version(first, listed), first)
+
+    def test_known_version_is_kept(self) -> None:
+        """Guard against a list that gives a start another version later."""
+        first = await_version(bind_origin(CHOSEN, CHOSEN, EVENT_UNIX_MS))
+        listed = restart(CHOSEN.started_unix_ms)
+        self.assertEqual(learn_version(first, listed), first)
--- a/tests/test_outdated_lists.py
+++ b/tests/test_outdated_lists.py
@@ -5,6 +5,7 @@
 up there, or that begin there, are joined from two software versions.
 """
 
+import dataclasses
 import re
 import unittest
 
@@ -158,6 +159,38 @@
         self.assertEqual(set(versions.values()), {'v1', 'v2'})
         self.take_up_in_step(versions)
 
+    def test_version_is_told_after_the_first_event(self) -> None:
+        """Guard against losing streams of a start whose version comes later.
+
+        The agent reads the start from its engine, but gets the version from
+        entries, once they list it.
+        """
+        self.cut_off(self.behind)
+        released = self.pair[0]
+        released.restart('v2')
+        self.wait_for_start(released, '')
+        versions = self.begin_streams(self.behind)
+        self.assertEqual(set(versions.values()), {'v1', 'v2'})
+        self.list_start(released)
+        self.wait_for_start(released, 'v2')
+        self.take_up_in_step(versions)
+
+    def wait_for_start(
+        self, engine: VersionedEngine, software_version: str
+    ) -> None:
+        """Wait until the entry out of step knows a start at a version."""
+        fleet = self.behind.fleet
+        wait_until(
+            lambda: (
+                fleet.current.servers[engine.server_id]
+                == dataclasses.replace(
+                    fleet.current.servers[engine.server_id],
+                    started_unix_ms=engine.started_unix_ms,
+                    software_version=software_version,
+                )
+            )
+        )
+
     def test_agents_are_lost(self) -> None:
         """Guard against a version that nobody has confirmed."""
         self.cut_off(self.behind)
--- a/tests/test_resume_gates.py
+++ b/tests/test_resume_gates.py
@@ -10,6 +10,7 @@
 from tests.forwarding_fakes import events, stream
 from tests.resume_builders import CLAIM, build_resume_request
 from tests.test_stream_forwarders import RESUMABLE_ROUTE, StreamForwarderCase
+from wasabistream.continuations.first_events import FirstEvent
 from wasabistream.continuations.interfaces import NoResumes
 from wasabistream.forwarding.replies import build_refusal
 from wasabistream.forwarding.requests import Reply
@@ -31,7 +32,9 @@
         patcher.start()
         self.addCleanup(patcher.stop)
 
-    def note_record(self, watch: RequestWatch) -> None:
+    def note_record(
+        self, watch: RequestWatch, first: FirstEvent | None
+    ) -> None:
         """Note what the caller had received."""
         self.bodies_at_record.append(self.caller.body)
 
--- a/tests/test_stream_resumes.py
+++ b/tests/test_stream_resumes.py
@@ -78,7 +78,7 @@
         )
         watch = RequestWatch(replace(request, origin=origin), FakeCaller())
         watch.endpoint = engine.endpoint
-        self.resumer.record_first_event(watch)
+        self.resumer.record_first_event(watch, None)
         return watch
 
     def start_new_entry(self) -> None:
@@ -280,7 +280,7 @@
         self.assertEqual(first.reason, CutReason.resumed)
         self.assertTrue(first.is_ended)
         second.endpoint = self.engines[1].endpoint
-        self.resumer.record_first_event(second)
+        self.resumer.record_first_event(second, None)
         first.resources.close()
         self.assert_goes_on(replace(RESUME, request_id='request-3'))
         self.assertEqual(second.reason, CutReason.resumed)
--- a/wasabistream/continuations/first_events.py
+++ b/wasabistream/continuations/first_events.py
@@ -1,8 +1,9 @@
 """Origin of a stream, by what the list says of the server that began it."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from wasabistream.continuations.stream_origins import StreamOrigin
+from wasabistream.engine_starts.awaited_versions import is_version_of_start
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.forwarding.move_messages import RunMoved
 
@@ -23,6 +24,9 @@
     # Whether the engine has stated the listed start since, or its agent had
     # just before.
     is_start_known: bool = True
+    # Whether the engine or its agent has confirmed the start of the server while
+    # its version was not known. Agents state a new start before its version.
+    awaits_version: bool = False
 
     @property
     def known_origin(self) -> StreamOrigin:
@@ -67,6 +71,32 @@
     return StreamOrigin(first.origin.service, '')
 
 
+def await_version(first: FirstEvent) -> FirstEvent:
+    """Return the first event of a server whose start has been confirmed."""
+    server = first.server
+    lacks_version = not server.software_version and server.started_unix_ms > 0
+    return replace(first, awaits_version=lacks_version)
+
+
+def learn_version(
+    first: FirstEvent, listed: BackendServer | None
+) -> FirstEvent:
+    """Return the first event with the version that its start is listed with."""
+    if (
+        not first.awaits_version
+        or listed is None
+        or not is_version_of_start(listed, first.server)
+    ):
+        return first
+    software_version = listed.software_version
+    return replace(
+        first,
+        server=replace(first.server, software_version=software_version),
+        origin=StreamOrigin(first.origin.service, software_version),
+        awaits_version=False,
+    )
+
+
 def is_confirmed_by_move(first: FirstEvent, moved: RunMoved) -> bool:
     """Return whether a move of the run confirms the origin of its stream.
 
--- a/wasabistream/continuations/interfaces.py
+++ b/wasabistream/continuations/interfaces.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol
 
+from wasabistream.continuations.first_events import FirstEvent
 from wasabistream.forwarding.replies import build_refusal
 from wasabistream.forwarding.requests import Reply
 from wasabistream.forwarding.supervisors import RequestWatch
@@ -13,7 +14,9 @@
     def prepare(self, watch: RequestWatch) -> Reply | None:
         """Bind a request that resumes a stream; return its refusal, if any."""
 
-    def record_first_event(self, watch: RequestWatch) -> None:
+    def record_first_event(
+        self, watch: RequestWatch, first: FirstEvent | None
+    ) -> None:
         """Record what began a stream, before its caller gets an event."""
 
     def withdraw(self, watch: RequestWatch) -> None:
@@ -29,7 +32,9 @@
             return None
         return build_refusal(watch.request.deadline.remaining_seconds)
 
-    def record_first_event(self, watch: RequestWatch) -> None:
+    def record_first_event(
+        self, watch: RequestWatch, first: FirstEvent | None
+    ) -> None:
         """Record nothing."""
 
     def withdraw(self, watch: RequestWatch) -> None:
--- a/wasabistream/continuations/origin_exchanges.py
+++ b/wasabistream/continuations/origin_exchanges.py
@@ -1,6 +1,7 @@
 """Exchange of the origins of streams between an entry and the agents."""
 
 import itertools
+import logging
 import math
 import threading
 import time
@@ -21,18 +22,21 @@
     AgentRing,
     choose_copies,
 )
-from wasabistream.continuations.origin_tables import OriginTable
+from wasabistream.continuations.origin_tables import OriginTable, is_recordable
 from wasabistream.continuations.resume_decisions import (
     OriginSearch,
     ResumeDecision,
 )
 from wasabistream.continuations.stream_origins import StreamOrigin
+from wasabistream.engine_starts.awaited_versions import AwaitedVersions
 from wasabistream.forwarding.backend_servers import BackendServer
 from wasabistream.link_senders import send_or_log
 from wasabistream.links import Link
 from wasabistream.messages import Message
 from wasabistream.units import MILLISECONDS_PER_SECOND
 
+logger = logging.getLogger(__name__)
+
 # Records of an entry; it begins some tens of streams a second.
 MAX_OWN_COUNT = 16_384
 # Agents that are asked for one origin; all of a fleet of this size.
@@ -96,6 +100,8 @@
         self._placed: defaultdict[str, deque[_PlacedRecord]] = defaultdict(
             partial(deque, maxlen=MAX_REPEATED_COUNT)
         )
+        # Streams to record once the versions of their engines are known.
+        self._awaited_versions = AwaitedVersions(clock)
         self._numbers = itertools.count(1)
         self._searches: dict[int, _Search] = {}
 
@@ -124,6 +130,7 @@
                 for endpoint in servers
                 if endpoint not in self._links
             }
+            self._keep_known()
 
     def on_opened(self, endpoint: str, link: Link) -> None:
         """Use the link to an agent, also for searches in progress.
@@ -176,6 +183,9 @@
         keep_seconds: float,
     ) -> None:
         """Keep the origin of a stream that an engine has begun, also there."""
+        with self._lock:
+            # One that is withdrawn must not come back with its version.
+            self._awaited_versions.discard(key)
         self.own.record(key, origin, keep_seconds)
         notice = StreamOriginRecord(
             key,
@@ -187,6 +197,14 @@
             self._place_again()
             self._place(notice, endpoint)
 
+    def keep_later(
+        self, key: bytes, server: BackendServer, keep_seconds: float
+    ) -> None:
+        """Keep the origin of a stream once the server's version is known."""
+        with self._lock:
+            self._awaited_versions.add(key, server, keep_seconds)
+            self._keep_known()
+
     def find(
         self, key: bytes, remaining_seconds: Callable[[], float], decide: Decide
     ) -> ResumeDecision:
@@ -282,6 +300,29 @@
         while records and records[0].expires_at_seconds <= now_seconds:
             records.popleft()
 
+    def _keep_known(self) -> None:
+        """Record the streams whose versions have become known."""
+        now_seconds = self._clock()
+        for awaited, version in self._awaited_versions.take(self._servers):
+            server = awaited.server
+            origin = StreamOrigin(server.service, version)
+            if not is_recordable(origin):
+                continue
+            logger.info(
+                'stream: can be taken up, its version is known now',
+                extra={
+                    'endpoint': server.endpoint,
+                    'software_version': version,
+                    'started_unix_ms': server.started_unix_ms,
+                },
+            )
+            self.keep(
+                awaited.key,
+                origin,
+                server.endpoint,
+                awaited.expires_at_seconds - now_seconds,
+            )
+
     def _place_again(self) -> None:
         """Send the records that had too few copies, once links are made."""
         if not self._unplaced or self._is_linking():
--- a/wasabistream/continuations/origin_tables.py
+++ b/wasabistream/continuations/origin_tables.py
@@ -38,6 +38,12 @@
     return StreamOrigin(service, software_version)
 
 
+def is_recordable(origin: StreamOrigin) -> bool:
+    """Return whether an origin is known and short enough for a record."""
+    names = (origin.service, origin.software_version)
+    return all(0 < len(name) <= MAX_NAME_CHARACTERS for name in names)
+
+
 @dataclass(frozen=True, slots=True)
 class _Record:
     origin: StreamOrigin
--- a/wasabistream/continuations/stream_continuations.py
+++ b/wasabistream/continuations/stream_continuations.py
@@ -11,9 +11,11 @@
 )
 from wasabistream.continuations.first_events import (
     FirstEvent,
+    await_version,
     bind_origin,
     confirm_origin,
     is_confirmed_by_move,
+    learn_version,
 )
 from wasabistream.continuations.move_destinations import find_move_destination
 from wasabistream.continuations.stream_origins import (
@@ -62,12 +64,13 @@
             asks_engine=request.origin is not None,
             since_seconds=watch.attached_at_boot_seconds,
         )
+        listed = self._fleet.current.servers.get(server.server_id)
         first = bind_origin(
-            server,
-            self._fleet.current.servers.get(server.server_id),
-            round(time.time() * MILLISECONDS_PER_SECOND),
+            server, listed, round(time.time() * MILLISECONDS_PER_SECOND)
         )
         first = _apply_check(first, check)
+        if check is StartCheck.confirmed:
+            first = learn_version(await_version(first), listed)
         origin = first.known_origin
         if request.origin is not None and request.origin != origin:
             raise BackendError('server was replaced', 'events', server.endpoint)
@@ -93,6 +96,7 @@
         # Read again, as the check may have taken a while.
         first = progress.first_event
         listed = self._fleet.current.servers.get(first.server.server_id)
+        first = learn_version(first, listed)
         # A doubt stays when the server leaves or starts once more.
         first = _apply_check(
             dataclasses.replace(first, origin=confirm_origin(first, listed)),
--- a/wasabistream/continuations/stream_resumes.py
+++ b/wasabistream/continuations/stream_resumes.py
@@ -8,11 +8,12 @@
 from collections.abc import Callable
 from functools import partial
 
+from wasabistream.continuations.first_events import FirstEvent
 from wasabistream.continuations.origin_exchanges import OriginExchange
 from wasabistream.continuations.origin_tables import (
     MAX_KEEP_SECONDS,
-    MAX_NAME_CHARACTERS,
     build_origin_key,
+    is_recordable,
 )
 from wasabistream.continuations.resume_decisions import (
     OriginSearch,
@@ -100,7 +101,9 @@
         )
         return None
 
-    def record_first_event(self, watch: RequestWatch) -> None:
+    def record_first_event(
+        self, watch: RequestWatch, first: FirstEvent | None
+    ) -> None:
         """Keep what began a stream; call before its caller gets the event.
 
         The first event has bound the request. In a resumed stream this keeps
@@ -110,8 +113,21 @@
         if not request.route.resumable:
             return
         origin = request.origin or StreamOrigin(request.service, '')
-        names = (origin.service, origin.software_version)
-        if not all(0 < len(name) <= MAX_NAME_CHARACTERS for name in names):
+        key = _build_key(request)
+        if first is not None and first.awaits_version:
+            logger.info(
+                'stream: its version is not known yet',
+                extra={
+                    'request_id': request.request_id,
+                    'endpoint': watch.endpoint,
+                },
+            )
+            self._add_running(key, watch)
+            self._exchange.keep_later(
+                key, first.server, _find_keep_seconds(request.route)
+            )
+            return
+        if not is_recordable(origin):
             logger.info(
                 'stream: cannot be taken up, its version is not known',
                 extra={
@@ -120,10 +136,7 @@
                 },
             )
             return
-        key = _build_key(request)
-        with self._lock:
-            self._running[key].add(watch)
-        watch.resources.callback(partial(self._remove, key, watch))
+        self._add_running(key, watch)
         self._exchange.keep(
             key, origin, watch.endpoint, _find_keep_seconds(request.route)
         )
@@ -214,6 +227,11 @@
         for other in earlier:
             cut_request(other, CutReason.resumed)
 
+    def _add_running(self, key: bytes, watch: RequestWatch) -> None:
+        with self._lock:
+            self._running[key].add(watch)
+        watch.resources.callback(partial(self._remove, key, watch))
+
     def _remove(self, key: bytes, watch: RequestWatch) -> None:
         with self._lock:
             watches = self._running[key]
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -192,7 +192,10 @@
             watch.request, progress, asks_engine=True
         )
         watch.request = request
-        if request.origin is not None and not request.origin.software_version:
+        is_unknown = request.origin is not None and (
+            not request.origin.software_version
+        )
+        if is_unknown and not progress.awaits_version:
             self.resumes.withdraw(watch)
         last_endpoints = history.endpoints[-1:]
         server = self._chooser.take(request, last_endpoints)
@@ -330,7 +333,7 @@
         progress: StreamProgress,
     ) -> None:
         if not progress.event_count:
-            self.resumes.record_first_event(watch)
+            self.resumes.record_first_event(watch, progress.first_event)
         watch.caller.write(event.raw)
         if not progress.event_count:
             self._poison_guard.record_answer(
--- a/wasabistream/forwarding/stream_progress.py
+++ b/wasabistream/forwarding/stream_progress.py
@@ -33,6 +33,11 @@
     last_event_at_seconds: float = 0
     longest_gap_seconds: float = 0
 
+    @property
+    def awaits_version(self) -> bool:
+        """Return whether only the version of its engine's start is missing."""
+        return self.first_event is not None and self.first_event.awaits_version
+
     def count_event(self, event_id: str, byte_count: int = 0) -> None:
         """Record an event that was sent to the caller.
 
