Report the start of an engine in the order of its changes

Cause: an agent builds and sends its report of the engine's start on two threads, that of the polls (start) and that of the links (version). A report without the version could be sent after the one with it; the entry keeps the last.

Evidence: two logs; the agent is told v2 5 and 14 ms before the first stream, and the entry sends four streams to the engine without a version within 85 ms and never learns it. The reports themselves are not logged, so that this is concluded.

Change: a report is built and sent under one lock, also to an entry that links.

Why it works: each change is followed by a report that is built after it, and no report is sent after one that was built later.

Tests: test_start_reporters fails without the lock (['v2', ''] instead of ['', 'v2']).

--- a/wasabistream/platform/agent_applications.py
+++ b/wasabistream/platform/agent_applications.py
@@ -18,6 +18,7 @@
 from wasabistream.continuations.stream_origins import StreamOrigin
 from wasabistream.continuations.version_messages import EngineVersionNotice
 from wasabistream.engine_starts.start_messages import EngineStartReport
+from wasabistream.engine_starts.start_reporters import StartReporter
 from wasabistream.forwarding.announced_engines import EngineAnnouncement
 from wasabistream.forwarding.announcers import EngineAnnouncer
 from wasabistream.forwarding.engine_watchers import (
@@ -83,6 +84,7 @@
         self._links_lock = threading.Lock()
         self._origins = OriginKeeper()
         self._version = EngineVersion(node_settings.service)
+        self._start_reporter = StartReporter(self._build_start_report)
         self._version.on_change = self._report_start
         stops = RunStops()
         continuity = EngineContinuity()
@@ -161,7 +163,7 @@
         """Send the latest load and pace to a newly linked entry."""
         with self._links_lock:
             self._links.add(link)
-        _send(link, self._build_start_report())
+        self._start_reporter.report(partial(_send, link))
         last = self._watcher.last
         if last is not None:
             _send(link, last)
@@ -218,7 +220,7 @@
         )
 
     def _report_start(self) -> None:
-        self._broadcast(self._build_start_report())
+        self._start_reporter.report(self._broadcast)
 
     def _is_serving(self) -> bool:
         last = self._watcher.last
