--- a/tests/test_crashed_servers.py
+++ b/tests/test_crashed_servers.py
@@ -23,6 +23,8 @@
 REQUEST_ID_FIELD = b'wasabistream-request-attempt-id:'
 FIRST_PART = b'first part '
 SECOND_PART = b'second part'
+# With two servers, each one gets some of so many.
+MAX_LOOKUP_COUNT = 20
 BOOKING_ROUTE = {
     **CONFIGURATION['routes'][1],
     'name': 'book',
@@ -114,24 +116,33 @@
         document['version'] += 1
         document['routes'].append(BOOKING_ROUTE)
         self.put('op/config', document)
+        self.ports: set[int] = set()
+        self.list_server('s1', self.server)
+        wait_until(self.is_current)
+
+    def list_server(self, server_id: str, server: CrashingServer) -> None:
+        """Write a server to the store."""
         row = {
             **SERVER,
             'service': PLAIN_SERVICE,
-            'address': f'127.0.0.1:{self.server.port}',
+            'address': f'127.0.0.1:{server.port}',
         }
-        self.put('servers/s1', row)
-        wait_until(self.is_current)
+        key = f'servers/{server_id}'
+        self.put(key, row)
+        # Tests share the store.
+        self.addCleanup(self.store.remove, key)
+        self.ports.add(server.port)
 
     def put(self, key: str, fields: dict[str, Any]) -> None:
         """Write an item to the store."""
         self.store.put(build_row(key, self.store.revision + 1, fields))
 
     def is_current(self) -> bool:
-        """Return whether the entry knows the route and the server."""
+        """Return whether the entry knows the route and the servers."""
         fleet = self.entry.fleet.current
-        ports = [server.port for server in fleet.servers.values()]
+        ports = {server.port for server in fleet.servers.values()}
         return (
-            ports == [self.server.port]
+            ports == self.ports
             and fleet.configuration is not None
             and fleet.configuration.version > CONFIGURATION['version']
         )
@@ -143,6 +154,21 @@
         self.assertIn(b' 502 ', raw[:20])
         self.assertNotIn(FIRST_PART, raw)
 
+    def test_lookup_goes_elsewhere(self) -> None:
+        """Guard against failing a lookup that another server can answer."""
+        other = CrashingServer()
+        self.addCleanup(other.stop)
+        self.list_server('s2', other)
+        wait_until(self.is_current)
+        self.server.crashes = True
+        for number in range(MAX_LOOKUP_COUNT):
+            raw = self.exchange(build_get(f'l{number}', '/chat/desk/x'))
+            self.assertIn(b' 200 ', raw[:20])
+            self.assertTrue(raw.endswith(FIRST_PART + SECOND_PART))
+            if self.server.has_crashed.is_set():
+                return
+        self.fail('no lookup was sent to the server that crashes')
+
     def test_server_serves_on(self) -> None:
         """Guard against failing whole answers."""
         raw = self.exchange(build_get('b1', '/chat/book/x'))
