Play servers that stop at deadlines or crash in the soak

Change: servers stop at the deadline that they are told; half of the plain servers end their answers with the connection, and one answer in 20 takes about as long as its deadline; the fault plain_crash ends a plain server within an answer; clients read on for 0.3 s. Cuts within 50 ms of the deadline are excused if the server stopped at its own; one that was told too short a deadline is not excused (test_soak_checks).

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,6 +26,11 @@
     *('--clients', '8', '--faults'),
     'agent_returns,agent_killed,odd_orders',
 )
+# Answers without a length whose plain servers crash or reach their deadlines.
+UNFRAMED = (
+    *('--seed', '9712', '--seconds', '8', '--entries', '3'),
+    *('--clients', '8', '--faults', 'plain_crash,configurations'),
+)
 
 
 class SoakTest(unittest.TestCase):
@@ -43,6 +48,10 @@
         """Guard against stopped streams that end as complete after a part."""
         self.run_soak(LAST_ORDERS, seed_count=1)
 
+    def test_unframed_answers(self) -> None:
+        """Guard against parts of answers that pass for whole ones."""
+        self.run_soak(UNFRAMED, seed_count=1)
+
     def run_soak(self, options: Sequence[str], seed_count: int) -> None:
         """Run a soak; all of its seeds must hold."""
         outcome = subprocess.run(
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -35,6 +35,7 @@
 CHANGED = build_configuration(2, SENT_AT)
 LATER = build_attempt(attempt_id='a2', begun_at_seconds=200)
 CUT_RUN = build_run(ending=RunEnding.caller_left)
+TIMED_OUT_RUN = build_run(ending=RunEnding.timed_out)
 LATE_CUT = build_cut(
     begun_at_seconds=STOP_AT + 2.5, ended_at_seconds=STOP_AT + 7.5
 )
@@ -69,6 +70,8 @@
         (STARTED, STOPPED, build_cut(status=200, content=b'whole'), CUT_RUN),
         # Read and not passed on.
         (STARTED, STOPPED, build_cut()),
+        # Its server was told too short a deadline.
+        (STARTED, STOPPED, build_cut(deadline_seconds=2.1), TIMED_OUT_RUN),
         # The entry was paused earlier.
         (STARTED, STOPPED, PAUSED, build_cut(), CUT_RUN),
         # Sent later than 3 s after SIGTERM, at work until the end.
@@ -130,6 +133,7 @@
             build_run(ending=RunEnding.broken_off),
         ),
         (STARTED, STOPPED, build_cut(deadline_seconds=2), CUT_RUN),
+        (STARTED, STOPPED, build_cut(deadline_seconds=2.04), TIMED_OUT_RUN),
         (
             STARTED,
             STOPPED,
--- a/tests/test_soak_stand_ins.py
+++ b/tests/test_soak_stand_ins.py
@@ -13,16 +13,21 @@
 import urllib.request
 from concurrent.futures import ThreadPoolExecutor
 from http.client import HTTPResponse, RemoteDisconnected
+from unittest.mock import patch
 
+from tests.builders import wait_until
 from tests.ending_fleets import UnframedEngine
 from wasabistream_tools.soak import sites
 from wasabistream_tools.soak.linked_entries import proxy_address
 from wasabistream_tools.soak.links import LinkNetwork, LinkState
+from wasabistream_tools.soak.records import Facts, Recorder, RunEnding
 from wasabistream_tools.soak.servers import (
     LOST_ANSWER,
     ODD_STATUSES,
+    PLAIN_BYTES,
     STATUS_OK,
     MovedMemory,
+    PlainServer,
 )
 from wasabistream_tools.soak.stores import (
     PLATFORM_PAGE,
@@ -168,6 +173,82 @@
         return status
 
 
+class PlainServerTest(unittest.TestCase):
+    """Guard against a soak without the ends of answers that it is to play."""
+
+    def build_server(self, *, is_framed: bool) -> PlainServer:
+        """Return a server that runs until the test ends."""
+        server = PlainServer(
+            'desk-1',
+            'desk',
+            'dc-a',
+            '127.0.0.1',
+            self.recorder,
+            seed=1,
+            is_framed=is_framed,
+        )
+        self.addCleanup(server.stop)
+        return server
+
+    def setUp(self) -> None:
+        """Create a recorder."""
+        self.recorder = Recorder()
+
+    def read(self, server: PlainServer, number: int, remaining_ms: int) -> int:
+        """Send a request; return how many bytes of its answer arrive."""
+        headers = {
+            'Wasabistream-Request-Attempt-Id': f'a{number}',
+            'Wasabistream-Deadline-Remaining': str(remaining_ms),
+        }
+        request = urllib.request.Request(
+            f'http://{server.endpoint}/look/x', headers=headers
+        )
+        with urllib.request.urlopen(
+            request, timeout=TIMEOUT_SECONDS
+        ) as response:
+            has_length = response.headers['Content-Length'] is not None
+            self.assertEqual(has_length, server.is_framed)
+            return len(response.read())
+
+    def wait_for_endings(self, *endings: RunEnding) -> None:
+        """Wait until the runs are recorded as ended so.
+
+        A caller may have read the last byte before.
+        """
+        wait_until(
+            lambda: (
+                tuple(
+                    run.ending for run in Facts(self.recorder.snapshot()).runs
+                )
+                == endings
+            )
+        )
+
+    def test_whole_answers(self) -> None:
+        """Guard against answers that lack a part without a fault."""
+        for is_framed in (True, False):
+            with self.subTest(is_framed=is_framed):
+                server = self.build_server(is_framed=is_framed)
+                self.assertEqual(self.read(server, 1, 5000), PLAIN_BYTES)
+        self.wait_for_endings(RunEnding.done, RunEnding.done)
+
+    def test_deadline(self) -> None:
+        """Guard against servers that never reach their deadline."""
+        server = self.build_server(is_framed=False)
+        with patch('wasabistream_tools.soak.servers.SLOW_PLAIN_RATIO', 1.0):
+            self.assertEqual(self.read(server, 1, 200), PLAIN_BYTES // 2)
+        self.wait_for_endings(RunEnding.timed_out)
+
+    def test_crash(self) -> None:
+        """Guard against a crash that cuts no answer."""
+        server = self.build_server(is_framed=False)
+        server.crashes = True
+        self.assertEqual(self.read(server, 1, 5000), PLAIN_BYTES // 2)
+        with self.assertRaises(urllib.error.URLError):
+            self.read(server, 2, 5000)
+        self.wait_for_endings(RunEnding.broken_off)
+
+
 def _open_run(engine: UnframedEngine, run_id: str) -> HTTPResponse:
     headers = {
         'Wasabistream-Request-Attempt-Id': run_id,
--- a/wasabistream_tools/soak/checks.py
+++ b/wasabistream_tools/soak/checks.py
@@ -43,6 +43,8 @@
 # Done, ended with requests cut, and stopped before the handlers were set.
 EXIT_CODES = frozenset((0, 3, -signal.SIGTERM))
 SHOWN_BODY_BYTES = 40
+# A server's clock for a deadline is in whole milliseconds and starts later.
+DEADLINE_SLACK_SECONDS = 0.05
 
 
 @dataclass(frozen=True)
@@ -400,6 +402,9 @@
         return 'server broke off'
     if _used_share(attempt) >= 1:
         return 'deadline reached'
+    is_near = _left_seconds(attempt) <= DEADLINE_SLACK_SECONDS
+    if is_near and any(run.ending is RunEnding.timed_out for run in runs):
+        return 'server stopped at the deadline'
     sent = attempt.sent_at_seconds
     for stop in facts.stops_of(attempt.entry):
         last_part = stop + LAST_PART_BEGIN_SECONDS
@@ -413,6 +418,11 @@
     return ''
 
 
+def _left_seconds(attempt: Attempt) -> float:
+    used_seconds = attempt.ended_at_seconds - attempt.begun_at_seconds
+    return attempt.deadline_seconds - used_seconds
+
+
 def _used_share(attempt: Attempt) -> float:
     used_seconds = attempt.ended_at_seconds - attempt.begun_at_seconds
     return used_seconds / attempt.deadline_seconds
--- a/wasabistream_tools/soak/clients.py
+++ b/wasabistream_tools/soak/clients.py
@@ -35,6 +35,9 @@
 MAX_BODY_SECONDS = 4.0
 # As hexadecimal digits, so that records stay readable.
 BODY_BYTES = 20
+# Callers read on for this long after their deadline, so that they see what an
+# entry makes of an answer which its server ends at the deadline.
+READ_ON_SECONDS = 0.3
 # Bodies of plain requests arrive within this share of their deadline.
 PLAIN_BODY_SHARE = 0.3
 # The rest of the requests on what configurations have changed requests carries a changing key.
@@ -214,7 +217,7 @@
             self._response.will_close = True
 
     def _limit_wait(self) -> None:
-        left_seconds = self._deadline - now()
+        left_seconds = self._deadline + READ_ON_SECONDS - now()
         if left_seconds <= 0:
             raise TimeoutError
         self._connection.sock.settimeout(left_seconds)
--- a/wasabistream_tools/soak/faults.py
+++ b/wasabistream_tools/soak/faults.py
@@ -19,6 +19,7 @@
 from wasabistream_tools.soak.servers import (
     CRASHING_MARK,
     EngineServer,
+    PlainServer,
     StandInServer,
 )
 
@@ -45,6 +46,8 @@
 CRASHING_SECONDS = (5.0, 12.0)
 # Time for an engine to start again after a crash.
 ENGINE_START_SECONDS = 1.0
+# Time for a plain server that is to crash to get a request.
+CRASH_WAIT_SECONDS = 3.0
 # Entries try to open the link to an absent agent ever more rarely.
 AGENT_ABSENCE_SECONDS = (1.0, 5.0)
 ORDER_WAIT_SECONDS = 4.0
@@ -338,6 +341,31 @@
     _replace_crashed(context)
 
 
+@fault('plain_crash')
+def play_plain_crash(context: FaultContext, draw: random.Random) -> None:
+    """Have a plain server end within its next answer, and replace it."""
+    servers = [
+        item
+        for item in context.operator.servers()
+        if isinstance(item, PlainServer)
+        and not (item.is_draining or item.crashes)
+    ]
+    services = [server.service for server in servers]
+    # One server of each service stays.
+    spare = [item for item in servers if services.count(item.service) > 1]
+    if not spare:
+        return
+    server = draw.choice(spare)
+    server.crashes = True
+    deadline = now() + CRASH_WAIT_SECONDS
+    while not server.is_stopped and now() < deadline:
+        time.sleep(POLL_SECONDS)
+    server.stop()
+    time.sleep(ENGINE_START_SECONDS)
+    if context.operator.remove_server(server):
+        context.replace_server(server)
+
+
 @fault('burst')
 def play_burst(context: FaultContext, draw: random.Random) -> None:
     """Keep up to half of the entries busy with requests for a time."""
--- a/wasabistream_tools/soak/records.py
+++ b/wasabistream_tools/soak/records.py
@@ -32,6 +32,8 @@
     done = 'done'
     caller_left = 'caller left'
     broken_off = 'broken off'
+    # At the deadline that the entry had handed on.
+    timed_out = 'timed out'
     moved = 'moved'
 
 
--- a/wasabistream_tools/soak/runs.py
+++ b/wasabistream_tools/soak/runs.py
@@ -53,7 +53,7 @@
 ENTRIES_PER_ENGINE = 4
 MIN_ENGINE_COUNT = 4
 AGENT_COUNT = 2
-# One of this many engines frames its streams.
+# One of this many engines, and of plain servers, frames its answers.
 FRAMED_INTERVAL = 2
 # The same for runs with faults around orders that stop streams.
 STOPPED_AGENT_COUNT = 3
@@ -281,7 +281,13 @@
                 is_framed=self._server_count % self._framed_interval == 0,
             )
         else:
-            server = PlainServer(*arguments)
+            # Those of a service are two apart.
+            pair_number = self._server_count // len(sites.PLAIN_SERVICES)
+            server = PlainServer(
+                *arguments,
+                seed=self._options.seed,
+                is_framed=pair_number % FRAMED_INTERVAL == 0,
+            )
         self._servers.append(server)
         self._operator.add_server(server)
         return server
--- a/wasabistream_tools/soak/servers.py
+++ b/wasabistream_tools/soak/servers.py
@@ -1,6 +1,7 @@
 """Stand-ins for engines and plain services, which record their runs."""
 
 import json
+import math
 import random
 import select
 import socket
@@ -20,6 +21,10 @@
 EVENT_SECONDS = 0.04
 PLAIN_SECONDS = 0.02
 PLAIN_BYTES = 800
+# The second half of a plain answer comes late in this share of runs, around the
+# deadline of 1 s.
+SLOW_PLAIN_RATIO = 0.05
+SLOW_PLAIN_SECONDS = (0.7, 1.2)
 # A first event takes longer in this share of generations.
 SLOW_START_RATIO = 0.2
 FAST_START_SECONDS = (0.1, 1.5)
@@ -29,6 +34,7 @@
 RUN_TOKENS = 500
 SLOT_COUNT = 24
 ATTEMPT_ID = 'wasabistream-request-attempt-id'
+DEADLINE_REMAINING = 'wasabistream-deadline-remaining'
 PROMPT_PARTS = 'wasabistream-prompt-prefix'
 # Parts of prompts with this text end the engine that begins to run them.
 CRASHING_MARK = 'crash-'
@@ -47,6 +53,15 @@
     target: str
     headers: Mapping[str, str]
     body: bytes
+    read_at_seconds: float = field(default_factory=now)
+
+    @property
+    def deadline(self) -> float:
+        """Return when the server has to stop, on the clock of the records."""
+        remaining = self.headers.get(DEADLINE_REMAINING)
+        if remaining is None:
+            return math.inf
+        return self.read_at_seconds + int(remaining) / 1000
 
     @property
     def attempt_id(self) -> str:
@@ -67,6 +82,24 @@
     sock: socket.socket
     event_count: int = 0
     is_moved: bool = False
+    has_timed_out: bool = False
+
+    @property
+    def ending(self) -> RunEnding:
+        """Return how the run ended, if it is not done."""
+        if self.is_moved:
+            return RunEnding.moved
+        if self.has_timed_out:
+            return RunEnding.timed_out
+        return RunEnding.caller_left
+
+    def wait(self, seconds: float) -> bool:
+        """Wait; return False once the caller has left or the time is up."""
+        left_seconds = self.request.deadline - now()
+        if not wait_for_caller(self.sock, max(min(seconds, left_seconds), 0)):
+            return False
+        self.has_timed_out = left_seconds <= seconds
+        return not self.has_timed_out
 
 
 @dataclass
@@ -248,27 +281,60 @@
 
 
 class PlainServer(StandInServer):
-    """Answer after a short time with a body of fixed length."""
+    """Answer in two halves with a body of fixed length.
+
+    Answers that are not framed have no length and end with their connection.
+    """
+
+    def __init__(
+        self, *args: Any, seed: int, is_framed: bool = True, **options: Any
+    ) -> None:
+        self.is_framed = is_framed
+        self._seed = seed
+        # While true, the server ends within its next answer.
+        self.crashes = False
+        super().__init__(*args, **options)
 
     def answer(self, sock: socket.socket, request: ServedRequest) -> None:
         """Run a request and answer it."""
         begun_at_seconds = now()
-        ending = RunEnding.caller_left
+        run = ActiveRun(request, sock)
+        is_done = False
         content = request.attempt_id.encode().ljust(PLAIN_BYTES, b'.')
         try:
-            if wait_for_caller(sock, PLAIN_SECONDS):
-                headers = {
-                    'Wasabistream-Request-Attempt-Id': request.attempt_id,
-                    'Wasabistream-Response-Seal': self.seal(request),
-                    'Content-Length': str(len(content)),
-                }
-                sock.sendall(self.build_head(STATUS_OK, headers) + content)
-                ending = RunEnding.done
+            is_done = self._send_content(run, content)
         finally:
             self.record_run(
-                ActiveRun(request, sock), begun_at_seconds, ending, content
+                run,
+                begun_at_seconds,
+                RunEnding.done if is_done else run.ending,
+                content,
             )
 
+    def _send_content(self, run: ActiveRun, content: bytes) -> bool:
+        request = run.request
+        if not run.wait(PLAIN_SECONDS):
+            return False
+        headers = {
+            'Wasabistream-Request-Attempt-Id': request.attempt_id,
+            'Wasabistream-Response-Seal': self.seal(request),
+        }
+        if self.is_framed:
+            headers['Content-Length'] = str(len(content))
+        middle = len(content) // 2
+        run.sock.sendall(self.build_head(STATUS_OK, headers) + content[:middle])
+        if self.crashes:
+            self.stop()
+            return False
+        draw = random.Random(f'{self._seed} {request.attempt_id}')
+        pause_seconds = 0.0
+        if draw.random() < SLOW_PLAIN_RATIO:
+            pause_seconds = draw.uniform(*SLOW_PLAIN_SECONDS)
+        if not run.wait(pause_seconds):
+            return False
+        run.sock.sendall(content[middle:])
+        return True
+
 
 class EngineServer(StandInServer):
     """Answer with streams of events; report the load and move runs.
@@ -314,16 +380,15 @@
         if CRASHING_MARK in request.headers.get(PROMPT_PARTS, ''):
             self.is_crashed = True
             self.stop()
-        ending = RunEnding.caller_left
+        is_done = False
         try:
-            if self._send_events(run, events):
-                ending = RunEnding.done
+            is_done = self._send_events(run, events)
         finally:
             self.active.pop(request.attempt_id, None)
             self.record_run(
                 run,
                 begun_at_seconds,
-                RunEnding.moved if run.is_moved else ending,
+                RunEnding.done if is_done else run.ending,
                 b''.join(events),
                 is_continued=source is not None,
             )
@@ -346,7 +411,7 @@
         pause_seconds = random_source.uniform(*start)
         if run.event_count:
             pause_seconds = EVENT_SECONDS
-        if not wait_for_caller(run.sock, pause_seconds) or run.is_moved:
+        if not run.wait(pause_seconds) or run.is_moved:
             return False
         headers = {
             'Wasabistream-Request-Attempt-Id': request.attempt_id,
@@ -359,7 +424,7 @@
         for piece in events[run.event_count :]:
             run.sock.sendall(self._frame(piece))
             run.event_count += 1
-            if not wait_for_caller(run.sock, EVENT_SECONDS) or run.is_moved:
+            if not run.wait(EVENT_SECONDS) or run.is_moved:
                 return False
         if self._is_framed:
             run.sock.sendall(self._frame(b''))
