Ask all agents for a stream that the first 48 do not know

Cause: an entry asks the first 48 agents of the key's ring. The copies are among these, the agent beside the engine mostly is not, and the key does not tell which it is.

Change: if none of the first 48 knows the stream, the others are asked, for 0.15 s at most, within a budget of 128 questions a second on average (4 KB/s) and 4,800 at once at an entry.

Ruled out: a third copy (only puts the limit off by one loss); asking all agents for each stream (146 KB each with 4,700 engines, by calculation).

Partial: at 4,700 engines the budget allows one such search in 37 s.

--- a/tests/test_origin_search_limits.py
+++ b/tests/test_origin_search_limits.py
@@ -7,8 +7,10 @@
 import threading
 import time
 import unittest
+from collections.abc import Sequence
 from functools import partial
 
+from tests.forwarding_builders import Clock
 from tests.resume_builders import (
     KEY,
     ORIGIN,
@@ -18,9 +20,16 @@
     build_engines,
 )
 from tests.waits import wait_for
-from wasabistream.continuations.origin_exchanges import OriginExchange
-from wasabistream.continuations.origin_messages import StreamOriginRecord
+from wasabistream.continuations.origin_exchanges import (
+    MAX_ASKED_COUNT,
+    OriginExchange,
+)
+from wasabistream.continuations.origin_messages import (
+    StreamOriginQuery,
+    StreamOriginRecord,
+)
 from wasabistream.continuations.origin_tables import build_origin_key
+from wasabistream.continuations.question_budgets import MAX_QUESTION_COUNT
 from wasabistream.continuations.resume_decisions import (
     ANSWER_SECONDS,
     FIRST_ANSWER_SECONDS,
@@ -42,6 +51,15 @@
     return exchange.find(key, lambda: REMAINING_SECONDS, DECIDE)
 
 
+def count_questions(agents: Sequence[FakeAgent]) -> int:
+    """Return how many queries the agents have received."""
+    return sum(
+        isinstance(notice, StreamOriginQuery)
+        for agent in agents
+        for notice in agent.received
+    )
+
+
 class SearchLimitTest(unittest.TestCase):
     """Guard against searches that last too long or end too early."""
 
@@ -150,6 +168,27 @@
             decisions.append(exchange.find(key, float, DECIDE))
         self.assertEqual({decision.origin for decision in decisions}, {ORIGIN})
 
+    def test_known_stream_asks_no_others(self) -> None:
+        """Guard against asking a whole fleet for each stream."""
+        exchange = OriginExchange()
+        agents = build_agents(exchange, build_engines(LARGE_FLEET_COUNT))
+        exchange.keep(KEY, ORIGIN, agents[0].endpoint, KEEP_SECONDS)
+        self.assertEqual(find(exchange).origin, ORIGIN)
+        self.assertEqual(count_questions(agents), MAX_ASKED_COUNT)
+
+    def test_many_unknown_streams(self) -> None:
+        """Guard against control traffic that grows with unknown streams."""
+        exchange = OriginExchange(Clock())
+        agents = build_agents(exchange, build_engines(LARGE_FLEET_COUNT))
+        search_count = 2 * MAX_QUESTION_COUNT // LARGE_FLEET_COUNT
+        for number in range(search_count):
+            key = build_origin_key('org', str(number))
+            self.assertIs(find(exchange, key).refusal, ResumeRefusal.unknown)
+        self.assertLessEqual(
+            count_questions(agents),
+            search_count * MAX_ASKED_COUNT + MAX_QUESTION_COUNT,
+        )
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/wasabistream/continuations/origin_exchanges.py
+++ b/wasabistream/continuations/origin_exchanges.py
@@ -6,7 +6,7 @@
 import threading
 import time
 from collections import defaultdict, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from functools import partial
 
@@ -23,9 +23,14 @@
     choose_copies,
 )
 from wasabistream.continuations.origin_tables import OriginTable, is_recordable
+from wasabistream.continuations.question_budgets import (
+    MAX_QUESTION_COUNT,
+    QuestionBudget,
+)
 from wasabistream.continuations.resume_decisions import (
     OriginSearch,
     ResumeDecision,
+    ResumeRefusal,
 )
 from wasabistream.continuations.stream_origins import StreamOrigin
 from wasabistream.engine_starts.awaited_versions import AwaitedVersions
@@ -39,7 +44,7 @@
 
 # Records of an entry; it begins some tens of streams a second.
 MAX_OWN_COUNT = 16_384
-# Agents that are asked for one origin; all of a fleet of this size.
+# Agents that are asked first for an origin; all of a fleet of this size.
 MAX_ASKED_COUNT = 48
 # Records that wait for links, to get all their copies.
 MAX_UNPLACED_COUNT = 1024
@@ -48,6 +53,9 @@
 # Time in which a link to a listed engine is made, or made again.
 LINKING_SECONDS = 3.0
 
+# Nobody that was asked knew the stream.
+NOT_FOUND = frozenset((ResumeRefusal.unknown, ResumeRefusal.incomplete))
+
 Decide = Callable[[OriginSearch], ResumeDecision]
 
 
@@ -73,6 +81,8 @@
     origins: set[StreamOrigin] = field(default_factory=set)
     asked: set[str] = field(default_factory=set)
     pending: set[str] = field(default_factory=set)
+    # Whether the agents that seldom know the stream were asked as well.
+    is_wide: bool = False
 
 
 class OriginExchange:
@@ -104,6 +114,7 @@
         self._awaited_versions = AwaitedVersions(clock)
         self._numbers = itertools.count(1)
         self._searches: dict[int, _Search] = {}
+        self._wide_budget = QuestionBudget(clock)
 
     @property
     def link_count(self) -> int:
@@ -231,9 +242,10 @@
         while True:
             self._ask(search)
             decision = decide(self._describe(search, remaining_seconds()))
-            if decision.wait_seconds <= 0:
+            if decision.wait_seconds > 0:
+                search.changed.wait(decision.wait_seconds)
+            elif decision.refusal not in NOT_FOUND or not self._widen(search):
                 return decision
-            search.changed.wait(decision.wait_seconds)
 
     def _describe(
         self, search: _Search, remaining_seconds: float
@@ -251,17 +263,43 @@
             ),
             waited_seconds=now_seconds - search.started_at_seconds,
             remaining_seconds=remaining_seconds,
+            is_wide=search.is_wide,
         )
 
     def _ask(self, search: _Search) -> None:
+        self._ask_all(search, self._find_unasked(search, 0, MAX_ASKED_COUNT))
+
+    def _widen(self, search: _Search) -> bool:
+        """Ask the other agents; return False if that is not possible.
+
+        Once both copies are lost, only the agent beside the engine knows the
+        stream, and the key does not tell which one that is.
+        """
+        if search.is_wide:
+            return False
+        search.is_wide = True
+        links = self._find_unasked(search, MAX_ASKED_COUNT, MAX_QUESTION_COUNT)
+        if not links or not self._wide_budget.take(len(links)):
+            return False
+        self._ask_all(search, links)
+        return True
+
+    def _find_unasked(
+        self, search: _Search, begin: int, end: int
+    ) -> dict[str, Link]:
+        """Return the links to agents of a part of the ring, by endpoint."""
+        return {
+            server.endpoint: link
+            for server in itertools.islice(
+                self._ring.walk(search.key), begin, end
+            )
+            if server.endpoint not in search.asked
+            and (link := self._find_link(server.endpoint)) is not None
+        }
+
+    def _ask_all(self, search: _Search, links: Mapping[str, Link]) -> None:
         query = StreamOriginQuery(search.number, search.key)
-        for server in itertools.islice(
-            self._ring.walk(search.key), MAX_ASKED_COUNT
-        ):
-            endpoint = server.endpoint
-            link = self._find_link(endpoint)
-            if link is None or endpoint in search.asked:
-                continue
+        for endpoint, link in links.items():
             search.asked.add(endpoint)
             search.pending.add(endpoint)
             search.asked_at_seconds = self._clock()
--- a/wasabistream/continuations/resume_decisions.py
+++ b/wasabistream/continuations/resume_decisions.py
@@ -96,6 +96,8 @@
     search_count: int = 1
     waited_seconds: float = 0
     remaining_seconds: float = 0
+    # Whether all agents have been asked, after the wait for links.
+    is_wide: bool = False
 
     @property
     def link_wait_seconds(self) -> float:
@@ -114,6 +116,8 @@
             if self.origins
             else FIRST_ANSWER_SECONDS - self.asked_seconds
         )
+        if self.is_wide:
+            return min(left_seconds, self.remaining_seconds)
         return min(left_seconds, self.longest_wait_seconds)
 
     @property
