End links that are made while the soak cuts them

In a soak links_cut would leave such a link open.

Cause: the proxy lists a link after it has connected to the entry. A cut that comes in between does not see it.

Change: once listed, a link ends if its entries are cut by then.

Tests: test_link_that_is_made_during_a_cut has the cut come between the two steps; it failed before (timed out).

--- a/tests/test_soak_stand_ins.py
+++ b/tests/test_soak_stand_ins.py
@@ -13,6 +13,7 @@
 import urllib.request
 from concurrent.futures import ThreadPoolExecutor
 from http.client import HTTPResponse, RemoteDisconnected
+from typing import Any
 from unittest.mock import patch
 
 from tests.builders import wait_until
@@ -125,6 +126,23 @@
         self.assertEqual(self.near.recv(1), b'')
         self.assertEqual(self.dial().recv(1), b'')
 
+    def test_link_that_is_made_during_a_cut(self) -> None:
+        """Guard against a link that a cut misses as it is not listed yet."""
+        connect = socket.create_connection
+
+        def connect_and_cut(*arguments: Any) -> socket.socket:
+            sock = connect(*arguments)
+            self.disturb(LinkState.cut)
+            return sock
+
+        with patch.object(socket, 'create_connection', connect_and_cut):
+            near = socket.socket()
+            self.addCleanup(near.close)
+            near.bind((self.dialler, 0))
+            near.settimeout(TIMEOUT_SECONDS)
+            near.connect(self.proxy)
+            self.assertEqual(near.recv(1), b'')
+
     def disturb(self, state: LinkState) -> None:
         """Disturb the links of the dialling entry for a short time."""
         thread = threading.Thread(
--- a/wasabistream_tools/soak/links.py
+++ b/wasabistream_tools/soak/links.py
@@ -107,6 +107,9 @@
         pair = (dialled, target)
         with self._lock:
             self._links[pair] = ends
+        if self._state(ends) is LinkState.cut:
+            # The cut began before the link was listed.
+            self._end(pair)
         back = threading.Thread(
             target=self._copy, args=(target, dialled, ends), daemon=True
         )
