Wait until a disturbance of the soak has begun in its test

Cause, by reading: the test takes a disturbance for begun 0.1 s after the start of its thread, and reads within the 0.2 s that are left of it. A busy machine may be late for both.

Change: the test waits until the network is in the state, for which it stays 1 s. What it checks is as strict as before.

--- a/tests/test_soak_stand_ins.py
+++ b/tests/test_soak_stand_ins.py
@@ -37,6 +37,8 @@
 )
 
 WAIT_SECONDS = 0.3
+# Longer than a busy machine keeps this process from what is to happen within.
+DISTURBED_SECONDS = 1.0
 TIMEOUT_SECONDS = 5.0
 VALUE_BYTES = 10_000
 # With so many, each odd answer is drawn.
@@ -144,15 +146,14 @@
             self.assertEqual(near.recv(1), b'')
 
     def disturb(self, state: LinkState) -> None:
-        """Disturb the links of the dialling entry for a short time."""
+        """Begin to disturb the links of the dialling entry for a time."""
         thread = threading.Thread(
             target=self.network.disturb,
-            args=(self.dialler, state, WAIT_SECONDS),
+            args=(self.dialler, state, DISTURBED_SECONDS),
         )
         thread.start()
         self.addCleanup(thread.join)
-        # It has begun by then.
-        time.sleep(WAIT_SECONDS / 3)
+        wait_until(lambda: self.network._states.get(self.dialler) is state)
 
 
 class OddOrdersTest(unittest.TestCase):
