Keep a doubt about a version that is learned late

Found by reading the diff; not seen. Change: a later start that is listed ends the wait, so that the record is withdrawn when the stream has to go on.

--- a/tests/test_version_doubts.py
+++ b/tests/test_version_doubts.py
@@ -169,3 +169,17 @@
         self.resumer.withdraw(self.watch)
         self.list_version()
         self.assertFalse(self.is_taken_up())
+
+    def test_later_start(self) -> None:
+        """Guard against a version that is learned beside a later start."""
+        self.begin(StartCheck.confirmed)
+        later = replace(
+            self.listed[0], software_version='v2', started_unix_ms=now_ms()
+        )
+        self.holder.current = build_fleet(later, *self.listed[1:])
+        self.assertEqual(self.confirm(), '')
+        self.assertFalse(self.progress.awaits_version)
+        self.resumer.withdraw(self.watch)
+        self.list_version()
+        self.assertEqual(self.confirm(), '')
+        self.assertFalse(self.is_taken_up())
--- a/wasabistream/continuations/first_events.py
+++ b/wasabistream/continuations/first_events.py
@@ -81,12 +81,16 @@
 def learn_version(
     first: FirstEvent, listed: BackendServer | None
 ) -> FirstEvent:
-    """Return the first event with the version that its start is listed with."""
-    if (
-        not first.awaits_version
-        or listed is None
-        or not is_version_of_start(listed, first.server)
-    ):
+    """Return the first event with the version that its start is listed with.
+
+    Once a later start is listed, the version is in doubt for good, as it is
+    where it was known at the first event.
+    """
+    if not first.awaits_version or listed is None:
+        return first
+    if listed.started_unix_ms > first.server.started_unix_ms:
+        return replace(first, awaits_version=False)
+    if not is_version_of_start(listed, first.server):
         return first
     software_version = listed.software_version
     return replace(
