--- a/tests/test_first_events.py
+++ b/tests/test_first_events.py
@@ -10,10 +10,10 @@
 from tests.version_builders import FORMER, NEWER, build_engine
 from wasabistream.continuations.first_events import (
     MAX_CLOCK_DIFFERENCE_MS,
-    await_version,
     bind_origin,
     confirm_origin,
     learn_version,
+    note_missing_version,
 )
 from wasabistream.forwarding.backend_servers import BackendServer
 
@@ -87,7 +87,7 @@
     def setUp(self) -> None:
         """Bind a stream at a server whose version is not known."""
         first = bind_origin(build_engine(1, ''), None, EVENT_UNIX_MS)
-        self.first = await_version(first)
+        self.first = note_missing_version(first)
 
     def test_version_of_the_start(self) -> None:
         """Guard against a stream that stays without its version."""
@@ -125,12 +125,12 @@
     def test_servers_without_a_start(self) -> None:
         """Guard against versions of servers that do not state their start."""
         unknown = build_engine(1, '', started_unix_ms=0)
-        first = await_version(bind_origin(unknown, None, EVENT_UNIX_MS))
+        first = note_missing_version(bind_origin(unknown, None, EVENT_UNIX_MS))
         listed = build_engine(1, NEWER, started_unix_ms=0)
         self.assertEqual(learn_version(first, listed), first)
 
     def test_known_version_is_kept(self) -> None:
         """Guard against a list that gives a start another version later."""
-        first = await_version(bind_origin(CHOSEN, CHOSEN, EVENT_UNIX_MS))
+        first = note_missing_version(bind_origin(CHOSEN, CHOSEN, EVENT_UNIX_MS))
         listed = restart(CHOSEN.started_unix_ms)
         self.assertEqual(learn_version(first, listed), first)
--- a/wasabistream/continuations/first_events.py
+++ b/wasabistream/continuations/first_events.py
@@ -71,8 +71,11 @@
     return StreamOrigin(first.origin.service, '')
 
 
-def await_version(first: FirstEvent) -> FirstEvent:
-    """Return the first event of a server whose start has been confirmed."""
+def note_missing_version(first: FirstEvent) -> FirstEvent:
+    """Return the first event, marked if only its version is missing.
+
+    The start of its server must have been confirmed.
+    """
     server = first.server
     lacks_version = not server.software_version and server.started_unix_ms > 0
     return replace(first, awaits_version=lacks_version)
--- a/wasabistream/continuations/stream_continuations.py
+++ b/wasabistream/continuations/stream_continuations.py
@@ -11,11 +11,11 @@
 )
 from wasabistream.continuations.first_events import (
     FirstEvent,
-    await_version,
     bind_origin,
     confirm_origin,
     is_confirmed_by_move,
     learn_version,
+    note_missing_version,
 )
 from wasabistream.continuations.move_destinations import find_move_destination
 from wasabistream.continuations.stream_origins import (
@@ -70,7 +70,7 @@
         )
         first = _apply_check(first, check)
         if check is StartCheck.confirmed:
-            first = learn_version(await_version(first), listed)
+            first = learn_version(note_missing_version(first), listed)
         origin = first.known_origin
         if request.origin is not None and request.origin != origin:
             raise BackendError('server was replaced', 'events', server.endpoint)
