Record streams whose start is confirmed after the first event

Cause: if no agent was heard during the attempt and the engine's report was late, the origin was kept neither at the first event nor later. Only an entry that had to go on asked the engine again, and did not record the answer. Change: at each event of such a stream the entry looks whether the agent has stated the start since the first event (StreamContinuations.confirm_by_report, asks nobody), and records the origin then, or once the engine itself has answered. Reports from before the first event and those of another start do not count. New log line. In test_stream_versions the mocked starts now say that no agent has reported; its checks are unchanged.

--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -395,7 +395,8 @@
     def check_starts(self, *checks: StartCheck) -> Mock:
         """Return the calls that confirm the start of each attempt's server."""
         confirm = Mock(side_effect=checks)
-        self.starts = Mock(confirm=confirm)
+        is_reported = Mock(return_value=False)
+        self.starts = Mock(confirm=confirm, is_reported=is_reported)
         return confirm
 
     def test_server_that_goes_on_was_replaced(self) -> None:
--- a/wasabistream/continuations/first_events.py
+++ b/wasabistream/continuations/first_events.py
@@ -1,5 +1,6 @@
 """Origin of a stream, by what the list says of the server that began it."""
 
+import math
 from dataclasses import dataclass, replace
 
 from wasabistream.continuations.stream_origins import StreamOrigin
@@ -27,6 +28,8 @@
     # Whether the engine or its agent has confirmed the start of the server while
     # its version was not known. Agents state a new start before its version.
     awaits_version: bool = False
+    # When the event arrived, on the boot clock.
+    at_boot_seconds: float = math.inf
 
     @property
     def known_origin(self) -> StreamOrigin:
--- a/wasabistream/continuations/stream_continuations.py
+++ b/wasabistream/continuations/stream_continuations.py
@@ -34,6 +34,7 @@
 from wasabistream.forwarding.requests import ForwardRequest
 from wasabistream.forwarding.stream_progress import StreamProgress
 from wasabistream.forwarding.supervisors import RequestWatch
+from wasabistream.run_endings.boot_clocks import read_boot_clock
 from wasabistream.units import MILLISECONDS_PER_SECOND
 
 
@@ -75,9 +76,30 @@
         if request.origin is not None and request.origin != origin:
             raise BackendError('server was replaced', 'events', server.endpoint)
         if progress.first_event is None:
-            progress.first_event = first
+            progress.first_event = dataclasses.replace(
+                first, at_boot_seconds=read_boot_clock()
+            )
             watch.request = dataclasses.replace(request, origin=origin)
 
+    def confirm_by_report(
+        self, watch: RequestWatch, progress: StreamProgress
+    ) -> bool:
+        """Confirm the origin if the agent has stated it since the first event.
+
+        Returns whether it was unknown until now. Asks nobody, so that it may be
+        called for each event.
+        """
+        first = progress.first_event
+        if first is None or first.is_start_known:
+            return False
+        if not first.origin.software_version or not self.starts.is_reported(
+            first.server, first.at_boot_seconds
+        ):
+            return False
+        progress.first_event = dataclasses.replace(first, is_start_known=True)
+        watch.request = dataclasses.replace(watch.request, origin=first.origin)
+        return True
+
     def confirm(
         self,
         request: ForwardRequest,
--- a/wasabistream/engine_starts/start_confirmers.py
+++ b/wasabistream/engine_starts/start_confirmers.py
@@ -46,6 +46,12 @@
         Statements count that came since a time of the boot clock.
         """
 
+    def is_reported(self, server: BackendServer, since_seconds: float) -> bool:
+        """Return whether the agent has confirmed the start since a time.
+
+        The time is that of the boot clock.
+        """
+
 
 class TrustList:
     """Take the list as it is."""
@@ -60,6 +66,10 @@
         """Return that the listed start serves."""
         return StartCheck.confirmed
 
+    def is_reported(self, server: BackendServer, since_seconds: float) -> bool:
+        """Return that the listed start serves."""
+        return True
+
 
 class EngineStartConfirmer:
     """Compare the listed start with what the agent or the engine states.
@@ -123,6 +133,10 @@
         self._starts.record_answer(server, started_unix_ms)
         return StartCheck.replaced
 
+    def is_reported(self, server: BackendServer, since_seconds: float) -> bool:
+        """Return whether the agent has confirmed the start since a time."""
+        return self._starts.is_confirmed(server, since_seconds)
+
     def _read_state(
         self, server: BackendServer, *, asks_engine: bool
     ) -> EngineState:
--- a/wasabistream/forwarding/stream_forwarders.py
+++ b/wasabistream/forwarding/stream_forwarders.py
@@ -188,6 +188,7 @@
         history: AttemptHistory,
         progress: StreamProgress,
     ) -> BackendServer | None:
+        had_unknown_start = progress.has_unknown_start
         request = self.continuations.confirm(
             watch.request, progress, asks_engine=True
         )
@@ -197,6 +198,8 @@
         )
         if is_unknown and not progress.awaits_version:
             self.resumes.withdraw(watch)
+        elif had_unknown_start:
+            self._record_late(watch, progress)
         last_endpoints = history.endpoints[-1:]
         server = self._chooser.take(request, last_endpoints)
         if server is None and self._sender.may_repeat(request, history):
@@ -334,6 +337,8 @@
     ) -> None:
         if not progress.event_count:
             self.resumes.record_first_event(watch, progress.first_event)
+        elif self.continuations.confirm_by_report(watch, progress):
+            self._record_late(watch, progress)
         watch.caller.write(event.raw)
         if not progress.event_count:
             self._poison_guard.record_answer(
@@ -349,6 +354,20 @@
         watch.record_event()
         watch.stall_limits = _build_stall_limits(watch.request.route)
 
+    def _record_late(
+        self, watch: RequestWatch, progress: StreamProgress
+    ) -> None:
+        """Record what began a stream once its start has been confirmed."""
+        logger.info(
+            'stream: can be taken up, its start is confirmed now',
+            extra={
+                'request_id': watch.request.request_id,
+                'endpoint': watch.endpoint,
+                'event_count': progress.event_count,
+            },
+        )
+        self.resumes.record_first_event(watch, progress.first_event)
+
     def _find_move(
         self, server: BackendServer, watch: RequestWatch, *, is_silent: bool
     ) -> RunMoved | None:
--- a/wasabistream/forwarding/stream_progress.py
+++ b/wasabistream/forwarding/stream_progress.py
@@ -38,6 +38,13 @@
         """Return whether only the version of its engine's start is missing."""
         return self.first_event is not None and self.first_event.awaits_version
 
+    @property
+    def has_unknown_start(self) -> bool:
+        """Return whether nobody has confirmed the start that began the stream."""
+        return self.first_event is not None and (
+            not self.first_event.is_start_known
+        )
+
     def count_event(self, event_id: str, byte_count: int = 0) -> None:
         """Record an event that was sent to the caller.
 
