Read a late report again before a stream leaves a silent connection

Change: the report is read again within 0.5 s unless the request ends (read_late_report, which now holds the limit for both). Streams whose engine is out of reach wait for up to 0.4 s longer; refused connections do not. Tests: test_report_of_the_engine_is_late failed before; test_engine_stays_silent bounds the wait. In test_start_tables the same bound no longer patches a constant: the engine takes its real 0.4 s, and two reads at most are made.

--- a/tests/test_abandoned_runs.py
+++ b/tests/test_abandoned_runs.py
@@ -4,6 +4,7 @@
 runs. The streams go on elsewhere, and the first engine works on beside.
 """
 
+import time
 import unittest
 from unittest.mock import Mock
 
@@ -26,6 +27,7 @@
 from wasabistream.forwarding.move_trackers import MoveTracker
 from wasabistream.forwarding.routes import RouteKind
 from wasabistream.forwarding.supervisors import CutReason, RequestWatch
+from wasabistream.platform.engine_clients import REPORT_TIMEOUT_SECONDS
 from wasabistream.retries import Deadline
 from wasabistream.run_endings.abandoned_runs import AbandonedRunWaiter
 
@@ -79,6 +81,25 @@
         self.assertIsNone(self.waiter.wait(self.server, self.watch))
         self.report_silence.assert_not_called()
 
+    def test_report_of_the_engine_is_late(self) -> None:
+        """Guard against two engines that work on a stream as one is busy."""
+        late = BackendTimeoutError('timed out', 'state')
+        self.engines.read.side_effect = (late, LISTED, ENDED)
+        self.assertIsNone(self.waiter.wait(self.server, self.watch))
+        self.report_silence.assert_called_once()
+
+    def test_engine_stays_silent(self) -> None:
+        """Guard against holding a stream back for an engine out of reach."""
+
+        def read(server: object) -> None:
+            time.sleep(REPORT_TIMEOUT_SECONDS)
+            raise BackendTimeoutError('timed out', 'state')
+
+        self.engines.read.side_effect = read
+        self.assertIsNone(self.waiter.wait(self.server, self.watch))
+        self.assertLessEqual(self.engines.read.call_count, 2)
+        self.report_silence.assert_not_called()
+
     def test_caller_leaves(self) -> None:
         """Guard against a wait for a stream that nobody reads."""
 
--- a/tests/test_start_tables.py
+++ b/tests/test_start_tables.py
@@ -4,9 +4,10 @@
 version of a start that is over.
 """
 
+import time
 import unittest
 from dataclasses import replace
-from unittest.mock import Mock, patch
+from unittest.mock import Mock
 
 from tests.ending_builders import STARTED_UNIX_MS, build_engine_server
 from tests.forwarding_builders import ENGINE_SERVICE, Clock, build_fleet
@@ -26,6 +27,7 @@
 )
 from wasabistream.forwarding.endpoints import parse_endpoint
 from wasabistream.forwarding.fleets import Fleet, FleetHolder
+from wasabistream.platform.engine_clients import REPORT_TIMEOUT_SECONDS
 
 LATER_UNIX_MS = STARTED_UNIX_MS + 60_000
 LISTED = replace(build_engine_server(), software_version='v1')
@@ -238,14 +240,14 @@
 
     def test_engine_stays_silent(self) -> None:
         """Guard against a stream that waits for its engine without end."""
-        self.engines.read.side_effect = BackendTimeoutError(
-            'timed out', 'state'
-        )
-        with patch(
-            'wasabistream.engine_starts.start_confirmers.LATE_REPORT_SECONDS',
-            0.01,
-        ):
-            self.assertIs(self.confirm(asks_engine=True), StartCheck.unknown)
+
+        def read(server: BackendServer) -> None:
+            time.sleep(REPORT_TIMEOUT_SECONDS)
+            raise BackendTimeoutError('timed out', 'state')
+
+        self.engines.read.side_effect = read
+        self.assertIs(self.confirm(asks_engine=True), StartCheck.unknown)
+        self.assertLessEqual(self.engines.read.call_count, 2)
 
     def test_engine_has_ended(self) -> None:
         """Guard against asking an engine again that refuses connections."""
--- a/wasabistream/engine_starts/start_confirmers.py
+++ b/wasabistream/engine_starts/start_confirmers.py
@@ -2,7 +2,6 @@
 
 import logging
 import math
-import time
 from enum import StrEnum
 from typing import Protocol
 
@@ -16,10 +15,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Time in which a report that is late is read once more where a stream is to go
-# on: without it the stream is lost.
-LATE_REPORT_SECONDS = 0.5
-
 
 class StartCheck(StrEnum):
     """State whether the listed start of an engine serves."""
@@ -140,11 +135,6 @@
     def _read_state(
         self, server: BackendServer, *, asks_engine: bool
     ) -> EngineState:
-        give_up_at_seconds = time.monotonic()
         if asks_engine:
-            give_up_at_seconds += LATE_REPORT_SECONDS
-        return read_late_report(
-            self._engines,
-            server,
-            lambda: time.monotonic() < give_up_at_seconds,
-        )
+            return read_late_report(self._engines, server)
+        return self._engines.read(server)
--- a/wasabistream/run_endings/abandoned_runs.py
+++ b/wasabistream/run_endings/abandoned_runs.py
@@ -10,6 +10,7 @@
 from wasabistream.forwarding.supervisors import RequestWatch, SilenceReporter
 from wasabistream.run_endings.endings import lists_run
 from wasabistream.run_endings.interfaces import EngineReports
+from wasabistream.run_endings.report_reads import read_late_report
 
 logger = logging.getLogger(__name__)
 
@@ -80,7 +81,10 @@
         if watch.is_ended or watch.request.deadline.expired:
             return False
         try:
-            state = self._engines.read(server)
+            # A report that is late is no sign that the run has ended.
+            state = read_late_report(
+                self._engines, server, lambda: watch.is_ended
+            )
         except BackendError as error:
             logger.info(
                 'stream: its engine cannot be reached: %s',
--- a/wasabistream/run_endings/end_checkers.py
+++ b/wasabistream/run_endings/end_checkers.py
@@ -269,13 +269,13 @@
         give_up_at_seconds: float,
     ) -> EngineState | None:
         """Return the state of an engine; None if it does not answer."""
-
-        def may_read_again() -> bool:
-            has_time = time.monotonic() < give_up_at_seconds
-            return has_time and not watch.is_ended
-
         try:
-            return read_late_report(self._engines, server, may_read_again)
+            return read_late_report(
+                self._engines,
+                server,
+                lambda: watch.is_ended,
+                give_up_at_seconds - time.monotonic(),
+            )
         except BackendError as error:
             logger.info(
                 'answer: state of its engine is not known: %s',
