Wait for the outcome of orders before runs count as broken off together

Cause: takes runs that depart within 0.2 s of one another for broken off if the engine ends within 1 s, except those that the agent has stopped. A stop counted only once the engine had answered the order; here it did 0.5 s after the stream was done, and the engine ended 0.5 s later. Ruled out: a late report (none was logged), a break by the engine (its log says done). Change: the agent looks at the other runs again until the second is over, and answers as soon as none of them may have departed by itself. Tests: test_other_run_is_stopped_by_an_order failed before; test_other_run_is_not_stopped_by_its_order guards a refused order. tests.test_ending_finders and test_run_departures, 30 tests, pass.

--- a/tests/test_ending_finders.py
+++ b/tests/test_ending_finders.py
@@ -5,6 +5,7 @@
 """
 
 import threading
+import time
 import unittest
 from unittest.mock import Mock, patch
 
@@ -26,6 +27,7 @@
 )
 from wasabistream.continuations.engine_versions import VersionedEngine
 from wasabistream.exceptions import BackendTimeoutError
+from wasabistream.forwarding.engine_states import EngineRun
 from wasabistream.forwarding.move_messages import (
     MoveTargetQuery,
     RunMoved,
@@ -48,6 +50,7 @@
     RESTART_POLL_COUNT,
     EngineContinuity,
 )
+from wasabistream.run_endings.listed_runs import LAST_RUNS_SECONDS
 from wasabistream.run_endings.run_stops import MAX_STOP_COUNT, RunStops
 from wasabistream.run_endings.stop_announcers import StopAnnouncer
 
@@ -201,6 +204,44 @@
         threading.Timer(0.05, self.engine.end).start()
         self.assertIs(self.find(), RunEnding.interrupted)
 
+    def end_beside_an_order(self, *, has_stopped: bool) -> RunEnding:
+        """Return the ending of a run that departs beside one with an order.
+
+        The outcome of the order is known after the runs have departed, and the
+        engine ends some time later.
+        """
+        other = EngineRun('other', 100, 3, 1)
+        self.engine.state_now = build_state(RUN, other, leaving=True)
+        self.polled.state()
+        endings: list[RunEnding] = []
+        asking = threading.Thread(
+            target=lambda: endings.append(self.find()), daemon=True
+        )
+        with self.stops.order(other.run_id) as order:
+            self.engine.state_now = build_state(leaving=True)
+            self.polled.state()
+            asking.start()
+            time.sleep(LAST_RUNS_SECONDS + 0.1)
+            if not has_stopped:
+                order.withdraw()
+        time.sleep(0.4)
+        self.engine.end()
+        asking.join(WAIT_SECONDS)
+        return endings[0]
+
+    def test_other_run_is_stopped_by_an_order(self) -> None:
+        """Guard against breaking off a run that ends beside a move.
+
+        Pattern: an engine leaves, moves its last runs and ends.
+        """
+        ending = self.end_beside_an_order(has_stopped=True)
+        self.assertIs(ending, RunEnding.complete)
+
+    def test_other_run_is_not_stopped_by_its_order(self) -> None:
+        """Guard against runs that their engine breaks off beside an order."""
+        ending = self.end_beside_an_order(has_stopped=False)
+        self.assertIs(ending, RunEnding.interrupted)
+
     def test_run_ends_while_its_engine_leaves(self) -> None:
         """Guard against breaking off what has ended by itself."""
         self.engine.state_now = build_state(leaving=True)
--- a/wasabistream/run_endings/listed_runs.py
+++ b/wasabistream/run_endings/listed_runs.py
@@ -51,7 +51,8 @@
     """Return whether an engine serves on after the end of a run.
 
     One that leaves is asked again: its last runs may end with it. `has_concurrent_ends`
-    tells whether other runs have ended at the same moment.
+    tells whether other runs have ended at the same moment; the outcome of an order
+    may show that it has stopped these.
     """
     try:
         state = _read_state(engine)
@@ -59,8 +60,7 @@
             return True
         time.sleep(LAST_RUNS_SECONDS)
         later_state = _read_state(engine)
-        if has_concurrent_ends():
-            time.sleep(BROKEN_OFF_SECONDS - LAST_RUNS_SECONDS)
+        if _holds(has_concurrent_ends, BROKEN_OFF_SECONDS - LAST_RUNS_SECONDS):
             later_state = _read_state(engine)
     except BackendError as error:
         logger.info('engine: has ended after a run: %s', error)
@@ -68,6 +68,16 @@
     return later_state.started_unix_ms == state.started_unix_ms
 
 
+def _holds(condition: Callable[[], bool], seconds: float) -> bool:
+    """Return whether a condition holds for a time; returns once it does not."""
+    give_up_at_seconds = time.monotonic() + seconds
+    while condition():
+        if time.monotonic() >= give_up_at_seconds:
+            return True
+        time.sleep(POLL_INTERVAL_SECONDS)
+    return False
+
+
 def _read_state(engine: PolledEngine) -> EngineState:
     """Return the state of an engine, which may be late once as it is busy.
 
